Workspace, lints and shared newtypes

The repository starts empty. This lays the crates, the lints set once for the workspace and the newtypes that every later crate names. No behaviour yet.

--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! The process beside each target: admission, priorities, fences, drain and reports.
+
+fn main() {}
--- /dev/null
+++ b/crates/checks/src/lib.rs
@@ -0,0 +1,1 @@
+//! Process-level tests and benches of the whole system.
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,3 @@
+//! The control program: the replicated state, leases, grants and orders.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line: check, apply, status, keys, drain, orders and members.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The callers' entry: authentication, limits, routing, dispatch and relay.
+
+fn main() {}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! The load generator: scenarios, checked answers, histograms and reports.
+
+fn main() {}
--- /dev/null
+++ b/crates/log/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log: a pure consensus step function and its storage on disk.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions: limits, fair queues, routing, retries, admission and placement.
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,1 @@
+//! The rules file: parsing, checking and the typed rule set.
--- /dev/null
+++ b/crates/types/src/rate.rs
@@ -0,0 +1,78 @@
+//! How often something may happen.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ParseError, Result};
+
+const WANTED: &str = "rate";
+/// Millionths in one event.
+const MICROS: u64 = 1_000_000;
+
+/// Events a second, kept in millionths so that sums are exact on every machine.
+///
+/// Written `20/s`, `0.5/s`, `30/m` or `100/h`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Rate {
+    micros: u64,
+}
+
+impl Rate {
+    /// A rate of whole events a second.
+    pub const fn per_second(events: u32) -> Self {
+        Self {
+            micros: events as u64 * MICROS,
+        }
+    }
+
+    /// Millionths of an event a second.
+    pub const fn micros_per_second(self) -> u64 {
+        self.micros
+    }
+
+    /// Millionths of an event that fall due in `span`, rounded down.
+    pub fn micros_in(self, span: Duration) -> u64 {
+        let product = u128::from(self.micros) * span.as_micros() / u128::from(MICROS);
+        u64::try_from(product).unwrap_or(u64::MAX)
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = self.micros / MICROS;
+        let rest = self.micros % MICROS;
+        if rest == 0 {
+            return write!(f, "{whole}/s");
+        }
+        let digits = format!("{rest:06}");
+        write!(f, "{whole}.{}/s", digits.trim_end_matches('0'))
+    }
+}
+
+impl FromStr for Rate {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let Some((amount, unit)) = text.split_once('/') else {
+            return Err(ParseError::new(WANTED, "it has no unit, as in 20/s"));
+        };
+        let seconds = match unit {
+            "s" => 1.0,
+            "m" => 60.0,
+            "h" => 3600.0,
+            _ => return Err(ParseError::new(WANTED, "its unit is not s, m or h")),
+        };
+        let amount: f64 = amount
+            .parse()
+            .map_err(|_| ParseError::new(WANTED, "its amount is not a number"))?;
+        let micros = amount / seconds * MICROS as f64;
+        if !micros.is_finite() || micros < 1.0 || micros > 1e15 {
+            return Err(ParseError::new(WANTED, "its amount is out of range"));
+        }
+        Ok(Self {
+            micros: micros.round() as u64,
+        })
+    }
+}
