--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,31 @@
-//! The key-value store below the state machine, in memory and on disk.
+//! The ordered key-value store below the state machine, in memory and on disk.
+//!
+//! The state machine writes through [`Store`] and never learns which kind it has: pure tests run
+//! on [`MemStore`], the control program on [`RedbStore`]. Reads see every write made before them,
+//! also those of a batch that isn't committed yet.
+//!
+//! ```
+//! use clem_store::{MemStore, Store};
+//!
+//! let mut store = MemStore::default();
+//! store.put(b"rule/1", b"a")?;
+//! store.put(b"rule/2", b"b")?;
+//! assert_eq!(store.get(b"rule/1")?.as_deref(), Some(&b"a"[..]));
+//! let first = store.scan_prefix(b"rule/", 1)?;
+//! assert_eq!(&first[0].key[..], b"rule/1");
+//! # Ok::<(), clem_store::StoreError>(())
+//! ```
+
+mod error;
+mod mem;
+mod pair;
+mod redb_store;
+mod snapshot;
+mod store;
+
+pub use error::{Result, StoreError};
+pub use mem::MemStore;
+pub use pair::Pair;
+pub use redb_store::{RedbStore, Syncer};
+pub use snapshot::Snapshot;
+pub use store::{Store, prefix_end};
--- /dev/null
+++ b/crates/store/src/mem.rs
@@ -0,0 +1,68 @@
+//! A store in memory, for pure tests.
+
+use std::{collections::BTreeMap, ops::Bound};
+
+use bytes::Bytes;
+
+use crate::{Pair, Result, Store};
+
+/// A store in memory, for pure tests; comparing two tells whether replicas have drifted apart.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct MemStore {
+    pairs: BTreeMap<Bytes, Bytes>,
+}
+
+impl MemStore {
+    /// How many pairs there are.
+    pub fn len(&self) -> usize {
+        self.pairs.len()
+    }
+
+    /// Whether there are no pairs.
+    pub fn is_empty(&self) -> bool {
+        self.pairs.is_empty()
+    }
+
+    fn range(
+        &self,
+        start: &[u8],
+        end: Option<&[u8]>,
+    ) -> impl DoubleEndedIterator<Item = Pair> + '_ {
+        let end = match end {
+            // A range that ends before it starts is empty, which the map's own range refuses.
+            Some(end) => Bound::Excluded(end.max(start)),
+            None => Bound::Unbounded,
+        };
+        self.pairs
+            .range::<[u8], _>((Bound::Included(start), end))
+            .map(|(key, value)| Pair {
+                key: key.clone(),
+                value: value.clone(),
+            })
+    }
+}
+
+impl Store for MemStore {
+    fn get(&self, key: &[u8]) -> Result<Option<Bytes>> {
+        Ok(self.pairs.get(key).cloned())
+    }
+
+    fn put(&mut self, key: &[u8], value: &[u8]) -> Result<()> {
+        let key = Bytes::copy_from_slice(key);
+        self.pairs.insert(key, Bytes::copy_from_slice(value));
+        Ok(())
+    }
+
+    fn delete(&mut self, key: &[u8]) -> Result<()> {
+        self.pairs.remove(key);
+        Ok(())
+    }
+
+    fn scan(&self, start: &[u8], end: Option<&[u8]>, limit: usize) -> Result<Vec<Pair>> {
+        Ok(self.range(start, end).take(limit).collect())
+    }
+
+    fn scan_back(&self, start: &[u8], end: Option<&[u8]>, limit: usize) -> Result<Vec<Pair>> {
+        Ok(self.range(start, end).rev().take(limit).collect())
+    }
+}
