--- /dev/null
+++ b/crates/log/src/disk/recover.rs
@@ -0,0 +1,159 @@
+//! Reading a folder's segments back.
+
+use std::{fs, path::Path};
+
+use super::{
+    DiskError, Result,
+    frame::{self, FORMAT, Found, Record},
+    segment::{self, Closed},
+};
+use crate::{Base, Entry, HardState, LogIndex};
+
+/// What the segments of a folder say, and where to go on.
+#[derive(Debug, Default)]
+pub(super) struct Replay {
+    pub(super) hard: HardState,
+    pub(super) base: Base,
+    pub(super) entries: Vec<Entry>,
+    /// All segments but the last.
+    pub(super) closed: Vec<Closed>,
+    /// The last segment; none when there are no segments.
+    pub(super) last: Option<Last>,
+}
+
+/// The last segment of a folder.
+#[derive(Debug)]
+pub(super) struct Last {
+    pub(super) segment: Closed,
+    /// The length of its whole frames.
+    pub(super) bytes: u64,
+    /// The length of a torn frame behind them.
+    pub(super) torn: u64,
+}
+
+/// Reads all segments of `folder`.
+pub(super) fn replay(folder: &Path) -> Result<Replay> {
+    let numbers = segment_numbers(folder)?;
+    let mut replay = Replay::default();
+    for (place, number) in numbers.iter().enumerate() {
+        let is_last = place + 1 == numbers.len();
+        replay.read_segment(folder, *number, is_last)?;
+    }
+    replay.check(folder)?;
+    Ok(replay)
+}
+
+fn segment_numbers(folder: &Path) -> Result<Vec<u64>> {
+    let list = fs::read_dir(folder).map_err(DiskError::io("read", folder))?;
+    let mut numbers = Vec::new();
+    for file in list {
+        let file = file.map_err(DiskError::io("read", folder))?;
+        let Some(number) = file.file_name().to_str().and_then(segment::number) else {
+            continue;
+        };
+        numbers.push(number);
+    }
+    numbers.sort_unstable();
+    for pair in numbers.windows(2) {
+        if pair[0] + 1 != pair[1] {
+            let missing = segment::path(folder, pair[0] + 1);
+            return Err(DiskError::damaged(&missing, 0, "the segment is missing"));
+        }
+    }
+    Ok(numbers)
+}
+
+impl Replay {
+    fn read_segment(&mut self, folder: &Path, number: u64, is_last: bool) -> Result<()> {
+        let path = segment::path(folder, number);
+        let bytes = fs::read(&path).map_err(DiskError::io("read", &path))?;
+        let mut highest = LogIndex::default();
+        let mut at = 0;
+        loop {
+            match frame::read(&bytes, at) {
+                Found::Frame { records, end } => {
+                    highest = highest.max(segment::highest(&records));
+                    self.take(records, &path, at)?;
+                    at = end;
+                }
+                Found::End => break,
+                Found::Damage(reason) => {
+                    if !is_last || frame::any_behind(&bytes, at) {
+                        return Err(DiskError::damaged(&path, at as u64, reason));
+                    }
+                    break;
+                }
+            }
+        }
+        let segment = Closed { number, highest };
+        if is_last {
+            let torn = (bytes.len() - at) as u64;
+            self.last = Some(Last {
+                segment,
+                bytes: at as u64,
+                torn,
+            });
+        } else {
+            self.closed.push(segment);
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, records: Vec<Record>, path: &Path, at: usize) -> Result<()> {
+        for record in records {
+            match record {
+                Record::Start(start) => {
+                    if start.format != FORMAT {
+                        let reason = "the segment was written by another release";
+                        return Err(DiskError::damaged(path, at as u64, reason));
+                    }
+                    self.hard = start.hard;
+                    self.compact(start.base);
+                }
+                Record::Hard(hard) => self.hard = hard,
+                Record::Compact(base) => self.compact(base),
+                Record::Reset(base) => {
+                    self.entries.clear();
+                    self.base = base;
+                }
+                Record::Entry(entry) => {
+                    self.replace_from(entry);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Adds an entry in place of all from its index on.
+    fn replace_from(&mut self, entry: Entry) {
+        while self
+            .entries
+            .last()
+            .is_some_and(|last| last.index >= entry.index)
+        {
+            self.entries.pop();
+        }
+        self.entries.push(entry);
+    }
+
+    fn compact(&mut self, base: Base) {
+        self.entries.retain(|entry| entry.index > base.index);
+        self.base = base;
+    }
+
+    /// The entries follow the base without gaps; else something that was synced is missing.
+    fn check(&self, folder: &Path) -> Result<()> {
+        let mut expected = self.base.index.next();
+        for entry in &self.entries {
+            if entry.index != expected {
+                return Err(DiskError::damaged(
+                    folder,
+                    0,
+                    "entries are missing from the log",
+                ));
+            }
+            expected = expected.next();
+        }
+        Ok(())
+    }
+}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -1,1 +1,48 @@
 //! The replicated log: a pure consensus step function and its storage on disk.
+//!
+//! A [`Node`] is one member. It does no I/O and reads no clock: the driver hands it messages and
+//! the present time, takes a [`Ready`] after each round, writes and syncs what stands there,
+//! reports the sync, sends the messages and applies the committed entries. docs/notes-log.md says
+//! what the protocol promises and why it keeps it.
+//!
+//! ```
+//! use clem_log::{Base, Node, Member, MemberId, Members, Seat, Settings, Start};
+//! use clem_types::Time;
+//!
+//! let member = Member { id: MemberId(1), address: "127.0.0.1:7000".into(), seat: Seat::Voter };
+//! let start = Start {
+//!     base: Base { members: Members::new(vec![member]), ..Base::default() },
+//!     ..Start::new(MemberId(1), 7)
+//! };
+//! let mut now = Time::ZERO;
+//! let mut node = Node::new(now, start, Settings::default());
+//! while !node.is_leader() {
+//!     now = node.wake_at();
+//!     node.tick(now);
+//!     if let Some(write) = node.ready(now).write {
+//!         node.synced(now, write.number);
+//!     }
+//! }
+//! assert!(node.propose(now, b"command"[..].into()).is_ok());
+//! ```
+
+pub mod disk;
+mod entry;
+mod error;
+mod id;
+mod members;
+mod memlog;
+mod message;
+mod node;
+mod progress;
+mod ready;
+mod settings;
+
+pub use entry::{Base, Entry, HardState, Payload};
+pub use error::{Refused, Result};
+pub use id::{ClusterId, LogIndex, MemberId, Term};
+pub use members::{Change, Member, Members, Seat};
+pub use message::{Append, Ballot, Body, Message};
+pub use node::{Node, Start};
+pub use ready::{ReadId, ReadReady, Ready, Write, WriteNumber};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/log/tests/disk.rs
@@ -0,0 +1,324 @@
+//! The log on disk keeps what was synced, cuts off what was not, and refuses damage.
+
+use std::{
+    fs::{self, OpenOptions},
+    io::Write as _,
+    path::{Path, PathBuf},
+};
+
+use clem_log::{
+    Base, Entry, HardState, LogIndex, MemberId, Members, Payload, Term, Write, WriteNumber,
+    disk::{DiskError, DiskEvent, Folder, Identity, Recovered, Writer},
+};
+use proptest::prelude::*;
+use tempfile::TempDir;
+
+const FRESH: Identity = Identity {
+    member: MemberId(7),
+    cluster: None,
+};
+
+fn open(path: &Path) -> (Folder, Recovered) {
+    Folder::open(path, FRESH).expect("the folder opens")
+}
+
+fn entry(index: u64, term: u64, size: usize) -> Entry {
+    let payload = Payload::Data(vec![index as u8; size].into());
+    Entry {
+        index: LogIndex(index),
+        term: Term(term),
+        payload,
+    }
+}
+
+fn entries(range: std::ops::RangeInclusive<u64>, term: u64) -> Write {
+    let entries = range.map(|index| entry(index, term, 100)).collect();
+    Write {
+        entries,
+        ..Write::default()
+    }
+}
+
+fn base(index: u64, term: u64) -> Base {
+    Base {
+        index: LogIndex(index),
+        term: Term(term),
+        members: Members::default(),
+    }
+}
+
+fn segments(path: &Path) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for file in fs::read_dir(path).expect("the folder is there") {
+        let file = file.expect("the file is there").path();
+        if file.to_string_lossy().contains("segment-") {
+            found.push(file);
+        }
+    }
+    found.sort();
+    found
+}
+
+fn flip_byte(path: &Path, at: usize) {
+    let mut bytes = fs::read(path).expect("the segment is there");
+    bytes[at] ^= 0xff;
+    fs::write(path, bytes).expect("the segment can be written");
+}
+
+fn refusal(path: &Path) -> DiskError {
+    Folder::open(path, FRESH)
+        .map(|_| ())
+        .expect_err("the folder is refused")
+}
+
+#[test]
+fn what_was_written_is_read_back() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, recovered) = open(dir.path());
+    assert!(recovered.entries.is_empty());
+    let hard = HardState {
+        term: Term(3),
+        vote: Some(MemberId(9)),
+    };
+    folder
+        .write(vec![Write {
+            hard: Some(hard),
+            ..entries(1..=5, 3)
+        }])
+        .unwrap();
+    // A new leader replaces the end.
+    folder.write(vec![entries(4..=6, 4)]).unwrap();
+    drop(folder);
+    let (_folder, recovered) = open(dir.path());
+    assert_eq!(recovered.hard, hard);
+    assert_eq!(recovered.torn, 0);
+    let terms: Vec<u64> = recovered.entries.iter().map(|entry| entry.term.0).collect();
+    assert_eq!(terms, [3, 3, 3, 4, 4, 4]);
+}
+
+#[test]
+fn a_torn_end_is_cut_off_and_writing_goes_on() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    folder.write(vec![entries(1..=3, 1)]).unwrap();
+    let whole = fs::metadata(&segments(dir.path())[0]).unwrap().len();
+    folder.write(vec![entries(4..=9, 1)]).unwrap();
+    drop(folder);
+    let path = segments(dir.path()).remove(0);
+    let full = fs::metadata(&path).unwrap().len();
+    for length in whole + 1..full {
+        let copy = TempDir::new().unwrap();
+        for file in fs::read_dir(dir.path()).unwrap() {
+            let file = file.unwrap();
+            fs::copy(file.path(), copy.path().join(file.file_name())).unwrap();
+        }
+        let torn = copy.path().join(path.file_name().unwrap());
+        OpenOptions::new()
+            .write(true)
+            .open(&torn)
+            .unwrap()
+            .set_len(length)
+            .unwrap();
+        let (mut folder, recovered) = open(copy.path());
+        assert_eq!(recovered.entries.len(), 3, "cut at {length}");
+        assert_eq!(recovered.torn, length - whole);
+        folder.write(vec![entries(4..=4, 2)]).unwrap();
+        drop(folder);
+        let (_folder, recovered) = open(copy.path());
+        assert_eq!(recovered.entries.len(), 4, "cut at {length}");
+    }
+}
+
+#[test]
+fn damage_in_the_middle_is_refused_by_name_and_place() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    folder.write(vec![entries(1..=3, 1)]).unwrap();
+    let place = fs::metadata(&segments(dir.path())[0]).unwrap().len();
+    folder.write(vec![entries(4..=6, 1)]).unwrap();
+    folder.write(vec![entries(7..=9, 1)]).unwrap();
+    drop(folder);
+    let path = segments(dir.path()).remove(0);
+    flip_byte(&path, usize::try_from(place).unwrap() + 20);
+    match refusal(dir.path()) {
+        DiskError::Damaged {
+            path: named,
+            offset,
+            ..
+        } => {
+            assert_eq!(named, path);
+            assert_eq!(offset, place);
+        }
+        other => panic!("{other}"),
+    }
+}
+
+#[test]
+fn damage_at_the_end_of_an_older_segment_is_refused() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    for index in 1..=3 {
+        let large = Write {
+            entries: vec![entry(index, 1, 5 << 20)],
+            ..Write::default()
+        };
+        folder.write(vec![large]).unwrap();
+    }
+    drop(folder);
+    let all = segments(dir.path());
+    assert!(all.len() > 1, "the log has more than one segment");
+    let length = fs::metadata(&all[0]).unwrap().len();
+    flip_byte(&all[0], usize::try_from(length).unwrap() - 1);
+    assert!(matches!(refusal(dir.path()), DiskError::Damaged { path, .. } if path == all[0]));
+}
+
+#[test]
+fn a_missing_segment_is_refused() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    for index in 1..=5 {
+        let large = Write {
+            entries: vec![entry(index, 1, 5 << 20)],
+            ..Write::default()
+        };
+        folder.write(vec![large]).unwrap();
+    }
+    drop(folder);
+    let all = segments(dir.path());
+    fs::remove_file(&all[1]).unwrap();
+    assert!(matches!(refusal(dir.path()), DiskError::Damaged { path, .. } if path == all[1]));
+}
+
+#[test]
+fn segments_go_once_they_are_compacted() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    for index in 1..=6 {
+        let large = Write {
+            entries: vec![entry(index, 1, 5 << 20)],
+            ..Write::default()
+        };
+        folder.write(vec![large]).unwrap();
+    }
+    let before = segments(dir.path()).len();
+    folder.compact(base(5, 1)).unwrap();
+    let after = segments(dir.path());
+    assert!(
+        after.len() < before,
+        "{before} segments before, {} after",
+        after.len()
+    );
+    drop(folder);
+    let (_folder, recovered) = open(dir.path());
+    assert_eq!(recovered.base, base(5, 1));
+    let kept: Vec<u64> = recovered
+        .entries
+        .iter()
+        .map(|entry| entry.index.0)
+        .collect();
+    assert_eq!(kept, [6]);
+}
+
+#[test]
+fn a_reset_drops_the_log_and_starts_anew() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    folder.write(vec![entries(1..=9, 1)]).unwrap();
+    let reset = Write {
+        reset: Some(base(50, 4)),
+        ..entries(51..=52, 4)
+    };
+    folder.write(vec![reset]).unwrap();
+    drop(folder);
+    let (_folder, recovered) = open(dir.path());
+    assert_eq!(recovered.base, base(50, 4));
+    assert_eq!(recovered.entries.len(), 2);
+}
+
+#[test]
+fn a_folder_is_not_used_twice_at_once() {
+    let dir = TempDir::new().unwrap();
+    let (_folder, _) = open(dir.path());
+    assert!(matches!(refusal(dir.path()), DiskError::Locked(_)));
+}
+
+#[test]
+fn a_folder_keeps_its_identity_and_a_damaged_one_is_refused() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    let joined = Identity {
+        cluster: Some(clem_log::ClusterId(5)),
+        ..FRESH
+    };
+    folder.set_identity(joined).unwrap();
+    drop(folder);
+    let other = Identity {
+        member: MemberId(8),
+        cluster: None,
+    };
+    let (folder, recovered) = Folder::open(dir.path(), other).unwrap();
+    assert_eq!(recovered.identity, joined);
+    drop(folder);
+    flip_byte(&dir.path().join("identity"), 3);
+    assert!(matches!(refusal(dir.path()), DiskError::Damaged { .. }));
+    fs::remove_file(dir.path().join("identity")).unwrap();
+    assert!(
+        matches!(refusal(dir.path()), DiskError::Damaged { .. }),
+        "a log without identity"
+    );
+}
+
+#[tokio::test]
+async fn the_writer_syncs_in_order_and_says_when_it_fails() {
+    let dir = TempDir::new().unwrap();
+    let (folder, _) = open(dir.path());
+    let (writer, mut events) = Writer::start(folder).unwrap();
+    for number in 1..=100 {
+        writer.write(Write {
+            number: WriteNumber(number),
+            ..entries(number..=number, 1)
+        });
+    }
+    let mut synced = 0;
+    while synced < 100 {
+        match events.recv().await {
+            Some(DiskEvent::Synced { number, free_bytes }) => {
+                assert!(number.0 > synced && free_bytes > 0);
+                synced = number.0;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    // The next segment can't be made, as a folder stands in its place.
+    fs::create_dir(dir.path().join("segment-000000000002")).unwrap();
+    let large = Write {
+        entries: vec![entry(101, 1, 9 << 20)],
+        ..Write::default()
+    };
+    writer.write(large);
+    assert!(matches!(
+        events.recv().await,
+        Some(DiskEvent::Failed(DiskError::Io { .. }))
+    ));
+    assert!(
+        events.recv().await.is_none(),
+        "nothing is written after a failure"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn any_bytes_behind_the_log_are_cut_off_or_refused(tail in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let dir = TempDir::new().unwrap();
+        let (mut folder, _) = open(dir.path());
+        folder.write(vec![entries(1..=3, 1)]).unwrap();
+        drop(folder);
+        let path = segments(dir.path()).remove(0);
+        OpenOptions::new().append(true).open(&path).unwrap().write_all(&tail).unwrap();
+        if let Ok((_folder, recovered)) = Folder::open(dir.path(), FRESH) {
+            prop_assert_eq!(recovered.entries.len(), 3);
+        }
+    }
+}
