Fakes: engine, service, platform list, weight store

Tests and the demo need something at each interface before the system stands. The engine's batching is a pure state machine, so that policy tests drive it in virtual time; the process adds the clock, HTTP and faults.

Seen on the way: salvo sets no TCP_NODELAY on accepted connections; it is set on the listening socket, from which Linux hands it on. Log lines are written when a request arrives and completed in place, so that a killed process loses none.

--- /dev/null
+++ b/crates/fakes/src/http.rs
@@ -0,0 +1,135 @@
+//! What the stand-ins share: the listener, JSON answers and whole bodies.
+
+use std::net::SocketAddr;
+
+use eyre::{Result, WrapErr};
+use salvo::{
+    Handler, Request, Response, Router, Server,
+    conn::tcp::TcpAcceptor,
+    http::{HeaderValue, StatusCode, header},
+};
+use serde::Serialize;
+use tokio::net::TcpSocket;
+
+use crate::request_log::{Outcome, Record, RequestLog};
+
+/// Connections that wait for being accepted.
+const BACKLOG: u32 = 1024;
+/// The largest request body.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Serves `handler` on `listen`, having told the bound address on stdout.
+pub(crate) async fn serve(kind: &str, listen: SocketAddr, handler: impl Handler) -> Result<()> {
+    let socket = match listen {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it: small events must not wait for acknowledgements.
+    socket.set_nodelay(true)?;
+    socket
+        .bind(listen)
+        .wrap_err_with(|| format!("can't listen on {listen}"))?;
+    let listener = socket.listen(BACKLOG)?;
+    let bound = Bound {
+        listening: listener.local_addr()?,
+        kind,
+        pid: std::process::id(),
+    };
+    println!("{}", serde_json::to_string(&bound)?);
+    let router = Router::with_path("{**rest}").goal(handler);
+    Server::new(TcpAcceptor::try_from(listener)?)
+        .disable_fuse()
+        .serve(router)
+        .await;
+    Ok(())
+}
+
+#[derive(Debug, Serialize)]
+struct Bound<'a> {
+    listening: SocketAddr,
+    kind: &'a str,
+    pid: u32,
+}
+
+/// The whole body as text.
+pub(crate) async fn body_text(req: &mut Request) -> Result<String> {
+    let bytes = req.payload_with_max_size(MAX_BODY_BYTES).await?;
+    Ok(String::from_utf8_lossy(bytes).into_owned())
+}
+
+/// Begins the record of a request whose body is read.
+pub(crate) fn begin(log: &RequestLog, req: &Request, body: &str) -> Result<Record> {
+    log.begin(req.method(), req.uri(), req.headers(), body)
+}
+
+/// An error answer.
+#[derive(Debug)]
+pub(crate) struct Refusal {
+    pub(crate) status: StatusCode,
+    pub(crate) code: &'static str,
+    pub(crate) message: String,
+}
+
+impl Refusal {
+    pub(crate) fn new(
+        status: StatusCode,
+        code: &'static str,
+        message: impl std::fmt::Display,
+    ) -> Self {
+        Self {
+            status,
+            code,
+            message: message.to_string(),
+        }
+    }
+
+    pub(crate) fn bad_request(message: impl std::fmt::Display) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, "bad_request", message)
+    }
+
+    pub(crate) fn not_found() -> Self {
+        Self::new(StatusCode::NOT_FOUND, "not_found", "no such call")
+    }
+}
+
+impl From<eyre::Report> for Refusal {
+    fn from(report: eyre::Report) -> Self {
+        Self::bad_request(report)
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorFields<'a> {
+    code: &'a str,
+    message: &'a str,
+}
+
+/// Answers with an error and completes the record.
+pub(crate) fn refuse(res: &mut Response, record: &mut Record, refusal: &Refusal) {
+    record.close(Outcome::Refused, None);
+    send_refusal(res, refusal);
+}
+
+/// Answers with an error.
+pub(crate) fn send_refusal(res: &mut Response, refusal: &Refusal) {
+    res.status_code(refusal.status);
+    let error = ErrorFields {
+        code: refusal.code,
+        message: &refusal.message,
+    };
+    send_json(res, &ErrorBody { error });
+}
+
+/// Answers with a JSON value.
+pub(crate) fn send_json(res: &mut Response, value: &impl Serialize) {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let json = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(header::CONTENT_TYPE, json);
+    res.body(body);
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,25 @@
+//! Stand-ins for what stands around the system, for tests and the demo.
+//!
+//! The library part holds what tests need without a process: the engine's batching [`model`] as a pure module that
+//! can be driven in virtual time, the [`tokens`] that an engine answers with, and the [`prefix`] block hashes.
+//!
+//! ```
+//! use clem_fake::{model::{Engine, Options, Output, Work}, prefix, tokens};
+//! use clem_types::Time;
+//!
+//! let prompt = tokens::prompt_text([("user", "hello")]);
+//! let mut engine = Engine::new(Options::default());
+//! engine.submit(Time::ZERO, Work::new("r1", prefix::Prompt::new("", &prompt), 2))?;
+//! let mut sent = 0;
+//! while let Some(wake) = engine.next_wake() {
+//!     for output in engine.advance(wake) {
+//!         sent += usize::from(matches!(output, Output::Token { .. }));
+//!     }
+//! }
+//! assert_eq!(sent, 2);
+//! # Ok::<(), clem_fake::model::SubmitError>(())
+//! ```
+
+pub mod model;
+pub mod prefix;
+pub mod tokens;
