Rule set, messages between processes, and the frame of a program

Cause: five areas are built side by side and need one contract. This adds the typed rule set with deltas, every message between our processes with its codec and client, and settings, logs, metrics and the admin page. Conclusion: entry, control and agent can be written against these crates.

--- a/crates/types/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -68,7 +68,7 @@
             .parse()
             .map_err(|_| ParseError::new(WANTED, "its amount is not a number"))?;
         let micros = amount / seconds * MICROS as f64;
-        if !micros.is_finite() || micros < 1.0 || micros > 1e15 {
+        if !(1.0..=1e15).contains(&micros) {
             return Err(ParseError::new(WANTED, "its amount is out of range"));
         }
         Ok(Self {
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,132 @@
+//! The client that carries calls to one address.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client as HttpClient, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+use crate::{Call, CallError, FleetSecret, MAX_MESSAGE_BYTES, SECRET_HEADER, codec};
+
+/// How long setting up a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+type Result<T> = std::result::Result<T, CallError>;
+
+/// Sends calls to other processes of the fleet, over kept connections.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+    secret: FleetSecret,
+}
+
+impl Client {
+    /// A client that shows `secret` with each call.
+    pub fn new(secret: FleetSecret) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let http = HttpClient::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self { http, secret }
+    }
+
+    /// Sends a call and waits for its reply, for `timeout` at the most.
+    ///
+    /// # Errors
+    /// See [`CallError`]; it tells whether the other side may have acted.
+    pub async fn call<C: Call>(
+        &self,
+        address: SocketAddr,
+        call: &C,
+        timeout: Duration,
+    ) -> Result<C::Reply> {
+        let body = encode(call)?;
+        let reply = self.post(address, C::PATH, body, timeout).await?;
+        codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
+    }
+
+    /// Posts raw bytes and reads the whole reply, for `timeout` at the most.
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Bytes> {
+        let exchange = async {
+            let response = self.open(address, path, body).await?;
+            let limited = Limited::new(response.into_body(), MAX_MESSAGE_BYTES);
+            match limited.collect().await {
+                Ok(body) => Ok(body.to_bytes()),
+                Err(error) => Err(CallError::MayHaveArrived(error.to_string())),
+            }
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::MayHaveArrived("no reply in time".to_owned())),
+        }
+    }
+
+    /// Posts raw bytes and returns the response as soon as its head is there; for dispatches.
+    ///
+    /// # Errors
+    /// See [`CallError`]; a status other than 200 is [`CallError::Refused`].
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}{path}"))
+            .header(CONTENT_TYPE, "application/msgpack")
+            .header(SECRET_HEADER, self.secret.reveal())
+            .body(Full::new(body))
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let response = match self.http.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return Err(CallError::NotSent(error.to_string())),
+            Err(error) => return Err(CallError::MayHaveArrived(error.to_string())),
+        };
+        if response.status() == StatusCode::OK {
+            return Ok(response);
+        }
+        let status = response.status().as_u16();
+        let message = refusal_text(response).await;
+        Err(CallError::Refused { status, message })
+    }
+}
+
+/// The longest text of a refusal that is read, in bytes.
+const MAX_REFUSAL_BYTES: usize = 4096;
+
+async fn refusal_text(response: Response<Incoming>) -> String {
+    let limited = Limited::new(response.into_body(), MAX_REFUSAL_BYTES);
+    match limited.collect().await {
+        Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+        Err(_) => String::new(),
+    }
+}
+
+/// Encodes a call into the bytes to post.
+fn encode<C: Call>(call: &C) -> Result<Bytes> {
+    let bytes = codec::encode(call).map_err(|error| CallError::NotSent(error.to_string()))?;
+    if bytes.len() > MAX_MESSAGE_BYTES {
+        return Err(CallError::NotSent("the message is too long".to_owned()));
+    }
+    Ok(bytes.into())
+}
--- /dev/null
+++ b/crates/wire/src/control.rs
@@ -0,0 +1,145 @@
+//! The client of the control processes, which finds their leader.
+
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use crate::{Call, CallError, Client, ControlReply};
+
+/// The pause before all control processes are asked again.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// How long one control process is waited for before the next one is asked.
+const TRY_TIMEOUT: Duration = Duration::from_millis(1500);
+
+type Result<T> = std::result::Result<T, CallError>;
+
+/// Sends calls to whichever control process leads.
+///
+/// Calls are idempotent, so one whose answer was lost is sent again until the time is over.
+#[derive(Debug)]
+pub struct ControlClient {
+    client: Client,
+    addresses: Vec<SocketAddr>,
+    leader: Mutex<Leader>,
+}
+
+/// Which control process is asked next.
+#[derive(Debug, Clone, Copy)]
+enum Leader {
+    /// The process at this place of the list.
+    Listed(usize),
+    /// A process that the settings don't list, named by another one.
+    Named(SocketAddr),
+}
+
+impl ControlClient {
+    /// A client of the control processes at `addresses`.
+    pub fn new(client: Client, addresses: Vec<SocketAddr>) -> Self {
+        debug_assert!(
+            !addresses.is_empty(),
+            "settings name at least one control process"
+        );
+        Self {
+            client,
+            addresses,
+            leader: Mutex::new(Leader::Listed(0)),
+        }
+    }
+
+    /// Sends a call to the leader and waits for its reply, for `timeout` at the most.
+    ///
+    /// # Errors
+    /// [`CallError::MayHaveArrived`] when the outcome is not known at the end of the time,
+    /// [`CallError::NotSent`] when no control process was reached at all.
+    pub async fn call<C: Call>(&self, call: &C, timeout: Duration) -> Result<C::Reply>
+    where
+        ControlReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        let end = Instant::now() + timeout;
+        let mut arrived = false;
+        loop {
+            for _ in 0..=self.addresses.len() {
+                let left = end.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    return Err(out_of_time(arrived));
+                }
+                let address = self.next_address();
+                match self
+                    .ask(address, call, left.min(self.patience(timeout)))
+                    .await
+                {
+                    Ok(ControlReply::Done(reply)) => return Ok(reply),
+                    Ok(ControlReply::NotLeader { leader }) => self.follow(leader),
+                    Ok(ControlReply::Unknown) => {
+                        arrived = true;
+                        self.follow(None);
+                    }
+                    Err(error @ CallError::Refused { .. }) => return Err(error),
+                    Err(error) => {
+                        arrived |= !error.is_not_run();
+                        self.follow(None);
+                    }
+                }
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Long polls wait longer than other calls; their own timeout says how long.
+    fn patience(&self, timeout: Duration) -> Duration {
+        if self.addresses.len() == 1 {
+            timeout
+        } else {
+            TRY_TIMEOUT
+        }
+    }
+
+    async fn ask<C: Call>(
+        &self,
+        address: SocketAddr,
+        call: &C,
+        timeout: Duration,
+    ) -> Result<ControlReply<C::Reply>>
+    where
+        ControlReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        let body =
+            crate::codec::encode(call).map_err(|error| CallError::NotSent(error.to_string()))?;
+        let reply = self
+            .client
+            .post(address, C::PATH, body.into(), timeout)
+            .await?;
+        crate::codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
+    }
+
+    fn next_address(&self) -> SocketAddr {
+        match *self.leader.lock().unwrap_or_else(PoisonError::into_inner) {
+            Leader::Listed(place) => self.addresses[place],
+            Leader::Named(address) => address,
+        }
+    }
+
+    fn follow(&self, named: Option<SocketAddr>) {
+        let mut leader = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(named) = named else {
+            *leader = match *leader {
+                Leader::Listed(place) => Leader::Listed((place + 1) % self.addresses.len()),
+                Leader::Named(_) => Leader::Listed(0),
+            };
+            return;
+        };
+        *leader = match self.addresses.iter().position(|address| *address == named) {
+            Some(place) => Leader::Listed(place),
+            None => Leader::Named(named),
+        };
+    }
+}
+
+fn out_of_time(arrived: bool) -> CallError {
+    if arrived {
+        return CallError::MayHaveArrived("no control process answered in time".to_owned());
+    }
+    CallError::NotSent("no control leader was reached in time".to_owned())
+}
