--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -12,20 +12,20 @@
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::Method};
 use serde::{Deserialize, Serialize};
 
-pub(crate) use self::settings::Settings;
+pub(crate) use self::settings::program;
 use self::state::{EngineState, ParkedExport};
 use crate::{
+    Common,
     http::{self, Refusal},
-    request_log::{Outcome, RequestLog},
+    request_log::Outcome,
 };
 
 /// Serves until the process is ended.
-pub(crate) async fn run(settings: Settings) -> Result<()> {
-    let log = RequestLog::open(settings.log.as_deref())?;
-    let listen = settings.listen;
-    let state = Arc::new(EngineState::new(settings, log));
+pub(crate) async fn run(settings: clem_boot::Settings, common: Common) -> Result<()> {
+    let settings = settings::read(settings)?;
+    let state = Arc::new(EngineState::new(settings, common.log));
     tokio::spawn(state::drive(Arc::clone(&state)));
-    http::serve("engine", listen, EngineHandler { state }).await
+    http::serve("engine", common.listener, EngineHandler { state }).await
 }
 
 struct EngineHandler {
--- a/crates/fakes/src/engine/settings.rs
+++ b/crates/fakes/src/engine/settings.rs
@@ -1,11 +1,12 @@
 //! The engine's flags.
 
-use std::{net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+use std::{net::SocketAddr, str::FromStr, time::Duration};
 
+use clem_boot::{Findings, Flag, Program};
 use clem_fake::model::Options;
-use clem_types::{ModelId, ModelVersion};
+use clem_types::{ModelId, ModelVersion, ParseError};
 
-use crate::flags::Flags;
+use crate::{flag, take, take_micros, take_millis};
 
 /// A model with its version, written `NAME@VERSION`.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,13 +16,13 @@
 }
 
 impl FromStr for ModelName {
-    type Err = &'static str;
+    type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (model, version) = text.split_once('@').ok_or("no @")?;
+        let (model, version) = text.split_once('@').unwrap_or((text, ""));
         Ok(Self {
-            model: model.parse().map_err(|_| "no model name")?,
-            version: version.parse().map_err(|_| "no version")?,
+            model: model.parse()?,
+            version: version.parse()?,
         })
     }
 }
@@ -29,8 +30,6 @@
 /// Everything that an engine is started with.
 #[derive(Debug, Clone)]
 pub(crate) struct Settings {
-    pub(crate) listen: SocketAddr,
-    pub(crate) log: Option<PathBuf>,
     pub(crate) options: Options,
     pub(crate) models: Vec<ModelName>,
     pub(crate) load_lag: Duration,
@@ -47,34 +46,111 @@
     pub(crate) seed: u64,
 }
 
-impl Settings {
-    pub(crate) fn read(flags: &mut Flags) -> Self {
-        let chunk = flags.or("prefill-chunk", 0);
-        let options = Options {
-            step: Duration::from_micros(flags.or("step-us", 2000)),
-            per_stream: Duration::from_micros(flags.or("step-per-stream-us", 100)),
-            per_prompt_token: Duration::from_micros(flags.or("prefill-us-per-token", 20)),
-            prefill_chunk: (chunk > 0).then_some(chunk),
-            slots: flags.or("slots", 16),
-            cache_blocks: flags.or("cache-blocks", 4096),
-            slow_factor: flags.or("slow-factor", 1),
-        };
-        Self {
-            listen: flags.listen(),
-            log: flags.get("log"),
-            options,
-            models: flags.all("model"),
-            load_lag: flags.millis("load-lag-ms", 100),
-            event_lag: flags.millis("event-lag-ms", 50),
-            event_gap: flags.or("event-gap", 0),
-            checks_fence: flags.or("checks-fence", true),
-            load_time: flags.millis("load-ms", 200),
-            weights: flags.get("weights"),
-            load_bytes: flags.or("load-bytes", 1_000_000),
-            die_on: flags.get("die-on"),
-            die_after: flags.or("die-after", 0),
-            freeze_on: flags.get("freeze-on"),
-            seed: flags.or("seed", 1),
-        }
-    }
+/// The flags of an engine.
+pub(crate) fn program() -> Program {
+    Program::new("clem-fake engine", "A stand-in for a model engine.")
+        .flag(Flag::new("model", "NAME@VERSION", "Ready from the start.").repeated())
+        .flag(flag("step-us", "N", "2000", "Base time of a step."))
+        .flag(flag(
+            "step-per-stream-us",
+            "N",
+            "100",
+            "Added for each stream.",
+        ))
+        .flag(flag(
+            "prefill-us-per-token",
+            "N",
+            "20",
+            "Added for each uncached prompt token.",
+        ))
+        .flag(flag(
+            "prefill-chunk",
+            "N",
+            "0",
+            "Most prompt tokens in one step; 0 is all.",
+        ))
+        .flag(flag("slots", "N", "16", "Streams in the batch."))
+        .flag(flag(
+            "cache-blocks",
+            "N",
+            "4096",
+            "KV memory in blocks of 16 tokens.",
+        ))
+        .flag(flag(
+            "slow-factor",
+            "N",
+            "1",
+            "Multiplies the time of each step.",
+        ))
+        .flag(flag("load-lag-ms", "N", "100", "Age of the load report."))
+        .flag(flag("event-lag-ms", "N", "50", "Age of cache events."))
+        .flag(flag(
+            "event-gap",
+            "PERCENT",
+            "0",
+            "Cache events that are lost.",
+        ))
+        .flag(flag(
+            "checks-fence",
+            "BOOL",
+            "true",
+            "Refuses orders with old fences.",
+        ))
+        .flag(flag(
+            "load-ms",
+            "N",
+            "200",
+            "Time of a model load without a weight store.",
+        ))
+        .flag(Flag::new("weights", "IP:PORT", "The weight store."))
+        .flag(flag("load-bytes", "N", "1000000", "Bytes of a model."))
+        .flag(Flag::new(
+            "die-on",
+            "TEXT",
+            "A body with it ends the process.",
+        ))
+        .flag(flag(
+            "die-after",
+            "N",
+            "0",
+            "Tokens of that request before the end.",
+        ))
+        .flag(Flag::new(
+            "freeze-on",
+            "TEXT",
+            "A body with it stops all steps.",
+        ))
+        .flag(flag("seed", "N", "1", "Seed of lost events."))
+}
+
+/// Takes the values of those flags.
+pub(crate) fn read(mut settings: clem_boot::Settings) -> Result<Settings, Findings> {
+    let from = &mut settings;
+    let chunk = take(from, "prefill-chunk");
+    let options = Options {
+        step: take_micros(from, "step-us"),
+        per_stream: take_micros(from, "step-per-stream-us"),
+        per_prompt_token: take_micros(from, "prefill-us-per-token"),
+        prefill_chunk: (chunk > 0).then_some(chunk),
+        slots: take(from, "slots"),
+        cache_blocks: take(from, "cache-blocks"),
+        slow_factor: take(from, "slow-factor"),
+    };
+    let taken = Settings {
+        options,
+        models: from.take_all("model"),
+        load_lag: take_millis(from, "load-lag-ms"),
+        event_lag: take_millis(from, "event-lag-ms"),
+        event_gap: take(from, "event-gap"),
+        checks_fence: take(from, "checks-fence"),
+        load_time: take_millis(from, "load-ms"),
+        weights: from.take("weights"),
+        load_bytes: take(from, "load-bytes"),
+        die_on: from.take("die-on"),
+        die_after: take(from, "die-after"),
+        freeze_on: from.take("freeze-on"),
+        seed: take(from, "seed"),
+    };
+    settings.finish()?;
+    Ok(taken)
 }
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -2,43 +2,34 @@
 
 use std::net::SocketAddr;
 
-use eyre::{Result, WrapErr};
+use clem_boot::Listener;
+use eyre::{OptionExt, Result};
 use salvo::{
     Handler, Request, Response, Router, Server,
-    conn::tcp::TcpAcceptor,
     http::{HeaderValue, StatusCode, header},
 };
 use serde::Serialize;
-use tokio::net::TcpSocket;
 
 use crate::request_log::{Outcome, Record, RequestLog};
 
-/// Connections that wait for being accepted.
-const BACKLOG: u32 = 1024;
 /// The largest request body.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
-/// Serves `handler` on `listen`, having told the bound address on stdout.
-pub(crate) async fn serve(kind: &str, listen: SocketAddr, handler: impl Handler) -> Result<()> {
-    let socket = match listen {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    // Accepted connections inherit it: small events must not wait for acknowledgements.
-    socket.set_nodelay(true)?;
-    socket
-        .bind(listen)
-        .wrap_err_with(|| format!("can't listen on {listen}"))?;
-    let listener = socket.listen(BACKLOG)?;
+/// Serves `handler`, having told the bound address on stdout.
+pub(crate) async fn serve(
+    kind: &str,
+    listener: Option<Listener>,
+    handler: impl Handler,
+) -> Result<()> {
+    let listener = listener.ok_or_eyre("no address to listen on")?;
     let bound = Bound {
-        listening: listener.local_addr()?,
+        listening: listener.address(),
         kind,
         pid: std::process::id(),
     };
     println!("{}", serde_json::to_string(&bound)?);
     let router = Router::with_path("{**rest}").goal(handler);
-    Server::new(TcpAcceptor::try_from(listener)?)
+    Server::new(clem_boot::acceptor(listener)?)
         .disable_fuse()
         .serve(router)
         .await;
--- a/crates/fakes/src/main.rs
+++ b/crates/fakes/src/main.rs
@@ -3,89 +3,114 @@
 //! `clem-fake engine|service|platform|weights FLAGS`; calls, flags and log lines are in the crate's README.
 
 mod engine;
-mod flags;
 mod http;
 mod platform;
 mod request_log;
 mod service;
 mod weights;
 
-use std::process::ExitCode;
+use std::{ffi::OsString, process::ExitCode};
 
-use flags::Flags;
+use clem_boot::{EXIT_SETTINGS, Flag, Listener, Program, Settings, Start};
+use eyre::Result;
+use request_log::RequestLog;
 
+const NAME: &str = "clem-fake";
 const USAGE: &str = "\
-Stand-ins for tests and the demo.
-
 Usage: clem-fake engine|service|platform|weights [FLAGS]
 
-  --listen IP:PORT   where to listen; port 0 lets the kernel pick
-  --log FILE         one JSON line for each request received
-
-Calls and the flags of each kind: crates/fakes/README.md
+Stand-ins for tests and the demo. `clem-fake KIND --help` lists the flags of a kind.
 ";
 
-/// Exit code of a bad setting.
-const BAD_SETTING: u8 = 2;
-
 fn main() -> ExitCode {
     let mut words = std::env::args_os().skip(1);
     let kind = words.next().unwrap_or_default();
-    let kind = kind.to_string_lossy();
-    match kind.as_ref() {
+    let words: Vec<OsString> = words.collect();
+    match kind.to_string_lossy().as_ref() {
+        "engine" => clem_boot::run(NAME, run(engine::program(), words, engine::run)),
+        "service" => clem_boot::run(NAME, run(service::program(), words, service::run)),
+        "platform" => clem_boot::run(NAME, run(platform::program(), words, platform::run)),
+        "weights" => clem_boot::run(NAME, run(weights::program(), words, weights::run)),
         "--help" => {
             print!("{USAGE}");
-            return ExitCode::SUCCESS;
+            ExitCode::SUCCESS
         }
         "--version" => {
-            println!("clem-fake {}", env!("CARGO_PKG_VERSION"));
-            return ExitCode::SUCCESS;
+            println!("{NAME} {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
         }
-        _ => {}
-    }
-    let mut flags = Flags::read(words);
-    let result = match kind.as_ref() {
-        "engine" => start(engine::Settings::read(&mut flags), flags, engine::run),
-        "service" => start(service::Settings::read(&mut flags), flags, service::run),
-        "platform" => start(platform::Settings::read(&mut flags), flags, platform::run),
-        "weights" => start(weights::Settings::read(&mut flags), flags, weights::run),
         other => {
-            eprintln!("clem-fake: not a kind of stand-in: {other:?}\n\n{USAGE}");
-            return ExitCode::from(BAD_SETTING);
-        }
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(Failure::Settings(findings)) => {
-            for finding in findings {
-                eprintln!("clem-fake: {finding}");
-            }
-            ExitCode::from(BAD_SETTING)
-        }
-        Err(Failure::Run(report)) => {
-            eprintln!("clem-fake: {report:#}");
-            ExitCode::FAILURE
+            eprintln!("{NAME}: not a kind of stand-in: {other:?}\n\n{USAGE}");
+            ExitCode::from(EXIT_SETTINGS)
         }
     }
 }
 
-enum Failure {
-    Settings(Vec<String>),
-    Run(eyre::Report),
+/// Reads the settings that all kinds have, and runs one kind.
+async fn run(
+    program: Program,
+    words: Vec<OsString>,
+    kind: impl AsyncFnOnce(Settings, Common) -> Result<()>,
+) -> Result<()> {
+    let program = program
+        .flag(
+            Flag::new(
+                "listen",
+                "IP:PORT",
+                "The address to serve at; port 0 is any.",
+            )
+            .required(),
+        )
+        .flag(Flag::new(
+            "log",
+            "FILE",
+            "One JSON line for each request received.",
+        ));
+    let mut settings = match program.read(words, |name| std::env::var_os(name)) {
+        Start::Run(settings) => settings,
+        Start::Print(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+    };
+    clem_boot::start_logs(clem_boot::take_level(&mut settings))?;
+    let address = settings.take("listen");
+    let listener = address.and_then(|address| clem_boot::bind(&mut settings, "listen", address));
+    let log = RequestLog::open(settings.take("log"))?;
+    kind(settings, Common { listener, log }).await
+}
+
+/// What all kinds are started with.
+struct Common {
+    /// None when the address can't be used, which is then found in the settings.
+    listener: Option<Listener>,
+    log: RequestLog,
 }
 
-/// Runs one kind on a current-thread runtime, when no flag had a finding.
-fn start<S, F>(settings: S, flags: Flags, run: impl FnOnce(S) -> F) -> Result<(), Failure>
+/// A flag with a default.
+fn flag(
+    name: &'static str,
+    value: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Flag {
+    Flag::new(name, value, help).default(default)
+}
+
+/// The value of a flag with a default; a wrong one is found, and never used.
+fn take<T>(settings: &mut Settings, name: &'static str) -> T
 where
-    F: Future<Output = eyre::Result<()>>,
+    T: std::str::FromStr<Err: std::fmt::Display> + Default,
 {
-    let findings = flags.finish();
-    if !findings.is_empty() {
-        return Err(Failure::Settings(findings));
-    }
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| Failure::Run(error.into()))?;
-    runtime.block_on(run(settings)).map_err(Failure::Run)
+    settings.take(name).unwrap_or_default()
+}
+
+/// The value of a flag in milliseconds.
+fn take_millis(settings: &mut Settings, name: &'static str) -> std::time::Duration {
+    std::time::Duration::from_millis(take(settings, name))
+}
+
+/// The value of a flag in microseconds.
+fn take_micros(settings: &mut Settings, name: &'static str) -> std::time::Duration {
+    std::time::Duration::from_micros(take(settings, name))
 }
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -3,38 +3,30 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
-    path::PathBuf,
     sync::{Mutex, PoisonError},
     time::Duration,
 };
 
+use clem_boot::{Program, Settings};
 use eyre::Result;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::Method};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::{
-    flags::Flags,
+    Common, flag,
     http::{self, Refusal},
     request_log::{Outcome, RequestLog},
+    take_millis,
 };
 
-/// Everything that the platform is started with.
-#[derive(Debug)]
-pub(crate) struct Settings {
-    listen: SocketAddr,
-    log: Option<PathBuf>,
-    lag: Duration,
-}
-
-impl Settings {
-    pub(crate) fn read(flags: &mut Flags) -> Self {
-        Self {
-            listen: flags.listen(),
-            log: flags.get("log"),
-            lag: flags.millis("lag-ms", 0),
-        }
-    }
+/// The flags of the platform.
+pub(crate) fn program() -> Program {
+    Program::new(
+        "clem-fake platform",
+        "A stand-in for the platform's list of VMs.",
+    )
+    .flag(flag("lag-ms", "N", "0", "Age of the list."))
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -66,13 +58,14 @@
 }
 
 /// Serves until the process is ended.
-pub(crate) async fn run(settings: Settings) -> Result<()> {
+pub(crate) async fn run(mut settings: Settings, common: Common) -> Result<()> {
     let platform = Platform {
-        log: RequestLog::open(settings.log.as_deref())?,
-        lag: settings.lag,
+        lag: take_millis(&mut settings, "lag-ms"),
+        log: common.log,
         lists: Mutex::default(),
     };
-    http::serve("platform", settings.listen, platform).await
+    settings.finish()?;
+    http::serve("platform", common.listener, platform).await
 }
 
 #[async_trait]
--- a/crates/fakes/src/request_log.rs
+++ b/crates/fakes/src/request_log.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     fs::{File, OpenOptions},
     os::unix::fs::FileExt,
-    path::Path,
+    path::PathBuf,
     sync::{Arc, Mutex, PoisonError},
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -66,14 +66,14 @@
 
 impl RequestLog {
     /// Opens the file for appending; without a path nothing is recorded.
-    pub(crate) fn open(path: Option<&Path>) -> Result<Self> {
+    pub(crate) fn open(path: Option<PathBuf>) -> Result<Self> {
         let mut state = State::default();
         if let Some(path) = path {
             let file = OpenOptions::new()
                 .create(true)
                 .truncate(false)
                 .write(true)
-                .open(path)
+                .open(&path)
                 .wrap_err_with(|| format!("can't open the log file {}", path.display()))?;
             state.end = file.metadata()?.len();
             state.file = Some(file);
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -2,12 +2,11 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
-    path::PathBuf,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
+use clem_boot::{Flag, Program, Settings};
 use eyre::Result;
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait,
@@ -16,42 +15,49 @@
 use serde::Serialize;
 
 use crate::{
-    flags::Flags,
+    Common, flag,
     http::{self, Refusal},
     request_log::{Outcome, RequestLog},
+    take_millis,
 };
 
 /// Exit code of a process that a marked request ended.
 const DIED: i32 = 86;
 
-/// Everything that a service is started with.
+/// The flags of a service.
+pub(crate) fn program() -> Program {
+    Program::new("clem-fake service", "A stand-in for a plain service.")
+        .flag(flag("delay-ms", "N", "0", "Time before the side effect."))
+        .flag(Flag::new(
+            "die-on",
+            "TEXT",
+            "A body or path with it ends the process first.",
+        ))
+        .flag(Flag::new(
+            "die-after-effect",
+            "TEXT",
+            "The same, after the side effect.",
+        ))
+        .flag(Flag::new(
+            "fail-on",
+            "TEXT",
+            "A body or path with it is answered 500.",
+        ))
+}
+
+/// The faults that requests bring about by a text in body or path.
 #[derive(Debug)]
-pub(crate) struct Settings {
-    listen: SocketAddr,
-    log: Option<PathBuf>,
-    delay: Duration,
+struct Marks {
     die_on: Option<String>,
     die_after_effect: Option<String>,
     fail_on: Option<String>,
 }
 
-impl Settings {
-    pub(crate) fn read(flags: &mut Flags) -> Self {
-        Self {
-            listen: flags.listen(),
-            log: flags.get("log"),
-            delay: flags.millis("delay-ms", 0),
-            die_on: flags.get("die-on"),
-            die_after_effect: flags.get("die-after-effect"),
-            fail_on: flags.get("fail-on"),
-        }
-    }
-}
-
 type Effects = Arc<Mutex<BTreeMap<String, u64>>>;
 
 struct Service {
-    settings: Settings,
+    delay: Duration,
+    marks: Marks,
     log: RequestLog,
     effects: Effects,
 }
@@ -64,14 +70,19 @@
 }
 
 /// Serves until the process is ended.
-pub(crate) async fn run(settings: Settings) -> Result<()> {
-    let listen = settings.listen;
+pub(crate) async fn run(mut settings: Settings, common: Common) -> Result<()> {
     let service = Service {
-        log: RequestLog::open(settings.log.as_deref())?,
-        settings,
+        delay: take_millis(&mut settings, "delay-ms"),
+        marks: Marks {
+            die_on: settings.take("die-on"),
+            die_after_effect: settings.take("die-after-effect"),
+            fail_on: settings.take("fail-on"),
+        },
+        log: common.log,
         effects: Effects::default(),
     };
-    http::serve("service", listen, service).await
+    settings.finish()?;
+    http::serve("service", common.listener, service).await
 }
 
 #[async_trait]
@@ -94,11 +105,11 @@
             mark.as_ref()
                 .is_some_and(|mark| body.contains(mark) || path.contains(mark))
         };
-        if marked(&self.settings.die_on) {
+        if marked(&self.marks.die_on) {
             record.close(Outcome::Died, None);
             std::process::exit(DIED);
         }
-        if marked(&self.settings.fail_on) {
+        if marked(&self.marks.fail_on) {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             let refusal = Refusal::new(status, "failed", "marked to fail");
             return http::refuse(res, &mut record, &refusal);
@@ -108,7 +119,7 @@
             None => format!("{} {path}", req.method()),
         };
         let n = self.effect(key).await;
-        if marked(&self.settings.die_after_effect) {
+        if marked(&self.marks.die_after_effect) {
             record.close(Outcome::Died, None);
             std::process::exit(DIED);
         }
@@ -128,7 +139,7 @@
     /// Counts a side effect after the delay, also when the caller goes away meanwhile.
     async fn effect(&self, key: String) -> u64 {
         let effects = Arc::clone(&self.effects);
-        let delay = self.settings.delay;
+        let delay = self.delay;
         let task = tokio::spawn(async move {
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
--- a/crates/fakes/src/weights.rs
+++ b/crates/fakes/src/weights.rs
@@ -2,43 +2,35 @@
 
 use std::{
     convert::Infallible,
-    net::SocketAddr,
-    path::PathBuf,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use bytes::Bytes;
+use clem_boot::{Program, Settings};
 use eyre::Result;
 use futures_util::{Stream, stream};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 use tokio::time::Instant;
 
 use crate::{
-    flags::Flags,
+    Common, flag,
     http::{self, Refusal},
     request_log::{Outcome, Record, RequestLog},
+    take,
 };
 
 /// Bytes sent in one piece.
 const PIECE_BYTES: u64 = 16 * 1024;
 
-/// Everything that the store is started with.
-#[derive(Debug)]
-pub(crate) struct Settings {
-    listen: SocketAddr,
-    log: Option<PathBuf>,
-    bytes_per_s: u64,
-}
-
-impl Settings {
-    pub(crate) fn read(flags: &mut Flags) -> Self {
-        Self {
-            listen: flags.listen(),
-            log: flags.get("log"),
-            bytes_per_s: flags.or("bytes-per-s", 10_000_000),
-        }
-    }
+/// The flags of the weight store.
+pub(crate) fn program() -> Program {
+    Program::new("clem-fake weights", "A stand-in for the weight store.").flag(flag(
+        "bytes-per-s",
+        "N",
+        "10000000",
+        "What all readers share.",
+    ))
 }
 
 /// The moment from which the next piece may be sent, whoever reads it.
@@ -64,16 +56,17 @@
 }
 
 /// Serves until the process is ended.
-pub(crate) async fn run(settings: Settings) -> Result<()> {
+pub(crate) async fn run(mut settings: Settings, common: Common) -> Result<()> {
     let pace = Pace {
-        bytes_per_s: settings.bytes_per_s,
+        bytes_per_s: take(&mut settings, "bytes-per-s"),
         free_at: Mutex::new(Instant::now()),
     };
+    settings.finish()?;
     let weights = Weights {
-        log: RequestLog::open(settings.log.as_deref())?,
+        log: common.log,
         pace: Arc::new(pace),
     };
-    http::serve("weights", settings.listen, weights).await
+    http::serve("weights", common.listener, weights).await
 }
 
 #[async_trait]
