Fakes: hold ports for processes that must know each other first

Control processes name each other in their settings, so their ports are needed before they start. Binding port 0 and closing again would leave a gap in which the port may be lost; a bound socket that doesn't listen keeps it.

--- /dev/null
+++ b/crates/fakes/src/hold.rs
@@ -0,0 +1,50 @@
+//! `clem-fake ports`: reserves ports for a script until it is ended.
+
+use std::net::SocketAddr;
+
+use clem_boot::{Program, Settings, Start};
+use clem_fake::ReservedPort;
+use eyre::Result;
+use serde::Serialize;
+
+use crate::{flag, take};
+
+/// The flags.
+pub(crate) fn program() -> Program {
+    Program::new("clem-fake ports", "Reserves free ports until it is ended.").flag(flag(
+        "count",
+        "N",
+        "1",
+        "How many ports.",
+    ))
+}
+
+#[derive(Debug, Serialize)]
+struct Reserved {
+    ports: Vec<SocketAddr>,
+    pid: u32,
+}
+
+/// Tells the reserved addresses on stdout and waits for the stop signal.
+pub(crate) async fn run(start: Start) -> Result<()> {
+    let mut settings: Settings = match start {
+        Start::Run(settings) => settings,
+        Start::Print(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+    };
+    let count: u32 = take(&mut settings, "count");
+    settings.finish()?;
+    let mut reserved = Vec::new();
+    for _ in 0..count {
+        reserved.push(ReservedPort::new()?);
+    }
+    let told = Reserved {
+        ports: reserved.iter().map(ReservedPort::address).collect(),
+        pid: std::process::id(),
+    };
+    println!("{}", serde_json::to_string(&told)?);
+    clem_boot::stop_signal().await?;
+    Ok(())
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -21,5 +21,8 @@
 //! ```
 
 pub mod model;
+mod ports;
 pub mod prefix;
 pub mod tokens;
+
+pub use ports::ReservedPort;
--- a/crates/fakes/src/main.rs
+++ b/crates/fakes/src/main.rs
@@ -1,8 +1,9 @@
 //! Small stand-ins for model engines, plain services, the platform's list and the weight store.
 //!
-//! `clem-fake engine|service|platform|weights FLAGS`; calls, flags and log lines are in the crate's README.
+//! `clem-fake engine|service|platform|weights|ports FLAGS`; calls, flags and log lines are in the crate's README.
 
 mod engine;
+mod hold;
 mod http;
 mod platform;
 mod request_log;
@@ -17,7 +18,7 @@
 
 const NAME: &str = "clem-fake";
 const USAGE: &str = "\
-Usage: clem-fake engine|service|platform|weights [FLAGS]
+Usage: clem-fake engine|service|platform|weights|ports [FLAGS]
 
 Stand-ins for tests and the demo. `clem-fake KIND --help` lists the flags of a kind.
 ";
@@ -31,6 +32,10 @@
         "service" => clem_boot::run(NAME, run(service::program(), words, service::run)),
         "platform" => clem_boot::run(NAME, run(platform::program(), words, platform::run)),
         "weights" => clem_boot::run(NAME, run(weights::program(), words, weights::run)),
+        "ports" => {
+            let start = hold::program().read(words, |name| std::env::var_os(name));
+            clem_boot::run(NAME, hold::run(start))
+        }
         "--help" => {
             print!("{USAGE}");
             ExitCode::SUCCESS
