--- /dev/null
+++ b/crates/checks/src/fleet.rs
@@ -0,0 +1,394 @@
+//! A whole fleet of real processes on one machine.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output},
+};
+
+use clem_fake::ReservedPort;
+use clem_types::Key;
+use eyre::{OptionExt, ensure};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tempfile::TempDir;
+
+use crate::{
+    Client, Options, Process, RequestLine, Result, TargetKind, TargetOptions, binary, eventually,
+    read_requests,
+};
+
+/// The seed of the customers' keys.
+const KEY_SEED: u64 = 20_261_203;
+const SECRET: &str = "a-secret-for-tests-only";
+
+/// A target with its agent.
+#[derive(Debug)]
+pub struct Target {
+    /// Its id in the rules: `t1`, `t2`, …
+    pub name: String,
+    /// Where the fake listens.
+    pub address: SocketAddr,
+    /// The fake.
+    pub process: Process,
+    /// The agent beside it.
+    pub agent: Process,
+    log: PathBuf,
+}
+
+impl Target {
+    /// The requests that the fake has received.
+    ///
+    /// # Errors
+    /// The record can't be read.
+    pub fn requests(&self) -> Result<Vec<RequestLine>> {
+        read_requests(&self.log)
+    }
+}
+
+/// Control processes, entries and targets; all are killed when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The control processes.
+    pub control: Vec<Process>,
+    /// The entries.
+    pub entries: Vec<Process>,
+    /// The targets.
+    pub targets: Vec<Target>,
+    /// A client for the test.
+    pub client: Client,
+    /// The rules file's lines.
+    pub rules: Vec<String>,
+    /// The version of the rules that this fleet's last [`Fleet::apply`] brought.
+    pub version: u64,
+    control_ports: Vec<ReservedPort>,
+    entry_ports: Vec<ReservedPort>,
+    other_ports: Vec<ReservedPort>,
+    keys: Vec<(String, Key)>,
+    commands: u32,
+    options: Options,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts the processes, applies the rules and waits until every entry is ready.
+    ///
+    /// # Errors
+    /// A process can't be started, or the fleet isn't ready in time.
+    pub async fn start(options: Options) -> Result<Self> {
+        let mut fleet = Self::prepare(options)?;
+        for place in 0..fleet.options.control {
+            let process = fleet.start_control(place)?;
+            fleet.control.push(process);
+        }
+        for options in fleet.options.targets.clone() {
+            let target = fleet.start_target(&options)?;
+            fleet.targets.push(target);
+        }
+        for place in 0..fleet.options.entries {
+            let process = fleet.start_entry(place)?;
+            fleet.entries.push(process);
+        }
+        fleet.add_target_rules()?;
+        fleet.apply().await?;
+        fleet.ready().await?;
+        Ok(fleet)
+    }
+
+    /// A fleet whose processes are not started yet.
+    fn prepare(options: Options) -> Result<Self> {
+        let folder = tempfile::Builder::new().prefix("clem-").tempdir()?;
+        fs::write(folder.path().join("secret"), SECRET)?;
+        let mut rng = ChaCha8Rng::seed_from_u64(KEY_SEED);
+        let mut rules = Vec::new();
+        let mut keys = Vec::new();
+        for &(customer, rate, burst) in &options.customers {
+            let key = Key::generate(&mut rng);
+            rules.push(format!(
+                "customer.{customer} = {{ rate = \"{rate}\", burst = {burst}, weight = 1 }}  # asked by Mere"
+            ));
+            rules.push(key_rule(&format!("{customer}-1"), customer, &key));
+            keys.push((customer.to_owned(), key));
+        }
+        rules.extend(options.rules.iter().cloned());
+        Ok(Self {
+            control: Vec::new(),
+            entries: Vec::new(),
+            targets: Vec::new(),
+            client: Client::new(),
+            rules,
+            version: 0,
+            control_ports: reserve(options.control)?,
+            entry_ports: reserve(options.entries)?,
+            other_ports: Vec::new(),
+            keys,
+            commands: 0,
+            options,
+            folder,
+        })
+    }
+
+    fn start_control(&self, place: usize) -> Result<Process> {
+        let name = format!("control{}", place + 1);
+        let data = self.data_dir(place);
+        fs::create_dir_all(&data)?;
+        let mut args = self.member_args(place, self.control_ports[place].address());
+        args.extend(["--data-dir".to_owned(), data.display().to_string()]);
+        args.extend(self.options.control_args.iter().cloned());
+        Process::start(&name, "clem-control", args, self.folder.path())
+    }
+
+    fn start_entry(&self, place: usize) -> Result<Process> {
+        let name = format!("entry{}", place + 1);
+        let mut args = self.member_args(place, self.entry_ports[place].address());
+        args.extend(self.options.entry_args.iter().cloned());
+        Process::start(&name, "clem-entry", args, self.folder.path())
+    }
+
+    fn start_target(&mut self, options: &TargetOptions) -> Result<Target> {
+        let place = self.targets.len();
+        let name = format!("t{}", place + 1);
+        let ports = reserve(2)?;
+        let address = ports[0].address();
+        let log = self.folder.path().join(format!("{name}.requests"));
+        let mut args = vec![
+            match options.kind {
+                TargetKind::Engine => "engine".to_owned(),
+                TargetKind::Service(_) => "service".to_owned(),
+            },
+            "--listen".to_owned(),
+            address.to_string(),
+            "--log".to_owned(),
+            log.display().to_string(),
+        ];
+        if options.kind == TargetKind::Engine {
+            args.extend(["--model".to_owned(), "assistant-7b@3".to_owned()]);
+        }
+        args.extend(options.args.iter().cloned());
+        let process = Process::start(&name, "clem-fake", args, self.folder.path())?;
+
+        let mut args = self.member_args(place, ports[1].address());
+        args.extend(["--target".to_owned(), address.to_string()]);
+        args.extend(self.options.agent_args.iter().cloned());
+        let agent = format!("agent{}", place + 1);
+        let agent = Process::start(&agent, "clem-agent", args, self.folder.path())?;
+        self.other_ports.extend(ports);
+        Ok(Target {
+            name,
+            address,
+            process,
+            agent,
+            log,
+        })
+    }
+
+    /// The flags that every process of the system has.
+    fn member_args(&self, place: usize, listen: SocketAddr) -> Vec<String> {
+        let mut args = self.control_args();
+        args.extend([
+            "--listen".to_owned(),
+            listen.to_string(),
+            "--data-centre".to_owned(),
+            self.data_centre(place).to_owned(),
+        ]);
+        args
+    }
+
+    fn control_args(&self) -> Vec<String> {
+        let secret = self.folder.path().join("secret");
+        vec![
+            "--control".to_owned(),
+            self.control_list(),
+            "--fleet-secret-file".to_owned(),
+            secret.display().to_string(),
+        ]
+    }
+
+    fn control_list(&self) -> String {
+        let mut list = String::new();
+        for port in &self.control_ports {
+            let comma = if list.is_empty() { "" } else { "," };
+            let _ = write!(list, "{comma}{}", port.address());
+        }
+        list
+    }
+
+    fn add_target_rules(&mut self) -> Result<()> {
+        for place in 0..self.targets.len() {
+            let target = &self.targets[place];
+            let options = &self.options.targets[place];
+            let mut fields = format!(
+                "address = \"{}\", data_centre = \"{}\"",
+                target.address,
+                self.data_centre(place)
+            );
+            match options.kind {
+                TargetKind::Engine => {
+                    write!(fields, ", checks_fence = {}", options.checks_fence)?;
+                }
+                TargetKind::Service(service) => write!(fields, ", service = \"{service}\"")?,
+            }
+            let rule = format!("target.{} = {{ {fields} }}  # asked by Ana", target.name);
+            self.rules.push(rule);
+        }
+        Ok(())
+    }
+
+    // ------------------------------------------------------------------------
+
+    /// Waits until every entry's `/readyz` says so, and a chat could find every target.
+    ///
+    /// # Errors
+    /// They aren't ready in time.
+    pub async fn ready(&self) -> Result<()> {
+        for place in 0..self.entries.len() {
+            self.entry_ready(place).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until one entry's `/readyz` says so.
+    ///
+    /// # Errors
+    /// It isn't ready in time.
+    pub async fn entry_ready(&self, place: usize) -> Result<()> {
+        let url = self.entry_url(place, "/readyz");
+        let what = format!("{url} to be ready");
+        eventually(&what, async || {
+            let reply = self.client.get(&url, &[]).await;
+            reply.is_ok_and(|reply| reply.status.is_success())
+        })
+        .await
+    }
+
+    /// The folder in which processes write.
+    pub fn folder(&self) -> PathBuf {
+        self.folder.path().to_owned()
+    }
+
+    /// The data folder of a control process.
+    pub fn data_dir(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("data{}", place + 1))
+    }
+
+    /// The address of a control process.
+    pub fn control_address(&self, place: usize) -> SocketAddr {
+        self.control_ports[place].address()
+    }
+
+    /// The address of an entry.
+    pub fn entry_address(&self, place: usize) -> SocketAddr {
+        self.entry_ports[place].address()
+    }
+
+    /// A URL at an entry.
+    pub fn entry_url(&self, place: usize, path: &str) -> String {
+        format!("http://{}{path}", self.entry_address(place))
+    }
+
+    /// The data centre of the processes at `place` of their kind.
+    pub fn data_centre(&self, place: usize) -> &'static str {
+        self.options.data_centres[place % self.options.data_centres.len()]
+    }
+
+    /// The key of a customer.
+    ///
+    /// # Errors
+    /// There is no such customer.
+    pub fn key(&self, customer: &str) -> Result<&Key> {
+        let found = self.keys.iter().find(|(name, _)| name == customer);
+        Ok(&found.ok_or_eyre("no such customer")?.1)
+    }
+
+    /// The value of the header `authorization` for a customer.
+    ///
+    /// # Errors
+    /// There is no such customer.
+    pub fn bearer(&self, customer: &str) -> Result<String> {
+        Ok(format!("Bearer {}", self.key(customer)?.reveal()))
+    }
+
+    /// The requests that all targets received, by start time.
+    ///
+    /// # Errors
+    /// A record can't be read.
+    pub fn requests(&self) -> Result<Vec<RequestLine>> {
+        let mut all = Vec::new();
+        for target in &self.targets {
+            all.extend(target.requests()?);
+        }
+        all.sort_by_key(|line| line.start);
+        Ok(all)
+    }
+
+    /// Everything that all processes of the system have logged or printed, without the fakes.
+    ///
+    /// # Errors
+    /// A file can't be read.
+    pub fn logs(&self) -> Result<String> {
+        let mut text = String::new();
+        let agents = self.targets.iter().map(|target| &target.agent);
+        for process in self.control.iter().chain(&self.entries).chain(agents) {
+            text.push_str(&process.log()?);
+            text.push_str(&process.output()?);
+        }
+        Ok(text)
+    }
+
+    // ------------------------------------------------------------------------
+
+    /// Applies [`Fleet::rules`] on top of the last version, and waits until they are in force.
+    ///
+    /// # Errors
+    /// `clemctl` fails.
+    pub async fn apply(&mut self) -> Result<()> {
+        let file = self.write_rules()?;
+        self.commands += 1;
+        let id = format!("apply-{}", self.commands);
+        let expect = self.version.to_string();
+        let output = self
+            .ctl(&["apply", &file, "--expect", &expect, "--id", &id])
+            .await?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned()
+            + &String::from_utf8_lossy(&output.stderr);
+        ensure!(output.status.success(), "clemctl apply: {text}");
+        self.version += 1;
+        Ok(())
+    }
+
+    /// Writes [`Fleet::rules`] into a file and returns its path.
+    ///
+    /// # Errors
+    /// The file can't be written.
+    pub fn write_rules(&self) -> Result<String> {
+        let file = self.folder.path().join("rules.toml");
+        fs::write(&file, self.rules.join("\n") + "\n")?;
+        Ok(file.display().to_string())
+    }
+
+    /// Runs `clemctl` with these words.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub async fn ctl(&self, words: &[&str]) -> Result<Output> {
+        let mut command = Command::new(binary("clemctl")?);
+        command.args(self.control_args()).args(words);
+        Ok(tokio::task::spawn_blocking(move || command.output()).await??)
+    }
+}
+
+/// The rule of a key.
+pub(crate) fn key_rule(id: &str, customer: &str, key: &Key) -> String {
+    let hash = key.hash();
+    format!("key.{id} = {{ customer = \"{customer}\", blake3 = \"{hash}\" }}  # asked by Mere")
+}
+
+fn reserve(count: usize) -> Result<Vec<ReservedPort>> {
+    let mut ports = Vec::new();
+    for _ in 0..count {
+        ports.push(ReservedPort::new()?);
+    }
+    Ok(ports)
+}
