--- a/crates/checks/src/lib.rs
+++ b/crates/checks/src/lib.rs
@@ -22,6 +22,7 @@
 mod options;
 mod process;
 mod relay;
+mod report;
 mod requests;
 mod wait;
 
@@ -32,6 +33,7 @@
 pub use options::{Options, TargetKind, TargetOptions};
 pub use process::Process;
 pub use relay::{Link, Relay};
+pub use report::{report_bound, report_seed};
 pub use requests::{RequestLine, read_requests};
 pub use wait::{BOUND, eventually, eventually_value};
 
