--- a/crates/types/tests/text.rs
+++ b/crates/types/tests/text.rs
@@ -1,5 +1,7 @@
 //! Every newtype reads back what it writes, and refuses what it can't hold.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use clem_types::{BatchId, CustomerId, Key, KeyHash, Rate, Time};
