--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,189 @@
-//! The load generator: scenarios, checked answers, histograms and reports.
+//! The load generator's command line.
+//!
+//! `clem-load kahikatea|botez|direct|shape FLAGS`; see the crate's README.
 
-fn main() {}
+use std::{ffi::OsString, fs, path::PathBuf, process::ExitCode, time::Duration};
+
+use clem_boot::{EXIT_SETTINGS, Flag, Program, Settings, Start};
+use clem_load::{DirectOptions, RunOptions, Scenario, draw, load_fleet, run, run_direct};
+use eyre::{Result, ensure};
+
+const NAME: &str = "clem-load";
+const USAGE: &str = "\
+Usage: clem-load kahikatea|botez [FLAGS]   a scenario against a fleet of its shape
+       clem-load direct [FLAGS]            what entry and agent add to a call
+       clem-load shape kahikatea|botez     the shape, for scripts/fleet
+
+`clem-load WORD --help` lists the flags.
+";
+/// The longest phase, in seconds.
+const MAX_SECONDS: u64 = 600;
+/// The most requests a second.
+const MAX_RATE: u32 = 5000;
+
+fn main() -> ExitCode {
+    let mut words = std::env::args_os().skip(1);
+    let word = words.next().unwrap_or_default();
+    let rest: Vec<OsString> = words.collect();
+    match word.to_string_lossy().as_ref() {
+        "kahikatea" => clem_boot::run(NAME, scenario(Scenario::Kahikatea, rest)),
+        "botez" => clem_boot::run(NAME, scenario(Scenario::Botez, rest)),
+        "direct" => clem_boot::run(NAME, direct(rest)),
+        "shape" => clem_boot::run(NAME, shape(rest)),
+        "--help" => {
+            print!("{USAGE}");
+            ExitCode::SUCCESS
+        }
+        "--version" => {
+            println!("{NAME} {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        other => {
+            eprintln!("{NAME}: not a scenario: {other:?}\n\n{USAGE}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+/// The settings, or none after help was printed.
+fn read(program: &Program, words: Vec<OsString>) -> Option<Settings> {
+    match program.read(words, |name| std::env::var_os(name)) {
+        Start::Run(settings) => Some(settings),
+        Start::Print(text) => {
+            print!("{text}");
+            None
+        }
+    }
+}
+
+/// A number that must lie in a range.
+fn bounded(settings: &mut Settings, name: &'static str, most: u64) -> u64 {
+    let value = settings.take(name).unwrap_or(1);
+    if value == 0 || value > most {
+        settings.find(name, format!("it must be from 1 to {most}"));
+    }
+    value
+}
+
+async fn scenario(scenario: Scenario, words: Vec<OsString>) -> Result<()> {
+    let program = Program::new(
+        "clem-load",
+        "Load of a user's deployment, with checked answers.",
+    )
+    .flag(Flag::new("fleet", "DIR", "The folder of `scripts/fleet up`.").required())
+    .flag(Flag::new("seconds", "N", "The length of each phase.").default("30"))
+    .flag(Flag::new("kills", "N", "Targets to kill in a last phase.").default("0"))
+    .flag(Flag::new("seed", "N", "The seed of the arrivals.").default("1"))
+    .flag(Flag::new(
+        "out",
+        "DIR",
+        "Where report.txt, .json and .svg are written.",
+    ));
+    let Some(mut settings) = read(&program, words) else {
+        return Ok(());
+    };
+    let folder: Option<PathBuf> = settings.take("fleet");
+    let seconds = bounded(&mut settings, "seconds", MAX_SECONDS);
+    let kills = settings.take("kills").unwrap_or(0);
+    let seed = settings.take("seed").unwrap_or(1);
+    let out: Option<PathBuf> = settings.take("out");
+    settings.finish()?;
+    let fleet = load_fleet(&folder.unwrap_or_default())?;
+    let options = RunOptions {
+        scenario,
+        phase: Duration::from_secs(seconds),
+        kills,
+        seed,
+    };
+    let report = run(fleet, &options, |phase| eprintln!("{NAME}: phase {phase}")).await?;
+    print!("{report}");
+    if let Some(out) = out {
+        fs::create_dir_all(&out)?;
+        fs::write(out.join("report.txt"), report.to_string())?;
+        fs::write(out.join("report.json"), serde_json::to_vec_pretty(&report)?)?;
+        draw(&report, &out.join("report.svg"))?;
+    }
+    ensure!(report.wrong == 0, "{} answers were wrong", report.wrong);
+    Ok(())
+}
+
+async fn direct(words: Vec<OsString>) -> Result<()> {
+    let program = Program::new(
+        "clem-load",
+        "Compares calls through an entry with direct ones.",
+    )
+    .flag(Flag::new("entry", "IP:PORT", "The entry.").required())
+    .flag(Flag::new("engine", "IP:PORT", "The fake engine behind it.").required())
+    .flag(Flag::new("key-file", "FILE", "The caller's key."))
+    .flag(Flag::new("engine-model", "NAME", "The engine's model.").default("assistant-7b"))
+    .flag(Flag::new("rate", "N", "Requests a second.").default("500"))
+    .flag(Flag::new("turns", "N", "Turns of 2 s on each way.").default("5"))
+    .flag(Flag::new("tokens", "N", "Tokens of each answer.").default("1"))
+    .flag(Flag::new("stream", "BOOL", "Whether answers are streamed.").default("false"));
+    let Some(mut settings) = read(&program, words) else {
+        return Ok(());
+    };
+    let entry = loopback(&mut settings, "entry");
+    let engine = loopback(&mut settings, "engine");
+    let key: Option<PathBuf> = settings.take("key-file");
+    let engine_model = settings.take("engine-model").unwrap_or_default();
+    let rate = bounded(&mut settings, "rate", u64::from(MAX_RATE));
+    let turns = bounded(&mut settings, "turns", MAX_SECONDS / 4);
+    let tokens = bounded(&mut settings, "tokens", 1000);
+    let stream = settings.take("stream").unwrap_or(false);
+    settings.finish()?;
+    let bearer = match key {
+        Some(file) => format!("Bearer {}", fs::read_to_string(file)?.trim()),
+        None => String::new(),
+    };
+    let report = run_direct(&DirectOptions {
+        entry,
+        bearer,
+        engine,
+        engine_model,
+        rate: u32::try_from(rate)?,
+        turns: u32::try_from(turns)?,
+        tokens: u32::try_from(tokens)?,
+        stream,
+    })
+    .await?;
+    println!("{report}");
+    ensure!(report.failed.is_empty(), "not every answer was whole");
+    Ok(())
+}
+
+/// A URL on this machine; load goes nowhere else.
+fn loopback(settings: &mut Settings, name: &'static str) -> String {
+    let address: Option<std::net::SocketAddr> = settings.take(name);
+    let Some(address) = address else {
+        return String::new();
+    };
+    if !address.ip().is_loopback() {
+        settings.find(name, "load goes to 127.0.0.1 only");
+    }
+    format!("http://{address}")
+}
+
+/// Prints a scenario's shape as lines that a shell script can read.
+async fn shape(words: Vec<OsString>) -> Result<()> {
+    let word = words
+        .first()
+        .map(|word| word.to_string_lossy().into_owned());
+    let scenario: Scenario = word
+        .unwrap_or_default()
+        .parse()
+        .map_err(|reason| eyre::eyre!("{reason}"))?;
+    let shape = scenario.shape();
+    println!("centres {}", shape.data_centres.join(" "));
+    println!("engines {}", shape.engines);
+    println!("services {}", shape.services);
+    println!("engine_args {}", shape.engine_args);
+    for customer in &shape.customers {
+        let (rate, burst) = (customer.rate, customer.burst);
+        println!(
+            "customer {} {rate} {burst} {}",
+            customer.name, customer.weight
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,342 @@
+//! A run against a fleet: online only, online with batches, and the same while targets are killed.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use eyre::{OptionExt, Result};
+use http::Method;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::Value;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    Answer, Arrival, BatchTally, Client, FleetFile, Judge, Outcome, PhaseReport, PhaseStats,
+    Report, Scenario, Shape, check_results, lines, plan,
+};
+
+/// Requests in flight beyond which new ones are skipped, and counted as such.
+const MAX_IN_FLIGHT: usize = 20_000;
+/// How long answers and batches may take after the end of a phase.
+const DRAIN: Duration = Duration::from_secs(70);
+/// The pause between two looks at a batch.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+/// The pause before the first phase, in which connections are made.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// What a run does.
+#[derive(Debug, Clone)]
+pub struct RunOptions {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The length of each phase.
+    pub phase: Duration,
+    /// Targets to kill in the last phase.
+    pub kills: usize,
+    /// The seed of the arrivals.
+    pub seed: u64,
+}
+
+/// A phase of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    WarmUp,
+    Online,
+    Mixed,
+    Faults,
+}
+
+impl Phase {
+    fn name(self) -> &'static str {
+        match self {
+            Self::WarmUp => "warm-up",
+            Self::Online => "online",
+            Self::Mixed => "mixed",
+            Self::Faults => "faults",
+        }
+    }
+
+    fn has_batches(self) -> bool {
+        match self {
+            Self::WarmUp | Self::Online => false,
+            Self::Mixed | Self::Faults => true,
+        }
+    }
+}
+
+/// Runs all phases and reports them; `progress` is told what begins.
+///
+/// # Errors
+/// The fleet doesn't answer at all, or a batch is not accepted.
+pub async fn run(
+    fleet: FleetFile,
+    options: &RunOptions,
+    mut progress: impl FnMut(&str),
+) -> Result<Report> {
+    let shape = options.scenario.shape();
+    let runner = Runner {
+        client: Client::new(),
+        fleet,
+        shape,
+    };
+    let mut phases = Vec::new();
+    let mut list = vec![Phase::WarmUp, Phase::Online, Phase::Mixed];
+    if options.kills > 0 {
+        list.push(Phase::Faults);
+    }
+    for phase in list {
+        progress(phase.name());
+        let length = if phase == Phase::WarmUp {
+            WARM_UP
+        } else {
+            options.phase
+        };
+        let kills = if phase == Phase::Faults {
+            options.kills
+        } else {
+            0
+        };
+        let report = run_phase(&runner, phase, length, kills, options.seed).await?;
+        if phase != Phase::WarmUp {
+            phases.push(report);
+        }
+    }
+    Ok(Report::new(options, phases))
+}
+
+struct Runner {
+    client: Client,
+    fleet: FleetFile,
+    shape: Shape,
+}
+
+/// An accepted batch.
+struct Batch {
+    url: String,
+    bearer: String,
+    answers: BTreeMap<String, Answer>,
+}
+
+async fn run_phase(
+    runner: &Runner,
+    phase: Phase,
+    length: Duration,
+    kills: usize,
+    seed: u64,
+) -> Result<PhaseReport> {
+    let entries = runner.fleet.entries.len();
+    // The same arrivals in each phase, so that phases can be compared.
+    let arrivals = plan(&runner.shape, length, entries, seed);
+    let mut batches = Vec::new();
+    if phase.has_batches() {
+        batches = runner.submit_all(phase, seed).await?;
+    }
+    let start = Instant::now();
+    let killer = kill_targets(&runner.fleet, length, kills, start);
+    let (stats, killed) = tokio::join!(send_all(runner, phase, &arrivals, start), killer);
+    sleep_until(start + length).await;
+    let mut in_phase = 0;
+    for batch in &batches {
+        in_phase += runner.tally(batch).await?.done;
+    }
+    let mut stats = stats?;
+    stats.drain().await;
+    let mut tally = BatchTally::default();
+    for batch in &batches {
+        let last = runner.finish(batch).await?;
+        tally.add(&last);
+    }
+    Ok(PhaseReport::new(
+        phase.name(),
+        &runner.shape,
+        &stats.stats,
+        length,
+        in_phase,
+        tally,
+        killed?,
+    ))
+}
+
+impl BatchTally {
+    fn add(&mut self, other: &Self) {
+        self.done += other.done;
+        self.wrong += other.wrong;
+        self.doubled += other.doubled;
+        self.missing += other.missing;
+        for (name, count) in &other.others {
+            *self.others.entry(name.clone()).or_default() += count;
+        }
+    }
+}
+
+// ----------------------------------------------------------------------------
+// Chat
+
+/// Answers that still come in, and what came so far.
+struct Sending {
+    stats: PhaseStats,
+    answers: mpsc::UnboundedReceiver<(usize, bool, Outcome)>,
+    in_flight: usize,
+}
+
+impl Sending {
+    fn take(&mut self, (customer, inside, outcome): (usize, bool, Outcome)) {
+        self.in_flight -= 1;
+        self.stats.record(customer, inside, outcome);
+    }
+
+    /// Waits for the answers that are still out.
+    async fn drain(&mut self) {
+        let end = Instant::now() + DRAIN;
+        while self.in_flight > 0 {
+            let next = tokio::time::timeout_at(end, self.answers.recv()).await;
+            let Ok(Some(answer)) = next else {
+                return;
+            };
+            self.take(answer);
+        }
+    }
+}
+
+async fn send_all(
+    runner: &Runner,
+    phase: Phase,
+    arrivals: &[Arrival],
+    start: Instant,
+) -> Result<Sending> {
+    let customers = &runner.shape.customers;
+    let mut judges: Vec<_> = customers.iter().map(Judge::new).collect();
+    let (sender, answers) = mpsc::unbounded_channel();
+    let mut sending = Sending {
+        stats: PhaseStats::new(customers.len())?,
+        answers,
+        in_flight: 0,
+    };
+    for arrival in arrivals {
+        let due = start + arrival.due;
+        sleep_until(due).await;
+        while let Ok(answer) = sending.answers.try_recv() {
+            sending.take(answer);
+        }
+        let place = arrival.customer;
+        let inside = judges[place].inside(arrival.due);
+        if sending.in_flight >= MAX_IN_FLIGHT {
+            sending.stats.skipped += 1;
+            continue;
+        }
+        sending.in_flight += 1;
+        let sender = sender.clone();
+        let chat = runner.chat(phase, arrival, due)?;
+        tokio::spawn(async move {
+            let outcome = chat.await;
+            // Nobody waits any more when the drain is over.
+            let _ = sender.send((place, inside, outcome));
+        });
+    }
+    Ok(sending)
+}
+
+impl Runner {
+    fn chat(
+        &self,
+        phase: Phase,
+        arrival: &Arrival,
+        due: Instant,
+    ) -> Result<impl Future<Output = Outcome> + Send + use<>> {
+        let customer = &self.shape.customers[arrival.customer].name;
+        let name = format!("{}-{}", phase.name(), arrival.number);
+        let answer = Answer::new(customer, &name, arrival.words, arrival.tokens);
+        let bearer = self.fleet.bearer(customer)?;
+        let url = format!("{}/v1/chat/completions", self.fleet.entries[arrival.entry]);
+        let client = self.client.clone();
+        let stream = arrival.stream;
+        Ok(async move {
+            client
+                .chat(&url, &bearer, "assistant", &answer, stream, due)
+                .await
+        })
+    }
+}
+
+// ----------------------------------------------------------------------------
+// Batches
+
+impl Runner {
+    async fn submit_all(&self, phase: Phase, seed: u64) -> Result<Vec<Batch>> {
+        let mut batches = Vec::new();
+        for (place, customer) in self.shape.customers.iter().enumerate() {
+            if customer.batch_items == 0 {
+                continue;
+            }
+            let entry = &self.fleet.entries[place % self.fleet.entries.len()];
+            // The seed and the process tell the batches of two runs apart.
+            let name = format!("{}-{seed}-{}", phase.name(), std::process::id());
+            let (text, answers) = lines(&customer.name, &name, customer.batch_items);
+            let bearer = self.fleet.bearer(&customer.name)?;
+            let url = format!("{entry}/v1/batches");
+            let reply = self.client.fetch(Method::POST, &url, &bearer, text).await?;
+            let reply: Value = serde_json::from_slice(&reply)?;
+            let id = reply["id"].as_str().ok_or_eyre("the batch has no id")?;
+            batches.push(Batch {
+                url: format!("{url}/{id}"),
+                bearer,
+                answers,
+            });
+        }
+        Ok(batches)
+    }
+
+    async fn tally(&self, batch: &Batch) -> Result<BatchTally> {
+        let url = format!("{}/results", batch.url);
+        let client = &self.client;
+        let results = client
+            .fetch(Method::GET, &url, &batch.bearer, Bytes::new())
+            .await?;
+        Ok(check_results(
+            &String::from_utf8_lossy(&results),
+            &batch.answers,
+        ))
+    }
+
+    /// Cancels what is left of a batch, and waits until each item has its outcome.
+    async fn finish(&self, batch: &Batch) -> Result<BatchTally> {
+        let url = format!("{}/cancel", batch.url);
+        self.client
+            .fetch(Method::POST, &url, &batch.bearer, Bytes::new())
+            .await?;
+        let end = Instant::now() + DRAIN;
+        loop {
+            let tally = self.tally(batch).await?;
+            if tally.missing == 0 || Instant::now() > end {
+                return Ok(tally);
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
+// ----------------------------------------------------------------------------
+// Faults
+
+/// Kills `count` targets, spread over the phase; returns how many.
+async fn kill_targets(
+    fleet: &FleetFile,
+    length: Duration,
+    count: usize,
+    start: Instant,
+) -> Result<usize> {
+    let pids = fleet.target_pids.iter().take(count);
+    let mut killed = 0;
+    for (place, &pid) in (1..).zip(pids) {
+        let part = f64::from(place) / (count as f64 + 1.0);
+        sleep_until(start + length.mul_f64(part)).await;
+        kill(Pid::from_raw(pid), Signal::SIGKILL)?;
+        killed += 1;
+    }
+    Ok(killed)
+}
--- /dev/null
+++ b/crates/load/tests/checks.rs
@@ -0,0 +1,121 @@
+//! The checks and judgements that reports rest on.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use clem_load::{
+    Answer, BatchTally, Judge, Outcome, PhaseStats, Scenario, check_plain, check_results,
+    check_streamed, lines, plan,
+};
+use serde_json::json;
+
+const SEED: u64 = 7;
+
+fn event(index: u32, content: &str) -> String {
+    json!({"index": index, "choices": [{"delta": {"content": content}}]}).to_string()
+}
+
+#[test]
+fn a_streamed_answer_must_be_own_whole_and_once() {
+    let answer = Answer::new("totara", "r1", 3, 2);
+    let text = answer.text();
+    let (first, second) = text.split_at(text.find(' ').unwrap() + 1);
+    let whole = [event(0, first), event(1, second), "[DONE]".to_owned()];
+    let check = |events: &[&String]| check_streamed(&answer, events.iter().map(|e| e.as_str()));
+
+    assert_eq!(check(&[&whole[0], &whole[1], &whole[2]]), Ok(()));
+    assert!(check(&[&whole[0], &whole[1]]).is_err(), "no end mark");
+    assert!(check(&[&whole[0], &whole[2]]).is_err(), "a token is lost");
+    assert!(
+        check(&[&whole[0], &whole[0], &whole[1], &whole[2]]).is_err(),
+        "repeated"
+    );
+    assert!(
+        check(&[&whole[1], &whole[0], &whole[2]]).is_err(),
+        "out of order"
+    );
+    assert!(
+        check(&[&whole[0], &whole[1], &whole[2], &whole[2]]).is_err(),
+        "after the end"
+    );
+    let other = Answer::new("totara", "r2", 3, 2);
+    let events = whole.iter().map(String::as_str);
+    assert!(check_streamed(&other, events).is_err(), "another's answer");
+}
+
+#[test]
+fn a_plain_answer_must_be_the_own_one() {
+    let answer = Answer::new("totara", "r1", 3, 2);
+    let body = json!({"choices": [{"message": {"content": answer.text()}}]}).to_string();
+    assert_eq!(check_plain(&answer, body.as_bytes()), Ok(()));
+    assert!(check_plain(&Answer::new("botez", "r1", 3, 2), body.as_bytes()).is_err());
+    assert!(check_plain(&answer, b"{}").is_err());
+}
+
+#[test]
+fn batch_results_are_counted_once_each() {
+    let (text, answers) = lines("totara", "b", 5);
+    assert_eq!(text.lines().count(), 5);
+    let done = |id: &str, text: String| {
+        let body = json!({"choices": [{"message": {"content": text}}]});
+        json!({"custom_id": id, "outcome": "done", "response": {"body": body}}).to_string()
+    };
+    let results = [
+        done("b-0", answers["b-0"].text()),
+        done("b-0", answers["b-0"].text()),
+        done("b-1", answers["b-2"].text()),
+        done("x", String::new()),
+        json!({"custom_id": "b-3", "outcome": "cancelled"}).to_string(),
+    ];
+    let tally = check_results(&results.join("\n"), &answers);
+    let expected = BatchTally {
+        done: 1,
+        others: BTreeMap::from([("cancelled".to_owned(), 1)]),
+        wrong: 2,
+        doubled: 1,
+        missing: 2,
+    };
+    assert_eq!(tally, expected);
+}
+
+#[test]
+fn ordinary_customers_stay_inside_and_the_excessive_one_does_not() {
+    for scenario in [Scenario::Kahikatea, Scenario::Botez] {
+        let shape = scenario.shape();
+        let length = Duration::from_secs(60);
+        let arrivals = plan(&shape, length, 2, SEED);
+        let mut judges: Vec<_> = shape.customers.iter().map(Judge::new).collect();
+        let mut counts = vec![(0, 0); judges.len()];
+        for arrival in &arrivals {
+            let count = &mut counts[arrival.customer];
+            count.0 += 1;
+            count.1 += u32::from(judges[arrival.customer].inside(arrival.due));
+        }
+        for (customer, (sent, inside)) in shape.customers.iter().zip(counts) {
+            let offered = f64::from(sent) / 60.0 / f64::from(customer.rate);
+            assert!(
+                (offered / customer.share - 1.0).abs() < 0.25,
+                "{offered} {customer:?}"
+            );
+            let part = f64::from(inside) / f64::from(sent);
+            assert_eq!(part > 0.95, customer.share < 1.0, "{part} {customer:?}");
+        }
+    }
+}
+
+#[test]
+fn refusals_inside_and_outside_are_told_apart() {
+    let mut stats = PhaseStats::new(1).unwrap();
+    let refused = || Outcome::Refused {
+        status: 429,
+        ran: "no".to_owned(),
+    };
+    stats.record(0, true, refused());
+    stats.record(0, false, refused());
+    stats.record(0, true, Outcome::Broken("cut".to_owned()));
+    let customer = &stats.customers[0];
+    assert_eq!(
+        (customer.refused, customer.refused_inside, customer.broken),
+        (2, 1, 1)
+    );
+    assert_eq!(stats.refusals["429 ran: no"], 2);
+}
