--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -6,18 +6,25 @@
 //! `docs/OPERATING.md`.
 //!
 //! ```
-//! use clem_rules::{Rules, RuleName};
+//! use clem_rules::parse;
+//! use clem_types::Version;
 //!
-//! let rules = Rules::default();
-//! let name: RuleName = "customer.totara".parse()?;
-//! assert!(rules.get(&name).is_none());
-//! # Ok::<(), clem_rules::NameError>(())
+//! let text = "customer.totara = { rate = \"20/s\", burst = 40 } # asked by Mere";
+//! let rules = parse(text, Version(1)).expect("the file has no findings");
+//! assert_eq!(rules.customers().len(), 1);
+//!
+//! let findings = parse("customer.totara = { burst = 0 }", Version(2)).unwrap_err();
+//! assert_eq!(findings[0].to_string(), "1:1: the field rate is missing");
 //! ```
 
+mod finding;
 mod name;
+mod parse;
 mod rule;
 mod rules;
 
+pub use finding::Finding;
 pub use name::{NameError, RuleKind, RuleName};
+pub use parse::parse;
 pub use rule::{Backend, BatchCharge, Customer, Key, Model, Place, Route, Rule, Target};
 pub use rules::{Delta, Rules};
