Start-time fair queue over customers, by tokens and weight

Cause: one customer with long prompts or five times its rate must not take the others' share of a target. Counting requests was ruled out: tests show 40 short prompts for one long one at equal tokens. Bounded by flow and in all; the longest flow gives way.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,5 +5,6 @@
 //! same output.
 
 pub mod bucket;
+pub mod fair;
 
 pub mod limiter;
