--- /dev/null
+++ b/crates/policy/src/route/pool.rs
@@ -0,0 +1,130 @@
+//! The open targets that serve one model or service, by data centre.
+
+use std::collections::BTreeMap;
+
+use clem_types::{DataCentre, TargetId};
+use rand::Rng;
+
+use super::health::PoolHealth;
+
+/// Places of each target on the hash ring.
+const PLACES: u32 = 16;
+
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    zones: BTreeMap<DataCentre, Zone>,
+    pub(super) health: PoolHealth,
+}
+
+/// The targets of one data centre.
+#[derive(Debug, Default)]
+pub(super) struct Zone {
+    ids: Vec<TargetId>,
+    /// Hashes and places in `ids`, in order.
+    ring: Vec<(u64, u32)>,
+}
+
+impl Pool {
+    pub(super) fn add(&mut self, id: TargetId, zone: DataCentre) {
+        self.zones.entry(zone).or_default().ids.push(id);
+    }
+
+    pub(super) fn remove(&mut self, id: &TargetId, zone: &DataCentre) {
+        if let Some(zone) = self.zones.get_mut(zone) {
+            zone.ids.retain(|known| known != id);
+        }
+    }
+
+    /// Makes the rings anew after a change.
+    pub(super) fn rebuild(&mut self) {
+        self.zones.retain(|_, zone| !zone.ids.is_empty());
+        self.health.targets = self.zones.values().map(Zone::len).sum();
+        for zone in self.zones.values_mut() {
+            zone.rebuild();
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
+    pub(super) fn zone(&self, name: &DataCentre) -> Option<&Zone> {
+        self.zones.get(name)
+    }
+
+    /// The zones but for one.
+    pub(super) fn others(&self, name: &DataCentre) -> Vec<&Zone> {
+        self.zones
+            .iter()
+            .filter(|(zone, _)| *zone != name)
+            .map(|(_, zone)| zone)
+            .collect()
+    }
+}
+
+/// Visits targets at random out of several zones.
+pub(super) fn random_of<'a>(
+    zones: &[&'a Zone],
+    rng: &mut impl Rng,
+    count: usize,
+    mut visit: impl FnMut(&'a TargetId),
+) {
+    if zones.is_empty() {
+        return;
+    }
+    for _ in 0..count {
+        let zone = zones[rng.random_range(0..zones.len())];
+        zone.random(rng, 1, &mut visit);
+    }
+}
+
+impl Zone {
+    pub(super) fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    fn rebuild(&mut self) {
+        self.ring.clear();
+        for (place, id) in (0u32..).zip(&self.ids) {
+            for copy in 0..PLACES {
+                let hash = blake3::hash(format!("{id}/{copy}").as_bytes());
+                let mut word = [0; 8];
+                word.copy_from_slice(&hash.as_bytes()[..8]);
+                self.ring.push((u64::from_be_bytes(word), place));
+            }
+        }
+        self.ring.sort_unstable();
+    }
+
+    /// Visits the first `count` different targets on the ring from `from` on.
+    pub(super) fn ring<'a>(&'a self, from: u64, count: usize, mut visit: impl FnMut(&'a TargetId)) {
+        let start = self.ring.partition_point(|(hash, _)| *hash < from);
+        let mut seen = Vec::with_capacity(count.min(self.ids.len()));
+        for step in 0..self.ring.len() {
+            if seen.len() >= count.min(self.ids.len()) {
+                break;
+            }
+            let (_, place) = self.ring[(start + step) % self.ring.len()];
+            if seen.contains(&place) {
+                continue;
+            }
+            seen.push(place);
+            visit(&self.ids[place as usize]);
+        }
+    }
+
+    /// Visits targets at random.
+    pub(super) fn random<'a>(
+        &'a self,
+        rng: &mut impl Rng,
+        count: usize,
+        mut visit: impl FnMut(&'a TargetId),
+    ) {
+        if self.ids.is_empty() {
+            return;
+        }
+        for _ in 0..count {
+            visit(&self.ids[rng.random_range(0..self.ids.len())]);
+        }
+    }
+}
--- a/crates/rules/src/rule.rs
+++ b/crates/rules/src/rule.rs
@@ -71,7 +71,7 @@
 }
 
 /// What answers the requests of a route.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Backend {
     /// Replicas of a model.
     Model {
