--- /dev/null
+++ b/crates/agent/src/dispatch.rs
@@ -0,0 +1,105 @@
+//! What entries ask of the agent.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use clem_wire::{
+    Call, Guard,
+    dispatch::{Dispatch, Fence},
+};
+use futures_util::{Stream, stream};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode};
+use tokio::sync::mpsc;
+
+use crate::{
+    agent::Agent,
+    online::{self, Frames},
+};
+
+/// Frames that may wait for a slow entry before the relay waits too.
+const FRAMES_AHEAD: usize = 64;
+
+/// The internal routes; each asks for the fleet's secret.
+pub(crate) fn routes(agent: &Arc<Agent>, guard: Guard) -> Router {
+    let dispatch = Router::with_path(&Dispatch::PATH[1..]).post(DispatchHandler {
+        agent: agent.clone(),
+    });
+    let fence = Router::with_path(&Fence::PATH[1..]).post(FenceHandler {
+        agent: agent.clone(),
+    });
+    Router::new().hoop(guard).push(dispatch).push(fence)
+}
+
+struct DispatchHandler {
+    agent: Arc<Agent>,
+}
+
+#[async_trait]
+impl Handler for DispatchHandler {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let Some(call) = read_dispatch(req, res).await else {
+            return;
+        };
+        let (sender, receiver) = mpsc::channel(FRAMES_AHEAD);
+        let frames = Frames::new(sender, &call);
+        let agent = self.agent.clone();
+        match agent.admit(|core, now| core.dispatch(now, &call)) {
+            Ok((id, commands)) => {
+                tokio::spawn(online::run(agent, id, commands, call, frames));
+            }
+            Err(refusal) => {
+                tokio::spawn(online::refuse(agent, frames, refusal));
+            }
+        }
+        res.stream(frame_stream(receiver));
+    }
+}
+
+async fn read_dispatch(req: &mut Request, res: &mut Response) -> Option<Dispatch> {
+    let Ok(body) = req
+        .payload_with_max_size(clem_wire::MAX_MESSAGE_BYTES)
+        .await
+    else {
+        res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
+        res.render("the message can't be read or is too long");
+        return None;
+    };
+    match clem_wire::codec::decode(body) {
+        Ok(call) => Some(call),
+        Err(error) => {
+            res.status_code(StatusCode::BAD_REQUEST);
+            res.render(error.to_string());
+            None
+        }
+    }
+}
+
+/// The body of the answer; it is dropped when the entry goes away, which closes the channel.
+fn frame_stream(
+    receiver: mpsc::Receiver<Bytes>,
+) -> impl Stream<Item = Result<Bytes, Infallible>> + Send + 'static {
+    stream::unfold(receiver, |mut receiver| async move {
+        let frame = receiver.recv().await?;
+        Some((Ok(frame), receiver))
+    })
+}
+
+struct FenceHandler {
+    agent: Arc<Agent>,
+}
+
+#[async_trait]
+impl Handler for FenceHandler {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let Some(call) = clem_wire::read_call::<Fence>(req, res).await else {
+            return;
+        };
+        match self.agent.change(|core, now| core.fence(now, &call)) {
+            Some(reply) => clem_wire::answer(res, &reply),
+            None => {
+                res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                res.render("no more fences can be remembered");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/engine.rs
@@ -0,0 +1,269 @@
+//! The client of the target.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use clem_types::{AdapterId, FenceNumber, ModelId, ModelVersion};
+use clem_wire::{
+    dispatch::TargetCall,
+    sync::{LoadedModel, ModelState},
+};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+
+/// How long setting up a connection to the target may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a control call to the engine may take.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The longest whole answer, in bytes.
+pub(crate) const MAX_ANSWER_BYTES: usize = 7 * 1024 * 1024;
+/// The header that names a stream at the engine.
+const REQUEST_ID: &str = "x-request-id";
+
+/// Why the target gave no answer.
+#[derive(Debug)]
+pub(crate) enum TargetError {
+    /// No connection came about: the target never saw the call.
+    NotSent(String),
+    /// The call was on its way.
+    Broken(String),
+}
+
+type Result<T> = std::result::Result<T, TargetError>;
+
+/// Sends calls to the target.
+#[derive(Debug, Clone)]
+pub(crate) struct Engine {
+    http: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+/// What `GET /engine/load` says that the agent uses.
+#[derive(Debug, Deserialize)]
+pub(crate) struct EngineLoad {
+    /// This life of the engine.
+    pub(crate) incarnation: Value,
+}
+
+#[derive(Debug, Deserialize)]
+struct EngineModel {
+    model: ModelId,
+    version: ModelVersion,
+    #[serde(default)]
+    adapters: Vec<AdapterId>,
+    state: EngineState,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum EngineState {
+    Loading,
+    Ready,
+    Failed,
+}
+
+/// How the engine took an order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum OrderTaken {
+    /// It is being carried out.
+    Yes,
+    /// The engine has obeyed a newer one.
+    Stale,
+    /// It can't be carried out.
+    Refused(String),
+}
+
+impl Engine {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let http = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self { http, address }
+    }
+
+    /// The target's address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a caller's request under the name `id`.
+    pub(crate) async fn send(
+        &self,
+        call: &TargetCall,
+        id: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>> {
+        let mut request = Request::builder()
+            .method(call.method.as_str())
+            .uri(format!("http://{}{}", self.address, call.path));
+        if let Some(headers) = request.headers_mut() {
+            for header in &call.headers {
+                let name = HeaderName::from_bytes(header.name.as_bytes());
+                let value = HeaderValue::from_bytes(&header.value);
+                let (Ok(name), Ok(value)) = (name, value) else {
+                    continue;
+                };
+                if is_own(&name) {
+                    continue;
+                }
+                headers.append(name, value);
+            }
+            if let Ok(id) = HeaderValue::from_str(id) {
+                headers.insert(REQUEST_ID, id);
+            }
+        }
+        let request = request.body(Full::new(body));
+        self.exchange(request.map_err(|error| TargetError::NotSent(error.to_string()))?)
+            .await
+    }
+
+    /// Sends a chat request under the name `id`.
+    pub(crate) async fn chat(&self, id: &str, body: Bytes) -> Result<Response<Incoming>> {
+        let call = TargetCall {
+            method: "POST".to_owned(),
+            path: "/v1/chat/completions".to_owned(),
+            headers: vec![clem_wire::dispatch::Header {
+                name: CONTENT_TYPE.as_str().to_owned(),
+                value: b"application/json".to_vec(),
+            }],
+            body: Bytes::new(),
+            stream: true,
+        };
+        self.send(&call, id, body).await
+    }
+
+    /// Cancels a stream.
+    pub(crate) async fn cancel(&self, id: &str) {
+        let _: Result<Value> = self.post("/engine/cancel", &json!({ "id": id })).await;
+    }
+
+    /// Parks a stream, keeping its KV cache.
+    pub(crate) async fn park(&self, id: &str) {
+        let _: Result<Value> = self.post("/engine/park", &json!({ "id": id })).await;
+    }
+
+    /// Reads the engine's load report.
+    pub(crate) async fn load(&self) -> Result<EngineLoad> {
+        self.get("/engine/load").await
+    }
+
+    /// Reads what the engine has loaded.
+    pub(crate) async fn models(&self) -> Result<Vec<LoadedModel>> {
+        let models: Vec<EngineModel> = self.get("/engine/models").await?;
+        let models = models.into_iter().map(|model| LoadedModel {
+            model: model.model,
+            version: model.version,
+            adapters: model.adapters,
+            state: match model.state {
+                EngineState::Loading => ModelState::Loading,
+                EngineState::Ready => ModelState::Ready,
+                EngineState::Failed => ModelState::Failed,
+            },
+        });
+        Ok(models.collect())
+    }
+
+    /// Gives an order.
+    pub(crate) async fn order(&self, fence: FenceNumber, order: &Value) -> Result<OrderTaken> {
+        let body = json!({ "fence": fence.0, "order": order });
+        let response = self.timed(self.request("/engine/orders", &body)).await?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(OrderTaken::Yes);
+        }
+        let text = Limited::new(response.into_body(), 4096).collect().await;
+        let text = text.map(|body| body.to_bytes()).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text).into_owned();
+        if status == StatusCode::CONFLICT && text.contains("stale_fence") {
+            return Ok(OrderTaken::Stale);
+        }
+        Ok(OrderTaken::Refused(format!("{status}: {text}")))
+    }
+
+    /// Whether a connection to the target comes about.
+    pub(crate) async fn connects(&self) -> bool {
+        let connect = tokio::net::TcpStream::connect(self.address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
+    // ------------------------------------------------------------------------
+
+    async fn post<T: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<T> {
+        let response = self.timed(self.request(path, body)).await?;
+        self.timed(read_json(response)).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| TargetError::NotSent(error.to_string()))?;
+        let response = self.timed(self.exchange(request)).await?;
+        self.timed(read_json(response)).await
+    }
+
+    async fn request(&self, path: &str, body: &Value) -> Result<Response<Incoming>> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.address))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .map_err(|error| TargetError::NotSent(error.to_string()))?;
+        self.exchange(request).await
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        match self.http.request(request).await {
+            Ok(response) => Ok(response),
+            Err(error) if error.is_connect() => Err(TargetError::NotSent(error.to_string())),
+            Err(error) => Err(TargetError::Broken(error.to_string())),
+        }
+    }
+
+    async fn timed<T>(&self, work: impl Future<Output = Result<T>>) -> Result<T> {
+        match tokio::time::timeout(CONTROL_TIMEOUT, work).await {
+            Ok(result) => result,
+            Err(_) => Err(TargetError::Broken("no answer in time".to_owned())),
+        }
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(response: Response<Incoming>) -> Result<T> {
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|error| TargetError::Broken(error.to_string()))?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|error| TargetError::Broken(error.to_string()))
+}
+
+/// Headers of one connection, which are set anew for the next one, and our own.
+fn is_own(name: &HeaderName) -> bool {
+    const OWN: [&str; 9] = [
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        REQUEST_ID,
+    ];
+    let name = name.as_str();
+    OWN.contains(&name) || name == clem_wire::SECRET_HEADER
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,3 +1,7 @@
-//! The process beside each target: admission, priorities, fences, drain and reports.
+//! The program `clem-agent`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    clem_boot::run("clem-agent", clem_agent::main_program())
+}
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,439 @@
+//! Which work an agent lets into its engine: online requests first, batch in the room that is
+//! left.
+//!
+//! Engines know no priorities, so everything that must not wait behind batch is decided here,
+//! before a request reaches the engine. See `docs/notes-agent.md`.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    fmt,
+    time::Duration,
+};
+
+use clem_types::Time;
+
+use crate::{
+    balance::Balance,
+    pace::{Allowance, Pace},
+};
+
+/// Batch streams that an engine of unknown pace gets beside online ones.
+const UNKNOWN_EXTRA: usize = 1;
+/// How long a batch stream may stay parked before it gets a slot beside online requests.
+const MAX_PARKED: Duration = Duration::from_secs(5);
+/// The longest prefill that the budget for long ones saves up for.
+const LONGEST_PREFILL: Duration = Duration::from_secs(4);
+/// Online streams keep the engine's steps short for this long after the last one ended.
+const QUIET_AFTER: Duration = Duration::from_millis(2);
+
+/// A piece of work in an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u64);
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// How an agent fills its target.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// The most streams that the target gets at once.
+    pub streams: usize,
+    /// The most online requests that wait.
+    pub waiting: usize,
+    /// Where the agent stands between online latency and batch throughput.
+    pub balance: Balance,
+}
+
+/// What an agent must do now, in this order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Send a job to the engine for the first time.
+    Start(JobId),
+    /// Send a parked batch job to the engine again.
+    Resume(JobId),
+    /// Take a batch job out of the engine, keeping its KV cache where the engine can.
+    Park(JobId),
+}
+
+/// The queue of online requests is full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full;
+
+/// A job that is not in the engine.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    job: JobId,
+    /// Prompt tokens that the engine would have to read in.
+    prompt: u32,
+    since: Time,
+    suspect: bool,
+}
+
+/// A job in the engine.
+#[derive(Debug, Clone, Copy)]
+struct Stream {
+    arrived: Time,
+    sent: Time,
+    prompt: u32,
+    /// The streams in the engine when this one was sent.
+    beside: usize,
+    /// When its last token came; none during prefill.
+    last: Option<Time>,
+    suspect: bool,
+}
+
+/// The queues of an agent and the jobs in its engine.
+#[derive(Debug)]
+pub struct Admission {
+    settings: Settings,
+    pace: Pace,
+    queue: VecDeque<Waiting>,
+    ready: VecDeque<Waiting>,
+    parked: VecDeque<Waiting>,
+    online: HashMap<JobId, Stream>,
+    /// Batch jobs in the engine, the oldest first.
+    batch: Vec<(JobId, Stream)>,
+    /// When the engine last got or ended a job; gaps across that moment say nothing of the pace.
+    changed: Time,
+    quiet_from: Time,
+    long: Allowance,
+    shared: Allowance,
+}
+
+impl Admission {
+    /// An empty agent.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            pace: Pace::new(settings.streams),
+            queue: VecDeque::new(),
+            ready: VecDeque::new(),
+            parked: VecDeque::new(),
+            online: HashMap::new(),
+            batch: Vec::new(),
+            changed: Time::ZERO,
+            quiet_from: Time::ZERO,
+            long: Allowance::default(),
+            shared: Allowance::default(),
+        }
+    }
+
+    /// Takes in an online request with a prompt of `prompt` tokens.
+    ///
+    /// # Errors
+    /// The queue is full.
+    pub fn offer_online(
+        &mut self,
+        now: Time,
+        job: JobId,
+        prompt: u32,
+        suspect: bool,
+    ) -> Result<(), Full> {
+        if self.queue.len() >= self.settings.waiting {
+            return Err(Full);
+        }
+        let since = now;
+        self.queue.push_back(Waiting {
+            job,
+            prompt,
+            since,
+            suspect,
+        });
+        Ok(())
+    }
+
+    /// Takes in a leased batch item with a prompt of `prompt` tokens.
+    pub fn offer_batch(&mut self, now: Time, job: JobId, prompt: u32, suspect: bool) {
+        let since = now;
+        self.ready.push_back(Waiting {
+            job,
+            prompt,
+            since,
+            suspect,
+        });
+    }
+
+    /// What to do now; to be asked after each change and at [`Admission::next_wake`].
+    pub fn decide(&mut self, now: Time) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let busy = self.is_busy();
+        if busy {
+            self.quiet_from = now + QUIET_AFTER;
+        }
+        self.fill_allowances(now, busy);
+        let limit = self.batch_limit(now);
+        while self.batch.len() > limit {
+            self.park_youngest(now, &mut steps);
+        }
+        self.start_online(now, &mut steps);
+        self.fill_batch(now, limit, &mut steps);
+        debug_assert!(self.running() <= self.settings.streams.max(self.online.len()));
+        steps
+    }
+
+    /// When to ask again although nothing has happened; none when nothing waits.
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        if self.ready.is_empty() && self.parked.is_empty() {
+            return None;
+        }
+        if now < self.quiet_from {
+            return Some(self.quiet_from);
+        }
+        Some(now + Duration::from_millis(20))
+    }
+
+    /// A job in the engine has a new token.
+    pub fn token(&mut self, now: Time, job: JobId) {
+        let running = self.running();
+        let prefilling = self.prefilling();
+        let changed = self.changed;
+        let online = self.online.contains_key(&job);
+        let Some(stream) = self.stream_mut(job) else {
+            return;
+        };
+        let Some(last) = stream.last.replace(now) else {
+            let stream = *stream;
+            self.pace
+                .prefill(stream.beside, stream.prompt, now.since(stream.sent));
+            if online {
+                self.pace.first_token(now.since(stream.arrived));
+            }
+            self.changed = now;
+            return;
+        };
+        if prefilling > 0 || last < changed {
+            return;
+        }
+        self.pace.gap(running, now.since(last));
+    }
+
+    /// A job has ended, wherever it was.
+    pub fn end(&mut self, now: Time, job: JobId) {
+        self.changed = now;
+        self.online.remove(&job);
+        self.batch.retain(|(id, _)| *id != job);
+        self.queue.retain(|waiting| waiting.job != job);
+        self.ready.retain(|waiting| waiting.job != job);
+        self.parked.retain(|waiting| waiting.job != job);
+    }
+
+    /// Online requests in the engine.
+    pub fn online_running(&self) -> usize {
+        self.online.len()
+    }
+
+    /// Online requests that wait.
+    pub fn online_waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Batch jobs in the engine.
+    pub fn batch_running(&self) -> usize {
+        self.batch.len()
+    }
+
+    /// Batch jobs that are parked.
+    pub fn batch_parked(&self) -> usize {
+        self.parked.len()
+    }
+
+    /// Prompt tokens that wait to be read in by online requests.
+    pub fn queued_tokens(&self) -> u64 {
+        self.queue.iter().map(|w| u64::from(w.prompt)).sum()
+    }
+
+    /// Streams that may still be added for online requests.
+    pub fn room(&self) -> usize {
+        let taken = self.online.len() + self.queue.len();
+        self.settings.streams.saturating_sub(taken)
+    }
+
+    /// How many more batch items are worth holding here.
+    ///
+    /// A few wait ready, so that capacity that lasts only seconds finds work at once; while
+    /// online requests keep batch out, no more are taken from other agents.
+    pub fn batch_room(&self) -> usize {
+        let held = self.batch.len() + self.ready.len() + self.parked.len();
+        let ahead = self.settings.streams / 4 + 1;
+        (self.settings.streams + ahead).saturating_sub(held + self.online.len())
+    }
+
+    /// What has been learned of the engine.
+    pub fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// Takes out the jobs that have been parked for longer than `most`, so that they can be given
+    /// back and run elsewhere.
+    pub fn parked_before(&self, limit: Time) -> Vec<JobId> {
+        let old = self.parked.iter().filter(|waiting| waiting.since < limit);
+        old.map(|waiting| waiting.job).collect()
+    }
+
+    // ------------------------------------------------------------------------
+
+    fn is_busy(&self) -> bool {
+        !self.online.is_empty() || !self.queue.is_empty()
+    }
+
+    fn running(&self) -> usize {
+        self.online.len() + self.batch.len()
+    }
+
+    fn prefilling(&self) -> usize {
+        let online = self.online.values().filter(|s| s.last.is_none()).count();
+        online + self.batch_prefilling()
+    }
+
+    fn batch_prefilling(&self) -> usize {
+        self.batch.iter().filter(|(_, s)| s.last.is_none()).count()
+    }
+
+    fn has_suspect(&self) -> bool {
+        self.online.values().any(|s| s.suspect) || self.batch.iter().any(|(_, s)| s.suspect)
+    }
+
+    fn stream_mut(&mut self, job: JobId) -> Option<&mut Stream> {
+        if let Some(stream) = self.online.get_mut(&job) {
+            return Some(stream);
+        }
+        let found = self.batch.iter_mut().find(|(id, _)| *id == job);
+        found.map(|(_, stream)| stream)
+    }
+
+    fn fill_allowances(&mut self, now: Time, busy: bool) {
+        let balance = self.settings.balance;
+        self.long.fill(now, balance.long_share(), LONGEST_PREFILL);
+        let share = if busy { balance.prefill_share() } else { 0.0 };
+        let step = self.pace.step(self.online.len());
+        self.shared.fill(now, share, step * 4);
+    }
+
+    /// The most batch streams that the engine may hold now.
+    fn batch_limit(&self, now: Time) -> usize {
+        let wanted = self.online.len() + self.queue.len();
+        let free = self.settings.streams.saturating_sub(wanted);
+        if !self.is_busy() && now >= self.quiet_from {
+            return free.min(self.idle_limit());
+        }
+        let harm = self.settings.balance.harm();
+        let extra = self.pace.extra(wanted, harm).unwrap_or(UNKNOWN_EXTRA);
+        free.min(extra.max(self.starved(now)))
+    }
+
+    /// One slot for a batch stream that has been parked too long.
+    fn starved(&self, now: Time) -> usize {
+        let since = self.parked.front().map(|waiting| waiting.since);
+        usize::from(since.is_some_and(|since| now.since(since) >= MAX_PARKED))
+    }
+
+    /// Batch streams without online ones: a request that arrives waits for the step in progress.
+    fn idle_limit(&self) -> usize {
+        let most = self.settings.streams;
+        let Some(bound) = self.first_bound() else {
+            return most;
+        };
+        self.pace.within(bound).unwrap_or(most).clamp(1, most)
+    }
+
+    /// How much later than without batch the first token of an online request may come.
+    fn first_bound(&self) -> Option<Duration> {
+        let tail = self.pace.tail()?;
+        let harm = self.settings.balance.harm().max(0.02);
+        Some(tail.mul_f64(harm / (1.0 + harm)))
+    }
+
+    fn start_online(&mut self, now: Time, steps: &mut Vec<Step>) {
+        let mut kept = VecDeque::new();
+        while self.running() < self.settings.streams {
+            let Some(waiting) = self.queue.pop_front() else {
+                break;
+            };
+            if waiting.suspect && self.has_suspect() {
+                kept.push_back(waiting);
+                continue;
+            }
+            let stream = self.stream(now, waiting, waiting.prompt);
+            self.online.insert(waiting.job, stream);
+            steps.push(Step::Start(waiting.job));
+        }
+        while let Some(waiting) = kept.pop_back() {
+            self.queue.push_front(waiting);
+        }
+    }
+
+    fn park_youngest(&mut self, now: Time, steps: &mut Vec<Step>) {
+        let Some((job, stream)) = self.batch.pop() else {
+            return;
+        };
+        self.changed = now;
+        let waiting = Waiting {
+            job,
+            prompt: stream.prompt,
+            since: now,
+            suspect: stream.suspect,
+        };
+        steps.push(Step::Park(job));
+        // A stream in prefill has nothing to keep: it starts anew, and pays for its prompt again.
+        if stream.last.is_none() && stream.prompt > 0 {
+            self.ready.push_front(waiting);
+            return;
+        }
+        let place = self.parked.iter().position(|other| other.since > now);
+        self.parked
+            .insert(place.unwrap_or(self.parked.len()), waiting);
+    }
+
+    fn fill_batch(&mut self, now: Time, limit: usize, steps: &mut Vec<Step>) {
+        while self.batch.len() < limit {
+            if let Some(waiting) = self.parked.pop_front() {
+                let stream = self.stream(now, waiting, 0);
+                self.batch.push((waiting.job, stream));
+                steps.push(Step::Resume(waiting.job));
+                continue;
+            }
+            let Some(waiting) = self.ready.front().copied() else {
+                break;
+            };
+            if waiting.suspect && self.has_suspect() || !self.may_prefill(waiting.prompt) {
+                break;
+            }
+            self.ready.pop_front();
+            let stream = self.stream(now, waiting, waiting.prompt);
+            self.batch.push((waiting.job, stream));
+            steps.push(Step::Start(waiting.job));
+        }
+    }
+
+    /// Whether a batch prompt may be read in now; the engine does a prefill whole, within a step
+    /// that all its streams and every request that arrives must wait for.
+    fn may_prefill(&mut self, prompt: u32) -> bool {
+        if self.batch_prefilling() > 0 {
+            return false;
+        }
+        let cost = self.pace.prefill_time(prompt);
+        if self.is_busy() && !self.shared.take(self.pace.step(self.running())) {
+            return false;
+        }
+        let Some(bound) = self.first_bound() else {
+            return true;
+        };
+        let step = self.pace.step(self.running() + 1);
+        step + cost <= bound || self.long.take(cost)
+    }
+
+    fn stream(&mut self, now: Time, waiting: Waiting, prompt: u32) -> Stream {
+        self.changed = now;
+        Stream {
+            arrived: waiting.since,
+            sent: now,
+            prompt,
+            beside: self.running(),
+            last: None,
+            suspect: waiting.suspect,
+        }
+    }
+}
