--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -12,10 +12,11 @@
     time::Duration,
 };
 
-use clem_policy::{Admission, Balance, JobId, Settings, Step};
+use clem_policy::{Admission, Balance, Full, JobId, Offer, Settings, Step};
 use clem_rules::{Backend, Delta, Route, Rules, Target};
 use clem_types::{
-    Attempt, BodyHash, CustomerId, Incarnation, KeyId, RequestId, RouteId, TargetId, Time, Version,
+    Attempt, BodyHash, CustomerId, Incarnation, KeyId, RequestId, RouteId, TargetId, Time, Tokens,
+    Version,
 };
 use clem_wire::{
     batch::{LeaseRef, LeasedItem},
@@ -197,11 +198,18 @@
             state: JobState::Queued,
             broken: false,
         };
-        self.check(now, job, prompt_tokens(call.call.body.len()))
+        let prompt = prompt_tokens(call.call.body.len());
+        self.check(now, job, prompt, call.cost)
             .map_err(Refusal::NotRun)
     }
 
-    fn check(&mut self, now: Time, mut job: Job, prompt: u32) -> Result<JobId, NotRunReason> {
+    fn check(
+        &mut self,
+        now: Time,
+        mut job: Job,
+        prompt: u32,
+        cost: Tokens,
+    ) -> Result<JobId, NotRunReason> {
         if self.stopping || self.draining {
             return Err(NotRunReason::Draining);
         }
@@ -221,9 +229,21 @@
             return Err(NotRunReason::SuspectBusy);
         }
         let id = self.next_id();
-        self.admission
-            .offer_online(now, id, prompt, job.suspect)
-            .map_err(|_| NotRunReason::Overloaded)?;
+        let offer = Offer {
+            job: id,
+            customer: job.customer.clone(),
+            weight: self.weight(job.customer.as_ref()),
+            cost,
+            prompt,
+            deadline: job.deadline,
+            suspect: job.suspect,
+        };
+        let evicted = self.admission.offer_online(now, offer);
+        let evicted = evicted.map_err(|Full| NotRunReason::Overloaded)?;
+        if let Some(evicted) = evicted {
+            let reason = NotRunReason::Overloaded;
+            self.stop(now, evicted, reason, Stop::NotRun(reason));
+        }
         if let Source::Online { request, .. } = job.source {
             self.requests.insert(request, id);
         }
@@ -231,6 +251,11 @@
         Ok(id)
     }
 
+    fn weight(&self, customer: Option<&CustomerId>) -> u32 {
+        let customer = customer.and_then(|id| self.rules.customers().get(id));
+        customer.map_or(1, |customer| customer.weight)
+    }
+
     /// Fences an attempt; a job that waits ends unrun, one that runs is cancelled.
     pub fn fence(&mut self, now: Time, call: &Fence) -> Option<FenceReply> {
         let reply = self.fences.fence(now, call.request, call.attempt);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -10,10 +10,11 @@
     time::Duration,
 };
 
-use clem_types::Time;
+use clem_types::{CustomerId, Time, Tokens};
 
 use crate::{
     balance::Balance,
+    fair::{Bounds, FairQueue, Push, Ticket},
     pace::{Allowance, Pace},
 };
 
@@ -58,6 +59,25 @@
     Park(JobId),
 }
 
+/// An online request on its way into the queue.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    /// The job.
+    pub job: JobId,
+    /// The customer in whose share it runs; none for callers without a key, who share one.
+    pub customer: Option<CustomerId>,
+    /// The customer's weight.
+    pub weight: u32,
+    /// What it is expected to cost.
+    pub cost: Tokens,
+    /// Prompt tokens that the engine would have to read in.
+    pub prompt: u32,
+    /// When it is no longer wanted.
+    pub deadline: Time,
+    /// Whether it must run apart from other suspects.
+    pub suspect: bool,
+}
+
 /// The queue of online requests is full.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Full;
@@ -90,7 +110,10 @@
 pub struct Admission {
     settings: Settings,
     pace: Pace,
-    queue: VecDeque<Waiting>,
+    queue: FairQueue<Option<CustomerId>, Waiting>,
+    tickets: HashMap<JobId, Ticket>,
+    /// Prompt tokens of the queue.
+    queued: u64,
     ready: VecDeque<Waiting>,
     parked: VecDeque<Waiting>,
     online: HashMap<JobId, Stream>,
@@ -109,7 +132,12 @@
         Self {
             settings,
             pace: Pace::new(settings.streams),
-            queue: VecDeque::new(),
+            queue: FairQueue::new(Bounds {
+                flow: settings.waiting.div_ceil(2),
+                total: settings.waiting,
+            }),
+            tickets: HashMap::new(),
+            queued: 0,
             ready: VecDeque::new(),
             parked: VecDeque::new(),
             online: HashMap::new(),
@@ -121,28 +149,35 @@
         }
     }
 
-    /// Takes in an online request with a prompt of `prompt` tokens.
+    /// Takes in an online request; says which other one lost its place to it, if any.
     ///
     /// # Errors
     /// The queue is full.
-    pub fn offer_online(
-        &mut self,
-        now: Time,
-        job: JobId,
-        prompt: u32,
-        suspect: bool,
-    ) -> Result<(), Full> {
-        if self.queue.len() >= self.settings.waiting {
-            return Err(Full);
+    pub fn offer_online(&mut self, now: Time, offer: Offer) -> Result<Option<JobId>, Full> {
+        let waiting = Waiting {
+            job: offer.job,
+            prompt: offer.prompt,
+            since: now,
+            suspect: offer.suspect,
+        };
+        let pushed = self.queue.push(
+            offer.customer,
+            offer.weight,
+            offer.cost,
+            offer.deadline,
+            waiting,
+        );
+        let (ticket, evicted) = match pushed {
+            Push::Queued(ticket) => (ticket, None),
+            Push::Evicted(ticket, evicted) => (ticket, Some(evicted)),
+            Push::Full(_) => return Err(Full),
+        };
+        self.tickets.insert(offer.job, ticket);
+        self.queued += u64::from(offer.prompt);
+        if let Some(evicted) = evicted {
+            self.left_queue(evicted);
         }
-        let since = now;
-        self.queue.push_back(Waiting {
-            job,
-            prompt,
-            since,
-            suspect,
-        });
-        Ok(())
+        Ok(evicted.map(|evicted| evicted.job))
     }
 
     /// Takes in a leased batch item with a prompt of `prompt` tokens.
@@ -215,7 +250,11 @@
         self.changed = now;
         self.online.remove(&job);
         self.batch.retain(|(id, _)| *id != job);
-        self.queue.retain(|waiting| waiting.job != job);
+        if let Some(ticket) = self.tickets.get(&job).copied()
+            && let Some(waiting) = self.queue.remove(ticket)
+        {
+            self.left_queue(waiting);
+        }
         self.ready.retain(|waiting| waiting.job != job);
         self.parked.retain(|waiting| waiting.job != job);
     }
@@ -242,7 +281,7 @@
 
     /// Prompt tokens that wait to be read in by online requests.
     pub fn queued_tokens(&self) -> u64 {
-        self.queue.iter().map(|w| u64::from(w.prompt)).sum()
+        self.queued
     }
 
     /// Streams that may still be added for online requests.
@@ -347,22 +386,23 @@
     }
 
     fn start_online(&mut self, now: Time, steps: &mut Vec<Step>) {
-        let mut kept = VecDeque::new();
         while self.running() < self.settings.streams {
-            let Some(waiting) = self.queue.pop_front() else {
-                break;
+            let crowded = self.has_suspect();
+            let next = self.queue.pop_if(|waiting| !(waiting.suspect && crowded));
+            let Some(next) = next else {
+                return;
             };
-            if waiting.suspect && self.has_suspect() {
-                kept.push_back(waiting);
-                continue;
-            }
+            let waiting = next.item;
+            self.left_queue(waiting);
             let stream = self.stream(now, waiting, waiting.prompt);
             self.online.insert(waiting.job, stream);
             steps.push(Step::Start(waiting.job));
         }
-        while let Some(waiting) = kept.pop_back() {
-            self.queue.push_front(waiting);
-        }
+    }
+
+    fn left_queue(&mut self, waiting: Waiting) {
+        self.tickets.remove(&waiting.job);
+        self.queued = self.queued.saturating_sub(u64::from(waiting.prompt));
     }
 
     fn park_youngest(&mut self, now: Time, steps: &mut Vec<Step>) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,6 @@
 mod balance;
 mod pace;
 
-pub use admission::{Admission, Full, JobId, Settings, Step};
+pub use admission::{Admission, Full, JobId, Offer, Settings, Step};
 pub use balance::Balance;
 pub use pace::Pace;
