clem-entry: the whole path, thin

Filter chain (authenticate, admit, read, limit), routing, dispatch to agents with fences, relay token by token, calls that run once, batches read as a stream, sync loop with the lease. Not shown by tests yet: it builds; tests follow.

--- /dev/null
+++ b/crates/entry/src/agent.rs
@@ -0,0 +1,107 @@
+//! One dispatch to an agent, and the frames of its answer.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use clem_types::{Attempt, RequestId};
+use clem_wire::{
+    AgentMessage, CallError, Client, codec,
+    dispatch::{Dispatch, Event, Fence, FenceReply, frame_codec},
+};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio_util::codec::{Decoder, LengthDelimitedCodec};
+
+/// How long an agent may take to fence an attempt.
+const FENCE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The frames of one attempt; dropped, it gives up the attempt at the agent.
+pub(crate) struct Frames {
+    request: RequestId,
+    attempt: Attempt,
+    body: Incoming,
+    buffer: BytesMut,
+    codec: LengthDelimitedCodec,
+}
+
+/// What comes next in an answer.
+pub(crate) enum Next {
+    Event(Event),
+    /// The answer ended; without an `End` event before, it was cut.
+    Cut,
+}
+
+/// Sends a dispatch and waits for the head of the answer.
+///
+/// # Errors
+/// See [`CallError`]; it tells whether the agent may have taken it in.
+pub(crate) async fn send(
+    client: &Client,
+    address: SocketAddr,
+    dispatch: &Dispatch,
+) -> Result<Frames, CallError> {
+    let bytes = codec::encode(dispatch).map_err(|error| CallError::NotSent(error.to_string()))?;
+    let response = client
+        .open(address, Dispatch::PATH, Bytes::from(bytes))
+        .await?;
+    Ok(Frames {
+        request: dispatch.request,
+        attempt: dispatch.attempt,
+        body: response.into_body(),
+        buffer: BytesMut::new(),
+        codec: frame_codec(),
+    })
+}
+
+impl Frames {
+    /// The next event of this attempt; frames of other requests and attempts are dropped.
+    pub(crate) async fn next(&mut self) -> Next {
+        loop {
+            match self.codec.decode(&mut self.buffer) {
+                Ok(Some(frame)) => {
+                    let Ok(message) = codec::decode::<AgentMessage>(&frame) else {
+                        return Next::Cut;
+                    };
+                    if message.request != self.request || message.attempt != self.attempt {
+                        metrics::counter!("clem_entry_stray_frames").increment(1);
+                        continue;
+                    }
+                    return Next::Event(message.event);
+                }
+                Ok(None) => {}
+                Err(_) => return Next::Cut,
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(_)) | None => return Next::Cut,
+            }
+        }
+    }
+}
+
+/// Stops an attempt; true when the agent attests that it had not started and never will.
+pub(crate) async fn fence(
+    client: &Client,
+    address: SocketAddr,
+    request: RequestId,
+    attempt: Attempt,
+) -> bool {
+    let fence = Fence { request, attempt };
+    match client.call(address, &fence, FENCE_TIMEOUT).await {
+        Ok(FenceReply::NotStarted) => true,
+        Ok(FenceReply::Started) | Err(_) => false,
+    }
+}
+
+/// Whether the agent answers at all; asks it to fence no attempt, which changes nothing.
+pub(crate) async fn answers(client: &Client, address: SocketAddr, request: RequestId) -> bool {
+    let none = Fence {
+        request,
+        attempt: Attempt(0),
+    };
+    client.call(address, &none, FENCE_TIMEOUT).await.is_ok()
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,182 @@
+//! What one entry process knows, shared by all its requests.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+};
+
+use clem_boot::{Clock, Member, Readiness};
+use clem_policy::{
+    poison::PoisonTable,
+    retry::{self, Budget},
+    route::Router,
+};
+use clem_rules::Rules;
+use clem_types::{HolderId, Incarnation, KeyId, RequestId, TargetId, Time, Version};
+use clem_wire::{
+    Client, ControlClient,
+    sync::{FleetStamp, Holder, Role},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::sync::watch;
+
+use crate::{caller::Identity, gate::Gate};
+
+/// The shared state of the process.
+///
+/// All of it is used on one thread; the locks are never held over a wait and never contended.
+pub(crate) struct Entry {
+    pub(crate) clock: Clock,
+    pub(crate) holder: Holder,
+    pub(crate) client: Client,
+    pub(crate) control: ControlClient,
+    pub(crate) gate: Gate,
+    pub(crate) readiness: Readiness,
+    pub(crate) max_body: usize,
+    pub(crate) stopping: AtomicBool,
+    running: AtomicUsize,
+    view: Mutex<View>,
+    router: Mutex<Router>,
+    budget: Mutex<Budget>,
+    rng: Mutex<StdRng>,
+    changes: watch::Sender<Version>,
+}
+
+/// What came from the control leader.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) rules: Rules,
+    /// When the lease on the rules runs out.
+    pub(crate) lease: Option<Time>,
+    pub(crate) fleet: FleetStamp,
+    pub(crate) agents: HashMap<TargetId, AgentAddress>,
+    pub(crate) poison: PoisonTable,
+    pub(crate) poison_version: Version,
+}
+
+/// Where a target's agent is reached, and in which life.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AgentAddress {
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Counts a request as running until it is dropped.
+pub(crate) struct Running(Arc<Entry>);
+
+impl Entry {
+    pub(crate) fn new(
+        member: &Member,
+        readiness: Readiness,
+        max_body: usize,
+    ) -> eyre::Result<Self> {
+        let mut rng = StdRng::from_os_rng();
+        let address = member.listener.address();
+        let id: HolderId = format!("entry-{address}").parse()?;
+        let holder = Holder {
+            id,
+            incarnation: Incarnation(rng.random()),
+            role: Role::Entry,
+            data_centre: member.data_centre.clone(),
+            address,
+        };
+        let client = Client::new(member.secret.clone());
+        let control = ControlClient::new(client.clone(), member.control.clone());
+        Ok(Self {
+            clock: Clock::start(),
+            gate: Gate::default(),
+            router: Mutex::new(Router::new(member.data_centre.clone())),
+            holder,
+            client,
+            control,
+            readiness,
+            max_body,
+            stopping: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            view: Mutex::default(),
+            budget: Mutex::default(),
+            rng: Mutex::new(rng),
+            changes: watch::Sender::new(Version(0)),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn rng(&self) -> MutexGuard<'_, StdRng> {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn new_request(&self) -> RequestId {
+        RequestId(self.rng().random())
+    }
+
+    /// When to tell a refused caller to come back.
+    pub(crate) fn retry_ms(&self, base_ms: u32) -> u32 {
+        retry::spread(&mut *self.rng(), base_ms)
+    }
+
+    /// Whether the lease on the rules holds.
+    pub(crate) fn leased(&self) -> bool {
+        self.view().lease.is_some_and(|until| self.now() < until)
+    }
+
+    /// Whether the key still stands in the rules, for the same customer.
+    pub(crate) fn still_allowed(&self, identity: &Identity) -> bool {
+        allowed(&self.view().rules, &identity.key, identity)
+    }
+
+    /// Tells of every later change of the rules.
+    pub(crate) fn changes(&self) -> watch::Receiver<Version> {
+        self.changes.subscribe()
+    }
+
+    pub(crate) fn tell_change(&self, version: Version) {
+        self.changes.send_replace(version);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as running, if fewer than `limit` do.
+    pub(crate) fn start(self: &Arc<Self>, limit: usize) -> Option<Running> {
+        if self.running.load(Ordering::Relaxed) >= limit {
+            return None;
+        }
+        self.running.fetch_add(1, Ordering::Relaxed);
+        metrics::gauge!("clem_entry_running").increment(1.0);
+        Some(Running(self.clone()))
+    }
+}
+
+fn allowed(rules: &Rules, key: &KeyId, identity: &Identity) -> bool {
+    rules
+        .keys()
+        .get(key)
+        .is_some_and(|key| key.customer == identity.customer)
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        metrics::gauge!("clem_entry_running").decrement(1.0);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filter.rs
@@ -0,0 +1,28 @@
+//! The filter chain that every request passes: authenticate, admit, read, limit.
+
+mod admit;
+mod authenticate;
+mod limit;
+mod read_chat;
+mod read_service;
+
+use salvo::{Depot, FlowCtrl, Response};
+
+use crate::refusal::Refusal;
+
+pub(crate) use admit::Admit;
+pub(crate) use authenticate::Authenticate;
+pub(crate) use limit::Limit;
+pub(crate) use read_chat::{ReadChat, idempotency_key};
+pub(crate) use read_service::ReadService;
+
+/// Ends the chain with a refusal.
+pub(crate) fn refuse(res: &mut Response, ctrl: &mut FlowCtrl, refusal: &Refusal) {
+    refusal.render(res);
+    ctrl.skip_rest();
+}
+
+/// Takes what an earlier filter put into the depot.
+pub(crate) fn taken<T: Send + Sync + 'static>(depot: &mut Depot) -> Option<T> {
+    depot.remove_typed::<T>().ok()
+}
--- /dev/null
+++ b/crates/entry/src/gate.rs
@@ -0,0 +1,166 @@
+//! Where requests wait for a token of their customer's rate.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use clem_policy::{
+    bucket::Granted,
+    limiter::{Admission, Limiter, Outcome, Round},
+};
+use clem_types::CustomerId;
+use clem_wire::online::{TakeTokens, TakeTokensReply, Want};
+use tokio::sync::{Notify, oneshot};
+
+use crate::entry::Entry;
+
+/// How long the leader is waited for before the waiting requests are refused.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// How often spent and idle tokens are looked for.
+const TICK: Duration = Duration::from_millis(25);
+
+/// The entry's tokens, and the requests that wait for some.
+#[derive(Debug, Default)]
+pub(crate) struct Gate {
+    inner: Mutex<Inner>,
+    wake: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    limiter: Limiter,
+    waiting: HashMap<CustomerId, VecDeque<oneshot::Sender<Admission>>>,
+}
+
+impl Gate {
+    /// Takes a token, or waits for one call to the leader.
+    ///
+    /// # Errors
+    /// When another token will be there, in milliseconds.
+    pub(crate) async fn admit(&self, entry: &Entry, customer: &CustomerId) -> Result<(), u32> {
+        let receiver = {
+            let mut inner = self.lock();
+            match inner.limiter.admit(entry.now(), customer) {
+                Admission::Admitted => None,
+                Admission::Refused { retry_ms } => return Err(retry_ms),
+                Admission::Ask => {
+                    let (sender, receiver) = oneshot::channel();
+                    inner
+                        .waiting
+                        .entry(customer.clone())
+                        .or_default()
+                        .push_back(sender);
+                    Some(receiver)
+                }
+            }
+        };
+        self.wake.notify_one();
+        let Some(receiver) = receiver else {
+            return Ok(());
+        };
+        match receiver.await {
+            Ok(Admission::Refused { retry_ms }) => Err(retry_ms),
+            Ok(Admission::Admitted | Admission::Ask) => Ok(()),
+            Err(_) => Err(1),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Asks the leader for tokens as long as the process runs; one call at a time.
+pub(crate) async fn run(entry: Arc<Entry>) {
+    let mut sequence = 0;
+    loop {
+        if entry.gate.lock().limiter.is_quiet() {
+            entry.gate.wake.notified().await;
+        }
+        let round = entry.gate.lock().limiter.next_round(entry.now());
+        let Some(round) = round else {
+            let _ = tokio::time::timeout(TICK, entry.gate.wake.notified()).await;
+            continue;
+        };
+        sequence += 1;
+        ask(&entry, sequence, &round).await;
+    }
+}
+
+async fn ask(entry: &Entry, sequence: u64, round: &Round) {
+    let call = TakeTokens {
+        holder: entry.holder.id.clone(),
+        incarnation: entry.holder.incarnation,
+        sequence,
+        wants: round
+            .asks
+            .iter()
+            .map(|ask| Want {
+                customer: ask.customer.clone(),
+                tokens: ask.tokens,
+                returned: ask.returned,
+                held: ask.held,
+            })
+            .collect(),
+    };
+    let reply = entry.control.call(&call, ASK_TIMEOUT).await;
+    let mut inner = entry.gate.lock();
+    let outcomes = match reply {
+        Ok(reply) => {
+            let ttl = ttl(&reply);
+            let grants = grants(&reply);
+            inner.limiter.answered(entry.now(), round, &grants, ttl)
+        }
+        Err(error) => {
+            log::warn!(error = error.to_string().as_str(); "no rate tokens from control");
+            inner.limiter.failed(round)
+        }
+    };
+    for outcome in outcomes {
+        inner.tell(&outcome);
+    }
+}
+
+fn ttl(reply: &TakeTokensReply) -> Duration {
+    let ms = reply.grants.iter().map(|grant| grant.expires_ms).min();
+    Duration::from_millis(ms.unwrap_or_default().into())
+}
+
+fn grants(reply: &TakeTokensReply) -> Vec<Granted> {
+    reply
+        .grants
+        .iter()
+        .map(|grant| Granted {
+            tokens: grant.tokens,
+            retry_ms: grant.retry_ms,
+        })
+        .collect()
+}
+
+impl Inner {
+    /// Wakes the waiting requests of a customer, oldest first.
+    fn tell(&mut self, outcome: &Outcome) {
+        let Some(waiting) = self.waiting.get_mut(&outcome.customer) else {
+            return;
+        };
+        for place in 0..outcome.admitted + outcome.refused {
+            let Some(sender) = waiting.pop_front() else {
+                break;
+            };
+            let admission = if place < outcome.admitted {
+                Admission::Admitted
+            } else {
+                Admission::Refused {
+                    retry_ms: outcome.retry_ms,
+                }
+            };
+            // A caller that is gone has no use for it; its token counts as spent.
+            let _ = sender.send(admission);
+        }
+        if waiting.is_empty() {
+            self.waiting.remove(&outcome.customer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,35 @@
+//! The callers' entry: authentication, limits, routing, dispatch and relay.
+//!
+//! A request passes a chain of filters: [`filter`] authenticates and strips it, admits it, reads
+//! it and finds its route, and takes a token of its customer's rate. Then [`job`] chooses a
+//! target, dispatches the request to that target's agent and relays the answer. An entry keeps no
+//! state that must survive; what it decides by comes from the control leader under a lease, see
+//! [`sync`]. The decisions themselves are in `clem-policy`.
+//!
+//! ```no_run
+//! std::process::exit(i32::from(
+//!     clem_boot::run("clem-entry", clem_entry::program()) != std::process::ExitCode::SUCCESS,
+//! ));
+//! ```
+
+mod agent;
+mod answer;
+mod batch;
+mod body;
+mod caller;
+mod entry;
+mod filter;
+mod gate;
+mod job;
+mod missing;
+mod once;
+mod program;
+mod refusal;
+mod relay;
+mod resolve;
+mod strip;
+mod sync;
+mod work;
+
+pub use program::program;
+pub use strip::{strip_headers, strip_query};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,7 @@
-//! The callers' entry: authentication, limits, routing, dispatch and relay.
+//! `clem-entry`: takes callers' requests; see [`clem_entry`].
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    clem_boot::run("clem-entry", clem_entry::program())
+}
--- /dev/null
+++ b/crates/entry/src/missing.rs
@@ -0,0 +1,34 @@
+//! The answer to a path or method that is not there.
+
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, async_trait, catcher::Catcher, http::StatusCode,
+};
+
+use crate::{body, refusal::Refusal};
+
+/// Turns salvo's own error pages into refusals.
+pub(crate) fn catcher() -> Catcher {
+    Catcher::new(Missing)
+}
+
+struct Missing;
+
+#[async_trait]
+impl Handler for Missing {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        body::drain(req.take_body());
+        let status = res.status_code.unwrap_or(StatusCode::NOT_FOUND);
+        let (code, message) = match status {
+            StatusCode::METHOD_NOT_ALLOWED => ("method_not_allowed", "the path has no such method"),
+            _ => ("not_found", "there is nothing at this path"),
+        };
+        Refusal::no(status, code, message).render(res);
+        ctrl.skip_rest();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/sync.rs
@@ -0,0 +1,168 @@
+//! Keeps the lease on the rules and the view of the fleet up to date.
+//!
+//! The lease counts from the moment the call was sent. Before the first answer the entry serves
+//! nothing; without a lease it refuses keyed requests as not run. See `docs/DESIGN.md`, "Rules in
+//! force".
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use clem_policy::{poison::Suspicion, route::TargetInfo};
+use clem_rules::Backend;
+use clem_types::{BodyHash, CustomerId, TargetId, Time};
+use clem_wire::sync::{
+    FleetChange, ModelState, PoisonList, Serves, Sync, SyncReply, TargetView, Verdict,
+};
+
+use crate::entry::{AgentAddress, Entry};
+
+/// How long the leader may hold a call without news, in milliseconds.
+const WAIT_MS: u32 = 1000;
+/// How long an answer is waited for, over all control processes.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(2500);
+/// The pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(50);
+/// How often readiness follows the lease.
+const READY_TICK: Duration = Duration::from_millis(50);
+
+/// Fetches news as long as the process runs.
+pub(crate) async fn run(entry: Arc<Entry>) {
+    loop {
+        let asked = entry.now();
+        match entry.control.call(&question(&entry), SYNC_TIMEOUT).await {
+            Ok(reply) => take_in(&entry, asked, reply),
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "no news from control");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Keeps `/readyz` in step with the lease.
+pub(crate) async fn keep_ready(entry: Arc<Entry>) {
+    loop {
+        let ready = entry.leased() && !entry.is_stopping();
+        if entry.readiness.get() != ready {
+            log::info!(ready = ready; "readiness changed");
+            entry.readiness.set(ready);
+        }
+        tokio::time::sleep(READY_TICK).await;
+    }
+}
+
+fn question(entry: &Entry) -> Sync {
+    let view = entry.view();
+    Sync {
+        holder: entry.holder.clone(),
+        rules: view.rules.version(),
+        fleet: view.fleet,
+        poison: view.poison_version,
+        report: None,
+        stopping: entry.is_stopping(),
+        wait_ms: if view.lease.is_none() || entry.is_stopping() {
+            0
+        } else {
+            WAIT_MS
+        },
+    }
+}
+
+fn take_in(entry: &Entry, asked: Time, reply: SyncReply) {
+    let mut view = entry.view();
+    let mut fits = true;
+    if let Some(delta) = reply.rules {
+        let before = view.rules.version();
+        let to = delta.to;
+        // A late answer brings a version that is here already.
+        fits = view.rules.apply(delta) || to == before;
+        if view.rules.version() != before {
+            log::info!(version = view.rules.version().0; "rules in force here");
+            entry.tell_change(view.rules.version());
+        }
+    }
+    if let Some(change) = reply.fleet {
+        let (changed, gone) = take_fleet(&mut view.agents, &change);
+        view.fleet = change.stamp;
+        entry.router().update(changed, &gone);
+    }
+    if let Some(list) = reply.poison {
+        view.poison_version = list.version;
+        view.poison.replace(list_entries(list));
+    }
+    if fits {
+        let lease = asked + Duration::from_millis(reply.lease_ms.into());
+        view.lease = view.lease.max(Some(lease));
+    } else {
+        log::warn!(version = view.rules.version().0; "a change of the rules does not fit");
+    }
+    metrics::gauge!("clem_entry_rules_version").set(view.rules.version().0 as f64);
+}
+
+fn take_fleet(
+    agents: &mut HashMap<TargetId, AgentAddress>,
+    change: &FleetChange,
+) -> (Vec<TargetInfo>, Vec<TargetId>) {
+    let mut gone = change.gone.clone();
+    if change.whole {
+        let listed = |id: &TargetId| change.targets.iter().any(|target| target.target == *id);
+        gone.extend(agents.keys().filter(|id| !listed(id)).cloned());
+    }
+    for id in &gone {
+        agents.remove(id);
+    }
+    let mut changed = Vec::new();
+    for target in &change.targets {
+        let agent = AgentAddress {
+            address: target.agent,
+            incarnation: target.incarnation,
+        };
+        agents.insert(target.target.clone(), agent);
+        changed.push(info(target));
+    }
+    (changed, gone)
+}
+
+fn info(target: &TargetView) -> TargetInfo {
+    let mut backends = Vec::new();
+    match &target.serves {
+        Serves::Service(service) => backends.push(Backend::Service(service.clone())),
+        Serves::Models(models) => {
+            for loaded in models {
+                if loaded.state != ModelState::Ready {
+                    continue;
+                }
+                let with = |adapter| Backend::Model {
+                    model: loaded.model.clone(),
+                    version: loaded.version,
+                    adapter,
+                };
+                backends.push(with(None));
+                backends.extend(
+                    loaded
+                        .adapters
+                        .iter()
+                        .map(|adapter| with(Some(adapter.clone()))),
+                );
+            }
+        }
+    }
+    TargetInfo {
+        id: target.target.clone(),
+        incarnation: target.incarnation,
+        data_centre: target.data_centre.clone(),
+        backends,
+        open: target.open,
+    }
+}
+
+fn list_entries(
+    list: PoisonList,
+) -> impl Iterator<Item = (Option<CustomerId>, BodyHash, Suspicion)> {
+    list.entries.into_iter().map(|entry| {
+        let suspicion = match entry.verdict {
+            Verdict::Suspect => Suspicion::Suspect,
+            Verdict::Poison => Suspicion::Poison,
+        };
+        (entry.customer, entry.body, suspicion)
+    })
+}
--- a/crates/policy/src/limiter.rs
+++ b/crates/policy/src/limiter.rs
@@ -24,6 +24,8 @@
 const DEMAND_SPAN: Duration = Duration::from_millis(400);
 /// How long an answer that the bucket is empty is taken for the present state.
 const EMPTY_MAX: Duration = Duration::from_millis(50);
+/// A request is sent within this time after it took its token, or refused.
+const SEND_WITHIN: Duration = Duration::from_millis(250);
 /// The most customers in one call.
 const BATCH_MAX: usize = 512;
 /// A customer without traffic for this long is forgotten.
@@ -128,17 +130,12 @@
     /// A process that was frozen between the two must not send: the leader has long counted the
     /// token as expired.
     pub fn may_send(taken: Time, now: Time) -> bool {
-        now.since(taken) < crate::bucket::EXPIRY_MARGIN
+        now.since(taken) < SEND_WITHIN
     }
 
-    /// Whether some request waits for the leader.
-    pub fn waits(&self) -> bool {
-        // Only customers with recent traffic stand in `due`.
-        self.due.iter().any(|customer| {
-            self.customers
-                .get(customer)
-                .is_some_and(|local| local.waiting > 0)
-        })
+    /// Whether there is nothing to tell the leader, now or later, until the next request.
+    pub fn is_quiet(&self) -> bool {
+        self.due.is_empty()
     }
 
     /// Starts the next call, if there is anything to ask, give back or report.
