State machine, control leader and clemctl: first runnable shape

The state machine applies commands to the key-value store: rules by compare-and-set, first answers to command ids, orders numbered by their log index, at-most-once records, suspects and poison, batches with a queue for each route. The leader keeps leases, the fleet view and grants as soft state. One process stands in for the replicated group.

Tried by hand on one process: apply, resend, conflict, drain, status; exit codes 0, 2, 3, 4. The state machine has no tests of its own yet.

--- /dev/null
+++ b/crates/control/src/serve/admin.rs
@@ -0,0 +1,206 @@
+//! What operators' tools ask for.
+
+use std::{sync::Arc, time::Duration};
+
+use clem_rules::Rules;
+use clem_state::{ApplyOutcome, ApplyRules, Command, Outcome, batch, orders, rules};
+use clem_types::Version;
+use clem_wire::{
+    ControlReply,
+    admin::{
+        Apply, ApplyReply, ChangeMembers, ChangeMembersReply, FileFinding, GiveOrder,
+        GiveOrderReply, ReadRules, ReadStatus, RulesFile, StatusView,
+    },
+    sync::Action,
+};
+use salvo::Router;
+
+use crate::control::{Control, Refusal, Result};
+
+use super::{Serve, order_check, route};
+
+/// How long a call waits for a version to be in force; the caller asks again after it.
+const FORCE_WAIT: Duration = Duration::from_millis(1000);
+/// How often a wait looks whether a lease has run out.
+const FORCE_STEP: Duration = Duration::from_millis(50);
+/// How many orders a status shows.
+const SHOWN_ORDERS: usize = 50;
+/// How many batches in danger a status shows.
+const SHOWN_BATCHES: usize = 50;
+
+pub(super) fn routes(control: &Arc<Control>) -> Vec<Router> {
+    vec![
+        route::<Apply>(control),
+        route::<ReadRules>(control),
+        route::<GiveOrder>(control),
+        route::<ReadStatus>(control),
+        route::<ChangeMembers>(control),
+    ]
+}
+
+// ---------------------------------------------------------------------------------------------
+// Rules
+
+impl Serve for Apply {
+    async fn serve(self, control: &Control) -> Result<ApplyReply> {
+        let rules = match clem_rules::parse(&self.text, self.expect.next()) {
+            Ok(rules) => rules,
+            Err(findings) => return Ok(rejected(findings)),
+        };
+        let command = Command::Apply(ApplyRules {
+            command: self.command.clone(),
+            expect: self.expect,
+            text: self.text,
+        });
+        let Outcome::Apply(outcome) = control.propose(command).await? else {
+            return Err(Refusal::Unknown);
+        };
+        log::info!(command:% = self.command, expect = self.expect.0, outcome:? = outcome; "rules applied");
+        match outcome {
+            ApplyOutcome::Accepted(version) => {
+                put_in_force(control, version, rules)?;
+                wait_in_force(control, version).await
+            }
+            ApplyOutcome::Conflict { current } => Ok(ApplyReply::Conflict { current }),
+            ApplyOutcome::Reused => {
+                let message = format!("the command id {} was used for another file", self.command);
+                Ok(rejected(vec![clem_rules::Finding {
+                    line: 1,
+                    column: 1,
+                    message,
+                }]))
+            }
+        }
+    }
+}
+
+fn rejected(findings: Vec<clem_rules::Finding>) -> ApplyReply {
+    let mut list = Vec::new();
+    for finding in findings {
+        list.push(FileFinding {
+            line: finding.line,
+            column: finding.column,
+            message: finding.message,
+        });
+    }
+    ApplyReply::Rejected { findings: list }
+}
+
+/// Moves the soft state on to an accepted version; a resent command finds it moved on already.
+fn put_in_force(control: &Control, version: Version, rules: Rules) -> Result<()> {
+    debug_assert_eq!(
+        rules.version(),
+        version,
+        "an accepted file follows the expected one"
+    );
+    control.lead(|lead, now| {
+        lead.history.push(rules);
+        lead.refresh(now);
+    })?;
+    control.wake();
+    Ok(())
+}
+
+async fn wait_in_force(control: &Control, version: Version) -> Result<ApplyReply> {
+    let mut news = control.news();
+    let deadline = tokio::time::Instant::now() + FORCE_WAIT;
+    loop {
+        let (in_force, waiting) = control.lead(|lead, now| {
+            let waiting = lead.leases.waiting(version, now);
+            (lead.leases.in_force(version, now), waiting)
+        })?;
+        if in_force || tokio::time::Instant::now() >= deadline {
+            return Ok(ApplyReply::Accepted {
+                version,
+                in_force,
+                waiting,
+            });
+        }
+        let _ = tokio::time::timeout(FORCE_STEP, news.changed()).await;
+    }
+}
+
+impl Serve for ReadRules {
+    async fn serve(self, control: &Control) -> Result<RulesFile> {
+        control.barrier().await?;
+        Ok(control.replica.read(rules::file))
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Orders
+
+impl Serve for GiveOrder {
+    async fn serve(self, control: &Control) -> Result<GiveOrderReply> {
+        control.barrier().await?;
+        let refused = control.lead(|lead, _| order_check::check(lead, &self).err())?;
+        if let Some(reason) = refused {
+            log::info!(target:% = self.target, action:? = self.action, reason; "order refused");
+            return Ok(GiveOrderReply::Rejected { reason });
+        }
+        let command = Command::Order(clem_state::GiveOrder {
+            command: self.command.clone(),
+            target: self.target.clone(),
+            action: self.action.clone(),
+            expect: self.expect,
+            now: control.wall(),
+        });
+        let Outcome::Order(reply) = control.propose(command).await? else {
+            return Err(Refusal::Unknown);
+        };
+        log::info!(
+            target:% = self.target, action:? = self.action, command:% = self.command, reply:? = reply;
+            "order given"
+        );
+        if matches!(self.action, Action::Drain | Action::Resume) {
+            refresh_drained(control)?;
+        }
+        control.wake();
+        Ok(reply)
+    }
+}
+
+/// Takes the drain marks over from the replicated state.
+fn refresh_drained(control: &Control) -> Result<()> {
+    let drained = control.replica.read(orders::drained);
+    control.lead(|lead, now| {
+        lead.drained = drained.into_iter().collect();
+        lead.refresh(now);
+    })
+}
+
+// ---------------------------------------------------------------------------------------------
+// Status and members
+
+impl Serve for ReadStatus {
+    async fn serve(self, control: &Control) -> Result<StatusView> {
+        control.barrier().await?;
+        let orders = control
+            .replica
+            .read(|store| orders::latest(store, SHOWN_ORDERS));
+        let members = control.replica.members();
+        let wall = control.wall();
+        let endangered = control
+            .replica
+            .read(|store| batch::endangered(store, wall, SHOWN_BATCHES));
+        control.lead(|lead, now| StatusView {
+            rules: lead.history.rules().version(),
+            members,
+            holders: lead.leases.views(now),
+            targets: lead.fleet.statuses(lead.history.rules()),
+            endangered,
+            orders,
+        })
+    }
+}
+
+impl Serve for ChangeMembers {
+    async fn serve(self, control: &Control) -> Result<ChangeMembersReply> {
+        log::info!(command:% = self.command, change:? = self.change; "members are to change");
+        match control.replica.change_members(self.change).await {
+            ControlReply::Done(reply) => Ok(reply),
+            ControlReply::NotLeader { .. } => Err(Refusal::NotLeader),
+            ControlReply::Unknown => Err(Refusal::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/serve/batch.rs
@@ -0,0 +1,234 @@
+//! Batches: uploads, status, cancel and results for entries, leases and ends for agents.
+
+use std::{sync::Arc, time::Duration};
+
+use clem_rules::{Backend, Rules};
+use clem_state::{Command, Outcome, batch};
+use clem_types::{RouteId, UnixMillis};
+use clem_wire::{
+    batch::{
+        BatchBegin, BatchBeginReply, BatchCancel, BatchChunk, BatchChunkReply, BatchResults,
+        BatchSeal, BatchSealReply, BatchStatus, BatchView, FinishItems, FinishItemsReply,
+        LeaseItems, LeaseItemsReply, ResultsPage,
+    },
+    sync::ModelState,
+};
+use salvo::Router;
+
+use crate::control::{Control, Refusal, Result};
+
+use super::{Serve, route};
+
+/// How long a lease on an item holds from the moment the agent asked.
+const ITEM_LEASE: Duration = Duration::from_secs(8);
+/// How much longer the log counts a lease, for the way of the call and clocks that run apart.
+const ITEM_MARGIN: Duration = Duration::from_secs(1);
+
+pub(super) fn routes(control: &Arc<Control>) -> Vec<Router> {
+    vec![
+        route::<BatchBegin>(control),
+        route::<BatchChunk>(control),
+        route::<BatchSeal>(control),
+        route::<BatchStatus>(control),
+        route::<BatchCancel>(control),
+        route::<BatchResults>(control),
+        route::<LeaseItems>(control),
+        route::<FinishItems>(control),
+    ]
+}
+
+// ---------------------------------------------------------------------------------------------
+// Uploads
+
+impl Serve for BatchBegin {
+    async fn serve(self, control: &Control) -> Result<BatchBeginReply> {
+        control.barrier().await?;
+        let weight = control.lead(|lead, _| {
+            let rules = lead.history.rules();
+            let customer = rules.customers().get(&self.customer)?;
+            Some(customer.weight)
+        })?;
+        let Some(weight) = weight else {
+            let reason = format!("the rules have no customer {}", self.customer);
+            return Ok(BatchBeginReply::Full { reason });
+        };
+        let limits = control.limits;
+        let command = Command::BatchBegin(batch::Begin {
+            call: self,
+            weight,
+            room: limits.batch_bytes,
+            retention: limits.retention_ms,
+            now: control.wall(),
+        });
+        match control.propose(command).await? {
+            Outcome::BatchBegin(reply) => Ok(reply),
+            _ => Err(Refusal::Unknown),
+        }
+    }
+}
+
+impl Serve for BatchChunk {
+    async fn serve(self, control: &Control) -> Result<BatchChunkReply> {
+        let room = control.limits.batch_bytes;
+        let command = Command::BatchChunk { call: self, room };
+        match control.propose(command).await? {
+            Outcome::BatchChunk(reply) => Ok(reply),
+            _ => Err(Refusal::Unknown),
+        }
+    }
+}
+
+impl Serve for BatchSeal {
+    async fn serve(self, control: &Control) -> Result<BatchSealReply> {
+        let now = control.wall();
+        let (batch, items) = (self.batch, self.items);
+        let outcome = control
+            .propose(Command::BatchSeal { call: self, now })
+            .await?;
+        let Outcome::BatchSeal(reply) = outcome else {
+            return Err(Refusal::Unknown);
+        };
+        log::info!(batch:% = batch, items, reply:? = reply; "batch sealed");
+        Ok(reply)
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Status, results and cancel
+
+impl Serve for BatchStatus {
+    async fn serve(self, control: &Control) -> Result<Option<BatchView>> {
+        control.barrier().await?;
+        let now = control.wall();
+        Ok(control
+            .replica
+            .read(|store| batch::status(store, &self, now)))
+    }
+}
+
+impl Serve for BatchResults {
+    async fn serve(self, control: &Control) -> Result<Option<ResultsPage>> {
+        control.barrier().await?;
+        Ok(control.replica.read(|store| batch::results(store, &self)))
+    }
+}
+
+impl Serve for BatchCancel {
+    async fn serve(self, control: &Control) -> Result<Option<BatchView>> {
+        let now = control.wall();
+        let batch = self.batch;
+        let outcome = control
+            .propose(Command::BatchCancel { call: self, now })
+            .await?;
+        let Outcome::BatchCancel(outcome) = outcome else {
+            return Err(Refusal::Unknown);
+        };
+        log::info!(batch:% = batch, running = outcome.running.len(); "batch cancelled");
+        control.lead(|lead, _| {
+            for running in &outcome.running {
+                lead.stop_item(&running.holder, running.item);
+            }
+        })?;
+        control.wake();
+        Ok(outcome.view)
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Leases and ends
+
+impl Serve for LeaseItems {
+    async fn serve(self, control: &Control) -> Result<LeaseItemsReply> {
+        control.barrier().await?;
+        let routes = control.lead(|lead, now| {
+            // An agent without a lease on the rules gets no new work.
+            if !lead.leases.holds(&self.holder, self.incarnation, now) {
+                return Vec::new();
+            }
+            served(lead.history.rules(), &self)
+        })?;
+        if routes.is_empty() && self.renew.is_empty() {
+            return Ok(idle());
+        }
+        if self.renew.is_empty()
+            && !control
+                .replica
+                .read(|store| batch::has_waiting(store, &routes))
+        {
+            return Ok(idle());
+        }
+        let now = control.wall();
+        let span = u64::try_from((ITEM_LEASE + ITEM_MARGIN).as_millis()).unwrap_or(u64::MAX);
+        let holder = self.holder.clone();
+        let command = Command::Lease(batch::Lease {
+            holder: self.holder,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            routes,
+            room: self.room,
+            renew: self.renew,
+            until: UnixMillis(now.0.saturating_add(span)),
+            now,
+        });
+        let Outcome::Lease(mut reply) = control.propose(command).await? else {
+            return Err(Refusal::Unknown);
+        };
+        reply.lease_ms = u32::try_from(ITEM_LEASE.as_millis()).unwrap_or(u32::MAX);
+        if !reply.items.is_empty() {
+            log::debug!(holder:% = holder, items = reply.items.len(); "items leased");
+        }
+        Ok(reply)
+    }
+}
+
+fn idle() -> LeaseItemsReply {
+    LeaseItemsReply {
+        items: Vec::new(),
+        lease_ms: u32::try_from(ITEM_LEASE.as_millis()).unwrap_or(u32::MAX),
+        stop: Vec::new(),
+    }
+}
+
+/// The routes that an agent's target can serve, by the rules and what the agent says.
+fn served(rules: &Rules, call: &LeaseItems) -> Vec<RouteId> {
+    let mut routes = Vec::new();
+    for (id, rule) in rules.routes() {
+        let fits = match &rule.backend {
+            Backend::Service(service) => call.service.as_ref() == Some(service),
+            Backend::Model {
+                model,
+                version,
+                adapter,
+            } => call.models.iter().any(|loaded| {
+                loaded.model == *model
+                    && loaded.version == *version
+                    && loaded.state == ModelState::Ready
+                    && adapter
+                        .as_ref()
+                        .is_none_or(|name| loaded.adapters.contains(name))
+            }),
+        };
+        if fits {
+            routes.push(id.clone());
+        }
+    }
+    routes
+}
+
+impl Serve for FinishItems {
+    async fn serve(self, control: &Control) -> Result<FinishItemsReply> {
+        let now = control.wall();
+        let holder = self.holder.clone();
+        let items: Vec<_> = self.ends.iter().map(|end| end.lease.item).collect();
+        let outcome = control.propose(Command::Finish { call: self, now }).await?;
+        let Outcome::Finish(reply) = outcome else {
+            return Err(Refusal::Unknown);
+        };
+        control.lead(|lead, _| {
+            for item in &items {
+                lead.item_stopped(&holder, item);
+            }
+        })?;
+        Ok(reply)
+    }
+}
--- /dev/null
+++ b/crates/control/src/serve/online.rs
@@ -0,0 +1,69 @@
+//! Rate tokens, records of calls that run at most once, and crash reports.
+
+use std::sync::Arc;
+
+use clem_state::{Command, Outcome, poison};
+use clem_wire::online::{
+    OnceBegin, OnceBeginReply, OnceFinish, OnceFinishReply, ReportCrash, ReportCrashReply,
+    TakeTokens, TakeTokensReply,
+};
+use salvo::Router;
+
+use crate::control::{Control, Refusal, Result};
+
+use super::{Serve, route};
+
+pub(super) fn routes(control: &Arc<Control>) -> Vec<Router> {
+    vec![
+        route::<TakeTokens>(control),
+        route::<OnceBegin>(control),
+        route::<OnceFinish>(control),
+        route::<ReportCrash>(control),
+    ]
+}
+
+impl Serve for TakeTokens {
+    async fn serve(self, control: &Control) -> Result<TakeTokensReply> {
+        control.barrier().await?;
+        control.lead(|lead, now| lead.take_tokens(&self, now))
+    }
+}
+
+impl Serve for OnceBegin {
+    async fn serve(self, control: &Control) -> Result<OnceBeginReply> {
+        let now = control.wall();
+        match control
+            .propose(Command::OnceBegin { call: self, now })
+            .await?
+        {
+            Outcome::OnceBegin(reply) => Ok(reply),
+            _ => Err(Refusal::Unknown),
+        }
+    }
+}
+
+impl Serve for OnceFinish {
+    async fn serve(self, control: &Control) -> Result<OnceFinishReply> {
+        control.propose(Command::OnceFinish(self)).await?;
+        Ok(OnceFinishReply {})
+    }
+}
+
+impl Serve for ReportCrash {
+    async fn serve(self, control: &Control) -> Result<ReportCrashReply> {
+        let now = control.wall();
+        let target = self.target.clone();
+        let requests = self.requests.len();
+        let outcome = control
+            .propose(Command::Crash { report: self, now })
+            .await?;
+        let Outcome::Crash(reply) = outcome else {
+            return Err(Refusal::Unknown);
+        };
+        log::warn!(target:% = target, requests, verdicts:? = reply.verdicts; "target crashed");
+        let version = control.replica.read(poison::version);
+        control.lead(|lead, _| lead.poison = lead.poison.max(version))?;
+        control.wake();
+        Ok(reply)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/run/members.rs
@@ -0,0 +1,52 @@
+//! The members of the control group.
+
+use clem_types::CommandId;
+use clem_wire::{
+    ControlClient,
+    admin::{ChangeMembers, ChangeMembersReply, MemberChange, MemberRole, MemberView, ReadStatus},
+};
+
+use crate::Exit;
+
+use super::{Result, TIMEOUT};
+
+/// Prints the members.
+pub(super) async fn print(client: ControlClient) -> Result {
+    let status = client.call(&ReadStatus {}, TIMEOUT).await?;
+    for member in &status.members {
+        println!("{}", line(member));
+    }
+    Ok(Exit::Done)
+}
+
+/// A member as one line.
+pub(super) fn line(member: &MemberView) -> String {
+    let role = match member.role {
+        MemberRole::Leader => "leader",
+        MemberRole::Follower => "follower",
+        MemberRole::Learner => "learner",
+    };
+    format!(
+        "{} {} {role}, log up to {}",
+        member.address, member.identity, member.matched
+    )
+}
+
+/// Changes the members.
+pub(super) async fn change(client: ControlClient, id: CommandId, change: MemberChange) -> Result {
+    eprintln!("clemctl: command id {id}");
+    let call = ChangeMembers {
+        command: id,
+        change,
+    };
+    match client.call(&call, TIMEOUT).await? {
+        ChangeMembersReply::Accepted => {
+            println!("the change has begun");
+            Ok(Exit::Done)
+        }
+        ChangeMembersReply::Rejected { reason } => {
+            eprintln!("clemctl: refused, nothing was done: {reason}");
+            Ok(Exit::Findings)
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/run/rules.rs
@@ -0,0 +1,115 @@
+//! The rules file and keys.
+
+use std::{fmt::Display, path::Path, time::Instant};
+
+use clem_types::{Key, Version};
+use clem_wire::{
+    ControlClient,
+    admin::{Apply, ApplyReply, ReadRules},
+};
+
+use crate::{
+    Exit,
+    command::{ApplyFile, NewKey},
+};
+
+use super::{Error, Result, TIMEOUT};
+
+/// Checks a file.
+pub(super) fn check(file: &Path) -> Result {
+    let text = read(file)?;
+    let Err(findings) = clem_rules::parse(&text, Version(0)) else {
+        println!("{}: no findings", file.display());
+        return Ok(Exit::Done);
+    };
+    Ok(report(file, &findings))
+}
+
+fn read(file: &Path) -> std::result::Result<String, Error> {
+    std::fs::read_to_string(file)
+        .map_err(|error| Error::Local(format!("{} can't be read: {error}", file.display())))
+}
+
+fn report<T: Display>(file: &Path, findings: &[T]) -> Exit {
+    for finding in findings {
+        eprintln!("{}:{finding}", file.display());
+    }
+    eprintln!("clemctl: {} findings; nothing was applied", findings.len());
+    Exit::Findings
+}
+
+/// Puts a file in force and waits until it is.
+pub(super) async fn apply(client: ControlClient, apply: ApplyFile) -> Result {
+    let text = read(&apply.file)?;
+    let call = Apply {
+        command: apply.id.clone(),
+        expect: apply.expect,
+        text,
+    };
+    eprintln!("clemctl: command id {}", apply.id);
+    let start = Instant::now();
+    loop {
+        match client.call(&call, TIMEOUT).await? {
+            ApplyReply::Conflict { current } => {
+                eprintln!("clemctl: conflict: version {current} is in force, nothing was applied");
+                return Ok(Exit::Conflict);
+            }
+            ApplyReply::Rejected { findings } => {
+                let lines: Vec<String> = findings
+                    .iter()
+                    .map(|found| format!("{}:{}: {}", found.line, found.column, found.message))
+                    .collect();
+                return Ok(report(&apply.file, &lines));
+            }
+            ApplyReply::Accepted {
+                version,
+                in_force: true,
+                ..
+            } => {
+                let millis = start.elapsed().as_millis();
+                println!("version {version} is in force after {millis} ms");
+                return Ok(Exit::Done);
+            }
+            ApplyReply::Accepted {
+                version, waiting, ..
+            } => {
+                if start.elapsed() < apply.timeout {
+                    continue;
+                }
+                let names: Vec<String> = waiting.iter().map(ToString::to_string).collect();
+                let reason = format!(
+                    "version {version} is accepted, but not yet in force at: {}",
+                    names.join(" ")
+                );
+                return Err(Error::Local(reason));
+            }
+        }
+    }
+}
+
+/// Prints the rules in force.
+pub(super) async fn print(client: ControlClient) -> Result {
+    let file = client.call(&ReadRules {}, TIMEOUT).await?;
+    eprintln!("clemctl: version {}", file.version);
+    print!("{}", file.text);
+    Ok(Exit::Done)
+}
+
+/// Prints a new key and its rule; the key is kept nowhere.
+pub(super) fn new_key(wanted: &NewKey) -> Exit {
+    let key = Key::generate(&mut rand::rng());
+    let customer = wanted
+        .customer
+        .as_ref()
+        .map_or("CUSTOMER", |id| id.as_str());
+    let id = match &wanted.id {
+        Some(id) => id.to_string(),
+        None => format!("{customer}-1"),
+    };
+    println!("{}", key.reveal());
+    println!(
+        "key.{id} = {{ customer = \"{customer}\", blake3 = \"{}\" }} # asked by WHO",
+        key.hash()
+    );
+    Exit::Done
+}
--- a/crates/rules/src/parse/links.rs
+++ b/crates/rules/src/parse/links.rs
@@ -102,8 +102,8 @@
 
     fn check(&mut self, link: Link) -> Result<(), String> {
         match link {
-            Link::Customer(id) => self.declared(RuleName::Customer(id)),
-            Link::Model(id) => self.declared(RuleName::Model(id)),
+            Link::Customer(id) => self.declared(&RuleName::Customer(id)),
+            Link::Model(id) => self.declared(&RuleName::Model(id)),
             Link::RouteModel(id) => self.check_route(id),
             Link::Adapter(model, adapter) => self.check_adapter(&model, &adapter),
             Link::Service(id) => {
@@ -131,8 +131,8 @@
         }
     }
 
-    fn declared(&self, name: RuleName) -> Result<(), String> {
-        if self.names.contains_key(&name) {
+    fn declared(&self, name: &RuleName) -> Result<(), String> {
+        if self.names.contains_key(name) {
             return Ok(());
         }
         Err(format!("there is no rule {name}"))
@@ -143,7 +143,7 @@
         if self.rules.models().is_empty() {
             return Ok(());
         }
-        self.declared(RuleName::Model(id))
+        self.declared(&RuleName::Model(id))
     }
 
     fn check_adapter(&self, model: &ModelId, adapter: &AdapterId) -> Result<(), String> {
--- a/crates/rules/src/parse/mod.rs
+++ b/crates/rules/src/parse/mod.rs
@@ -19,7 +19,7 @@
 use links::Links;
 
 /// The result of reading a whole file.
-pub type Result<T> = std::result::Result<T, Vec<Finding>>;
+type Result<T> = std::result::Result<T, Vec<Finding>>;
 
 /// Reads a rules file into the checked set of that version.
 ///
--- /dev/null
+++ b/crates/state/src/batch/finish.rs
@@ -0,0 +1,151 @@
+//! The ends of attempts.
+
+use clem_store::Store;
+use clem_types::UnixMillis;
+use clem_wire::{
+    batch::{AttemptEnd, FinishItems, FinishItemsReply, Item, ItemOutcome, LeaseRef, Taken},
+    sync::{ItemRef, Verdict},
+};
+
+use crate::{
+    Result,
+    table::{self, Key, KeyReader},
+};
+
+use super::{
+    header::Header,
+    item::{self, MAX_CRASHES, MAX_LOSSES, Progress, item_ref, lease_key},
+    lease::{held, verdict},
+    queue,
+};
+
+/// What follows from the end of an attempt.
+enum Next {
+    /// The item has its final outcome.
+    Settle(ItemOutcome),
+    /// The item waits for another attempt.
+    Wait,
+}
+
+pub(crate) fn finish(
+    store: &mut dyn Store,
+    call: &FinishItems,
+    now: UnixMillis,
+) -> Result<FinishItemsReply> {
+    let mut taken = Vec::new();
+    for end in &call.ends {
+        let progress = held(store, &call.holder, call.incarnation, end.lease)?;
+        let Some(progress) = progress else {
+            taken.push(Taken::Stale);
+            continue;
+        };
+        end_attempt(store, end.lease.item, progress, &end.end, now)?;
+        taken.push(Taken::Yes);
+    }
+    Ok(FinishItemsReply { taken })
+}
+
+/// Ends the latest attempt at an item, whose lease it still has.
+fn end_attempt(
+    store: &mut dyn Store,
+    place: ItemRef,
+    mut progress: Progress,
+    end: &AttemptEnd,
+    now: UnixMillis,
+) -> Result<()> {
+    if let Some(held) = progress.lease.take() {
+        table::delete(store, &lease_key(held.until, place))?;
+    }
+    let (Some(mut header), Some(content)) = (
+        Header::load(store, place.batch)?,
+        item::content(store, place)?,
+    ) else {
+        return Ok(());
+    };
+    let next = next(store, &header, &content, &mut progress, end)?;
+    header.running -= 1;
+    match next {
+        Next::Settle(outcome) => item::settle(store, &mut header, place, outcome, now)?,
+        Next::Wait => {
+            header.waiting += 1;
+            item::put_progress(store, place, &progress)?;
+            queue::add(store, &header, &content.route, place)?;
+        }
+    }
+    header.save(store, place.batch)
+}
+
+fn next(
+    store: &dyn Store,
+    header: &Header,
+    content: &Item,
+    progress: &mut Progress,
+    end: &AttemptEnd,
+) -> Result<Next> {
+    let crashed = match end {
+        AttemptEnd::Done { status, body } => {
+            let (status, body) = (*status, body.clone());
+            return Ok(Next::Settle(ItemOutcome::Done { status, body }));
+        }
+        AttemptEnd::Returned if header.is_running() => return Ok(Next::Wait),
+        AttemptEnd::Returned => return Ok(Next::Settle(ItemOutcome::Cancelled)),
+        AttemptEnd::Lost { crashed } => *crashed,
+    };
+    if !content.idempotent {
+        return Ok(Next::Settle(ItemOutcome::Unknown));
+    }
+    if !header.is_running() {
+        return Ok(Next::Settle(ItemOutcome::Cancelled));
+    }
+    if verdict(store, header, content)? == Some(Verdict::Poison) {
+        return Ok(Next::Settle(ItemOutcome::Poisoned));
+    }
+    if crashed {
+        progress.crashes += 1;
+    } else {
+        progress.losses += 1;
+    }
+    if progress.losses < MAX_LOSSES && progress.crashes < MAX_CRASHES {
+        return Ok(Next::Wait);
+    }
+    let reason = format!(
+        "no attempt came to an end: {} were lost, in {} the target died",
+        progress.losses, progress.crashes
+    );
+    Ok(Next::Settle(ItemOutcome::Failed { reason }))
+}
+
+/// Ends attempts whose leases have run out, at most `limit`; says how many.
+pub(crate) fn expire_leases(store: &mut dyn Store, now: UnixMillis, limit: usize) -> Result<usize> {
+    let expired = expired(store, now, limit)?;
+    for lease in &expired {
+        let Some(progress) = item::progress(store, lease.item)? else {
+            continue;
+        };
+        let lost = AttemptEnd::Lost { crashed: false };
+        end_attempt(store, lease.item, progress, &lost, now)?;
+    }
+    Ok(expired.len())
+}
+
+/// Whether a lease has run out.
+pub(crate) fn has_expired_lease(store: &dyn Store, now: UnixMillis) -> Result<bool> {
+    Ok(!expired(store, now, 1)?.is_empty())
+}
+
+fn expired(store: &dyn Store, now: UnixMillis, limit: usize) -> Result<Vec<LeaseRef>> {
+    let prefix = Key::new("item-lease");
+    let end = Key::new("item-lease").number(now.0);
+    let mut expired = Vec::new();
+    for pair in store.scan(prefix.as_ref(), Some(end.as_ref()), limit)? {
+        let mut reader = KeyReader::after(&pair.key, &prefix);
+        reader.number()?;
+        let batch = clem_types::BatchId(reader.wide()?);
+        let item = item_ref(batch, reader.small()?);
+        let attempt = item::progress(store, item)?
+            .map(|progress| progress.attempt)
+            .unwrap_or_default();
+        expired.push(LeaseRef { item, attempt });
+    }
+    Ok(expired)
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,1 +1,42 @@
-//! The replicated state machine: rules, batches, results, at-most-once records and orders.
+//! The replicated state machine: what the control processes agree on.
+//!
+//! A [`Command`] comes out of the log and is applied to a [`Store`](clem_store::Store); the
+//! [`Outcome`] goes to whoever proposed it. Everything lives in the store, so that a snapshot of
+//! the store is a snapshot of the state. Nothing here reads a clock, draws a random number or
+//! depends on the order of a hash map. See `docs/DESIGN.md`.
+//!
+//! ```
+//! use clem_state::{ApplyOutcome, ApplyRules, Command, Outcome, apply};
+//! use clem_store::MemStore;
+//! use clem_types::Version;
+//!
+//! let mut store = MemStore::default();
+//! let command = Command::Apply(ApplyRules {
+//!     command: "c1".parse()?,
+//!     expect: Version(0),
+//!     text: String::new(),
+//! });
+//! let outcome = apply(&mut store, 1, &command)?;
+//! assert_eq!(outcome, Outcome::Apply(ApplyOutcome::Accepted(Version(1))));
+//! // Sent again, it gets the same answer and changes nothing.
+//! assert_eq!(apply(&mut store, 2, &command)?, outcome);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub mod batch;
+pub mod orders;
+pub mod poison;
+pub mod rules;
+
+mod answers;
+mod command;
+mod error;
+mod once;
+mod state;
+mod table;
+
+pub use command::{Command, Outcome};
+pub use error::{Result, StateError};
+pub use orders::{EndOrders, GiveOrder};
+pub use rules::{ApplyOutcome, ApplyRules};
+pub use state::{apply, has_expired};
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -63,7 +63,7 @@
 }
 
 /// The news since what the holder has.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct SyncReply {
     /// How long the holder may work by the rules, in milliseconds since it asked.
     pub lease_ms: u32,
