--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -8,5 +8,7 @@
 mod leases;
 mod soft;
 
-pub use fleet::PlatformVm;
+pub use fleet::{Facts, Fleet, PlatformVm};
+pub use history::History;
+pub use leases::{LEASE, Leases};
 pub use soft::Lead;
