--- a/crates/load/src/batch.rs
+++ b/crates/load/src/batch.rs
@@ -79,8 +79,7 @@
     tally
 }
 
-/// The answer's text, in the response's body.
+/// The answer's text, in the target's body.
 fn content(line: &Value) -> Option<&str> {
-    let body = &line["response"]["body"];
-    body["choices"][0]["message"]["content"].as_str()
+    line["body"]["choices"][0]["message"]["content"].as_str()
 }
