--- a/crates/checks/tests/path_input.rs
+++ b/crates/checks/tests/path_input.rs
@@ -135,8 +135,10 @@
 
 #[tokio::test]
 async fn bad_requests_are_refused_as_not_run_and_the_connection_stays_usable() -> Result<()> {
-    let mut options = Options::default();
-    options.entry_args = vec!["--max-body".to_owned(), "10000".to_owned()];
+    let options = Options {
+        entry_args: vec!["--max-body".to_owned(), "10000".to_owned()],
+        ..Options::default()
+    };
     let fleet = Fleet::start(options).await?;
     let bearer = format!("authorization: {}\r\n", fleet.bearer("totara")?);
     let good = chat_body("hello", 2, false);
