--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,5 +6,15 @@
 
 pub mod bucket;
 pub mod fair;
-
 pub mod limiter;
+pub mod poison;
+pub mod retry;
+pub mod route;
+
+mod admission;
+mod balance;
+mod pace;
+
+pub use admission::{Admission, Full, JobId, Offer, Settings, Step};
+pub use balance::Balance;
+pub use pace::Pace;
