--- a/crates/checks/src/binaries.rs
+++ b/crates/checks/src/binaries.rs
@@ -11,6 +11,15 @@
 
 use crate::Result;
 
+/// The programs that tests start.
+const PROGRAMS: [&str; 5] = [
+    "clem-entry",
+    "clem-control",
+    "clem-agent",
+    "clemctl",
+    "clem-fake",
+];
+
 /// The path of one of the workspace's programs, built in this test's own profile.
 ///
 /// `cargo test` builds only what a package's tests need; so the first call in a process builds all
@@ -41,15 +50,12 @@
         None => return Err(eyre::eyre!("no profile in {}", folder.display())),
     };
     let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
-    let output = Command::new(cargo)
-        .args([
-            "build",
-            "--workspace",
-            "--bins",
-            "--locked",
-            "--profile",
-            profile,
-        ])
+    let mut command = Command::new(cargo);
+    command.args(["build", "--workspace", "--locked", "--profile", profile]);
+    for program in PROGRAMS {
+        command.args(["--bin", program]);
+    }
+    let output = command
         .arg("--target-dir")
         .arg(target)
         .current_dir(env!("CARGO_MANIFEST_DIR"))
