--- a/crates/rules/tests/parse.rs
+++ b/crates/rules/tests/parse.rs
@@ -2,7 +2,7 @@
 
 use clem_rules::{Backend, RuleName, parse};
 use clem_types::Version;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 const GOOD: &str = r#"
 # Kahikatea
@@ -87,6 +87,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn no_text_makes_the_parser_panic(text in "\\PC*") {
         let _ = parse(&text, Version(1));
