--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -438,7 +438,7 @@
             let Some(waiting) = self.ready.front().copied() else {
                 break;
             };
-            if waiting.suspect && self.has_suspect() || !self.may_prefill(waiting.prompt) {
+            if waiting.suspect && self.has_suspect() || !self.may_prefill(now, waiting.prompt) {
                 break;
             }
             self.ready.pop_front();
@@ -450,7 +450,7 @@
 
     /// Whether a batch prompt may be read in now; the engine does a prefill whole, within a step
     /// that all its streams and every request that arrives must wait for.
-    fn may_prefill(&mut self, prompt: u32) -> bool {
+    fn may_prefill(&mut self, now: Time, prompt: u32) -> bool {
         if self.batch_prefilling() > 0 {
             return false;
         }
@@ -462,7 +462,14 @@
             return true;
         };
         let step = self.pace.step(self.running() + 1);
-        step + cost <= bound || self.long.take(cost)
+        step + cost <= bound || self.long_quiet(now, cost) || self.long.take(cost)
+    }
+
+    /// Whether no online request has come for so long that a prefill of this length is unlikely to
+    /// meet one.
+    fn long_quiet(&self, now: Time, cost: Duration) -> bool {
+        let share = self.settings.balance.long_share();
+        !self.is_busy() && now.since(self.quiet_from) >= cost.div_f64(share)
     }
 
     fn stream(&mut self, now: Time, waiting: Waiting, prompt: u32) -> Stream {
