--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -16,6 +16,7 @@
     balance::Balance,
     fair::{Bounds, FairQueue, Push, Ticket},
     pace::{Allowance, Pace},
+    tail::Tail,
 };
 
 /// Batch streams that an engine of unknown pace gets beside online ones.
@@ -89,6 +90,8 @@
     /// Prompt tokens that the engine would have to read in.
     prompt: u32,
     since: Time,
+    /// Whether no other online request was here when it came.
+    alone: bool,
     suspect: bool,
 }
 
@@ -102,14 +105,22 @@
     beside: usize,
     /// When its last token came; none during prefill.
     last: Option<Time>,
+    alone: bool,
     suspect: bool,
 }
 
+impl Stream {
+    fn is_prefilling(&self) -> bool {
+        self.last.is_none() && self.prompt > 0
+    }
+}
+
 /// The queues of an agent and the jobs in its engine.
 #[derive(Debug)]
 pub struct Admission {
     settings: Settings,
     pace: Pace,
+    tail: Tail,
     queue: FairQueue<Option<CustomerId>, Waiting>,
     tickets: HashMap<JobId, Ticket>,
     /// Prompt tokens of the queue.
@@ -132,6 +143,7 @@
         Self {
             settings,
             pace: Pace::new(settings.streams),
+            tail: Tail::new(settings.balance.harm(), settings.balance.risk()),
             queue: FairQueue::new(Bounds {
                 flow: settings.waiting.div_ceil(2),
                 total: settings.waiting,
@@ -158,6 +170,7 @@
             job: offer.job,
             prompt: offer.prompt,
             since: now,
+            alone: !self.is_busy(),
             suspect: offer.suspect,
         };
         let pushed = self.queue.push(
@@ -187,6 +200,7 @@
             job,
             prompt,
             since,
+            alone: false,
             suspect,
         });
     }
@@ -231,10 +245,12 @@
         };
         let Some(last) = stream.last.replace(now) else {
             let stream = *stream;
+            let only = prefilling == 1 && changed == stream.sent;
+            let elapsed = now.since(stream.sent);
             self.pace
-                .prefill(stream.beside, stream.prompt, now.since(stream.sent));
+                .prefill(stream.beside, stream.prompt, elapsed, only);
             if online {
-                self.pace.first_token(now.since(stream.arrived));
+                self.first_token(now, stream);
             }
             self.changed = now;
             return;
@@ -300,6 +316,11 @@
         (self.settings.streams + ahead).saturating_sub(held + self.online.len())
     }
 
+    /// The longest step without online requests in it; none before the first one came.
+    pub fn step_bound(&self) -> Option<Duration> {
+        self.tail.bound()
+    }
+
     /// What has been learned of the engine.
     pub fn pace(&self) -> &Pace {
         &self.pace
@@ -314,6 +335,17 @@
 
     // ------------------------------------------------------------------------
 
+    /// Learns from a first token; what batch added to it is left out.
+    fn first_token(&mut self, now: Time, stream: Stream) {
+        let elapsed = now.since(stream.arrived);
+        let unharmed = if stream.alone {
+            elapsed.min(self.pace.step(1) + self.pace.prefill_time(stream.prompt))
+        } else {
+            elapsed
+        };
+        self.tail.add(unharmed, stream.alone);
+    }
+
     fn is_busy(&self) -> bool {
         !self.online.is_empty() || !self.queue.is_empty()
     }
@@ -322,13 +354,17 @@
         self.online.len() + self.batch.len()
     }
 
+    /// Streams whose prompts are being read in.
     fn prefilling(&self) -> usize {
-        let online = self.online.values().filter(|s| s.last.is_none()).count();
-        online + self.batch_prefilling()
+        let online = self.online.values().filter(|s| s.is_prefilling()).count();
+        let batch = self.batch.iter().filter(|(_, s)| s.is_prefilling());
+        online + batch.count()
     }
 
-    fn batch_prefilling(&self) -> usize {
-        self.batch.iter().filter(|(_, s)| s.last.is_none()).count()
+    /// Prompt tokens of batch that are being read in.
+    fn batch_prefill(&self) -> u32 {
+        let batch = self.batch.iter().filter(|(_, s)| s.is_prefilling());
+        batch.map(|(_, s)| s.prompt).sum()
     }
 
     fn has_suspect(&self) -> bool {
@@ -372,19 +408,12 @@
     /// Batch streams without online ones: a request that arrives waits for the step in progress.
     fn idle_limit(&self) -> usize {
         let most = self.settings.streams;
-        let Some(bound) = self.first_bound() else {
+        let Some(bound) = self.tail.bound() else {
             return most;
         };
         self.pace.within(bound).unwrap_or(most).clamp(1, most)
     }
 
-    /// How much later than without batch the first token of an online request may come.
-    fn first_bound(&self) -> Option<Duration> {
-        let tail = self.pace.tail()?;
-        let harm = self.settings.balance.harm().max(0.02);
-        Some(tail.mul_f64(harm / (1.0 + harm)))
-    }
-
     fn start_online(&mut self, now: Time, steps: &mut Vec<Step>) {
         while self.running() < self.settings.streams {
             let crowded = self.has_suspect();
@@ -414,11 +443,12 @@
             job,
             prompt: stream.prompt,
             since: now,
+            alone: false,
             suspect: stream.suspect,
         };
         steps.push(Step::Park(job));
         // A stream in prefill has nothing to keep: it starts anew, and pays for its prompt again.
-        if stream.last.is_none() && stream.prompt > 0 {
+        if stream.is_prefilling() {
             self.ready.push_front(waiting);
             return;
         }
@@ -435,34 +465,49 @@
                 steps.push(Step::Resume(waiting.job));
                 continue;
             }
-            let Some(waiting) = self.ready.front().copied() else {
+            let Some(waiting) = self.next_ready(now) else {
                 break;
             };
-            if waiting.suspect && self.has_suspect() || !self.may_prefill(now, waiting.prompt) {
-                break;
-            }
-            self.ready.pop_front();
             let stream = self.stream(now, waiting, waiting.prompt);
             self.batch.push((waiting.job, stream));
             steps.push(Step::Start(waiting.job));
         }
     }
 
+    /// Takes the first ready item that may start now; a long prompt does not hold up short ones.
+    fn next_ready(&mut self, now: Time) -> Option<Waiting> {
+        let crowded = self.has_suspect();
+        for place in 0..self.ready.len() {
+            let waiting = self.ready[place];
+            if waiting.suspect && crowded {
+                continue;
+            }
+            if self.may_prefill(now, waiting.prompt, place == 0) {
+                return self.ready.remove(place);
+            }
+        }
+        None
+    }
+
     /// Whether a batch prompt may be read in now; the engine does a prefill whole, within a step
     /// that all its streams and every request that arrives must wait for.
-    fn may_prefill(&mut self, now: Time, prompt: u32) -> bool {
-        if self.batch_prefilling() > 0 {
-            return false;
-        }
-        let cost = self.pace.prefill_time(prompt);
-        if self.is_busy() && !self.shared.take(self.pace.step(self.running())) {
-            return false;
+    fn may_prefill(&mut self, now: Time, prompt: u32, first: bool) -> bool {
+        let ahead = self.batch_prefill();
+        if self.is_busy() {
+            let free = first && ahead == 0 && self.shared.take(self.pace.step(self.running()));
+            if !free {
+                return false;
+            }
         }
-        let Some(bound) = self.first_bound() else {
+        let Some(bound) = self.tail.bound() else {
             return true;
         };
-        let step = self.pace.step(self.running() + 1);
-        step + cost <= bound || self.long_quiet(now, cost) || self.long.take(cost)
+        let cost = self.pace.prefill_time(ahead.saturating_add(prompt));
+        if self.pace.step(self.running() + 1) + cost <= bound {
+            return true;
+        }
+        // Only the item that has waited longest may draw on what is kept for long prompts.
+        first && ahead == 0 && (self.long_quiet(now, cost) || self.long.take(cost))
     }
 
     /// Whether no online request has come for so long that a prefill of this length is unlikely to
@@ -480,6 +525,7 @@
             prompt,
             beside: self.running(),
             last: None,
+            alone: waiting.alone,
             suspect: waiting.suspect,
         }
     }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -34,14 +34,19 @@
         MIDDLE_HARM + (MOST_HARM - MIDDLE_HARM) * (point - 0.5) * 2.0
     }
 
-    /// The share of time that prefills longer than the allowance may take.
+    /// The share of online requests that batch may take beyond the tail of first-token times.
+    pub fn risk(self) -> f64 {
+        0.0005 + 0.004 * f64::from(self.0) / f64::from(SCALE)
+    }
+
+    /// The share of time that prefills longer than the bound on a step may take.
     pub fn long_share(self) -> f64 {
-        0.0005 + 0.009 * f64::from(self.0) / f64::from(SCALE)
+        self.risk()
     }
 
     /// The share of steps with online streams that may hold a batch prefill.
     pub fn prefill_share(self) -> f64 {
-        0.002 + 0.04 * f64::from(self.0) / f64::from(SCALE)
+        0.0005 + 0.004 * f64::from(self.0) / f64::from(SCALE)
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod balance;
 mod pace;
+mod tail;
 
 pub use admission::{Admission, Full, JobId, Offer, Settings, Step};
 pub use balance::Balance;
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -6,14 +6,10 @@
 
 /// The weight of a new sample.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Prompt tokens whose prefill is long enough to be measured well.
+const LONG_PROMPT: u32 = 500;
 /// Samples of a stream count before its mean is used.
 const MIN_SAMPLES: u32 = 4;
-/// How many first-token times are kept.
-const FIRST_TOKENS: usize = 512;
-/// New first-token times before the quantile is computed again.
-const REFRESH_AFTER: usize = 16;
-/// The quantile of first-token times that batch must not harm.
-const TAIL: f64 = 0.99;
 
 /// The mean time between tokens at one count of streams.
 #[derive(Debug, Clone, Copy, Default)]
@@ -22,8 +18,7 @@
     samples: u32,
 }
 
-/// Learns the time of a step from the count of streams in it, the time of a prompt token, and the
-/// tail of first-token times.
+/// Learns the time of a step from the count of streams in it, and the time of a prompt token.
 ///
 /// The engine is taken to need `base + stream * n` for a step of `n` streams; both are fitted to
 /// the observed times between tokens by least squares.
@@ -33,10 +28,6 @@
     base: f64,
     stream: f64,
     prompt: f64,
-    first: Vec<f64>,
-    place: usize,
-    fresh: usize,
-    tail: f64,
 }
 
 impl Pace {
@@ -47,10 +38,6 @@
             base: 0.0,
             stream: 0.0,
             prompt: 0.0,
-            first: Vec::new(),
-            place: 0,
-            fresh: 0,
-            tail: 0.0,
         }
     }
 
@@ -73,42 +60,28 @@
         self.fit();
     }
 
-    /// Takes in the prefill of a prompt of `tokens`, sent to the engine when `streams` ran, whose
-    /// first token came after `elapsed`.
-    pub fn prefill(&mut self, streams: usize, tokens: u32, elapsed: Duration) {
-        if tokens == 0 {
+    /// Takes in the prefill of a prompt of `tokens` that was sent to the engine beside `beside`
+    /// other streams, and whose first token came after `elapsed`. It must have been the only
+    /// prefill of that time, unless nothing is known yet.
+    pub fn prefill(&mut self, beside: usize, tokens: u32, elapsed: Duration, only: bool) {
+        if tokens == 0 || (!only && self.prompt > 0.0) {
             return;
         }
-        // A prompt waits for half a step on average before its own step begins.
-        let step = micros(self.step(streams)) * 1.5;
-        let each = (micros(elapsed) - step).max(0.0) / f64::from(tokens);
-        let weight = SAMPLE_WEIGHT * f64::from(tokens.min(1000)) / 1000.0;
+        // A prompt that comes within a step waits for the rest of it, half of it on average.
+        let wait = if beside == 0 {
+            0.0
+        } else {
+            micros(self.step(beside)) / 2.0
+        };
+        let step = micros(self.step(beside + 1));
+        let each = (micros(elapsed) - wait - step).max(0.0) / f64::from(tokens);
         if self.prompt == 0.0 {
             self.prompt = each;
         }
+        let weight = SAMPLE_WEIGHT * f64::from(tokens.min(LONG_PROMPT)) / f64::from(LONG_PROMPT);
         self.prompt += weight * (each - self.prompt);
     }
 
-    /// Takes in the time from an online request's arrival to its first token.
-    pub fn first_token(&mut self, elapsed: Duration) {
-        let micros = micros(elapsed);
-        if self.first.len() < FIRST_TOKENS {
-            self.first.push(micros);
-        } else {
-            self.first[self.place] = micros;
-            self.place = (self.place + 1) % FIRST_TOKENS;
-        }
-        self.fresh += 1;
-        if self.fresh < REFRESH_AFTER && self.tail > 0.0 {
-            return;
-        }
-        self.fresh = 0;
-        let mut sorted = self.first.clone();
-        sorted.sort_by(f64::total_cmp);
-        let last = sorted.len() - 1;
-        self.tail = sorted[(last as f64 * TAIL) as usize];
-    }
-
     /// The expected time of a step with `streams` streams and no prefill.
     pub fn step(&self, streams: usize) -> Duration {
         duration(self.base + self.stream * streams as f64)
@@ -119,12 +92,6 @@
         duration(self.prompt * f64::from(tokens))
     }
 
-    /// The time from arrival to first token that 99 in 100 online requests keep; none before
-    /// there was one.
-    pub fn tail(&self) -> Option<Duration> {
-        (self.tail > 0.0).then(|| duration(self.tail))
-    }
-
     /// How many more streams fit beside `streams` without raising the step by more than `harm`;
     /// none while the pace isn't known.
     pub fn extra(&self, streams: usize, harm: f64) -> Option<usize> {
--- a/crates/policy/tests/fill/mod.rs
+++ b/crates/policy/tests/fill/mod.rs
@@ -120,6 +120,10 @@
             self.offer_batch(now);
             self.act(now);
         }
+        if let Player::Admission(admission) = &self.player {
+            let pace = admission.pace();
+            println!("bound {:?} step1 {:?} step16 {:?} prefill100 {:?}", admission.step_bound(), pace.step(1), pace.step(16), pace.prefill_time(100));
+        }
         self.count_time(end);
         self.figures.first_p99 = quantile(&mut self.firsts, 0.99);
         self.figures.between_p95 = quantile(&mut self.gaps, 0.95);
