--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -34,7 +34,7 @@
         address,
         peers: settings.member.control,
         secret: settings.member.secret.clone(),
-        started: clock.wall(),
+        clock,
     })?;
     let control = Arc::new(Control::new(replica.clone(), clock, settings.limits));
     let internal = Router::new()
--- /dev/null
+++ b/crates/control/src/replica/handle.rs
@@ -0,0 +1,294 @@
+//! The handle on this process's replica.
+
+use std::{fs, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use clem_boot::Clock;
+use clem_log::{
+    Change, MemberId, Refused, Seat as LogSeat,
+    disk::{Folder, Identity},
+};
+use clem_state::Command;
+use clem_store::{RedbStore, Store};
+use clem_types::{Epoch, Time};
+use clem_wire::{
+    Client, ControlReply, FleetSecret,
+    admin::{ChangeMembersReply, MemberChange, MemberRole, MemberView},
+    codec,
+};
+use eyre::{Result, WrapErr};
+use salvo::Router;
+use tokio::sync::watch;
+
+use super::{
+    Proposed,
+    calls::Hello,
+    fatal, formation,
+    install::{CACHE_BYTES, store_path},
+    routes::routes,
+    shared::{Parts, Shared},
+};
+
+/// How long a proposal is tried again while too many others wait.
+const BUSY_TIMEOUT: Duration = Duration::from_secs(1);
+/// The pause between two tries.
+const BUSY_PAUSE: Duration = Duration::from_millis(5);
+/// How long handing over leadership may take before a planned stop.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a process that is to become a member is waited for.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a replica needs to start.
+#[derive(Debug)]
+pub struct ReplicaSettings {
+    /// The folder of everything that must survive.
+    pub data_dir: PathBuf,
+    /// This process's address.
+    pub address: SocketAddr,
+    /// The addresses of the first members.
+    pub peers: Vec<SocketAddr>,
+    /// What members show each other.
+    pub secret: FleetSecret,
+    /// The process's clock.
+    pub clock: Clock,
+}
+
+/// A handle on this process's replica; clones stand for the same one.
+#[derive(Clone)]
+pub struct Replica {
+    shared: Arc<Shared>,
+}
+
+impl Replica {
+    /// Opens the data folder and takes part in the group, now or as soon as the others answer.
+    ///
+    /// Must run inside the tokio runtime.
+    ///
+    /// # Errors
+    /// The folder or what lies in it can't be used.
+    pub fn open(settings: ReplicaSettings) -> Result<Self> {
+        let ReplicaSettings {
+            data_dir,
+            address,
+            peers,
+            secret,
+            clock,
+        } = settings;
+        fs::create_dir_all(&data_dir)
+            .wrap_err_with(|| format!("can't make the data folder {}", data_dir.display()))?;
+        let fresh = Identity {
+            member: MemberId(rand::random()),
+            cluster: None,
+        };
+        let (folder, recovered) = Folder::open(&data_dir, fresh)?;
+        if recovered.torn > 0 {
+            log::warn!(bytes = recovered.torn; "the end of the log was torn and is cut off");
+        }
+        let path = store_path(&data_dir);
+        let store = RedbStore::open(&path, CACHE_BYTES)
+            .wrap_err_with(|| format!("can't open {}", path.display()))?;
+        let shared = Arc::new(Shared::new(Parts {
+            address,
+            peers,
+            data_dir,
+            clock,
+            client: Client::new(secret),
+            member: recovered.identity.member,
+            store,
+        }));
+        tokio::spawn(formation::run(Arc::clone(&shared), folder, recovered));
+        Ok(Self { shared })
+    }
+
+    /// The paths at which members of the group reach each other.
+    pub fn routes(&self) -> Vec<Router> {
+        routes(&self.shared)
+    }
+
+    /// Puts a command into the log and waits until it is applied here.
+    pub async fn propose(&self, command: Command) -> Proposed {
+        let data: Bytes = match codec::encode(&command) {
+            Ok(data) => data.into(),
+            Err(error) => fatal::end("a command can't be encoded", &error),
+        };
+        let end = self.shared.clock.now() + BUSY_TIMEOUT;
+        loop {
+            let now = self.shared.clock.now();
+            let tried = match self.shared.seat().as_mut() {
+                Some(seat) => seat.propose(now, data.clone()),
+                None => return Proposed::NotLeader,
+            };
+            match tried {
+                Ok(answer) => {
+                    self.shared.work.notify_one();
+                    return answer.await.unwrap_or(Proposed::Unknown);
+                }
+                Err(Refused::Busy) if now < end => tokio::time::sleep(BUSY_PAUSE).await,
+                Err(
+                    Refused::Busy
+                    | Refused::NotLeader { .. }
+                    | Refused::DiskFull
+                    | Refused::ChangeRefused,
+                ) => return Proposed::NotLeader,
+            }
+        }
+    }
+
+    /// Waits until what was committed before this call can be read here; says whether this
+    /// process leads, so that the read is not stale.
+    pub async fn read_barrier(&self) -> bool {
+        let now = self.shared.clock.now();
+        let asked = match self.shared.seat().as_mut() {
+            Some(seat) => seat.read(now),
+            None => return false,
+        };
+        self.shared.work.notify_one();
+        match asked {
+            Ok(answer) => answer.await.unwrap_or(false),
+            Err(_) => false,
+        }
+    }
+
+    /// Reads the state as it is applied here.
+    pub fn read<T>(&self, read: impl FnOnce(&dyn Store) -> clem_state::Result<T>) -> T {
+        match read(&*self.shared.store()) {
+            Ok(value) => value,
+            Err(error) => fatal::end("the state can't be used", &error),
+        }
+    }
+
+    /// The term in which this process leads by a lease that holds at `now`.
+    pub fn leads(&self, now: Time) -> Option<Epoch> {
+        self.shared.seat().as_ref()?.leads(now)
+    }
+
+    /// Whether the disk has no room for new batches.
+    pub fn is_full(&self) -> bool {
+        self.shared
+            .seat()
+            .as_ref()
+            .is_some_and(super::seat::Seat::is_full)
+    }
+
+    /// The leader's address, as far as known.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        let seat = self.shared.seat();
+        let node = seat.as_ref()?.node();
+        let leader = node.members().get(node.leader()?)?;
+        leader.address.parse().ok()
+    }
+
+    /// Tells of each change of leadership.
+    pub fn watch(&self) -> watch::Receiver<Option<Epoch>> {
+        self.shared.epoch.subscribe()
+    }
+
+    /// The members of the group.
+    pub fn members(&self) -> Vec<MemberView> {
+        let seat = self.shared.seat();
+        let Some(seat) = seat.as_ref() else {
+            return Vec::new();
+        };
+        let node = seat.node();
+        let mut views = Vec::new();
+        for member in node.members().iter() {
+            let Ok(address) = member.address.parse() else {
+                continue;
+            };
+            let role = match member.seat {
+                LogSeat::Learner => MemberRole::Learner,
+                LogSeat::Voter if node.leader() == Some(member.id) => MemberRole::Leader,
+                LogSeat::Voter => MemberRole::Follower,
+            };
+            let matched = node.matched(member.id).unwrap_or_default().0;
+            views.push(MemberView {
+                address,
+                identity: member.id.to_string(),
+                role,
+                matched,
+            });
+        }
+        views
+    }
+
+    /// Changes the members of the group.
+    pub async fn change_members(&self, change: MemberChange) -> ControlReply<ChangeMembersReply> {
+        let tried = match change {
+            MemberChange::Add(address) => match self
+                .shared
+                .client
+                .call(address, &Hello {}, HELLO_TIMEOUT)
+                .await
+            {
+                Ok(reply) => self.change(&Change::AddLearner {
+                    id: reply.member,
+                    address: address.to_string(),
+                }),
+                Err(error) => return rejected(format!("{address} does not answer: {error}")),
+            },
+            MemberChange::Remove(identity) => match parse_member(&identity) {
+                Some(id) => self.change(&Change::Remove(id)),
+                None => return rejected(format!("{identity} is not an identity")),
+            },
+            MemberChange::Transfer(identity) => match parse_member(&identity) {
+                Some(id) => self.transfer(Some(id)),
+                None => return rejected(format!("{identity} is not an identity")),
+            },
+        };
+        match tried {
+            Ok(()) => ControlReply::Done(ChangeMembersReply::Accepted),
+            Err(Refused::NotLeader { .. }) => ControlReply::NotLeader {
+                leader: self.leader(),
+            },
+            Err(refused @ (Refused::Busy | Refused::DiskFull | Refused::ChangeRefused)) => {
+                rejected(refused.to_string())
+            }
+        }
+    }
+
+    /// Hands leadership to another member before a planned stop, if there is one.
+    pub async fn hand_over(&self) {
+        if self.transfer(None).is_err() {
+            return;
+        }
+        let end = self.shared.clock.now() + HAND_OVER_TIMEOUT;
+        while self.shared.clock.now() < end && self.is_leader() {
+            tokio::time::sleep(BUSY_PAUSE).await;
+        }
+    }
+
+    fn is_leader(&self) -> bool {
+        self.shared
+            .seat()
+            .as_ref()
+            .is_some_and(|seat| seat.node().is_leader())
+    }
+
+    fn change(&self, change: &Change) -> std::result::Result<(), Refused> {
+        let now = self.shared.clock.now();
+        let changed = match self.shared.seat().as_mut() {
+            Some(seat) => seat.change(now, change).map(drop),
+            None => Err(Refused::NotLeader { leader: None }),
+        };
+        self.shared.work.notify_one();
+        changed
+    }
+
+    fn transfer(&self, to: Option<MemberId>) -> std::result::Result<(), Refused> {
+        let now = self.shared.clock.now();
+        let begun = match self.shared.seat().as_mut() {
+            Some(seat) => seat.hand_over(now, to),
+            None => Err(Refused::NotLeader { leader: None }),
+        };
+        self.shared.work.notify_one();
+        begun
+    }
+}
+
+fn rejected(reason: String) -> ControlReply<ChangeMembersReply> {
+    ControlReply::Done(ChangeMembersReply::Rejected { reason })
+}
+
+fn parse_member(text: &str) -> Option<MemberId> {
+    u64::from_str_radix(text, 16).ok().map(MemberId)
+}
--- /dev/null
+++ b/crates/control/src/replica/seat.rs
@@ -0,0 +1,343 @@
+//! A seat in the group: the consensus node, the writing thread and the state machine together.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use clem_log::{
+    Base, Change, ClusterId, Entry, LogIndex, MemberId, Message, Node, Payload, ReadId, Ready,
+    Refused, Term, WriteNumber, disk::Writer,
+};
+use clem_state::Command;
+use clem_store::RedbStore;
+use clem_types::{Epoch, Time};
+use clem_wire::codec;
+use tokio::sync::oneshot;
+
+use super::{Proposed, fatal};
+
+/// The most messages that wait for one member; more are dropped, the protocol sends anew.
+const OUTBOX_MESSAGES: usize = 1024;
+/// The log in memory above which the store is synced and the log cut, in bytes.
+const COMPACT_BYTES: usize = 8 * 1024 * 1024;
+/// The entries above which the store is synced and the log cut.
+const COMPACT_ENTRIES: u64 = 20_000;
+/// The log that stays for members that lag a little, in bytes.
+const KEEP_BYTES: usize = 2 * 1024 * 1024;
+/// Free bytes on the disk below which proposals are refused.
+const RESERVE_BYTES: u64 = 64 * 1024 * 1024;
+/// Free bytes on the disk below which new batches are refused.
+const BATCH_RESERVE_BYTES: u64 = 512 * 1024 * 1024;
+
+/// A seat in the group.
+pub(super) struct Seat {
+    pub(super) cluster: ClusterId,
+    node: Node,
+    writer: Writer,
+    waiting: BTreeMap<LogIndex, Waiting>,
+    asked: BTreeMap<ReadId, oneshot::Sender<bool>>,
+    confirmed: Vec<Confirmed>,
+    next_read: ReadId,
+    /// Committed entries that are not applied yet.
+    backlog: VecDeque<Entry>,
+    /// Whether the store is being synced; applying would wait for that.
+    syncing: bool,
+    outbox: BTreeMap<MemberId, VecDeque<Message>>,
+    /// Members that need a copy of the state.
+    wanting: Vec<MemberId>,
+    free_bytes: u64,
+}
+
+/// A proposal that waits for its commit.
+struct Waiting {
+    term: Term,
+    answer: oneshot::Sender<Proposed>,
+}
+
+/// A read that waits until its entry is applied.
+struct Confirmed {
+    index: LogIndex,
+    answer: oneshot::Sender<bool>,
+}
+
+impl Seat {
+    pub(super) fn new(cluster: ClusterId, node: Node, writer: Writer) -> Self {
+        Self {
+            cluster,
+            node,
+            writer,
+            waiting: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            confirmed: Vec::new(),
+            next_read: ReadId(0),
+            backlog: VecDeque::new(),
+            syncing: false,
+            outbox: BTreeMap::new(),
+            wanting: Vec::new(),
+            free_bytes: u64::MAX,
+        }
+    }
+
+    pub(super) fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// The term in which this member leads by a lease that holds at `now`.
+    pub(super) fn leads(&self, now: Time) -> Option<Epoch> {
+        self.node
+            .holds_lease(now)
+            .then(|| Epoch(self.node.term().0))
+    }
+
+    /// Whether the disk has no room for new batches.
+    pub(super) fn is_full(&self) -> bool {
+        self.free_bytes < BATCH_RESERVE_BYTES
+    }
+
+    // ------------------------------------------------------------------------
+    // What comes in.
+
+    /// Puts a command into the log; the receiver tells what became of it.
+    pub(super) fn propose(
+        &mut self,
+        now: Time,
+        data: Bytes,
+    ) -> Result<oneshot::Receiver<Proposed>, Refused> {
+        let index = self.node.propose(now, data)?;
+        let (answer, receiver) = oneshot::channel();
+        let term = self.node.term();
+        self.waiting.insert(index, Waiting { term, answer });
+        Ok(receiver)
+    }
+
+    /// Asks for a read; the receiver tells whether it may go on.
+    pub(super) fn read(&mut self, now: Time) -> Result<oneshot::Receiver<bool>, Refused> {
+        let id = self.next_read;
+        self.node.read(now, id)?;
+        self.next_read = ReadId(id.0 + 1);
+        let (answer, receiver) = oneshot::channel();
+        self.asked.insert(id, answer);
+        Ok(receiver)
+    }
+
+    pub(super) fn step(&mut self, now: Time, message: Message) {
+        self.node.step(now, message);
+    }
+
+    pub(super) fn tick(&mut self, now: Time) {
+        self.node.tick(now);
+    }
+
+    pub(super) fn join(&mut self, now: Time, id: MemberId, address: &str) -> Result<(), Refused> {
+        self.node.join(now, id, address)
+    }
+
+    pub(super) fn change(&mut self, now: Time, change: &Change) -> Result<LogIndex, Refused> {
+        self.node.change(now, change)
+    }
+
+    pub(super) fn hand_over(&mut self, now: Time, to: Option<MemberId>) -> Result<(), Refused> {
+        self.node.transfer(now, to)
+    }
+
+    pub(super) fn copy_sent(&mut self, id: MemberId, index: Option<LogIndex>) {
+        self.node.snapshot_sent(id, index);
+    }
+
+    /// Goes on from a copy that has taken the store's place.
+    pub(super) fn installed(&mut self, now: Time, base: Base) -> bool {
+        self.backlog.clear();
+        self.node.install(now, base)
+    }
+
+    /// The log is synced up to this write.
+    pub(super) fn written(&mut self, now: Time, number: WriteNumber, free_bytes: u64) {
+        self.free_bytes = free_bytes;
+        self.node.set_disk_full(free_bytes < RESERVE_BYTES);
+        self.node.synced(now, number);
+    }
+
+    // ------------------------------------------------------------------------
+    // What is to be done.
+
+    /// Writes, queues messages and applies what is committed.
+    pub(super) fn round(&mut self, now: Time, store: &mut RedbStore) {
+        loop {
+            let ready = self.node.ready(now);
+            self.take(ready);
+            if !self.node.has_more() {
+                break;
+            }
+        }
+        if !self.syncing {
+            self.apply(store);
+        }
+        self.answer_reads(store);
+        if !self.node.is_leader() {
+            self.give_up_waiting();
+        }
+    }
+
+    fn take(&mut self, ready: Ready) {
+        if let Some(write) = ready.write {
+            self.writer.write(write);
+        }
+        for message in ready.messages {
+            let queue = self.outbox.entry(message.to).or_default();
+            if queue.len() < OUTBOX_MESSAGES {
+                queue.push_back(message);
+            }
+        }
+        self.backlog.extend(ready.committed);
+        for read in ready.reads {
+            let Some(answer) = self.asked.remove(&read.id) else {
+                continue;
+            };
+            self.confirmed.push(Confirmed {
+                index: read.index,
+                answer,
+            });
+        }
+        for id in ready.lost_reads {
+            let Some(answer) = self.asked.remove(&id) else {
+                continue;
+            };
+            let _ = answer.send(false);
+        }
+        self.wanting.extend(ready.snapshots);
+    }
+
+    fn apply(&mut self, store: &mut RedbStore) {
+        let Some(last) = self.backlog.back().map(|entry| entry.index) else {
+            return;
+        };
+        for entry in std::mem::take(&mut self.backlog) {
+            self.apply_entry(store, &entry);
+        }
+        if let Err(error) = store.commit(last.0) {
+            fatal::end("the store can't be written", &error);
+        }
+    }
+
+    fn apply_entry(&mut self, store: &mut RedbStore, entry: &Entry) {
+        let waiting = self.waiting.remove(&entry.index);
+        let data = match &entry.payload {
+            Payload::Data(data) => data,
+            Payload::Noop | Payload::Members(_) => return,
+        };
+        if entry.index.0 <= store.applied() {
+            return;
+        }
+        let command: Command = match codec::decode(data) {
+            Ok(command) => command,
+            Err(error) => fatal::end("an entry of the log can't be read", &error),
+        };
+        let outcome = match clem_state::apply(store, entry.index.0, &command) {
+            Ok(outcome) => outcome,
+            Err(error) => fatal::end("the state can't be used", &error),
+        };
+        let Some(waiting) = waiting else { return };
+        let proposed = if waiting.term == entry.term {
+            Proposed::Done(outcome)
+        } else {
+            Proposed::Unknown
+        };
+        let _ = waiting.answer.send(proposed);
+    }
+
+    fn answer_reads(&mut self, store: &RedbStore) {
+        let applied = LogIndex(store.applied());
+        for read in std::mem::take(&mut self.confirmed) {
+            if read.index > applied {
+                self.confirmed.push(read);
+                continue;
+            }
+            let _ = read.answer.send(true);
+        }
+    }
+
+    /// Proposals of a leader that leads no more may yet be committed by another one.
+    fn give_up_waiting(&mut self) {
+        for (_, waiting) in std::mem::take(&mut self.waiting) {
+            let _ = waiting.answer.send(Proposed::Unknown);
+        }
+    }
+
+    // ------------------------------------------------------------------------
+    // What leaves.
+
+    /// Members for whom messages wait.
+    pub(super) fn receivers(&self) -> Vec<MemberId> {
+        let filled = self.outbox.iter().filter(|(_, queue)| !queue.is_empty());
+        filled.map(|(id, _)| *id).collect()
+    }
+
+    /// Takes messages for a member, about `bytes` of them and at least one.
+    pub(super) fn take_messages(&mut self, to: MemberId, bytes: usize) -> Vec<Message> {
+        let Some(queue) = self.outbox.get_mut(&to) else {
+            return Vec::new();
+        };
+        let mut size = 0;
+        let mut taken = Vec::new();
+        while let Some(message) = queue.pop_front() {
+            size += message_bytes(&message);
+            taken.push(message);
+            if size >= bytes {
+                break;
+            }
+        }
+        taken
+    }
+
+    /// Takes the members that need a copy of the state.
+    pub(super) fn take_wanting(&mut self) -> Vec<MemberId> {
+        std::mem::take(&mut self.wanting)
+    }
+
+    // ------------------------------------------------------------------------
+    // Cutting the log.
+
+    /// Whether the store should be synced, so that the log can be cut; `due` when it has not
+    /// been synced for long.
+    pub(super) fn wants_sync(&self, due: bool) -> bool {
+        let entries = self.node.last().0 - self.node.base().0;
+        let long = self.node.log_bytes() > COMPACT_BYTES || entries > COMPACT_ENTRIES;
+        !self.syncing && (long || due)
+    }
+
+    pub(super) fn begin_sync(&mut self) {
+        debug_assert!(!self.syncing, "one sync at a time");
+        self.syncing = true;
+    }
+
+    /// The store holds everything up to `synced` durably: the log before it is cut, but for a
+    /// part for members that lag a little.
+    pub(super) fn end_sync(&mut self, synced: LogIndex) {
+        self.syncing = false;
+        let held = self.node.last().0 - self.node.base().0;
+        let average = self.node.log_bytes() / usize::try_from(held.max(1)).unwrap_or(1);
+        let keep = (KEEP_BYTES / average.max(1)) as u64;
+        let keep = keep.min(COMPACT_ENTRIES / 4);
+        let upto = LogIndex(synced.0.saturating_sub(keep));
+        if let Some(base) = self.node.compact(upto) {
+            self.writer.compact(base);
+        }
+    }
+}
+
+/// About how many bytes a message takes.
+fn message_bytes(message: &Message) -> usize {
+    /// Bytes of a message without its entries.
+    const OVERHEAD: usize = 128;
+    match &message.body {
+        clem_log::Body::Append(append) => {
+            OVERHEAD + append.entries.iter().map(Entry::size).sum::<usize>()
+        }
+        clem_log::Body::PreVote(_)
+        | clem_log::Body::PreVoteReply { .. }
+        | clem_log::Body::Vote(_)
+        | clem_log::Body::VoteReply { .. }
+        | clem_log::Body::Appended { .. }
+        | clem_log::Body::Rejected { .. }
+        | clem_log::Body::Campaign => OVERHEAD,
+    }
+}
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -327,6 +327,17 @@
         }
     }
 
+    /// How far a member's disk is known to hold this log: its own, or at the leader anyone's.
+    pub fn matched(&self, id: MemberId) -> Option<LogIndex> {
+        if id == self.id {
+            return Some(self.disk.synced);
+        }
+        match &self.role {
+            Role::Leader(lead) => lead.peers.get(&id).map(|peer| peer.matched),
+            Role::Follower | Role::PreCandidate { .. } | Role::Candidate { .. } => None,
+        }
+    }
+
     /// Makes the leader refuse proposals while the disk is nearly full, or take them again.
     pub fn set_disk_full(&mut self, full: bool) {
         self.refuse_writes = full;
