Placement: which engine loads or unloads which version

A pure plan from what is declared and what engines report. Seeded schedules of losses, returns, drains and edits (1,000) hold: it settles, stays settled, unloads nothing below what is declared or that a route uses, and adds no load beyond the bound. Two faults of the test's own simulation were mended on the way: a returning engine brings a load along, and settling has to wait for open unloads too.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bucket;
 pub mod fair;
 pub mod limiter;
+pub mod placement;
 pub mod poison;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,392 @@
+//! Placement: it settles, moves little, and keeps its bounds at each step.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use clem_policy::placement::{
+    Build, Decision, Engine, EngineState, Failure, Held, Limits, Move, Stage, plan,
+};
+use clem_rules::{Rules, parse};
+use clem_types::{ModelVersion, TargetId, Version};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+/// How many engines stand in each of the two data centres.
+const ENGINES: u32 = 4;
+
+fn build(version: u32) -> Build {
+    Build {
+        model: "m".parse().unwrap(),
+        version: ModelVersion(version),
+    }
+}
+
+fn target(number: u32) -> TargetId {
+    format!("t{number}").parse().unwrap()
+}
+
+/// Rules with a route to `used` and these placements: version, data centre, replicas.
+fn rules(used: u32, places: &[(u32, char, u32)]) -> Rules {
+    let mut text = format!(
+        "route.chat = {{ model = \"m\", version = {used} }} # a\nmodel.m = {{ bytes = 5 }} # a\n"
+    );
+    for number in 0..2 * ENGINES {
+        let centre = centre_of(number);
+        text += &format!(
+            "target.t{number} = {{ address = \"127.0.0.1:{}\", data_centre = \"{centre}\" }} # a\n",
+            7000 + number
+        );
+    }
+    for (version, centre, replicas) in places {
+        text += &format!(
+            "place.p{version}{centre} = {{ model = \"m\", version = {version}, \
+             data_centre = \"{centre}\", replicas = {replicas} }} # a\n"
+        );
+    }
+    parse(&text, Version(1)).unwrap()
+}
+
+fn centre_of(number: u32) -> char {
+    if number < ENGINES { 'a' } else { 'b' }
+}
+
+/// A fleet that carries orders out, slowly and sometimes not at all.
+#[derive(Debug)]
+struct Sim {
+    engines: BTreeMap<TargetId, Engine>,
+    failures: Vec<Failure>,
+    /// The version that can't be loaded.
+    bad: u32,
+    orders: usize,
+}
+
+impl Sim {
+    fn new() -> Self {
+        let mut engines = BTreeMap::new();
+        for number in 0..2 * ENGINES {
+            let engine = Engine {
+                data_centre: centre_of(number).to_string().parse().unwrap(),
+                state: EngineState::Open,
+                builds: BTreeMap::new(),
+                open: Vec::new(),
+            };
+            engines.insert(target(number), engine);
+        }
+        Self {
+            engines,
+            failures: Vec::new(),
+            bad: 9,
+            orders: 0,
+        }
+    }
+
+    fn ready(&self, version: u32, centre: char) -> usize {
+        let stands = |engine: &&Engine| {
+            engine.state == EngineState::Open
+                && engine.data_centre.as_str() == centre.to_string()
+                && engine
+                    .builds
+                    .get(&build(version))
+                    .is_some_and(|held| held.stage == Stage::Ready)
+        };
+        self.engines.values().filter(stands).count()
+    }
+
+    /// Loads that run; an engine that is lost for longer than the grace time is taken for dead.
+    fn loading(&self) -> usize {
+        let mut loading = 0;
+        for engine in self.engines.values() {
+            if matches!(engine.state, EngineState::Lost(age) if age >= Limits::default().grace) {
+                continue;
+            }
+            loading += engine
+                .open
+                .iter()
+                .filter(|order| matches!(order, Move::Load(_)))
+                .count();
+        }
+        loading
+    }
+
+    /// One pass of the controller; its decisions become open orders.
+    fn pass(&mut self, rules: &Rules) -> Vec<Decision> {
+        let decisions = plan(rules, &self.engines, &self.failures, &Limits::default());
+        for decision in &decisions {
+            let engine = self.engines.get_mut(&decision.target).unwrap();
+            assert!(engine.open.is_empty(), "one order at a time");
+            engine.open.push(decision.action.clone());
+        }
+        self.orders += decisions.len();
+        // An engine that comes back may bring a load along; a pass adds none on top of it.
+        let loads = decisions.iter().any(|d| matches!(d.action, Move::Load(_)));
+        let bound = Limits::default().loads;
+        assert!(!loads || self.loading() <= bound, "too many loads at once");
+        decisions
+    }
+
+    /// Lets the open orders of one engine end.
+    fn end_orders(&mut self, target: &TargetId) {
+        let engine = self.engines.get_mut(target).unwrap();
+        if matches!(engine.state, EngineState::Lost(_)) {
+            return;
+        }
+        for order in std::mem::take(&mut engine.open) {
+            match order {
+                Move::Load(build) if build.version.0 == self.bad => {
+                    self.failures.push(Failure {
+                        target: target.clone(),
+                        action: Move::Load(build),
+                        age: Duration::ZERO,
+                    });
+                }
+                Move::Load(build) => {
+                    let held = Held {
+                        stage: Stage::Ready,
+                        adapters: Vec::new(),
+                    };
+                    engine.builds.insert(build, held);
+                }
+                Move::Unload(build) => {
+                    engine.builds.remove(&build);
+                }
+                Move::Adapter(build, adapter) => {
+                    engine
+                        .builds
+                        .get_mut(&build)
+                        .unwrap()
+                        .adapters
+                        .push(adapter);
+                }
+            }
+        }
+    }
+
+    fn end_all(&mut self) {
+        for number in 0..2 * ENGINES {
+            self.end_orders(&target(number));
+        }
+    }
+
+    /// Passes until nothing is ordered any more.
+    fn settle(&mut self, rules: &Rules) {
+        for _ in 0..100 {
+            let decisions = self.pass(rules);
+            let idle = self.engines.values().all(|engine| engine.open.is_empty());
+            if decisions.is_empty() && idle {
+                return;
+            }
+            self.end_all();
+        }
+        panic!("the controller doesn't settle: {:?}", self.engines);
+    }
+}
+
+#[test]
+fn declared_replicas_are_loaded_and_then_nothing_moves() {
+    let mut sim = Sim::new();
+    let rules = rules(3, &[(3, 'a', 3), (3, 'b', 2)]);
+    sim.settle(&rules);
+    assert_eq!((sim.ready(3, 'a'), sim.ready(3, 'b')), (3, 2));
+    assert_eq!(sim.orders, 5);
+}
+
+#[test]
+fn a_rollout_never_goes_below_what_is_declared() {
+    let mut sim = Sim::new();
+    sim.settle(&rules(3, &[(3, 'a', 4), (3, 'b', 4)]));
+    // Both versions first, then the route, then the old one goes.
+    let both = rules(3, &[(3, 'a', 4), (4, 'a', 4), (3, 'b', 4), (4, 'b', 4)]);
+    sim.settle(&both);
+    let after = rules(4, &[(4, 'a', 4), (4, 'b', 4)]);
+    while !sim.pass(&after).is_empty() {
+        sim.end_all();
+        assert_eq!((sim.ready(4, 'a'), sim.ready(4, 'b')), (4, 4));
+    }
+    assert_eq!((sim.ready(3, 'a'), sim.ready(3, 'b')), (0, 0));
+}
+
+#[test]
+fn a_version_in_use_stays_although_its_placement_is_gone() {
+    let mut sim = Sim::new();
+    sim.settle(&rules(3, &[(3, 'a', 3)]));
+    sim.settle(&rules(3, &[(4, 'a', 3)]));
+    assert_eq!((sim.ready(3, 'a'), sim.ready(4, 'a')), (3, 3));
+}
+
+#[test]
+fn an_old_version_waits_for_the_new_one_in_full() {
+    let mut sim = Sim::new();
+    sim.settle(&rules(3, &[(3, 'a', 3)]));
+    // The route has moved on, but the new version can't be loaded.
+    sim.bad = 4;
+    sim.settle(&rules(4, &[(4, 'a', 3)]));
+    assert_eq!((sim.ready(3, 'a'), sim.ready(4, 'a')), (3, 0));
+}
+
+#[test]
+fn a_version_that_fails_on_the_first_engines_is_left_alone() {
+    let mut sim = Sim::new();
+    sim.bad = 4;
+    sim.settle(&rules(3, &[(3, 'a', 2), (4, 'a', 4), (4, 'b', 4)]));
+    assert_eq!(sim.failures.len(), 2);
+    assert_eq!(sim.ready(3, 'a'), 2);
+}
+
+#[test]
+fn a_lost_replica_is_replaced_after_the_grace_time_and_once() {
+    let mut sim = Sim::new();
+    let rules = rules(3, &[(3, 'a', 3)]);
+    sim.settle(&rules);
+    let lost = target(0);
+    sim.engines.get_mut(&lost).unwrap().state = EngineState::Lost(Duration::from_secs(9));
+    assert!(sim.pass(&rules).is_empty());
+    sim.engines.get_mut(&lost).unwrap().state = EngineState::Lost(Duration::from_secs(11));
+    sim.settle(&rules);
+    assert_eq!(sim.ready(3, 'a'), 3);
+    // It comes back with what it held: one replica too many, and one goes.
+    sim.engines.get_mut(&lost).unwrap().state = EngineState::Open;
+    let before = sim.orders;
+    sim.settle(&rules);
+    assert_eq!((sim.ready(3, 'a'), sim.orders - before), (3, 1));
+}
+
+#[test]
+fn a_lost_data_centre_sets_off_no_loads() {
+    let mut sim = Sim::new();
+    let rules = rules(3, &[(3, 'a', 3), (3, 'b', 3)]);
+    sim.settle(&rules);
+    let before = sim.orders;
+    for number in 0..ENGINES {
+        let engine = sim.engines.get_mut(&target(number)).unwrap();
+        engine.state = EngineState::Lost(Duration::from_secs(100));
+    }
+    sim.settle(&rules);
+    assert_eq!(sim.orders, before);
+}
+
+#[test]
+fn files_without_placements_move_nothing() {
+    let mut sim = Sim::new();
+    sim.settle(&rules(3, &[(3, 'a', 3)]));
+    let before = sim.orders;
+    sim.settle(&rules(7, &[]));
+    assert_eq!(sim.orders, before);
+}
+
+/// Something that happens to the fleet.
+#[derive(Debug, Clone)]
+enum Event {
+    End(u32),
+    Lose(u32, u64),
+    Return(u32, bool),
+    Drain(u32, u64),
+    Edit(u32, Vec<(u32, char, u32)>),
+    Pass,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let number = 0..2 * ENGINES;
+    let place = (1..4u32, prop_oneof![Just('a'), Just('b')], 0..=ENGINES);
+    prop_oneof![
+        6 => number.clone().prop_map(Event::End),
+        1 => (number.clone(), 0..30u64).prop_map(|(n, age)| Event::Lose(n, age)),
+        2 => (number.clone(), any::<bool>()).prop_map(|(n, empty)| Event::Return(n, empty)),
+        1 => (number, 0..30u64).prop_map(|(n, age)| Event::Drain(n, age)),
+        1 => (1..4u32, prop::collection::vec(place, 0..4)).prop_map(|(used, places)| {
+            let mut known = BTreeMap::new();
+            for (version, centre, replicas) in places {
+                known.insert((version, centre), replicas);
+            }
+            let list = known.into_iter().map(|((v, c), r)| (v, c, r)).collect();
+            Event::Edit(used, list)
+        }),
+        6 => Just(Event::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn it_settles_and_keeps_its_bounds(events in prop::collection::vec(event(), 1..60)) {
+        let mut sim = Sim::new();
+        let mut now = (1, Vec::new());
+        let mut declared = rules(1, &[]);
+        for event in events {
+            match event {
+                Event::End(number) => sim.end_orders(&target(number)),
+                Event::Lose(number, age) => {
+                    let state = EngineState::Lost(Duration::from_secs(age));
+                    sim.engines.get_mut(&target(number)).unwrap().state = state;
+                }
+                Event::Drain(number, age) => {
+                    let state = EngineState::Draining(Duration::from_secs(age));
+                    sim.engines.get_mut(&target(number)).unwrap().state = state;
+                }
+                Event::Return(number, empty) => {
+                    let engine = sim.engines.get_mut(&target(number)).unwrap();
+                    engine.state = EngineState::Open;
+                    if empty {
+                        engine.builds.clear();
+                        engine.open.clear();
+                    }
+                }
+                Event::Edit(used, places) => {
+                    declared = rules(used, &places);
+                    now = (used, places);
+                }
+                Event::Pass => check_pass(&mut sim, &declared, &now.1, now.0),
+            }
+        }
+        for engine in sim.engines.values_mut() {
+            engine.state = EngineState::Open;
+        }
+        sim.settle(&declared);
+        for (version, centre, replicas) in &now.1 {
+            prop_assert!(sim.ready(*version, *centre) <= *replicas as usize);
+        }
+        let before = sim.orders;
+        sim.settle(&declared);
+        prop_assert_eq!(sim.orders, before);
+    }
+}
+
+/// A pass takes nothing away that is declared, or in use.
+fn check_pass(sim: &mut Sim, declared: &Rules, places: &[(u32, char, u32)], used: u32) {
+    let mut before = BTreeMap::new();
+    for version in 1..4 {
+        for centre in ['a', 'b'] {
+            before.insert((version, centre), sim.ready(version, centre));
+        }
+    }
+    let mut unloads: BTreeMap<(u32, char), usize> = BTreeMap::new();
+    for decision in sim.pass(declared) {
+        let Move::Unload(build) = decision.action else {
+            continue;
+        };
+        let centre = sim.engines[&decision.target]
+            .data_centre
+            .as_str()
+            .chars()
+            .next()
+            .unwrap();
+        *unloads.entry((build.version.0, centre)).or_default() += 1;
+    }
+    for (spot, count) in unloads {
+        let place = places.iter().find(|(v, c, _)| (*v, *c) == spot);
+        let floor = match place {
+            Some((_, _, replicas)) => *replicas as usize,
+            None => {
+                assert_ne!(spot.0, used, "a version in use was unloaded");
+                0
+            }
+        };
+        assert!(
+            before[&spot] - count >= floor,
+            "unloaded below what is declared"
+        );
+    }
+}
