--- a/crates/control/src/lead/fleet.rs
+++ b/crates/control/src/lead/fleet.rs
@@ -9,11 +9,14 @@
     net::SocketAddr,
 };
 
+use clem_policy::placement::{Build, Engine, EngineState, Held, Move, Stage};
 use clem_rules::Rules;
-use clem_types::{Epoch, HolderId, Incarnation, TargetId};
+use clem_types::{Epoch, HolderId, Incarnation, TargetId, Time};
 use clem_wire::{
     admin::TargetStatus,
-    sync::{FleetChange, FleetStamp, Load, Role, Serves, Sync, TargetReport, TargetView},
+    sync::{
+        FleetChange, FleetStamp, Load, ModelState, Role, Serves, Sync, TargetReport, TargetView,
+    },
 };
 
 /// How many changes are kept; a holder that is further behind gets the whole view.
@@ -36,6 +39,10 @@
     agent: SocketAddr,
     stopping: bool,
     report: TargetReport,
+    /// Since when it hasn't answered.
+    lost: Option<Time>,
+    /// Since when it has taken no new work.
+    closed: Option<Time>,
 }
 
 /// The view of the fleet, at the leader.
@@ -84,7 +91,10 @@
         let Some(report) = call.report.clone() else {
             return;
         };
+        let before = self.heard.get(target);
         let heard = Heard {
+            lost: before.and_then(|heard| heard.lost),
+            closed: before.and_then(|heard| heard.closed),
             holder: call.holder.id.clone(),
             incarnation: call.holder.incarnation,
             agent: call.holder.address,
@@ -126,6 +136,7 @@
     /// Brings the view of one target up to date; says whether it changed.
     pub fn refresh_target(&mut self, target: &TargetId, facts: &Facts<'_>) -> bool {
         let view = self.view(target, facts);
+        self.note_times(target, view.as_ref(), facts.now);
         if self.shown.get(target) == view.as_ref() {
             return false;
         }
@@ -144,6 +155,55 @@
         true
     }
 
+    /// Notes since when a target is lost or closed.
+    fn note_times(&mut self, target: &TargetId, view: Option<&TargetView>, now: Time) {
+        let Some(heard) = self.heard.get_mut(target) else {
+            return;
+        };
+        let open = view.is_some_and(|view| view.open);
+        heard.lost = match view {
+            Some(_) => None,
+            None => heard.lost.or(Some(now)),
+        };
+        heard.closed = if open {
+            None
+        } else {
+            heard.closed.or(Some(now))
+        };
+    }
+
+    /// The model engines of the rules, with the orders that each has open.
+    pub fn engines(
+        &self,
+        rules: &Rules,
+        open: &BTreeMap<TargetId, Vec<Move>>,
+        now: Time,
+    ) -> BTreeMap<TargetId, Engine> {
+        let mut engines = BTreeMap::new();
+        for (target, rule) in rules.targets() {
+            if rule.service.is_some() {
+                continue;
+            }
+            // An engine that was never heard of holds nothing that could be counted on.
+            let Some(heard) = self.heard.get(target) else {
+                continue;
+            };
+            let state = match (heard.lost, heard.closed) {
+                (Some(since), _) => EngineState::Lost(now.since(since)),
+                (None, Some(since)) => EngineState::Draining(now.since(since)),
+                (None, None) => EngineState::Open,
+            };
+            let engine = Engine {
+                data_centre: rule.data_centre.clone(),
+                state,
+                builds: builds(&heard.report),
+                open: open.get(target).cloned().unwrap_or_default(),
+            };
+            engines.insert(target.clone(), engine);
+        }
+        engines
+    }
+
     fn view(&self, target: &TargetId, facts: &Facts<'_>) -> Option<TargetView> {
         let rule = facts.rules.targets().get(target)?;
         let heard = self.heard.get(target)?;
@@ -243,6 +303,8 @@
 
 /// What the view depends on besides the reports.
 pub struct Facts<'a> {
+    /// The present.
+    pub now: Time,
     /// The rules in force.
     pub rules: &'a Rules,
     /// Targets with a drain mark.
@@ -259,3 +321,22 @@
         None => Serves::Models(report.models.clone()),
     }
 }
+
+/// The versions in an engine.
+fn builds(report: &TargetReport) -> BTreeMap<Build, Held> {
+    let mut builds = BTreeMap::new();
+    for loaded in &report.models {
+        let build = Build {
+            model: loaded.model.clone(),
+            version: loaded.version,
+        };
+        let stage = match loaded.state {
+            ModelState::Loading => Stage::Loading,
+            ModelState::Ready => Stage::Ready,
+            ModelState::Failed => Stage::Failed,
+        };
+        let adapters = loaded.adapters.clone();
+        builds.insert(build, Held { stage, adapters });
+    }
+    builds
+}
--- a/crates/control/src/lead/soft.rs
+++ b/crates/control/src/lead/soft.rs
@@ -79,6 +79,7 @@
         self.leases.sweep(now);
         let leases = &self.leases;
         self.fleet.refresh(&Facts {
+            now,
             rules: self.history.rules(),
             drained: &self.drained,
             holds: &|id, incarnation| leases.holds(id, incarnation, now),
@@ -89,6 +90,7 @@
     fn refresh_target(&mut self, target: &TargetId, now: Time) -> bool {
         let leases = &self.leases;
         let facts = Facts {
+            now,
             rules: self.history.rules(),
             drained: &self.drained,
             holds: &|id, incarnation| leases.holds(id, incarnation, now),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod control;
 pub mod lead;
+pub mod placing;
 pub mod platform;
 pub mod program;
 pub mod replica;
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     control::Control,
-    platform,
+    placing, platform,
     replica::{Replica, ReplicaSettings},
     serve,
     settings::Settings,
@@ -54,6 +54,7 @@
     }
     tokio::spawn(tick::refresh(Arc::clone(&control)));
     tokio::spawn(tick::expire(Arc::clone(&control)));
+    tokio::spawn(placing::run(Arc::clone(&control)));
     if let Some(platform) = settings.platform {
         tokio::spawn(platform::poll(Arc::clone(&control), platform));
     }
