--- a/crates/state/tests/batches.rs
+++ b/crates/state/tests/batches.rs
@@ -172,6 +172,17 @@
     assert_eq!(results.len(), 1);
 }
 
+#[test]
+fn an_agent_that_has_the_item_again_cannot_complete_its_older_attempt() {
+    let mut world = World::default();
+    world.submit(1, "totara", None, items(1));
+    let older = world.lease(1, 1)[0].lease;
+    world.wait(common::LEASE_MS + 1);
+    let newer = world.lease(1, 1)[0].lease;
+    assert_eq!(world.finish(1, older, done("old")), Taken::Stale);
+    assert_eq!(world.finish(1, newer, done("new")), Taken::Yes);
+}
+
 #[test]
 fn a_renewed_lease_goes_on() {
     let mut world = World::default();
--- a/crates/state/tests/schedules.rs
+++ b/crates/state/tests/schedules.rs
@@ -267,6 +267,7 @@
             let first = *answers.entry(id).or_insert(outcome);
             prop_assert_eq!(first, outcome);
             if let ApplyOutcome::Accepted(version) = outcome {
+                prop_assert_eq!(version, Version(expect + 1));
                 prop_assert_eq!(*winners.entry(version).or_insert(id), id);
             }
             let file = rules::file(&store).unwrap();
