--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -135,6 +135,7 @@
         .map(|grant| Granted {
             tokens: grant.tokens,
             retry_ms: grant.retry_ms,
+            settling: grant.settling,
         })
         .collect()
 }
--- a/crates/entry/src/job/attempt.rs
+++ b/crates/entry/src/job/attempt.rs
@@ -197,6 +197,10 @@
                     self.job.relay.head(status, headers);
                 }
             }
+            Event::Token { .. } if !self.job.work.call.stream => {
+                let reason = FailedReason::BadAnswer;
+                return Some(End::Failed { reason });
+            }
             Event::Token { index, data } => {
                 self.started = true;
                 self.first.get_or_insert(now);
--- /dev/null
+++ b/crates/entry/tests/support/control.rs
@@ -0,0 +1,314 @@
+//! A control process without replication, whose every part a test can change.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use clem_boot::Clock;
+use clem_policy::bucket::{Ask, Buckets, GRANT_TTL, Limit};
+use clem_rules::{Backend, Customer, Key, Route, Rule, Rules};
+use clem_types::{CustomerId, Key as SecretKey, Rate, RequestId, RouteId, Version};
+use clem_wire::{
+    Call, ControlReply, Guard, answer,
+    batch::{
+        BatchBegin, BatchBeginReply, BatchChunk, BatchChunkReply, BatchSeal, BatchSealReply, Item,
+    },
+    online::{
+        Grant, OnceBegin, OnceBeginReply, OnceFinish, OnceFinishReply, OnceOutcome, TakeTokens,
+        TakeTokensReply,
+    },
+    read_call,
+    sync::{FleetChange, FleetStamp, PoisonList, Sync, SyncReply, TargetView},
+};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+
+use super::{secret, serve};
+
+pub const KEY: &str = "clem_00000000000000000000000000000001";
+
+/// What the stand-in knows.
+pub struct State {
+    pub rules: Rules,
+    pub fleet: Vec<TargetView>,
+    pub fleet_change: u64,
+    pub poison: PoisonList,
+    pub lease_ms: u32,
+    /// Whether it answers at all.
+    pub up: bool,
+    pub buckets: Buckets,
+    pub once: HashMap<String, (RequestId, Option<OnceOutcome>)>,
+    pub chunks: Vec<Vec<Item>>,
+    pub sealed: Option<BatchSeal>,
+    pub token_calls: u32,
+}
+
+#[derive(Clone)]
+pub struct Control {
+    state: Arc<Mutex<State>>,
+    clock: Clock,
+    pub address: SocketAddr,
+}
+
+pub fn id<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("an id")
+}
+
+fn route(backend: Backend, open: bool, idempotent: bool) -> Rule {
+    let timeout = Duration::from_secs(20);
+    Rule::Route(Route {
+        backend,
+        open,
+        idempotent,
+        timeout,
+    })
+}
+
+pub fn model() -> Backend {
+    Backend::Model {
+        model: id("assistant-7b"),
+        version: id("3"),
+        adapter: None,
+    }
+}
+
+/// The example rules of the fleet, with one key.
+pub fn rules(version: u64) -> Rules {
+    let mut rules = Rules::default();
+    let customer = |rate, burst| {
+        let rate = Rate::per_second(rate);
+        Rule::Customer(Customer {
+            rate,
+            burst,
+            weight: 1,
+            batch: Default::default(),
+        })
+    };
+    rules.put(id("customer.totara"), customer(200, 400));
+    rules.put(id("customer.botez"), customer(2, 4));
+    let key = |customer: &str, key: &str| {
+        let hash = key.parse::<SecretKey>().expect("a key").hash();
+        Rule::Key(Key {
+            customer: id(customer),
+            hash,
+        })
+    };
+    rules.put(id("key.totara-1"), key("totara", KEY));
+    rules.put(
+        id("key.botez-1"),
+        key("botez", "clem_00000000000000000000000000000002"),
+    );
+    rules.put(id("route.assistant"), route(model(), false, true));
+    let service = |name: &str| Backend::Service(id(name));
+    rules.put(
+        id("route.waitlist"),
+        route(service("waitlist"), false, false),
+    );
+    rules.put(id("route.hours"), route(service("hours"), true, true));
+    rules.with_version(Version(version))
+}
+
+impl Control {
+    pub async fn start() -> Self {
+        let clock = Clock::start();
+        let state = State {
+            rules: rules(1),
+            fleet: Vec::new(),
+            fleet_change: 0,
+            poison: PoisonList::default(),
+            lease_ms: 2000,
+            up: true,
+            buckets: Buckets::new(clock.now()),
+            once: HashMap::new(),
+            chunks: Vec::new(),
+            sealed: None,
+            token_calls: 0,
+        };
+        let mut control = Self {
+            state: Arc::new(Mutex::new(state)),
+            clock,
+            address: ([127, 0, 0, 1], 0).into(),
+        };
+        let mut router = Router::new().hoop(Guard::new(secret()));
+        for path in [
+            Sync::PATH,
+            TakeTokens::PATH,
+            OnceBegin::PATH,
+            OnceFinish::PATH,
+            BatchBegin::PATH,
+            BatchChunk::PATH,
+            BatchSeal::PATH,
+        ] {
+            router = router.push(Router::with_path(&path[1..]).post(control.clone()));
+        }
+        control.address = serve(router).await;
+        control
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no test holds it in a panic")
+    }
+
+    pub fn set_fleet(&self, fleet: Vec<TargetView>) {
+        let mut state = self.state();
+        state.fleet = fleet;
+        state.fleet_change += 1;
+    }
+
+    async fn sync(&self, call: Sync) -> SyncReply {
+        // A long poll, in short steps.
+        for _ in 0..call.wait_ms / 10 {
+            if self.has_news(&call) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let state = self.state();
+        let stamp = FleetStamp {
+            epoch: id("1"),
+            change: state.fleet_change,
+        };
+        SyncReply {
+            lease_ms: state.lease_ms,
+            rules: (call.rules != state.rules.version()).then(|| state.rules.whole()),
+            fleet: (call.fleet != stamp).then(|| FleetChange {
+                stamp,
+                whole: true,
+                targets: state.fleet.clone(),
+                gone: Vec::new(),
+            }),
+            poison: (call.poison != state.poison.version).then(|| state.poison.clone()),
+            orders: Vec::new(),
+            cancelled: Vec::new(),
+        }
+    }
+
+    fn has_news(&self, call: &Sync) -> bool {
+        let state = self.state();
+        call.rules != state.rules.version()
+            || call.fleet.change != state.fleet_change
+            || call.poison != state.poison.version
+    }
+
+    fn tokens(&self, call: &TakeTokens) -> TakeTokensReply {
+        let now = self.clock.now();
+        let mut state = self.state();
+        state.token_calls += 1;
+        let asks: Vec<Ask> = call
+            .wants
+            .iter()
+            .map(|want| Ask {
+                customer: want.customer.clone(),
+                tokens: want.tokens,
+                returned: want.returned,
+                held: want.held,
+            })
+            .collect();
+        let rules = state.rules.clone();
+        let limit = |customer: &CustomerId| {
+            let customer = rules.customers().get(customer)?;
+            Some(Limit {
+                rate: customer.rate,
+                burst: customer.burst,
+            })
+        };
+        let holder = (call.holder.clone(), call.incarnation);
+        let granted = state.buckets.take(now, holder, call.sequence, &asks, limit);
+        let grants = granted
+            .iter()
+            .zip(&call.wants)
+            .map(|(grant, want)| Grant {
+                customer: want.customer.clone(),
+                tokens: grant.tokens,
+                expires_ms: GRANT_TTL.as_millis() as u32,
+                retry_ms: grant.retry_ms,
+                settling: grant.settling,
+            })
+            .collect();
+        TakeTokensReply { grants }
+    }
+
+    fn begin(&self, call: &OnceBegin) -> OnceBeginReply {
+        let mut state = self.state();
+        match state.once.get(&call.key) {
+            Some((request, None)) if *request == call.request => OnceBeginReply::Go,
+            Some((_, Some(OnceOutcome::Done(result)))) => OnceBeginReply::Done(result.clone()),
+            Some(_) => OnceBeginReply::Unknown,
+            None => {
+                state.once.insert(call.key.clone(), (call.request, None));
+                OnceBeginReply::Go
+            }
+        }
+    }
+
+    fn finish(&self, call: OnceFinish) -> OnceFinishReply {
+        let mut state = self.state();
+        if call.outcome == OnceOutcome::NotRun {
+            state.once.remove(&call.key);
+        } else {
+            state
+                .once
+                .insert(call.key, (call.request, Some(call.outcome)));
+        }
+        OnceFinishReply {}
+    }
+}
+
+/// The routes that a test's customers use, by id.
+pub fn route_id(name: &str) -> RouteId {
+    id(name)
+}
+
+macro_rules! reply {
+    ($req:ident, $res:ident, $call:ty, $work:expr) => {
+        if let Some(call) = read_call::<$call>($req, $res).await {
+            let reply = $work(call);
+            answer($res, &ControlReply::Done(reply));
+        }
+    };
+}
+
+#[async_trait]
+impl Handler for Control {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        if !self.state().up {
+            // Keeps the call, as a process does that is cut off.
+            std::future::pending::<()>().await;
+        }
+        match req.uri().path() {
+            Sync::PATH => {
+                if let Some(call) = read_call::<Sync>(req, res).await {
+                    let reply = self.sync(call).await;
+                    if !self.state().up {
+                        std::future::pending::<()>().await;
+                    }
+                    answer(res, &ControlReply::Done(reply));
+                }
+            }
+            TakeTokens::PATH => reply!(req, res, TakeTokens, |call| self.tokens(&call)),
+            OnceBegin::PATH => reply!(req, res, OnceBegin, |call| self.begin(&call)),
+            OnceFinish::PATH => reply!(req, res, OnceFinish, |call| self.finish(call)),
+            BatchBegin::PATH => reply!(req, res, BatchBegin, |call: BatchBegin| {
+                BatchBeginReply::Send {
+                    batch: call.batch,
+                    upload: 1,
+                }
+            }),
+            BatchChunk::PATH => reply!(req, res, BatchChunk, |call: BatchChunk| {
+                self.state().chunks.push(call.items);
+                BatchChunkReply::Kept
+            }),
+            BatchSeal::PATH => reply!(req, res, BatchSeal, |call: BatchSeal| {
+                let batch = call.batch;
+                self.state().sealed = Some(call);
+                BatchSealReply::Accepted { batch }
+            }),
+            path => panic!("no such call: {path}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/upload.rs
@@ -0,0 +1,97 @@
+//! Batches through the entry.
+
+mod support;
+
+use support::{
+    Control, EntryProcess,
+    control::{KEY, route_id},
+};
+
+fn line(number: usize) -> String {
+    format!(
+        r#"{{"custom_id":"letter-{number}","model":"assistant","body":{{"messages":[],"n":{number}}}}}"#
+    )
+}
+
+#[tokio::test]
+async fn a_batch_is_cut_into_chunks_and_sealed() {
+    let control = Control::start().await;
+    let entry = EntryProcess::ready(&control).await;
+    let bearer = format!("Bearer {KEY}");
+    let body: String = (0..2500).map(|number| line(number) + "\n").collect();
+    let headers = [("authorization", bearer.as_str())];
+    let reply = entry
+        .caller()
+        .send("POST", "/v1/batches?due=%2B3600", &headers, &body)
+        .await;
+    assert_eq!(reply.status, 202, "{}", reply.body);
+    let state = control.state();
+    let seal = state.sealed.clone().expect("it is sealed");
+    assert_eq!(
+        reply.json()["id"].as_str(),
+        Some(seal.batch.to_string().as_str())
+    );
+    assert_eq!(
+        (seal.items, seal.chunks as usize),
+        (2500, state.chunks.len())
+    );
+    assert!(state.chunks.len() >= 3, "it came in parts");
+    let items: Vec<_> = state.chunks.iter().flatten().collect();
+    assert_eq!(items.len(), 2500);
+    assert_eq!(items[2499].custom_id, "letter-2499");
+    assert_eq!(items[0].route, route_id("assistant"));
+    assert!(items[0].idempotent);
+}
+
+#[tokio::test]
+async fn a_bad_line_is_named_and_nothing_is_sealed() {
+    let control = Control::start().await;
+    let entry = EntryProcess::ready(&control).await;
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let long = format!(
+        r#"{{"custom_id":"x","model":"assistant","body":"{}"}}"#,
+        "y".repeat(150_000)
+    );
+    let cases = [
+        ("{", "line 2: column"),
+        (r#"{"custom_id":"x","body":{}}"#, "line 2: it names neither"),
+        (
+            r#"{"custom_id":"x","model":"nobody","body":{}}"#,
+            "line 2: no route",
+        ),
+        (
+            r#"{"custom_id":"","model":"assistant","body":{}}"#,
+            "line 2: custom_id",
+        ),
+        (&long, "too long"),
+    ];
+    for (bad, reason) in cases {
+        let body = format!("{}\n{bad}\n", line(1));
+        let reply = entry
+            .caller()
+            .send("POST", "/v1/batches", &headers, &body)
+            .await;
+        assert_eq!(
+            reply.refusal(),
+            (400, "bad_item".to_owned(), "no".to_owned())
+        );
+        assert!(reply.body.contains(reason), "{}", reply.body);
+    }
+    let reply = entry
+        .caller()
+        .send("POST", "/v1/batches", &headers, "\n")
+        .await;
+    assert_eq!(reply.refusal().1, "batch_empty");
+    let reply = entry
+        .caller()
+        .send("POST", "/v1/batches?due=soon", &headers, &line(1))
+        .await;
+    assert_eq!(reply.refusal().1, "bad_due");
+    let reply = entry
+        .caller()
+        .send("POST", "/v1/batches", &[], &line(1))
+        .await;
+    assert_eq!(reply.refusal().1, "key_missing");
+    assert!(control.state().sealed.is_none());
+}
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -58,6 +58,17 @@
     pub tokens: u32,
     /// When another token will be there, in milliseconds, if fewer were granted than wanted.
     pub retry_ms: Option<u32>,
+    /// Whether nothing is granted only because the leader is new: the answer is not a refusal.
+    pub settling: bool,
+}
+
+impl Granted {
+    /// No tokens, and no word on when there will be some.
+    pub const NONE: Self = Self {
+        tokens: 0,
+        retry_ms: None,
+        settling: false,
+    };
 }
 
 /// The buckets of all customers, at the leader.
@@ -128,22 +139,13 @@
                 return last.grants.clone();
             }
             if last.sequence >= sequence {
-                return vec![
-                    Granted {
-                        tokens: 0,
-                        retry_ms: None
-                    };
-                    asks.len()
-                ];
+                return vec![Granted::NONE; asks.len()];
             }
         }
         let mut grants = Vec::with_capacity(asks.len());
         for ask in asks {
             let Some(limit) = limit(&ask.customer) else {
-                grants.push(Granted {
-                    tokens: 0,
-                    retry_ms: None,
-                });
+                grants.push(Granted::NONE);
                 continue;
             };
             let start = self.start;
@@ -228,7 +230,11 @@
             "level and grants stay within the burst"
         );
         let retry_ms = (tokens < ask.tokens).then(|| self.retry_ms(now, start, limit));
-        Granted { tokens, retry_ms }
+        Granted {
+            tokens,
+            retry_ms,
+            settling: unknown > 0 && tokens < ask.tokens,
+        }
     }
 
     /// Brings the level up to date, one expiry after the other: until a grant expires it takes
--- a/crates/policy/src/limiter.rs
+++ b/crates/policy/src/limiter.rs
@@ -89,6 +89,8 @@
     demand: f64,
     seen: Time,
     empty_until: Time,
+    /// When a leader that was too new may be asked again.
+    ask_after: Time,
 }
 
 /// Tokens of one grant.
@@ -116,7 +118,7 @@
         if local.waiting == 0 && local.spend(now) {
             return Admission::Admitted;
         }
-        if now < local.empty_until {
+        if now < local.empty_until && now >= local.ask_after {
             let left = local.empty_until.since(now).as_millis();
             let retry_ms = u32::try_from(left).unwrap_or(u32::MAX).max(1);
             return Admission::Refused { retry_ms };
@@ -185,11 +187,7 @@
     ) -> Vec<Outcome> {
         let mut outcomes = Vec::new();
         for (place, ask) in round.asks.iter().enumerate() {
-            let none = Granted {
-                tokens: 0,
-                retry_ms: None,
-            };
-            let grant = grants.get(place).copied().unwrap_or(none);
+            let grant = grants.get(place).copied().unwrap_or(Granted::NONE);
             let Some(local) = self.customers.get_mut(&ask.customer) else {
                 continue;
             };
@@ -198,14 +196,20 @@
             while admitted < local.asked && local.spend(now) {
                 admitted += 1;
             }
+            let retry_ms = grant.retry_ms.unwrap_or(1);
+            if grant.settling {
+                // These are not refused: they ask again once the new leader grants.
+                local.waiting += local.asked - admitted;
+                local.asked = admitted;
+                local.ask_after = now + Duration::from_millis(retry_ms.into());
+            }
             let refused = local.asked - admitted;
             local.asked = 0;
             while refused == 0 && local.waiting > 0 && local.spend(now) {
                 local.waiting -= 1;
                 admitted += 1;
             }
-            let retry_ms = grant.retry_ms.unwrap_or(1);
-            if refused > 0 || (ask.tokens > 0 && grant.tokens == 0) {
+            if refused > 0 || (ask.tokens > 0 && grant.tokens == 0 && !grant.settling) {
                 let wait = Duration::from_millis(retry_ms.into()).min(EMPTY_MAX);
                 local.empty_until = now + wait;
             }
@@ -285,6 +289,7 @@
             demand: 0.0,
             seen: now,
             empty_until: Time::ZERO,
+            ask_after: Time::ZERO,
         }
     }
 
@@ -335,17 +340,20 @@
         }
         self.lots.retain(|lot| lot.tokens > 0);
         let report = self.unreported && now.since(self.reported) >= REPORT_AFTER;
-        if self.waiting == 0 && returned == 0 && !report {
+        let asking = self.waiting > 0 && now >= self.ask_after;
+        if !asking && returned == 0 && !report {
             return None;
         }
         let mut tokens = 0;
-        if self.waiting > 0 {
+        if asking {
             let gap = now.since(self.seen).as_secs_f64();
             let demand = self.demand * (-gap / DEMAND_SPAN.as_secs_f64()).exp();
             let ahead = (demand * AHEAD.as_secs_f64()) as u32;
             tokens = self.waiting.saturating_add(ahead.saturating_sub(held));
         }
-        self.asked = std::mem::take(&mut self.waiting);
+        if asking {
+            self.asked = std::mem::take(&mut self.waiting);
+        }
         self.unreported = false;
         self.reported = now;
         Some((tokens, returned, held))
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -274,7 +274,8 @@
         grants,
         [Granted {
             tokens: 0,
-            retry_ms: Some(526)
+            retry_ms: Some(526),
+            settling: true,
         }]
     );
 }
--- a/crates/wire/src/online.rs
+++ b/crates/wire/src/online.rs
@@ -59,6 +59,9 @@
     pub expires_ms: u32,
     /// When more will be there, in milliseconds, if fewer were granted than wanted.
     pub retry_ms: Option<u32>,
+    /// Whether the leader is new and grants nothing yet; the entry asks again after `retry_ms`.
+    #[serde(default)]
+    pub settling: bool,
 }
 
 /// Records that a call which may run only once is about to be dispatched.
