--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,3 +10,12 @@
 pub mod poison;
 pub mod retry;
 pub mod route;
+
+mod admission;
+mod balance;
+mod pace;
+mod tail;
+
+pub use admission::{Admission, Full, JobId, Offer, Settings, Step};
+pub use balance::Balance;
+pub use pace::Pace;
