--- a/crates/control/src/lead/soft.rs
+++ b/crates/control/src/lead/soft.rs
@@ -187,5 +187,6 @@
         tokens: granted.tokens,
         expires_ms: u32::try_from(ttl).unwrap_or(u32::MAX),
         retry_ms: granted.retry_ms,
+        settling: granted.settling,
     }
 }
