--- a/crates/policy/src/limiter.rs
+++ b/crates/policy/src/limiter.rs
@@ -23,7 +23,9 @@
 /// The span over which demand is averaged.
 const DEMAND_SPAN: Duration = Duration::from_millis(400);
 /// How long an answer that the bucket is empty is taken for the present state.
-const EMPTY_MAX: Duration = Duration::from_millis(50);
+const EMPTY_MAX: Duration = Duration::from_millis(5);
+/// How long nothing is asked for ahead after the leader could not grant all.
+const SCARCE_SPAN: Duration = Duration::from_secs(2);
 /// A request is sent within this time after it took its token, or refused.
 const SEND_WITHIN: Duration = Duration::from_millis(250);
 /// The most customers in one call.
@@ -91,6 +93,8 @@
     empty_until: Time,
     /// When a leader that was too new may be asked again.
     ask_after: Time,
+    /// Up to when tokens are too scarce to hold any in advance.
+    scarce_until: Time,
 }
 
 /// Tokens of one grant.
@@ -197,6 +201,9 @@
                 admitted += 1;
             }
             let retry_ms = grant.retry_ms.unwrap_or(1);
+            if grant.tokens < ask.tokens {
+                local.scarce_until = now + SCARCE_SPAN;
+            }
             if grant.settling {
                 // These are not refused: they ask again once the new leader grants.
                 local.waiting += local.asked - admitted;
@@ -290,6 +297,7 @@
             seen: now,
             empty_until: Time::ZERO,
             ask_after: Time::ZERO,
+            scarce_until: Time::ZERO,
         }
     }
 
@@ -348,7 +356,12 @@
         if asking {
             let gap = now.since(self.seen).as_secs_f64();
             let demand = self.demand * (-gap / DEMAND_SPAN.as_secs_f64()).exp();
-            let ahead = (demand * AHEAD.as_secs_f64()) as u32;
+            let scarce = now < self.scarce_until;
+            let ahead = if scarce {
+                0
+            } else {
+                (demand * AHEAD.as_secs_f64()) as u32
+            };
             tokens = self.waiting.saturating_add(ahead.saturating_sub(held));
         }
         if asking {
