--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -100,15 +100,11 @@
             let attempt = Attempt(self.attempts);
             let dispatch = self.frame(attempt, agent);
             let sent = self.entry.now();
-            self.entry
-                .router()
-                .sent(sent, &choice.target, self.work.cost.0, &self.work.prefixes);
+            self.entry.router().sent(sent, &choice, &self.work.prefixes);
             let end = attempt::run(self, &choice, agent, &dispatch).await;
             let now = self.entry.now();
             let health = end.health(sent);
-            self.entry
-                .router()
-                .ended(now, &choice.target, self.work.cost.0, health);
+            self.entry.router().ended(now, &choice.target, health);
             match end {
                 End::Whole { .. } => return self.answer().await,
                 End::Gone => return self.gone(),
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -32,9 +32,9 @@
 pub use load::Report;
 
 /// What routing gives up to stay in the data centre, in tokens of work.
-const SPILL_TOKENS: f64 = 2000.0;
+const SPILL_TOKENS: f64 = 500.0;
 /// The work that one stream means to those behind it, in tokens.
-const STREAM_TOKENS: f64 = 150.0;
+const STREAM_TOKENS: f64 = 60.0;
 /// Candidates on the hash ring.
 const RING_TRIED: usize = 2;
 /// Candidates at random.
@@ -187,20 +187,20 @@
         picker.choose(&self.here)
     }
 
-    /// Counts a request that is about to be sent.
-    pub fn sent(&mut self, now: Time, id: &TargetId, cost: u32, prefixes: &Prefixes) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            slot.sent(now, cost);
-            self.affinity.learn(id, prefixes);
+    /// Counts a request that is about to be sent by this choice.
+    pub fn sent(&mut self, now: Time, choice: &Choice, prefixes: &Prefixes) {
+        if let Some(slot) = self.slots.get_mut(&choice.target) {
+            slot.sent(now, choice.unread);
+            self.affinity.learn(&choice.target, prefixes);
         }
     }
 
     /// Counts the end of a request that was sent.
-    pub fn ended(&mut self, now: Time, id: &TargetId, cost: u32, ended: Ended) {
+    pub fn ended(&mut self, now: Time, id: &TargetId, ended: Ended) {
         let Some(slot) = self.slots.get_mut(id) else {
             return;
         };
-        slot.finished(now, cost);
+        slot.finished();
         for backend in &slot.info.backends {
             if let Some(pool) = self.pools.get_mut(backend) {
                 pool.health.judge(now, &mut slot.health, ended);
--- a/crates/policy/src/route/choice.rs
+++ b/crates/policy/src/route/choice.rs
@@ -43,6 +43,8 @@
     pub target: TargetId,
     /// Why.
     pub reason: Reason,
+    /// Prompt tokens that it probably has to read in.
+    pub unread: u32,
     /// The targets that were looked at.
     pub candidates: Vec<TargetId>,
 }
@@ -50,6 +52,7 @@
 struct Candidate<'a> {
     slot: &'a Slot,
     cost: f64,
+    unread: u32,
     reason: Reason,
     state: State,
 }
@@ -100,6 +103,7 @@
         self.found.push(Candidate {
             slot,
             cost,
+            unread,
             reason,
             state,
         });
@@ -141,6 +145,7 @@
             .collect();
         Some(Choice {
             target: chosen.slot.info.id.clone(),
+            unread: chosen.unread,
             reason,
             candidates,
         })
--- a/crates/policy/src/route/load.rs
+++ b/crates/policy/src/route/load.rs
@@ -6,6 +6,8 @@
 
 /// The span after which what others sent counts half, in seconds.
 const HALF_LIFE: f64 = 1.0;
+/// Prompt tokens that a target reads in a second, about.
+const READ_PER_SECOND: f64 = 30_000.0;
 
 /// A target's own word on its load; it is old when it arrives.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -23,30 +25,29 @@
     at: Time,
     /// Own requests under way.
     own: u32,
-    own_tokens: u64,
     /// Own requests under way when the report came; it counts them already.
     counted: u32,
-    /// Tokens of own requests that were sent since the report.
-    since_tokens: u64,
+    /// Prompt tokens of own requests that were not read in yet at `sent`.
+    unread: f64,
+    sent: Time,
 }
 
 impl Estimate {
-    pub(super) fn sent(&mut self, cost: u32) {
+    /// Counts a request of which the target has to read in `unread` tokens.
+    pub(super) fn sent(&mut self, now: Time, unread: u32) {
+        self.unread = self.unread_now(now) + f64::from(unread);
+        self.sent = now;
         self.own += 1;
-        self.own_tokens += u64::from(cost);
-        self.since_tokens += u64::from(cost);
     }
 
-    pub(super) fn finished(&mut self, cost: u32) {
+    pub(super) fn finished(&mut self) {
         self.own = self.own.saturating_sub(1);
-        self.own_tokens = self.own_tokens.saturating_sub(cost.into());
     }
 
     pub(super) fn report(&mut self, now: Time, report: Report) {
         self.report = report;
         self.at = now;
         self.counted = self.own;
-        self.since_tokens = 0;
     }
 
     pub(super) fn own(&self) -> u32 {
@@ -60,7 +61,11 @@
         let others = f64::from(self.report.streams.saturating_sub(self.counted)) * fade;
         let streams = others + f64::from(self.own);
         let queued = self.report.tokens as f64 * fade;
-        let since = self.since_tokens.min(self.own_tokens) as f64;
-        streams * STREAM_TOKENS + queued + since
+        streams * STREAM_TOKENS + queued.max(self.unread_now(now))
+    }
+
+    fn unread_now(&self, now: Time) -> f64 {
+        let read = now.since(self.sent).as_secs_f64() * READ_PER_SECOND;
+        (self.unread - read).max(0.0)
     }
 }
--- a/crates/policy/src/route/target.rs
+++ b/crates/policy/src/route/target.rs
@@ -25,13 +25,13 @@
         Self { info, ..self }
     }
 
-    pub(super) fn sent(&mut self, now: Time, cost: u32) {
-        self.load.sent(cost);
+    pub(super) fn sent(&mut self, now: Time, unread: u32) {
+        self.load.sent(now, unread);
         self.health.sent(now);
     }
 
-    pub(super) fn finished(&mut self, _now: Time, cost: u32) {
-        self.load.finished(cost);
+    pub(super) fn finished(&mut self) {
+        self.load.finished();
     }
 
     pub(super) fn report(&mut self, now: Time, report: Report) {
