--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -29,7 +29,7 @@
 /// The time for which the budget of risk saves up.
 const SAVED: Duration = Duration::from_secs(5);
 /// How long it then keeps the slot.
-const RELIEF: Duration = Duration::from_secs(1);
+const RELIEF: Duration = Duration::from_secs(2);
 /// After so long without online requests, batch prompts of any length may start.
 const QUIET: Duration = Duration::from_secs(60);
 /// Online streams keep the engine's steps short for this long after the last one ended.
@@ -97,7 +97,8 @@
     /// Tokens that the engine would have to read in: the prompt, and what it had generated.
     context: u32,
     since: Time,
-    /// Whether no other online request was here when it came.
+    /// Whether no online request had a token yet when it came: the step in progress may be one
+    /// without online requests.
     alone: bool,
     suspect: bool,
 }
@@ -115,6 +116,8 @@
     parked: Option<Duration>,
     /// The streams in the engine when this one was sent.
     beside: usize,
+    /// When its first token of this stay came; none during prefill.
+    first: Option<Time>,
     /// When its last token came; none during prefill.
     last: Option<Time>,
     alone: bool,
@@ -187,7 +190,7 @@
             job: offer.job,
             context: offer.prompt,
             since: now,
-            alone: !self.is_busy(),
+            alone: self.online.values().all(|stream| stream.last.is_none()),
             suspect: offer.suspect,
         };
         let pushed = self.queue.push(
@@ -261,6 +264,7 @@
         };
         stream.context = stream.context.saturating_add(1);
         let Some(last) = stream.last.replace(now) else {
+            stream.first = Some(now);
             let stream = *stream;
             let others = reading.saturating_sub(stream.prefill);
             self.first_token(now, job, stream, prefilling, others);
@@ -383,7 +387,12 @@
         if !stream.alone {
             return elapsed;
         }
-        elapsed.min(self.pace.step(1) + self.pace.prefill_time(stream.prefill))
+        // All that are read in together come at the same time.
+        let together = self.online.values();
+        let together = together.filter(|s| s.first.is_none_or(|first| first == now));
+        let tokens = together.map(|s| s.prefill).sum();
+        let step = self.pace.step(self.online.len());
+        elapsed.min(step + self.pace.prefill_time(tokens))
     }
 
     fn is_busy(&self) -> bool {
@@ -575,11 +584,16 @@
         }
         let cost = self.pace.prefill_time(ahead.saturating_add(prompt));
         let step = self.pace.step(self.running() + 1) + cost;
+        if ahead > 0 && cost.is_zero() {
+            // The price of a prompt is learned from one alone.
+            return false;
+        }
         if self.is_quiet(now, cost) {
             return true;
         }
         if !self.tail.is_known() {
-            return self.step_bound().is_none_or(|bound| step <= bound);
+            let bound = self.step_bound();
+            return bound.map_or(ahead == 0, |bound| step <= bound);
         }
         if ahead > 0 && self.step_bound().is_some_and(|bound| step > bound) {
             return false;
@@ -606,6 +620,7 @@
             prefill,
             parked: None,
             beside: self.running(),
+            first: None,
             last: None,
             alone: waiting.alone,
             suspect: waiting.suspect,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -2,10 +2,12 @@
 
 use std::{fmt, str::FromStr};
 
-/// Harm allowed at the middle of the scale, as a share of the latency without batch.
-const MIDDLE_HARM: f64 = 0.06;
-/// Harm allowed at the batch end of the scale.
-const MOST_HARM: f64 = 0.22;
+/// How much slower batch may make a step, at the start, middle and end of the scale.
+const HARM: [f64; 3] = [0.0, 0.06, 0.22];
+/// The share of online requests that may be taken beyond the tail.
+const RISK: [f64; 3] = [0.0008, 0.0024, 0.0050];
+/// The share of steps with online streams that may hold a batch prefill.
+const PREFILL_SHARE: [f64; 3] = [0.0005, 0.0025, 0.0045];
 /// The end of the scale.
 const SCALE: u8 = 100;
 
@@ -25,23 +27,29 @@
         (point <= SCALE).then_some(Self(point))
     }
 
-    /// The share by which batch may raise online latency.
+    /// The share by which batch may raise the time between tokens of online requests.
     pub fn harm(self) -> f64 {
-        let point = f64::from(self.0) / f64::from(SCALE);
-        if point <= 0.5 {
-            return MIDDLE_HARM * point * 2.0;
-        }
-        MIDDLE_HARM + (MOST_HARM - MIDDLE_HARM) * (point - 0.5) * 2.0
+        self.between(HARM)
     }
 
     /// The share of online requests that batch may take beyond the tail of first-token times.
     pub fn risk(self) -> f64 {
-        0.0003 + 0.0026 * f64::from(self.0) / f64::from(SCALE)
+        self.between(RISK)
     }
 
     /// The share of steps with online streams that may hold a batch prefill.
     pub fn prefill_share(self) -> f64 {
-        0.0005 + 0.004 * f64::from(self.0) / f64::from(SCALE)
+        self.between(PREFILL_SHARE)
+    }
+
+    /// The value at this point of a scale that is given at its start, middle and end.
+    fn between(self, scale: [f64; 3]) -> f64 {
+        let [start, middle, end] = scale;
+        let point = f64::from(self.0) / f64::from(SCALE) * 2.0;
+        if point <= 1.0 {
+            return start + (middle - start) * point;
+        }
+        middle + (end - middle) * (point - 1.0)
     }
 }
 
--- a/crates/policy/src/keep.rs
+++ b/crates/policy/src/keep.rs
@@ -4,6 +4,10 @@
 
 /// What is believed before anything is known.
 const FIRST: Duration = Duration::from_secs(4);
+/// The weight of a new outcome.
+const WEIGHT: f64 = 0.2;
+/// The share of lost caches from which on none is relied upon.
+const MOST_LOST: f64 = 0.02;
 /// The longest that is believed.
 const MOST: Duration = Duration::from_secs(60);
 
@@ -14,11 +18,15 @@
 #[derive(Debug)]
 pub(crate) struct Keep {
     span: Duration,
+    lost: f64,
 }
 
 impl Keep {
     pub(crate) fn new() -> Self {
-        Self { span: FIRST }
+        Self {
+            span: FIRST,
+            lost: 0.0,
+        }
     }
 
     /// Takes in a resume after `age`, and whether the cache was still there.
@@ -26,6 +34,8 @@
     /// The span grows only by resumes that were prepared for a prefill, so that growing costs
     /// nothing.
     pub(crate) fn resumed(&mut self, age: Duration, kept: bool) {
+        let outcome = if kept { 0.0 } else { 1.0 };
+        self.lost += WEIGHT * (outcome - self.lost);
         if !kept {
             self.span = self.span.min(age / 2);
             return;
@@ -38,6 +48,6 @@
 
     /// Whether a stream that has been parked for `age` is likely to have its cache.
     pub(crate) fn is_kept(&self, age: Duration) -> bool {
-        age <= self.span
+        self.lost <= MOST_LOST && age <= self.span
     }
 }
--- a/crates/policy/src/tail.rs
+++ b/crates/policy/src/tail.rs
@@ -90,9 +90,12 @@
     }
 
     /// The time of a step, weighted by the share of requests that it would take beyond the tail
-    /// if it ran all the time.
+    /// if it ran all the time, and by how much longer than twice the bound it is: a request that
+    /// comes in a burst is not the only one that meets a long step.
     pub(crate) fn cost(&self, step: Duration) -> Duration {
-        step.mul_f64(self.beyond(micros(step)))
+        let micros = micros(step);
+        let bound = self.bound.unwrap_or(LONGEST).max(1.0);
+        step.mul_f64(self.beyond(micros) * (micros / (2.0 * bound)).max(1.0))
     }
 
     fn refresh(&mut self) {
