--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod bucket;
 pub mod fair;
-
 pub mod limiter;
+pub mod poison;
+pub mod retry;
+pub mod route;
 
 mod admission;
 mod balance;
