--- a/crates/checks/src/fleet.rs
+++ b/crates/checks/src/fleet.rs
@@ -238,17 +238,33 @@
 
     // ------------------------------------------------------------------------
 
-    /// Waits until every entry's `/readyz` says so, and a chat could find every target.
+    /// Waits until every entry is ready and knows every target as serving.
     ///
     /// # Errors
     /// They aren't ready in time.
     pub async fn ready(&self) -> Result<()> {
         for place in 0..self.entries.len() {
             self.entry_ready(place).await?;
+            self.knows_targets(place, self.targets.len()).await?;
         }
         Ok(())
     }
 
+    /// Waits until an entry knows so many targets that serve something.
+    ///
+    /// # Errors
+    /// It doesn't in time.
+    pub async fn knows_targets(&self, place: usize, count: usize) -> Result<()> {
+        let url = self.entry_url(place, "/metrics");
+        let what = format!("{url} to tell of {count} targets");
+        let line = format!("clem_entry_targets {count}");
+        eventually(&what, async || {
+            let reply = self.client.get(&url, &[]).await;
+            reply.is_ok_and(|reply| reply.text().lines().any(|l| l == line))
+        })
+        .await
+    }
+
     /// Waits until one entry's `/readyz` says so.
     ///
     /// # Errors
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -63,6 +63,8 @@
 pub(crate) struct AgentAddress {
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: Incarnation,
+    /// Whether the target serves anything yet.
+    pub(crate) serving: bool,
 }
 
 /// Counts a request as running until it is dropped.
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -83,6 +83,8 @@
     if let Some(change) = reply.fleet {
         let (changed, gone) = take_fleet(&mut view.agents, &change);
         view.fleet = change.stamp;
+        let serving = view.agents.values().filter(|agent| agent.serving);
+        metrics::gauge!("clem_entry_targets").set(serving.count() as f64);
         entry.router().update(changed, &gone);
     }
     if let Some(list) = reply.poison {
@@ -112,12 +114,14 @@
     }
     let mut changed = Vec::new();
     for target in &change.targets {
+        let info = info(target);
         let agent = AgentAddress {
             address: target.agent,
             incarnation: target.incarnation,
+            serving: !info.backends.is_empty(),
         };
         agents.insert(target.target.clone(), agent);
-        changed.push(info(target));
+        changed.push(info);
     }
     (changed, gone)
 }
--- a/crates/load/src/direct.rs
+++ b/crates/load/src/direct.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    Answer, Client, Latencies, Outcome,
+    Answer, Client, CustomerShape, Latencies, Outcome, Shape,
     stats::{histogram, micros},
 };
 
@@ -40,6 +40,26 @@
     pub stream: bool,
 }
 
+impl DirectOptions {
+    /// A fleet with one fast engine, and a customer whose rate is never reached.
+    pub fn shape() -> Shape {
+        Shape {
+            data_centres: ["tamaki-a", "tamaki-a", "tamaki-a"],
+            engines: 1,
+            services: 1,
+            engine_args: "--step-us 100 --step-per-stream-us 10 --prefill-us-per-token 1",
+            customers: vec![CustomerShape {
+                name: "direct".to_owned(),
+                rate: 10_000,
+                burst: 20_000,
+                weight: 1,
+                share: 0.0,
+                batch_items: 0,
+            }],
+        }
+    }
+}
+
 /// The latencies of both ways.
 #[derive(Debug, Clone, Serialize)]
 pub struct DirectReport {
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -12,7 +12,7 @@
 const USAGE: &str = "\
 Usage: clem-load kahikatea|botez [FLAGS]   a scenario against a fleet of its shape
        clem-load direct [FLAGS]            what entry and agent add to a call
-       clem-load shape kahikatea|botez     the shape, for scripts/fleet
+       clem-load shape WORD                a scenario's shape, for scripts/fleet
 
 `clem-load WORD --help` lists the flags.
 ";
