Node: single steps tested one by one, and a start that a copy of the state contradicts

A process that ends between putting a copy of the state in use and resetting its log may find an entry that was never committed below its applied index. Start::needs_reset compares terms there, not only lengths; the schedules use it too. Node's docs now say what its driver owes it.

--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -50,9 +50,41 @@
             applied: LogIndex::default(),
         }
     }
+
+    /// Whether the log must be started anew after the copy of the state that was last installed.
+    ///
+    /// True when the process ended between putting the copy in use and syncing the write that
+    /// [`Node::install`] asks for. The log then lacks the copy's last entry, or has another one in
+    /// its place that was never committed. The driver resets the log on disk to `copied` first.
+    pub fn needs_reset(&self, copied: &Base) -> bool {
+        if copied.index <= self.base.index || self.applied < copied.index {
+            return false;
+        }
+        let mut entries = self.entries.iter();
+        !entries.any(|e| e.index == copied.index && e.term == copied.term)
+    }
 }
 
 /// One member of the cluster.
+///
+/// What its driver owes it:
+/// - After each round of steps it calls [`ready`](Self::ready) and, while
+///   [`has_more`](Self::has_more), calls it again. It queues the write for the disk, sends the
+///   messages, applies the committed entries in order, and answers a read once its index is
+///   applied. It never waits for the disk in between: it reports a sync with
+///   [`synced`](Self::synced) when it is done, several writes at once by the last one's number.
+/// - `now` is taken from a monotonic clock after the input that it goes with came in.
+/// - Compaction: once the state machine is durable up to an index, [`compact`](Self::compact) says
+///   where the log may be cut on disk, or nothing.
+/// - A member in [`Ready::snapshots`](crate::Ready) gets a copy of the state with
+///   [`base_at`](Self::base_at) of its index; however that ends,
+///   [`snapshot_sent`](Self::snapshot_sent) must be told, or the member gets no more entries.
+/// - Whoever gets a copy makes it durable together with its base, then calls
+///   [`install`](Self::install), whose reset of the log comes out as the next write. When the
+///   process starts, [`Start::needs_reset`] tells whether that write was lost.
+/// - While [`wants_join`](Self::wants_join), it asks the others to [`join`](Self::join) it. The
+///   leader then adds it as a learner, removes the lost disk at its address and promotes it.
+/// - Before a planned stop it calls [`transfer`](Self::transfer) and waits until it leads no more.
 #[derive(Debug)]
 pub struct Node {
     id: MemberId,
@@ -327,6 +359,17 @@
         }
     }
 
+    /// How far a member's disk is known to hold this log: its own, or at the leader anyone's.
+    pub fn matched(&self, id: MemberId) -> Option<LogIndex> {
+        if id == self.id {
+            return Some(self.disk.synced);
+        }
+        match &self.role {
+            Role::Leader(lead) => lead.peers.get(&id).map(|peer| peer.matched),
+            Role::Follower | Role::PreCandidate { .. } | Role::Candidate { .. } => None,
+        }
+    }
+
     /// Makes the leader refuse proposals while the disk is nearly full, or take them again.
     pub fn set_disk_full(&mut self, full: bool) {
         self.refuse_writes = full;
--- /dev/null
+++ b/crates/log/tests/node.rs
@@ -0,0 +1,379 @@
+//! Single steps of a node: what it may say, and when.
+
+mod trio;
+
+use std::time::Duration;
+
+use clem_log::{
+    Append, Ballot, Base, Body, Change, Entry, HardState, LogIndex, MemberId, Message, Node,
+    Payload, ReadId, Refused, Settings, Start, Term,
+};
+use clem_types::Time;
+use trio::{Trio, base, start};
+
+const LONG: Duration = Duration::from_secs(2);
+
+fn vote(from: u64, to: u64, term: u64, transfer: bool) -> Message {
+    let ballot = Ballot {
+        index: LogIndex(9),
+        term: Term(9),
+        transfer,
+    };
+    Message {
+        from: MemberId(from),
+        to: MemberId(to),
+        term: Term(term),
+        body: Body::Vote(ballot),
+    }
+}
+
+fn granted(messages: &[Message]) -> bool {
+    messages
+        .iter()
+        .any(|m| m.body == Body::VoteReply { granted: true })
+}
+
+#[test]
+fn a_vote_is_answered_only_once_it_is_synced() {
+    let mut node = Node::new(Time::ZERO, start(1), Settings::default());
+    let now = Time::ZERO + LONG;
+    node.step(now, vote(2, 1, 5, false));
+    let ready = node.ready(now);
+    assert!(ready.messages.is_empty());
+    let write = ready.write.expect("term and vote");
+    let hard = write.hard.expect("term and vote");
+    assert_eq!((hard.term, hard.vote), (Term(5), Some(MemberId(2))));
+    node.synced(now, write.number);
+    assert!(granted(&node.ready(now).messages));
+}
+
+#[test]
+fn a_vote_is_remembered_over_a_restart() {
+    let hard = HardState {
+        term: Term(5),
+        vote: Some(MemberId(2)),
+    };
+    let start = Start { hard, ..start(1) };
+    let mut node = Node::new(Time::ZERO, start, Settings::default());
+    let now = Time::ZERO + LONG;
+    node.step(now, vote(3, 1, 5, true));
+    assert!(!granted(&node.ready(now).messages));
+    node.step(now, vote(2, 1, 5, true));
+    assert!(granted(&node.ready(now).messages));
+}
+
+#[test]
+fn a_restarted_node_votes_for_nobody_while_a_lease_may_run() {
+    let mut node = Node::new(Time::ZERO, start(1), Settings::default());
+    let now = Time::from_millis(900);
+    node.step(now, vote(2, 1, 5, false));
+    assert!(node.ready(now).messages.is_empty());
+    assert_eq!(node.term(), Term(0));
+}
+
+#[test]
+fn a_member_that_was_cut_off_or_removed_disturbs_no_leader() {
+    let mut trio = Trio::elected();
+    let term = trio.nodes[0].term();
+    let now = trio.now + Duration::from_millis(100);
+    for message in [vote(3, 2, 50, false), vote(3, 1, 50, false)] {
+        let Body::Vote(ballot) = message.body else {
+            panic!("a vote");
+        };
+        let asked = Message {
+            body: Body::PreVote(ballot),
+            ..message.clone()
+        };
+        let to = message.to.0 as usize - 1;
+        trio.nodes[to].step(now, asked);
+        trio.nodes[to].step(now, message);
+        let ready = trio.nodes[to].ready(now);
+        assert!(ready.write.is_none(), "nothing to remember");
+        let refused = |m: &Message| m.body == Body::PreVoteReply { granted: false };
+        assert!(ready.messages.iter().all(refused));
+    }
+    trio.deliver();
+    assert!(trio.nodes[0].is_leader());
+    assert_eq!(trio.nodes[1].term(), term);
+}
+
+#[test]
+fn an_isolated_node_never_raises_its_term() {
+    let mut trio = Trio::elected();
+    let term = trio.nodes[0].term();
+    for _ in 0..100 {
+        trio.now = trio.now + Duration::from_millis(200);
+        trio.nodes[2].tick(trio.now);
+        let _ = trio.nodes[2].ready(trio.now);
+    }
+    assert_eq!(trio.nodes[2].term(), term);
+}
+
+#[test]
+fn a_new_leader_holds_no_lease_before_it_has_committed() {
+    let trio = Trio::elected();
+    assert!(trio.nodes[0].holds_lease(trio.now));
+    let mut trio = Trio::campaigning();
+    trio.sync_entries = false;
+    trio.deliver();
+    assert!(trio.nodes[0].is_leader());
+    trio.beat();
+    assert!(!trio.nodes[0].holds_lease(trio.now));
+    assert_eq!(trio.nodes[0].read(trio.now, ReadId(1)), Ok(()));
+    assert!(trio.nodes[0].ready(trio.now).reads.is_empty());
+}
+
+#[test]
+fn a_lease_ends_by_itself() {
+    let mut trio = Trio::elected();
+    let asked = trio.now;
+    assert!(trio.nodes[0].holds_lease(asked + Duration::from_millis(790)));
+    assert!(!trio.nodes[0].holds_lease(asked + Duration::from_millis(801)));
+    trio.now = trio.now + Duration::from_millis(1100);
+    trio.nodes[0].tick(trio.now);
+    assert!(
+        !trio.nodes[0].is_leader(),
+        "a leader without a quorum steps down"
+    );
+}
+
+#[test]
+fn a_read_without_a_lease_asks_a_quorum() {
+    let mut trio = Trio::elected();
+    trio.now = trio.now + Duration::from_millis(900);
+    assert_eq!(trio.nodes[0].read(trio.now, ReadId(1)), Ok(()));
+    let ready = trio.nodes[0].ready(trio.now);
+    assert!(ready.reads.is_empty());
+    assert_eq!(ready.messages.len(), 2, "both others are asked");
+    for message in ready.messages {
+        let to = message.to.0 as usize - 1;
+        trio.nodes[to].step(trio.now, message);
+    }
+    trio.deliver();
+    assert_eq!(trio.reads, [ReadId(1)]);
+}
+
+/// An older term's entry on a quorum may still be replaced, so counting copies doesn't commit it.
+#[test]
+fn copies_of_an_older_term_commit_nothing() {
+    let mut trio = Trio::elected();
+    let old = Entry {
+        index: LogIndex(3),
+        term: Term(1),
+        payload: Payload::Data(b"old"[..].into()),
+    };
+    // All have the entry, and node 0 leads again in a later term, with a log whose entry of that
+    // term has reached nobody.
+    for node in 0..3 {
+        let id = node as u64 + 1;
+        let noop = Entry {
+            index: LogIndex(2),
+            term: Term(1),
+            payload: Payload::Noop,
+        };
+        let start = Start {
+            hard: HardState {
+                term: Term(1),
+                vote: Some(MemberId(1)),
+            },
+            entries: vec![noop, old.clone()],
+            ..start(id)
+        };
+        trio.nodes[node] = Node::new(trio.now, start, Settings::default());
+    }
+    trio.campaign();
+    trio.sync_entries = false;
+    trio.deliver();
+    trio.beat();
+    assert!(trio.nodes[0].is_leader());
+    assert_eq!(trio.nodes[0].last(), LogIndex(4));
+    assert_eq!(trio.nodes[0].commit(), LogIndex(1));
+}
+
+#[test]
+fn a_slow_sync_stalls_no_heartbeat() {
+    let mut trio = Trio::elected();
+    let leader = trio.nodes[0].id();
+    trio.sync_entries = false;
+    let proposed = trio.nodes[0].propose(trio.now, b"x"[..].into());
+    assert!(proposed.is_ok());
+    for _ in 0..50 {
+        trio.now = trio.now + Duration::from_millis(100);
+        for node in &mut trio.nodes {
+            node.tick(trio.now);
+        }
+        trio.deliver();
+        assert!(trio.nodes[0].holds_lease(trio.now));
+        assert_eq!(trio.nodes[2].leader(), Some(leader));
+    }
+}
+
+#[test]
+fn entries_are_answered_for_only_once_they_are_synced() {
+    let mut node = Node::new(Time::ZERO, start(2), Settings::default());
+    let entry = Entry {
+        index: LogIndex(2),
+        term: Term(1),
+        payload: Payload::Noop,
+    };
+    let append = Append {
+        prev: LogIndex(1),
+        prev_term: Term(0),
+        entries: vec![entry],
+        commit: LogIndex(2),
+        sent: 1,
+    };
+    let now = Time::from_millis(10);
+    node.step(
+        now,
+        Message {
+            from: MemberId(1),
+            to: MemberId(2),
+            term: Term(1),
+            body: Body::Append(append),
+        },
+    );
+    let ready = node.ready(now);
+    assert!(ready.messages.is_empty(), "the term isn't synced either");
+    assert!(ready.committed.is_empty(), "the store may not run ahead");
+    node.synced(now, ready.write.expect("an entry").number);
+    let ready = node.ready(now);
+    let last = ready.messages.last().expect("an answer");
+    assert!(matches!(last.body, Body::Appended { matched, .. } if matched == LogIndex(2)));
+    assert_eq!(ready.committed.len(), 1);
+}
+
+#[test]
+fn a_copy_of_the_state_never_replaces_newer_entries() {
+    let mut trio = Trio::elected();
+    for _ in 0..5 {
+        trio.nodes[0]
+            .propose(trio.now, b"x"[..].into())
+            .expect("it leads");
+    }
+    trio.deliver();
+    trio.beat();
+    let commit = trio.nodes[1].commit();
+    assert!(commit >= LogIndex(7));
+    let older = Base {
+        index: LogIndex(4),
+        term: Term(1),
+        ..base()
+    };
+    assert!(!trio.nodes[1].install(trio.now, older));
+    assert_eq!(trio.nodes[1].commit(), commit);
+}
+
+#[test]
+fn a_log_that_a_copy_contradicts_is_reset_at_the_start() {
+    let entry = |index, term| Entry {
+        index: LogIndex(index),
+        term: Term(term),
+        payload: Payload::Noop,
+    };
+    let copied = Base {
+        index: LogIndex(3),
+        term: Term(2),
+        ..base()
+    };
+    let found = |entries| Start {
+        entries,
+        applied: LogIndex(3),
+        ..start(1)
+    };
+    let torn = found(vec![entry(2, 1), entry(3, 1), entry(4, 1)]);
+    assert!(torn.needs_reset(&copied), "entry 3 was never committed");
+    assert!(found(vec![entry(2, 1)]).needs_reset(&copied));
+    assert!(!found(vec![entry(2, 1), entry(3, 2)]).needs_reset(&copied));
+}
+
+#[test]
+fn a_second_change_of_members_waits_for_the_first() {
+    let mut trio = Trio::elected();
+    let add = |id| Change::AddLearner {
+        id: MemberId(id),
+        address: format!("127.0.0.1:{id}"),
+    };
+    let now = trio.now;
+    assert!(trio.nodes[0].change(now, &add(8)).is_ok());
+    let second = trio.nodes[0].change(now, &add(9));
+    assert_eq!(second, Err(Refused::ChangeRefused));
+    trio.deliver();
+    assert!(trio.nodes[0].change(now, &add(9)).is_ok());
+}
+
+#[test]
+fn a_new_disk_is_promoted_only_when_it_has_caught_up() {
+    let mut trio = Trio::elected();
+    let address = trio.nodes[0]
+        .members()
+        .get(MemberId(3))
+        .map(|m| m.address.clone());
+    let address = address.expect("a member");
+    let fresh = MemberId(77);
+    trio.lose(2);
+    for _ in 0..40 {
+        trio.now = trio.now + Duration::from_millis(100);
+        trio.nodes[0]
+            .join(trio.now, fresh, &address)
+            .expect("it leads");
+        trio.nodes[0].tick(trio.now);
+        trio.deliver();
+        assert!(
+            !trio.nodes[0].members().is_voter(fresh),
+            "it has no entry yet"
+        );
+    }
+    assert!(trio.nodes[0].members().get(fresh).is_some());
+    assert!(
+        trio.nodes[0].members().is_voter(MemberId(3)),
+        "the lost disk counts until then"
+    );
+
+    trio.nodes[2] = Node::new(trio.now, Start::new(fresh, 5), Settings::default());
+    trio.wanted = Some(2);
+    for _ in 0..40 {
+        trio.now = trio.now + Duration::from_millis(100);
+        for node in &mut trio.nodes {
+            node.tick(trio.now);
+        }
+        trio.deliver();
+    }
+    let voters: Vec<_> = trio.nodes[1].members().voters().collect();
+    assert_eq!(voters, [MemberId(1), MemberId(2), fresh]);
+}
+
+#[test]
+fn a_leader_that_hands_over_leads_no_more_when_the_other_campaigns() {
+    let mut trio = Trio::elected();
+    trio.nodes[0]
+        .transfer(trio.now, Some(MemberId(2)))
+        .expect("it leads");
+    assert!(!trio.nodes[0].is_leader());
+    assert!(!trio.nodes[0].holds_lease(trio.now));
+    trio.deliver();
+    assert!(trio.nodes[1].is_leader(), "without waiting for a timeout");
+}
+
+#[test]
+fn a_full_disk_and_a_full_pipe_are_refused_clearly() {
+    let mut trio = Trio::elected();
+    trio.nodes[0].set_disk_full(true);
+    let now = trio.now;
+    let refused = trio.nodes[0].propose(now, b"x"[..].into());
+    assert_eq!(refused, Err(Refused::DiskFull));
+    trio.nodes[0].set_disk_full(false);
+    let big = bytes::Bytes::from(vec![0; 1 << 20]);
+    let refused = (0..20).find_map(|_| trio.nodes[0].propose(now, big.clone()).err());
+    assert_eq!(refused, Some(Refused::Busy));
+    trio.deliver();
+    assert!(trio.nodes[0].propose(now, big).is_ok());
+}
+
+#[test]
+fn messages_for_the_lost_disk_are_not_taken_by_its_successor() {
+    let mut node = Node::new(Time::ZERO, Start::new(MemberId(77), 1), Settings::default());
+    let now = Time::ZERO + LONG;
+    node.step(now, vote(1, 3, 5, false));
+    assert!(node.ready(now).write.is_none());
+}
--- a/crates/log/tests/sim/disk.rs
+++ b/crates/log/tests/sim/disk.rs
@@ -65,14 +65,17 @@
 
     /// What a process that starts on this disk finds.
     pub(crate) fn start(&mut self, seed: u64) -> Start {
-        let at = self.state_base.index;
-        let known = at == self.base.index
-            || (self.entries.iter()).any(|e| e.index == at && e.term == self.state_base.term);
-        if at > self.base.index && !known {
+        let start = self.as_found(seed);
+        if start.needs_reset(&self.state_base) {
             // The crash came after the copy of the state was durable, before the log was reset.
             self.base = self.state_base.clone();
             self.entries.clear();
+            return self.as_found(seed);
         }
+        start
+    }
+
+    fn as_found(&self, seed: u64) -> Start {
         Start {
             id: self.id,
             seed,
--- /dev/null
+++ b/crates/log/tests/trio/mod.rs
@@ -0,0 +1,140 @@
+//! Three nodes whose messages arrive at once and in order.
+
+use std::time::Duration;
+
+use clem_log::{Base, LogIndex, Member, MemberId, Members, Node, ReadId, Seat, Settings, Start};
+use clem_types::Time;
+
+pub(crate) fn base() -> Base {
+    let mut list = Vec::new();
+    for id in 1..=3 {
+        list.push(Member {
+            id: MemberId(id),
+            address: format!("127.0.0.1:700{id}"),
+            seat: Seat::Voter,
+        });
+    }
+    Base {
+        index: LogIndex(1),
+        members: Members::new(list),
+        ..Base::default()
+    }
+}
+
+pub(crate) fn start(id: u64) -> Start {
+    Start {
+        base: base(),
+        applied: LogIndex(1),
+        ..Start::new(MemberId(id), id)
+    }
+}
+
+/// Three nodes; the first is made the leader.
+pub(crate) struct Trio {
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) now: Time,
+    /// Whether writes with entries are synced; those of term and vote alone always are.
+    pub(crate) sync_entries: bool,
+    pub(crate) reads: Vec<ReadId>,
+    /// The node that takes a copy of the state when the leader asks for it.
+    pub(crate) wanted: Option<usize>,
+    lost: Option<usize>,
+}
+
+impl Trio {
+    pub(crate) fn campaigning() -> Self {
+        let nodes = (1..=3)
+            .map(|id| Node::new(Time::ZERO, start(id), Settings::default()))
+            .collect();
+        let mut trio = Self {
+            nodes,
+            now: Time::from_millis(1),
+            sync_entries: true,
+            reads: Vec::new(),
+            wanted: None,
+            lost: None,
+        };
+        trio.campaign();
+        trio
+    }
+
+    pub(crate) fn elected() -> Self {
+        let mut trio = Self::campaigning();
+        trio.deliver();
+        trio.beat();
+        assert!(trio.nodes[0].is_leader());
+        trio
+    }
+
+    /// Lets the first node ask for votes, when no promise binds the others any more.
+    pub(crate) fn campaign(&mut self) {
+        self.now = self.now + Duration::from_secs(2);
+        self.nodes[0].tick(self.now);
+    }
+
+    pub(crate) fn lose(&mut self, node: usize) {
+        self.lost = Some(node);
+    }
+
+    /// Lets a heartbeat and its answers pass.
+    pub(crate) fn beat(&mut self) {
+        self.now = self.now + Duration::from_millis(300);
+        self.nodes[0].tick(self.now);
+        self.deliver();
+    }
+
+    /// Delivers messages until none is left.
+    pub(crate) fn deliver(&mut self) {
+        loop {
+            let mut messages = Vec::new();
+            for node in 0..3 {
+                if self.lost == Some(node) && self.wanted.is_none() {
+                    continue;
+                }
+                self.take_round(node, &mut messages);
+            }
+            if messages.is_empty() {
+                return;
+            }
+            for message in messages {
+                let to = self.nodes.iter_mut().find(|n| n.id() == message.to);
+                if let Some(node) = to {
+                    node.step(self.now, message);
+                }
+            }
+        }
+    }
+
+    fn take_round(&mut self, node: usize, messages: &mut Vec<clem_log::Message>) {
+        loop {
+            let ready = self.nodes[node].ready(self.now);
+            messages.extend(ready.messages);
+            self.reads.extend(ready.reads.iter().map(|read| read.id));
+            for id in ready.snapshots {
+                self.copy_state(node, id);
+            }
+            let Some(write) = ready.write else {
+                return;
+            };
+            if self.sync_entries || write.entries.is_empty() {
+                self.nodes[node].synced(self.now, write.number);
+            }
+        }
+    }
+
+    fn copy_state(&mut self, from: usize, id: MemberId) {
+        let commit = self.nodes[from].commit();
+        let base = self.nodes[from].base_at(commit);
+        let sent = match (base, self.wanted) {
+            (Some(base), Some(to)) if self.nodes[to].id() == id => {
+                self.nodes[to].install(self.now, base);
+                Some(commit)
+            }
+            _ => None,
+        };
+        // Without a taker the copy stays on its way.
+        if sent.is_some() {
+            self.nodes[from].snapshot_sent(id, sent);
+        }
+    }
+}
