--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod balance;
 mod pace;
+mod tail;
 
 pub use admission::{Admission, Full, JobId, Offer, Settings, Step};
 pub use balance::Balance;
