--- /dev/null
+++ b/crates/checks/tests/agreement/mod.rs
@@ -0,0 +1,150 @@
+//! A control group of real processes, without entries and targets.
+
+use std::time::{Duration, Instant};
+
+use clem_checks::{Fleet, Options, Result, eventually_value};
+use clem_wire::{
+    Call, Client, ControlClient, ControlReply, FleetSecret,
+    admin::{Apply, ApplyReply, MemberRole, ReadRules, ReadStatus, StatusView},
+};
+use eyre::{OptionExt, bail};
+
+/// How long one call may look for a leader.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a single process may take to answer for itself.
+const ONE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A control group under test.
+pub(crate) struct Group {
+    pub(crate) fleet: Fleet,
+    /// The rules that were acknowledged last.
+    pub(crate) version: u64,
+    pub(crate) text: String,
+    client: ControlClient,
+    direct: Client,
+}
+
+impl Group {
+    pub(crate) async fn start() -> Result<Self> {
+        let options = Options {
+            entries: 0,
+            targets: Vec::new(),
+            rules: Vec::new(),
+            ..Options::default()
+        };
+        let fleet = Fleet::start(options).await?;
+        let secret = FleetSecret::read(&fleet.folder().join("secret"))?;
+        let direct = Client::new(secret);
+        let addresses = (0..3).map(|place| fleet.control_address(place)).collect();
+        let mut group = Self {
+            client: ControlClient::new(direct.clone(), addresses),
+            fleet,
+            version: 1,
+            text: String::new(),
+            direct,
+        };
+        group.change().await?;
+        Ok(group)
+    }
+
+    fn next_text(&self) -> String {
+        let burst = self.version + 1;
+        format!(
+            "customer.totara = {{ rate = \"20/s\", burst = {burst}, weight = 1 }}  # asked by Mere\n"
+        )
+    }
+
+    /// Puts the next version in force, resending under the same id until it is answered.
+    pub(crate) async fn change(&mut self) -> Result<()> {
+        let text = self.next_text();
+        let apply = Apply {
+            command: format!("change-{}", self.version + 1).parse()?,
+            expect: clem_types::Version(self.version),
+            text: text.clone(),
+        };
+        match self.client.call(&apply, CALL_TIMEOUT).await? {
+            ApplyReply::Accepted { version, .. } => {
+                assert_eq!(version.0, self.version + 1);
+                self.version = version.0;
+                self.text = text;
+                Ok(())
+            }
+            other => bail!("not accepted: {other:?}"),
+        }
+    }
+
+    /// Asks the group, and checks that it holds what was acknowledged.
+    pub(crate) async fn check_rules(&self) -> Result<()> {
+        let rules = self.client.call(&ReadRules {}, CALL_TIMEOUT).await?;
+        assert_eq!(
+            (rules.version.0, rules.text),
+            (self.version, self.text.clone())
+        );
+        Ok(())
+    }
+
+    pub(crate) async fn status(&self) -> Result<StatusView> {
+        Ok(self.client.call(&ReadStatus {}, CALL_TIMEOUT).await?)
+    }
+
+    /// The place of the leader.
+    pub(crate) async fn leader(&self) -> Result<usize> {
+        let status = self.status().await?;
+        let leader = status.members.iter().find(|m| m.role == MemberRole::Leader);
+        let leader = leader.ok_or_eyre("no leader among the members")?;
+        let place = (0..3).find(|place| self.fleet.control_address(*place) == leader.address);
+        place.ok_or_eyre("the leader is no member of the fleet")
+    }
+
+    /// The identity of the member at a place, if it is one.
+    pub(crate) async fn identity(&self, place: usize) -> Result<String> {
+        let address = self.fleet.control_address(place);
+        let status = self.status().await?;
+        let member = status.members.iter().find(|m| m.address == address);
+        Ok(member.ok_or_eyre("not a member")?.identity.clone())
+    }
+
+    /// Asks one process alone; none when it doesn't answer as the leader.
+    pub(crate) async fn ask_one<C: Call>(&self, place: usize, call: &C) -> Option<C::Reply>
+    where
+        ControlReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        let body = clem_wire::codec::encode(call).ok()?;
+        let address = self.fleet.control_address(place);
+        let reply = self.direct.post(address, C::PATH, body.into(), ONE_TIMEOUT);
+        let reply = clem_wire::codec::decode(&reply.await.ok()?).ok()?;
+        match reply {
+            ControlReply::Done(reply) => Some(reply),
+            ControlReply::NotLeader { .. } | ControlReply::Unknown => None,
+        }
+    }
+
+    /// Waits until there are three voters, all at the end of the log, with this identity not
+    /// among them.
+    pub(crate) async fn whole_without(&self, identity: &str) -> Result<()> {
+        eventually_value("three voters without the lost disk", async || {
+            let status = self.status().await.ok()?;
+            let last = status.members.iter().map(|m| m.matched).max()?;
+            let whole = status.members.len() == 3
+                && status.members.iter().all(|m| {
+                    m.role != MemberRole::Learner && m.identity != identity && m.matched == last
+                });
+            whole.then_some(())
+        })
+        .await
+    }
+
+    /// Removes a killed process's data folder and starts it again.
+    pub(crate) fn lose_disk(&mut self, place: usize) -> Result<()> {
+        self.fleet.control[place].kill()?;
+        let data = self.fleet.data_dir(place);
+        std::fs::remove_dir_all(&data)?;
+        std::fs::create_dir_all(&data)?;
+        self.fleet.control[place].restart()
+    }
+}
+
+/// Prints how long something took; no verdict hangs on it.
+pub(crate) fn note(what: &str, start: Instant) {
+    println!("MEASURED {what}: {} ms", start.elapsed().as_millis());
+}
--- /dev/null
+++ b/crates/checks/tests/agreement_faults.rs
@@ -0,0 +1,195 @@
+//! What was acknowledged stays while control processes are killed, frozen and lose their disks.
+
+mod agreement;
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+    time::Instant,
+};
+
+use agreement::{Group, note};
+use clem_checks::{Process, Result, eventually_value};
+use clem_wire::admin::ReadRules;
+
+#[tokio::test]
+async fn a_leader_killed_after_its_answer_loses_nothing() -> Result<()> {
+    let mut group = Group::start().await?;
+    for _ in 0..3 {
+        group.change().await?;
+        let leader = group.leader().await?;
+        group.change().await?;
+        group.fleet.control[leader].kill()?;
+        let start = Instant::now();
+        group.check_rules().await?;
+        note("without a leader after kill -9", start);
+        group.change().await?;
+        group.fleet.control[leader].restart()?;
+        group.check_rules().await?;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_frozen_leader_answers_nothing_old_when_it_wakes() -> Result<()> {
+    let mut group = Group::start().await?;
+    let leader = group.leader().await?;
+    group.fleet.control[leader].freeze()?;
+    let start = Instant::now();
+    group.change().await?;
+    note(
+        "without a leader after a freeze, with a caller that asked it first",
+        start,
+    );
+    group.change().await?;
+    group.fleet.control[leader].thaw()?;
+    // From its first moment on: either it refuses, or what it says is new.
+    for _ in 0..50 {
+        let Some(rules) = group.ask_one(leader, &ReadRules {}).await else {
+            continue;
+        };
+        assert_eq!(rules.version.0, group.version);
+    }
+    group.check_rules().await?;
+    // It follows again: with another process gone it is needed for a quorum.
+    let leader = group.leader().await?;
+    group.fleet.control[leader].kill()?;
+    group.change().await?;
+    group.check_rules().await
+}
+
+#[tokio::test]
+async fn a_second_loss_right_after_the_repair_of_a_lost_disk_loses_nothing() -> Result<()> {
+    let mut group = Group::start().await?;
+    let mut identities = BTreeSet::new();
+    for round in 0..2 {
+        // The leader in the first round, a follower in the second.
+        let leader = group.leader().await?;
+        let place = if round == 0 { leader } else { (leader + 1) % 3 };
+        let lost = group.identity(place).await?;
+        assert!(
+            identities.insert(lost.clone()),
+            "no disk has a former one's name"
+        );
+        group.change().await?;
+        let start = Instant::now();
+        group.lose_disk(place)?;
+        group.change().await?;
+        group.whole_without(&lost).await?;
+        note("from a lost disk to three voters", start);
+        group.check_rules().await?;
+    }
+    let leader = group.leader().await?;
+    fs::remove_dir_all(group.fleet.data_dir(leader))?;
+    group.fleet.control[leader].kill()?;
+    group.check_rules().await?;
+    group.change().await?;
+    group.check_rules().await
+}
+
+#[tokio::test]
+async fn all_restarted_after_500_changes_have_them_all() -> Result<()> {
+    let mut group = Group::start().await?;
+    let start = Instant::now();
+    while group.version < 500 {
+        group.change().await?;
+    }
+    note("500 changes one after the other", start);
+    for process in &mut group.fleet.control {
+        process.kill()?;
+    }
+    let start = Instant::now();
+    for process in &mut group.fleet.control {
+        process.restart()?;
+    }
+    group.check_rules().await?;
+    note(
+        "from a restart of all to the first answer after 500 changes",
+        start,
+    );
+    group.change().await?;
+    group.check_rules().await
+}
+
+#[tokio::test]
+async fn a_data_folder_in_use_is_refused() -> Result<()> {
+    let group = Group::start().await?;
+    let first = &group.fleet.control[0];
+    let mut second = Process::start(
+        "second",
+        "clem-control",
+        first.args().to_vec(),
+        &group.fleet.folder(),
+    )?;
+    let status = second.wait().await?;
+    assert!(!status.success());
+    group.check_rules().await
+}
+
+#[tokio::test]
+async fn damage_in_the_middle_of_the_log_is_refused_by_name_and_place() -> Result<()> {
+    let mut group = Group::start().await?;
+    for _ in 0..10 {
+        group.change().await?;
+    }
+    let leader = group.leader().await?;
+    let place = (leader + 1) % 3;
+    group.fleet.control[place].kill()?;
+    let segment = first_segment(&group.fleet.data_dir(place))?;
+    let mut bytes = fs::read(&segment)?;
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0x40;
+    fs::write(&segment, bytes)?;
+    group.fleet.control[place].restart()?;
+    let status = group.fleet.control[place].wait().await?;
+    assert!(!status.success());
+    let name = segment.file_name().and_then(|name| name.to_str());
+    let name = name.unwrap_or_default().to_owned();
+    let process = &group.fleet.control[place];
+    let text = process.log()? + &process.output()?;
+    assert!(text.contains(&name), "the file is named: {text}");
+    assert!(text.contains("damaged at byte"), "and the place: {text}");
+    group.change().await?;
+    group.check_rules().await
+}
+
+#[tokio::test]
+async fn a_torn_end_of_the_log_is_cut_back() -> Result<()> {
+    let mut group = Group::start().await?;
+    group.change().await?;
+    let place = (group.leader().await? + 1) % 3;
+    group.fleet.control[place].kill()?;
+    let segment = first_segment(&group.fleet.data_dir(place))?;
+    let mut bytes = fs::read(&segment)?;
+    bytes.extend([200, 0, 0, 0, 1, 2, 3, 4, 5]);
+    fs::write(&segment, bytes)?;
+    group.fleet.control[place].restart()?;
+    group.change().await?;
+    // It counts again: with the leader gone it is needed for a quorum.
+    let leader = group.leader().await?;
+    group.fleet.control[leader].kill()?;
+    let answered = eventually_value("an answer of the other two", async || {
+        group.check_rules().await.ok()
+    });
+    answered.await
+}
+
+/// The first segment file below a folder.
+fn first_segment(folder: &Path) -> Result<PathBuf> {
+    let mut folders = vec![folder.to_owned()];
+    let mut found = Vec::new();
+    while let Some(folder) = folders.pop() {
+        for file in fs::read_dir(folder)? {
+            let path = file?.path();
+            let name = path.file_name().and_then(|name| name.to_str());
+            if path.is_dir() {
+                folders.push(path);
+            } else if name.is_some_and(|name| name.starts_with("segment-")) {
+                found.push(path);
+            }
+        }
+    }
+    found.sort();
+    eyre::OptionExt::ok_or_eyre(found.into_iter().next(), "no segment")
+}
