Copies of the state: tests with a log that has been cut

Cause: a member whose disk was lost, or that was away for long, was only tested while the log still reached back to it.

--- a/crates/checks/tests/agreement/mod.rs
+++ b/crates/checks/tests/agreement/mod.rs
@@ -57,6 +57,11 @@
     /// Puts the next version in force, resending under the same id until it is answered.
     pub(crate) async fn change(&mut self) -> Result<()> {
         let text = self.next_text();
+        self.change_to(text).await
+    }
+
+    /// Puts a file in force, resending under the same id until it is answered.
+    pub(crate) async fn change_to(&mut self, text: String) -> Result<()> {
         let apply = Apply {
             command: format!("change-{}", self.version + 1).parse()?,
             expect: clem_types::Version(self.version),
