Floor of fences for restarted agents, routes stay on versions that answer, orphaned batches

A restarted agent has no disk: the newest ended order's number comes with each answer of the leader, and it obeys none older. A file that moves a route to a version which is ready nowhere is refused while the old one answers; a resent command still gets its first answer. Open batches of a removed customer are cancelled: agents refuse their items, which would go back and forth for ever.

--- a/crates/checks/tests/orders_targets.rs
+++ b/crates/checks/tests/orders_targets.rs
@@ -182,6 +182,39 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_route_is_not_moved_to_a_version_that_is_ready_nowhere() -> Result<()> {
+    let mut fleet = Fleet::start(Options::default()).await?;
+    let before = fleet.rules.clone();
+    for rule in &mut fleet.rules {
+        if rule.starts_with("route.assistant") {
+            *rule = rule.replace("version = 3", "version = 4");
+        }
+    }
+    let line = fleet
+        .rules
+        .iter()
+        .position(|rule| rule.starts_with("route.assistant"));
+    let file = fleet.write_rules()?;
+    let expect = fleet.version.to_string();
+    let output = fleet.ctl(&["apply", &file, "--expect", &expect]).await?;
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(4), "{text}");
+    let place = format!(
+        ":{}:1: assistant-7b is ready nowhere",
+        line.map_or(0, |line| line + 1)
+    );
+    assert!(text.contains(&place), "{text}");
+    fleet.rules = before;
+    assert!(
+        chat(&fleet, 0, "totara", "still on the old one", 2)
+            .await?
+            .status
+            .is_success()
+    );
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_rollout_by_two_edits_refuses_nobody() -> Result<()> {
     let mut fleet = Fleet::start(Options {
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -93,6 +93,14 @@
         entry.holder.incarnation == incarnation && now < entry.until
     }
 
+    /// How many leases hold.
+    pub fn live(&self, now: Time) -> usize {
+        self.entries
+            .values()
+            .filter(|entry| now < entry.until)
+            .count()
+    }
+
     /// The holders that may still work by rules older than `version`.
     pub fn waiting(&self, version: Version, now: Time) -> Vec<HolderId> {
         let mut waiting = Vec::new();
--- a/crates/control/src/lead/soft.rs
+++ b/crates/control/src/lead/soft.rs
@@ -31,6 +31,8 @@
     pub drained: BTreeSet<TargetId>,
     /// The version of the poison list.
     pub poison: Version,
+    /// The rules by which batches of customers that are gone were last looked for.
+    pub swept: Version,
     buckets: Buckets,
     /// The newest order that each holder has been told of.
     told: BTreeMap<HolderId, (Incarnation, FenceNumber)>,
@@ -48,6 +50,7 @@
             history: History::new(rules),
             drained,
             poison: Version(0),
+            swept: Version(0),
             buckets: Buckets::new(now),
             told: BTreeMap::new(),
             stops: BTreeMap::new(),
@@ -111,6 +114,7 @@
             rules: self.history.delta(call.rules),
             fleet,
             poison: None,
+            fence: FenceNumber(0),
             orders: Vec::new(),
             cancelled: stops.into_iter().flatten().copied().collect(),
         }
--- a/crates/control/src/serve/admin.rs
+++ b/crates/control/src/serve/admin.rs
@@ -17,7 +17,7 @@
 
 use crate::control::{Control, Refusal, Result};
 
-use super::{Serve, order_check, route};
+use super::{Serve, order_check, route, route_check};
 
 /// How long a call waits for a version to be in force; the caller asks again after it.
 const FORCE_WAIT: Duration = Duration::from_millis(1000);
@@ -47,6 +47,17 @@
             Ok(rules) => rules,
             Err(findings) => return Ok(rejected(findings)),
         };
+        control.barrier().await?;
+        // A command sent again gets its first answer, whatever the fleet looks like by now.
+        let known = control
+            .replica
+            .read(|store| rules::is_answered(store, &self.command));
+        if !known {
+            let findings = control.lead(|lead, _| route_check::check(lead, &rules, &self.text))?;
+            if !findings.is_empty() {
+                return Ok(rejected(findings));
+            }
+        }
         let command = Command::Apply(ApplyRules {
             command: self.command.clone(),
             expect: self.expect,
--- a/crates/control/src/serve/mod.rs
+++ b/crates/control/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod batch;
 mod online;
 mod order_check;
+mod route_check;
 mod sync;
 
 use std::{future::Future, marker::PhantomData, sync::Arc};
--- a/crates/control/src/serve/sync.rs
+++ b/crates/control/src/serve/sync.rs
@@ -107,6 +107,9 @@
     if behind {
         reply.poison = Some(control.replica.read(poison::list));
     }
+    if let Some(target) = target {
+        reply.fence = control.replica.read(|store| orders::ended(store, target));
+    }
     reply.orders = orders;
     control.lead(|lead, _| lead.tell(call, newest))?;
     Ok(Some(reply))
--- a/crates/policy/tests/fill/mod.rs
+++ b/crates/policy/tests/fill/mod.rs
@@ -122,7 +122,13 @@
         }
         if let Player::Admission(admission) = &self.player {
             let pace = admission.pace();
-            println!("bound {:?} step1 {:?} step16 {:?} prefill100 {:?}", admission.step_bound(), pace.step(1), pace.step(16), pace.prefill_time(100));
+            println!(
+                "bound {:?} step1 {:?} step16 {:?} prefill100 {:?}",
+                admission.step_bound(),
+                pace.step(1),
+                pace.step(16),
+                pace.prefill_time(100)
+            );
         }
         self.count_time(end);
         self.figures.first_p99 = quantile(&mut self.firsts, 0.99);
--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -59,6 +59,11 @@
     table::decode(key.as_ref(), &kept.answer).map(Recall::First)
 }
 
+/// Whether the command `id` has been answered.
+pub(crate) fn is_known(store: &dyn Store, id: &CommandId) -> Result<bool> {
+    Ok(store.get(answer_key(id).as_ref())?.is_some())
+}
+
 /// Keeps the first answer to the command `id`, in the place of the oldest when there are many.
 pub(crate) fn remember<T: Serialize>(
     store: &mut dyn Store,
--- a/crates/state/src/batch/header.rs
+++ b/crates/state/src/batch/header.rs
@@ -143,6 +143,11 @@
     Key::new("batch-due").number(due.0).wide(batch.0)
 }
 
+/// The open batches of a customer.
+pub(super) fn open_key(customer: &CustomerId) -> Key {
+    Key::new("batch-open").name(customer.as_str())
+}
+
 /// The key that finds a batch by its customer's idempotency key.
 pub(super) fn idempotency_key(customer: &CustomerId, text: &str) -> Key {
     let hash = BodyHash::of(text.as_bytes());
--- a/crates/state/src/batch/item.rs
+++ b/crates/state/src/batch/item.rs
@@ -13,7 +13,10 @@
     table::{self, Key},
 };
 
-use super::{header::Header, header::add_bytes, header::due_key, retention};
+use super::{
+    header::{Header, add_bytes, due_key, open_key},
+    retention,
+};
 
 /// After so many attempts that were lost without a crash an item has failed.
 pub const MAX_LOSSES: u32 = 3;
@@ -101,6 +104,7 @@
     if let Some(due) = header.due {
         table::delete(store, &due_key(due, batch))?;
     }
+    table::delete(store, &open_key(&header.customer).wide(batch.0))?;
     let expires = UnixMillis(now.0.saturating_add(header.retention));
     retention::set(store, header, batch, Some(expires))
 }
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -23,7 +23,7 @@
 pub use item::{MAX_CRASHES, MAX_LOSSES};
 pub use lease::Lease;
 pub use queue::{SMALL_EVERY, has_waiting};
-pub use read::{endangered, results, status};
+pub use read::{endangered, orphaned, results, status};
 pub use upload::Begin;
 
 pub(crate) use cancel::cancel;
--- a/crates/state/src/batch/read.rs
+++ b/crates/state/src/batch/read.rs
@@ -5,7 +5,8 @@
 use clem_store::Store;
 use clem_types::{BatchId, CustomerId, ItemIndex, UnixMillis};
 use clem_wire::batch::{
-    BatchResults, BatchState, BatchStatus, BatchView, ItemOutcome, ItemResult, ResultsPage,
+    BatchCancel, BatchResults, BatchState, BatchStatus, BatchView, ItemOutcome, ItemResult,
+    ResultsPage,
 };
 
 use crate::{
@@ -14,7 +15,7 @@
 };
 
 use super::{
-    header::Header,
+    header::{Header, open_key},
     item::{self, item_ref},
 };
 
@@ -142,3 +143,38 @@
     }
     Ok(views)
 }
+
+/// Open batches whose customers `is_known` doesn't know, at most `limit`.
+pub fn orphaned(
+    store: &dyn Store,
+    is_known: impl Fn(&CustomerId) -> bool,
+    limit: usize,
+) -> Result<Vec<BatchCancel>> {
+    let prefix = Key::new("batch-open");
+    let end = clem_store::prefix_end(prefix.as_ref());
+    let mut start = prefix.as_ref().to_vec();
+    let mut calls = Vec::new();
+    while let Some(pair) = store.scan(&start, end.as_deref(), 1)?.pop() {
+        let mut reader = KeyReader::after(&pair.key, &prefix);
+        let customer: CustomerId = reader
+            .name()?
+            .parse()
+            .map_err(|_| table::damaged(&pair.key))?;
+        if is_known(&customer) {
+            // On to the next customer, past all batches of this one.
+            let Some(next) = clem_store::prefix_end(open_key(&customer).as_ref()) else {
+                break;
+            };
+            start = next;
+            continue;
+        }
+        let batch = BatchId(reader.wide()?);
+        calls.push(BatchCancel { batch, customer });
+        if calls.len() == limit {
+            break;
+        }
+        start = pair.key.to_vec();
+        start.push(0);
+    }
+    Ok(calls)
+}
--- a/crates/state/src/batch/upload.rs
+++ b/crates/state/src/batch/upload.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    header::{Header, add_bytes, content_key, due_key, idempotency_key, total_bytes},
+    header::{Header, add_bytes, content_key, due_key, idempotency_key, open_key, total_bytes},
     item::{self, bytes, item_ref},
     queue, retention,
 };
@@ -255,6 +255,7 @@
     if let Some(due) = header.due {
         table::put(store, &due_key(due, batch), &())?;
     }
+    table::put(store, &open_key(&header.customer).wide(batch.0), &())?;
     for route in header.routes.clone() {
         queue::enlist(store, header, &route, batch)?;
     }
--- a/crates/state/src/orders.rs
+++ b/crates/state/src/orders.rs
@@ -107,6 +107,8 @@
         table::put(store, &key, &view)?;
         let open = open_key(&command.target).number(result.fence.0);
         table::delete(store, &open)?;
+        let newest = ended(store, &command.target)?.max(result.fence);
+        table::put(store, &ended_key(&command.target), &newest)?;
     }
     Ok(())
 }
@@ -144,6 +146,11 @@
     Ok(table::get(store, &newest_key(target))?.unwrap_or_default())
 }
 
+/// The number of the newest order to a target that has ended; 0 for none.
+pub fn ended(store: &dyn Store, target: &TargetId) -> Result<FenceNumber> {
+    Ok(table::get(store, &ended_key(target))?.unwrap_or_default())
+}
+
 /// Orders to a target that have not ended, oldest first.
 pub fn open(store: &dyn Store, target: &TargetId) -> Result<Vec<Order>> {
     let prefix = open_key(target);
@@ -210,6 +217,10 @@
     Key::new("order-newest").name(target.as_str())
 }
 
+fn ended_key(target: &TargetId) -> Key {
+    Key::new("order-ended").name(target.as_str())
+}
+
 fn drain_key(target: &TargetId) -> Key {
     Key::new("order-drain").name(target.as_str())
 }
--- a/crates/state/src/rules.rs
+++ b/crates/state/src/rules.rs
@@ -60,6 +60,11 @@
     Ok(outcome)
 }
 
+/// Whether a command has been answered, so that it gets the same answer again.
+pub fn is_answered(store: &dyn Store, command: &CommandId) -> Result<bool> {
+    answers::is_known(store, command)
+}
+
 /// The version of the rules in force.
 pub fn version(store: &dyn Store) -> Result<Version> {
     Ok(table::get(store, &version_key())?.unwrap_or_default())
--- a/crates/state/tests/batches.rs
+++ b/crates/state/tests/batches.rs
@@ -396,3 +396,21 @@
     assert_eq!(world.view(batch, "totara"), None);
     assert!(world.store.len() < 20, "{} records left", world.store.len());
 }
+
+#[test]
+fn open_batches_of_customers_that_are_gone_are_found() {
+    let mut world = World::default();
+    let gone = [1, 2].map(|number| world.submit(number, "totara", None, items(1)));
+    world.submit(3, "botez", None, items(1));
+    let ended = world.submit(4, "totara", None, Vec::new());
+    assert_eq!(world.view(ended, "totara").unwrap().state, BatchState::Done);
+    let known = |id: &clem_types::CustomerId| id.as_str() == "botez";
+    let calls = clem_state::batch::orphaned(&world.store, known, 10).unwrap();
+    let found: Vec<BatchId> = calls.iter().map(|call| call.batch).collect();
+    assert_eq!(found, gone);
+    for batch in gone {
+        world.cancel(batch, "totara");
+    }
+    let calls = clem_state::batch::orphaned(&world.store, known, 10).unwrap();
+    assert!(calls.is_empty());
+}
--- a/crates/state/tests/records.rs
+++ b/crates/state/tests/records.rs
@@ -141,6 +141,7 @@
         }));
     }
     assert!(orders::open(&world.store, &target).unwrap().is_empty());
+    assert_eq!(orders::ended(&world.store, &target).unwrap(), fence);
     let latest = orders::latest(&world.store, 1).unwrap();
     assert_eq!(latest[0].outcome, Some(OrderOutcome::Done));
     give(&mut world, "b", Action::Resume, None);
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -73,6 +73,10 @@
     pub fleet: Option<FleetChange>,
     /// The whole poison list, where the holder's is not the latest.
     pub poison: Option<PoisonList>,
+    /// The newest order to the agent's target that has ended: none older is to be obeyed, also by
+    /// an agent that has just started.
+    #[serde(default)]
+    pub fence: FenceNumber,
     /// Orders for the agent's target that have not been answered yet.
     pub orders: Vec<Order>,
     /// Batch items that the agent runs and that must stop.
