--- a/crates/control/tests/lead.rs
+++ b/crates/control/tests/lead.rs
@@ -1,5 +1,7 @@
 //! The leader's soft state: leases, the view of the fleet, and changes of the rules.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 use std::{collections::BTreeSet, time::Duration};
 
 use clem_control::lead::{History, LEASE, Lead, PlatformVm};
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Placement: it settles, moves little, and keeps its bounds at each step.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 use std::{collections::BTreeMap, time::Duration};
 
 use clem_policy::placement::{
--- a/crates/rules/tests/parse.rs
+++ b/crates/rules/tests/parse.rs
@@ -1,5 +1,7 @@
 //! The parser of the rules file: what it accepts, and every finding with its place.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 use clem_rules::{Backend, RuleName, parse};
 use clem_types::Version;
 use proptest::{prelude::*, test_runner::RngSeed};
--- a/crates/state/tests/batches.rs
+++ b/crates/state/tests/batches.rs
@@ -1,5 +1,7 @@
 //! Batches: exactly one final outcome for each item, whatever comes in between.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 mod common;
 
 use clem_state::{Command, batch::MAX_LOSSES, poison};
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! What the tests of the state machine share.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use clem_state::{Command, Outcome, apply, batch};
--- a/crates/state/tests/records.rs
+++ b/crates/state/tests/records.rs
@@ -1,5 +1,7 @@
 //! Rules, orders, calls that run at most once, and crash reports.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 mod common;
 
 use clem_state::{ApplyOutcome, ApplyRules, Command, EndOrders, GiveOrder, Outcome};
--- a/crates/state/tests/schedules.rs
+++ b/crates/state/tests/schedules.rs
@@ -1,5 +1,7 @@
 //! Seeded schedules of commands: what must hold after each of them.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
