--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod admission;
 mod balance;
+mod keep;
 mod pace;
 mod tail;
 
