--- a/crates/load/tests/checks.rs
+++ b/crates/load/tests/checks.rs
@@ -79,6 +79,7 @@
 
 #[test]
 fn ordinary_customers_stay_inside_and_the_excessive_one_does_not() {
+    println!("SEED ordinary_customers_stay_inside {SEED}");
     for scenario in [Scenario::Kahikatea, Scenario::Botez] {
         let shape = scenario.shape();
         let length = Duration::from_secs(60);
