clem-load: first token of streamed answers only, batches alone as a phase

Plain answers' whole time stood in the first-token histogram: p99 750 ms at 8 s phases in place of 80 ms. Batches are cancelled all at once before any is waited for, as hundreds of items finished meanwhile. Batches alone show what the idle fleet carries.

--- a/crates/load/src/chart.rs
+++ b/crates/load/src/chart.rs
@@ -67,6 +67,9 @@
         .draw()
         .map_err(text)?;
     for (place, phase) in report.phases.iter().enumerate() {
+        if phase.first.count == 0 {
+            continue;
+        }
         let colour = Palette99::pick(place);
         let line = LineSeries::new(points(phase), colour.stroke_width(2)).point_size(3);
         let colour = Palette99::pick(place);
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -25,8 +25,8 @@
 pub enum Outcome {
     /// The whole answer and nothing else.
     Whole {
-        /// From the due time to the first token; to the whole answer, where it isn't streamed.
-        first: Duration,
+        /// From the due time to the first token, where the answer is streamed.
+        first: Option<Duration>,
         /// From the due time to the end.
         total: Duration,
         /// The longest time between two tokens.
@@ -168,7 +168,7 @@
         return Outcome::Wrong(reason);
     }
     Outcome::Whole {
-        first: total,
+        first: None,
         total,
         gap: Duration::ZERO,
     }
@@ -208,9 +208,5 @@
         return Outcome::Wrong(reason);
     }
     let total = due.elapsed();
-    Outcome::Whole {
-        first: first.unwrap_or(total),
-        total,
-        gap,
-    }
+    Outcome::Whole { first, total, gap }
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -237,13 +237,19 @@
             let harm = mixed.first.p99 / online.first.p99.max(0.001);
             writeln!(
                 f,
-                "1. batch throughput {:.1} items/s; first token p99 {:.1} ms without batches, {:.1} ms with: x{harm:.2}",
-                mixed.batch_rate, online.first.p99, mixed.first.p99
+                "1. batch throughput {:.1} items/s ({:.1} without chat); first token p99 {:.1} ms without batches, {:.1} ms with: x{harm:.2}",
+                mixed.batch_rate,
+                self.phase("batch").map_or(0.0, |phase| phase.batch_rate),
+                online.first.p99,
+                mixed.first.p99
             )?;
             for phase in &self.phases {
                 let Some(worst) = phase.worst() else {
                     continue;
                 };
+                if worst.sent == 0 {
+                    continue;
+                }
                 writeln!(
                     f,
                     "2. worst-served customer ({}): {}, {:.1} % of its due, first token p99 {:.1} ms",
@@ -255,6 +261,9 @@
             }
             for phase in &self.phases {
                 let (refused, inside) = phase.refused_inside();
+                if inside == 0 {
+                    continue;
+                }
                 writeln!(
                     f,
                     "3. refusals inside the rate ({}): {refused} of {inside}",
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -1,4 +1,4 @@
-//! A run against a fleet: online only, online with batches, and the same while targets are killed.
+//! A run against a fleet: online only, batches only, both, and both while targets are killed.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -47,6 +47,7 @@
 enum Phase {
     WarmUp,
     Online,
+    Batch,
     Mixed,
     Faults,
 }
@@ -56,6 +57,7 @@
         match self {
             Self::WarmUp => "warm-up",
             Self::Online => "online",
+            Self::Batch => "batch",
             Self::Mixed => "mixed",
             Self::Faults => "faults",
         }
@@ -64,7 +66,14 @@
     fn has_batches(self) -> bool {
         match self {
             Self::WarmUp | Self::Online => false,
-            Self::Mixed | Self::Faults => true,
+            Self::Batch | Self::Mixed | Self::Faults => true,
+        }
+    }
+
+    fn has_chat(self) -> bool {
+        match self {
+            Self::Batch => false,
+            Self::WarmUp | Self::Online | Self::Mixed | Self::Faults => true,
         }
     }
 }
@@ -85,7 +94,7 @@
         shape,
     };
     let mut phases = Vec::new();
-    let mut list = vec![Phase::WarmUp, Phase::Online, Phase::Mixed];
+    let mut list = vec![Phase::WarmUp, Phase::Online, Phase::Batch, Phase::Mixed];
     if options.kills > 0 {
         list.push(Phase::Faults);
     }
@@ -131,7 +140,10 @@
 ) -> Result<PhaseReport> {
     let entries = runner.fleet.entries.len();
     // The same arrivals in each phase, so that phases can be compared.
-    let arrivals = plan(&runner.shape, length, entries, seed);
+    let mut arrivals = plan(&runner.shape, length, entries, seed);
+    if !phase.has_chat() {
+        arrivals.clear();
+    }
     let mut batches = Vec::new();
     if phase.has_batches() {
         batches = runner.submit_all(phase, seed).await?;
@@ -147,6 +159,9 @@
     let mut stats = stats?;
     stats.drain().await;
     let mut tally = BatchTally::default();
+    for batch in &batches {
+        runner.cancel(batch).await?;
+    }
     for batch in &batches {
         let last = runner.finish(batch).await?;
         tally.add(&last);
@@ -303,12 +318,17 @@
         ))
     }
 
-    /// Cancels what is left of a batch, and waits until each item has its outcome.
-    async fn finish(&self, batch: &Batch) -> Result<BatchTally> {
+    async fn cancel(&self, batch: &Batch) -> Result<()> {
         let url = format!("{}/cancel", batch.url);
-        self.client
+        let client = &self.client;
+        client
             .fetch(Method::POST, &url, &batch.bearer, Bytes::new())
             .await?;
+        Ok(())
+    }
+
+    /// Waits until each item of a cancelled batch has its outcome.
+    async fn finish(&self, batch: &Batch) -> Result<BatchTally> {
         let end = Instant::now() + DRAIN;
         loop {
             let tally = self.tally(batch).await?;
--- a/crates/load/src/stats.rs
+++ b/crates/load/src/stats.rs
@@ -45,7 +45,7 @@
     pub wrong: u64,
     /// Answers without an end.
     pub broken: u64,
-    /// To the first token, in microseconds.
+    /// To the first token of streamed answers, in microseconds.
     pub first: Histogram<u64>,
 }
 
@@ -54,7 +54,7 @@
 pub struct PhaseStats {
     /// The customers, by their place in the shape.
     pub customers: Vec<CustomerStats>,
-    /// To the first token, in microseconds; customers inside their rates.
+    /// To the first token of streamed answers, in microseconds.
     pub first: Histogram<u64>,
     /// To the end of the answer.
     pub total: Histogram<u64>,
@@ -108,10 +108,12 @@
             Outcome::Whole { first, total, gap } => {
                 customer.whole += 1;
                 customer.whole_inside += u64::from(inside);
-                customer.first.saturating_record(micros(first));
-                self.first.saturating_record(micros(first));
                 self.total.saturating_record(micros(total));
-                self.gap.saturating_record(micros(gap));
+                if let Some(first) = first {
+                    customer.first.saturating_record(micros(first));
+                    self.first.saturating_record(micros(first));
+                    self.gap.saturating_record(micros(gap));
+                }
             }
             Outcome::Refused { status, ran } => {
                 customer.refused += 1;
