A full disk refuses new batches; figures of the replica as metrics

Cause: the state machine bounded the bytes of batches, but nothing looked at the disk itself: a full one ended the process. Known cost: only the leader's disk is looked at; a follower whose disk fills ends with a clear line.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -36,6 +36,8 @@
     pub batch_bytes: u64,
     /// How long the results of a finished batch are kept, in milliseconds.
     pub retention_ms: u64,
+    /// Free bytes on the disk below which new batches are refused.
+    pub disk_reserve: u64,
 }
 
 /// What all handlers of this process share.
--- a/crates/control/src/replica/drive.rs
+++ b/crates/control/src/replica/drive.rs
@@ -90,10 +90,13 @@
 
 /// Syncs the store off the loop; meanwhile committed entries wait, heartbeats go on.
 async fn sync_store(shared: Arc<Shared>) {
+    let start = tokio::time::Instant::now();
     let syncer = shared.store().syncer();
     let result = tokio::task::spawn_blocking(move || syncer.sync()).await;
     match result {
         Ok(Ok(index)) => {
+            let took = start.elapsed().as_secs_f64();
+            metrics::gauge!("clem_control_store_sync_seconds").set(took);
             if let Some(seat) = shared.seat().as_mut() {
                 seat.end_sync(LogIndex(index));
             }
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -20,7 +20,7 @@
 use super::{
     calls::{Group, Hello, HelloReply, Join},
     drive::drive,
-    fatal, install,
+    fatal, gauges, install,
     seat::Seat,
     shared::Shared,
 };
@@ -51,7 +51,8 @@
 
 async fn go_on(shared: Arc<Shared>, events: UnboundedReceiver<DiskEvent>) {
     let asking = ask_for_place(Arc::clone(&shared));
-    tokio::join!(drive(shared, events), asking);
+    let reporting = gauges::report(Arc::clone(&shared));
+    tokio::join!(drive(shared, events), asking, reporting);
 }
 
 /// Goes on from what the disk holds.
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -162,12 +162,11 @@
         self.shared.seat().as_ref()?.leads(now)
     }
 
-    /// Whether the disk has no room for new batches.
-    pub fn is_full(&self) -> bool {
-        self.shared
-            .seat()
-            .as_ref()
-            .is_some_and(super::seat::Seat::is_full)
+    /// Bytes that may still be written to the disk, as of the last write.
+    pub fn free_bytes(&self) -> u64 {
+        let seat = self.shared.seat();
+        seat.as_ref()
+            .map_or(u64::MAX, super::seat::Seat::free_bytes)
     }
 
     /// The leader's address, as far as known.
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -13,6 +13,7 @@
 mod drive;
 mod fatal;
 mod formation;
+mod gauges;
 mod handle;
 mod install;
 mod peers;
--- a/crates/control/src/replica/seat.rs
+++ b/crates/control/src/replica/seat.rs
@@ -23,10 +23,8 @@
 const COMPACT_ENTRIES: u64 = 20_000;
 /// The log that stays for members that lag a little, in bytes.
 const KEEP_BYTES: usize = 2 * 1024 * 1024;
-/// Free bytes on the disk below which proposals are refused.
+/// Free bytes on the disk below which all proposals are refused.
 const RESERVE_BYTES: u64 = 64 * 1024 * 1024;
-/// Free bytes on the disk below which new batches are refused.
-const BATCH_RESERVE_BYTES: u64 = 512 * 1024 * 1024;
 
 /// A seat in the group.
 pub(super) struct Seat {
@@ -88,9 +86,9 @@
             .then(|| Epoch(self.node.term().0))
     }
 
-    /// Whether the disk has no room for new batches.
-    pub(super) fn is_full(&self) -> bool {
-        self.free_bytes < BATCH_RESERVE_BYTES
+    /// Bytes that may still be written to the disk, as of the last write.
+    pub(super) fn free_bytes(&self) -> u64 {
+        self.free_bytes
     }
 
     // ------------------------------------------------------------------------
@@ -103,6 +101,7 @@
         data: Bytes,
     ) -> Result<oneshot::Receiver<Proposed>, Refused> {
         let index = self.node.propose(now, data)?;
+        metrics::counter!("clem_control_proposals").increment(1);
         let (answer, receiver) = oneshot::channel();
         let term = self.node.term();
         self.waiting.insert(index, Waiting { term, answer });
@@ -258,6 +257,7 @@
     /// Proposals of a leader that leads no more may yet be committed by another one.
     fn give_up_waiting(&mut self) {
         for (_, waiting) in std::mem::take(&mut self.waiting) {
+            metrics::counter!("clem_control_proposals_lost").increment(1);
             let _ = waiting.answer.send(Proposed::Unknown);
         }
     }
--- a/crates/control/src/serve/batch.rs
+++ b/crates/control/src/serve/batch.rs
@@ -43,6 +43,9 @@
 impl Serve for BatchBegin {
     async fn serve(self, control: &Control) -> Result<BatchBeginReply> {
         control.barrier().await?;
+        if let Some(reason) = disk_full(control) {
+            return Ok(BatchBeginReply::Full { reason });
+        }
         let weight = control.lead(|lead, _| {
             let rules = lead.history.rules();
             let customer = rules.customers().get(&self.customer)?;
@@ -69,6 +72,9 @@
 
 impl Serve for BatchChunk {
     async fn serve(self, control: &Control) -> Result<BatchChunkReply> {
+        if let Some(reason) = disk_full(control) {
+            return Ok(BatchChunkReply::Full { reason });
+        }
         let room = control.limits.batch_bytes;
         let command = Command::BatchChunk { call: self, room };
         match control.propose(command).await? {
@@ -78,6 +84,12 @@
     }
 }
 
+/// Why no more of a batch is taken; what was accepted is kept and goes on.
+fn disk_full(control: &Control) -> Option<String> {
+    let full = control.replica.free_bytes() < control.limits.disk_reserve;
+    full.then(|| "the disk has no room for more batches".to_owned())
+}
+
 impl Serve for BatchSeal {
     async fn serve(self, control: &Control) -> Result<BatchSealReply> {
         let now = control.wall();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -48,6 +48,14 @@
             )
             .default("168"),
         )
+        .flag(
+            Flag::new(
+                "disk-reserve",
+                "BYTES",
+                "Free bytes on the disk below which new batches are refused.",
+            )
+            .default("536870912"),
+        )
 }
 
 /// The checked settings.
@@ -79,17 +87,22 @@
         let platform = given.take("platform");
         let batch_bytes: Option<u64> = given.take("batch-bytes");
         let hours: Option<u32> = given.take("retention-hours");
+        let disk_reserve: Option<u64> = given.take("disk-reserve");
         let member = Member::take(&mut given);
         let admin = admin.and_then(|address| bind(&mut given, "admin", address));
         given.finish()?;
-        let (Some(member), Some(data_dir), Some(batch_bytes), Some(hours)) =
-            (member, data_dir, batch_bytes, hours)
+        let (Some(member), Some(data_dir)) = (member, data_dir) else {
+            unreachable!("a missing setting is a finding");
+        };
+        let (Some(batch_bytes), Some(hours), Some(disk_reserve)) =
+            (batch_bytes, hours, disk_reserve)
         else {
             unreachable!("a missing setting is a finding");
         };
         let limits = Limits {
             batch_bytes,
             retention_ms: u64::from(hours) * MILLIS_PER_HOUR,
+            disk_reserve,
         };
         Ok(Self {
             member,
