--- a/crates/log/tests/node.rs
+++ b/crates/log/tests/node.rs
@@ -64,8 +64,9 @@
 
 #[test]
 fn a_restarted_node_votes_for_nobody_while_a_lease_may_run() {
-    let mut node = Node::new(Time::ZERO, start(1), Settings::default());
-    let now = Time::from_millis(900);
+    let started = Time::from_millis(10_000);
+    let mut node = Node::new(started, start(1), Settings::default());
+    let now = started + Duration::from_millis(900);
     node.step(now, vote(2, 1, 5, false));
     assert!(node.ready(now).messages.is_empty());
     assert_eq!(node.term(), Term(0));
@@ -243,6 +244,45 @@
     assert_eq!(ready.committed.len(), 1);
 }
 
+#[test]
+fn a_late_sync_of_a_replaced_entry_counts_for_nothing() {
+    let mut node = Node::new(Time::ZERO, start(2), Settings::default());
+    let now = Time::from_millis(10);
+    let append = |from, term| {
+        let entry = Entry {
+            index: LogIndex(2),
+            term: Term(term),
+            payload: Payload::Noop,
+        };
+        Message {
+            from: MemberId(from),
+            to: MemberId(2),
+            term: Term(term),
+            body: Body::Append(Append {
+                prev: LogIndex(1),
+                prev_term: Term(0),
+                entries: vec![entry],
+                commit: LogIndex(1),
+                sent: 1,
+            }),
+        }
+    };
+    node.step(now, append(1, 1));
+    let first = node.ready(now).write.expect("an entry").number;
+    node.step(now, append(3, 2));
+    let second = node.ready(now).write.expect("another entry").number;
+    let matched = |node: &mut Node, number| {
+        node.synced(now, number);
+        let messages = node.ready(now).messages;
+        messages.iter().rev().find_map(|m| match m.body {
+            Body::Appended { matched, .. } => Some(matched),
+            _ => None,
+        })
+    };
+    assert!(matched(&mut node, first) <= Some(LogIndex(1)));
+    assert_eq!(matched(&mut node, second), Some(LogIndex(2)));
+}
+
 #[test]
 fn a_copy_of_the_state_never_replaces_newer_entries() {
     let mut trio = Trio::elected();
@@ -330,15 +370,21 @@
         "the lost disk counts until then"
     );
 
-    trio.nodes[2] = Node::new(trio.now, Start::new(fresh, 5), Settings::default());
+    // It runs and answers, but the copy of the state is still on its way.
+    trio.replace(
+        2,
+        Node::new(trio.now, Start::new(fresh, 5), Settings::default()),
+    );
+    trio.pass(40);
+    assert!(
+        !trio.nodes[0].members().is_voter(fresh),
+        "it has no entry yet"
+    );
+    assert!(trio.nodes[0].members().is_voter(MemberId(3)));
+
+    trio.nodes[0].snapshot_sent(fresh, None);
     trio.wanted = Some(2);
-    for _ in 0..40 {
-        trio.now = trio.now + Duration::from_millis(100);
-        for node in &mut trio.nodes {
-            node.tick(trio.now);
-        }
-        trio.deliver();
-    }
+    trio.pass(40);
     let voters: Vec<_> = trio.nodes[1].members().voters().collect();
     assert_eq!(voters, [MemberId(1), MemberId(2), fresh]);
 }
--- a/crates/log/tests/trio/mod.rs
+++ b/crates/log/tests/trio/mod.rs
@@ -76,6 +76,23 @@
         self.lost = Some(node);
     }
 
+    /// Puts a new node in the place of a lost one.
+    pub(crate) fn replace(&mut self, node: usize, fresh: Node) {
+        self.nodes[node] = fresh;
+        self.lost = None;
+    }
+
+    /// Lets time pass in steps of 100 ms.
+    pub(crate) fn pass(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.now = self.now + Duration::from_millis(100);
+            for node in &mut self.nodes {
+                node.tick(self.now);
+            }
+            self.deliver();
+        }
+    }
+
     /// Lets a heartbeat and its answers pass.
     pub(crate) fn beat(&mut self) {
         self.now = self.now + Duration::from_millis(300);
@@ -88,7 +105,7 @@
         loop {
             let mut messages = Vec::new();
             for node in 0..3 {
-                if self.lost == Some(node) && self.wanted.is_none() {
+                if self.lost == Some(node) {
                     continue;
                 }
                 self.take_round(node, &mut messages);
