--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod bucket;
 pub mod fair;
 pub mod limiter;
+pub mod placement;
 pub mod poison;
 pub mod retry;
 pub mod route;
 
 mod admission;
 mod balance;
+mod keep;
 mod pace;
 mod tail;
 
