--- /dev/null
+++ b/crates/checks/tests/online_poison.rs
@@ -0,0 +1,79 @@
+//! A request that crashes each engine that runs it.
+
+use clem_checks::{Fleet, Options, Result, TargetOptions, chat, chat_body, eventually, expected};
+use eyre::ensure;
+
+#[tokio::test]
+async fn poison_is_pinned_after_two_crashes_and_bystanders_come_through() -> Result<()> {
+    let args = [
+        "--step-us",
+        "20000",
+        "--die-on",
+        "crash me",
+        "--die-after",
+        "3",
+    ];
+    let options = Options {
+        targets: vec![TargetOptions::engine(&args); 4],
+        ..Options::default()
+    };
+    let mut fleet = Fleet::start(options).await?;
+    let crashed = |fleet: &Fleet| -> Result<usize> {
+        let requests = fleet.requests()?;
+        Ok(requests
+            .iter()
+            .filter(|line| line.body.contains("crash me"))
+            .count())
+    };
+    // Bystanders run on all engines while the bad request comes.
+    let mut bystanders = Vec::new();
+    for n in 0..8 {
+        let url = fleet.entry_url(n % 2, "/v1/chat/completions");
+        let bearer = fleet.bearer("botez")?;
+        let client = fleet.client.clone();
+        bystanders.push(tokio::spawn(async move {
+            let content = format!("letter {n}");
+            let headers = [("authorization", bearer.as_str())];
+            let reply = client
+                .post(&url, &headers, chat_body(&content, 80, false))
+                .await;
+            (content, reply)
+        }));
+    }
+    eventually("the bystanders to run", async || {
+        fleet.requests().is_ok_and(|requests| requests.len() == 8)
+    })
+    .await?;
+    let bad = chat(&fleet, 0, "totara", "crash me", 20).await?;
+    ensure!(!bad.status.is_success(), "{}", bad.text());
+    ensure!(crashed(&fleet)? <= 2, "ran {} times", crashed(&fleet)?);
+    for bystander in bystanders {
+        let (content, reply) = bystander.await?;
+        let reply = reply?.success()?;
+        let answer = reply.json()?;
+        let answer = answer["choices"][0]["message"]["content"].as_str();
+        ensure!(
+            answer == Some(&expected(&content, 80)),
+            "{content}: {}",
+            reply.text()
+        );
+    }
+    // Sent again through any entry, it is refused at once and crashes nothing more.
+    for entry in [1, 0, 1] {
+        eventually("the refusal", async || {
+            let again = chat(&fleet, entry, "totara", "crash me", 20).await;
+            again.is_ok_and(|reply| reply.status.as_u16() == 422)
+        })
+        .await?;
+    }
+    ensure!(crashed(&fleet)? <= 2, "ran {} times", crashed(&fleet)?);
+    // Its owner's other requests run.
+    for target in &mut fleet.targets {
+        if target.process.exited()?.is_some() {
+            target.process.restart()?;
+        }
+    }
+    let good = chat(&fleet, 0, "totara", "be kind", 4).await?;
+    ensure!(good.status.is_success(), "{}", good.text());
+    Ok(())
+}
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -92,6 +92,9 @@
             let Some((choice, agent)) = self.choose() else {
                 return self.give_up(None, verdict::no_target()).await;
             };
+            if !self.is_allowed() {
+                return self.give_up(None, verdict::not_allowed()).await;
+            }
             if !self.may_send() {
                 return self.give_up(None, verdict::late()).await;
             }
@@ -243,6 +246,15 @@
         fresh && (self.work.identity.is_none() || self.entry.leased())
     }
 
+    /// Whether the key still stands in the rules; it may have been withdrawn while the request
+    /// waited for a token or between two attempts.
+    fn is_allowed(&self) -> bool {
+        match &self.work.identity {
+            Some(identity) => self.entry.still_allowed(identity),
+            None => true,
+        }
+    }
+
     fn may_retry(&self, failure: Failure) -> bool {
         if self.crashes >= CRASHES_MAX {
             return false;
--- a/crates/entry/src/job/attempt.rs
+++ b/crates/entry/src/job/attempt.rs
@@ -23,6 +23,9 @@
 /// How long an idempotent request may make no progress before it is tried elsewhere.
 const STALL: Duration = Duration::from_secs(10);
 
+/// The status of a stream.
+const STATUS_OK: u16 = 200;
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(super) enum End {
@@ -195,8 +198,16 @@
                 self.started = true;
                 if !self.job.relay.streams() {
                     self.job.relay.head(status, headers);
+                } else if status != STATUS_OK {
+                    // What follows is no part of the stream that the caller has begun to read.
+                    let reason = FailedReason::BadAnswer;
+                    return Some(End::Failed { reason });
                 }
             }
+            Event::Data(_) if self.job.relay.streams() => {
+                let reason = FailedReason::BadAnswer;
+                return Some(End::Failed { reason });
+            }
             Event::Token { .. } if !self.job.work.call.stream => {
                 let reason = FailedReason::BadAnswer;
                 return Some(End::Failed { reason });
--- a/crates/entry/src/job/verdict.rs
+++ b/crates/entry/src/job/verdict.rs
@@ -32,6 +32,15 @@
     )
 }
 
+/// The key was withdrawn before the request was sent.
+pub(super) fn not_allowed() -> Refusal {
+    Refusal::no(
+        StatusCode::UNAUTHORIZED,
+        "key_withdrawn",
+        "the key was withdrawn",
+    )
+}
+
 pub(super) fn unknown() -> Refusal {
     let message = "the request may have run; its answer was lost";
     Refusal::maybe(StatusCode::BAD_GATEWAY, "outcome_unknown", message)
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -264,6 +264,16 @@
     );
 }
 
+#[tokio::test]
+async fn a_refused_resume_does_not_end_a_stream_as_whole() {
+    let plays = vec![vec![Play::RefuseResume(3)], vec![Play::RefuseResume(3)]];
+    let (_control, agents, entry) = fleet(plays).await;
+    let reply = entry.caller().chat(KEY, &chat(true)).await;
+    assert_eq!(dispatched(&agents), 2, "it was resumed");
+    assert!(reply.body.contains("\"index\":2") && reply.body.contains("event: error"));
+    assert!(!reply.body.contains("[DONE]"), "{}", reply.body);
+}
+
 #[tokio::test]
 async fn refused_work_goes_elsewhere_and_is_not_run_at_the_end() {
     let (_control, agents, entry) = fleet(vec![
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -29,6 +29,8 @@
     Tokens(u32),
     /// Tokens up to this place, then the body ends without an end mark.
     CutAt(u32),
+    /// Tokens up to this place, then the body ends; a resume is answered 404.
+    RefuseResume(u32),
     /// Tokens up to this place, then the target dies.
     LostAt(u32),
     /// Tokens up to this place, then silence.
@@ -191,6 +193,16 @@
             Play::Tokens(to) => {
                 self.head().await && self.tokens(to).await && self.send(Event::End { load }).await
             }
+            Play::RefuseResume(_) if self.dispatch.resume.is_some() => {
+                let head = Event::Head {
+                    status: 404,
+                    headers: Vec::new(),
+                };
+                self.send(head).await
+                    && self.send(Event::Data("{}".into())).await
+                    && self.send(Event::End { load }).await
+            }
+            Play::RefuseResume(to) => self.head().await && self.tokens(to).await,
             Play::CutAt(to) => self.head().await && self.tokens(to).await,
             Play::LostAt(to) => {
                 let reason = FailedReason::TargetLost;
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -114,6 +114,9 @@
             }
         }
         for info in changed {
+            if self.slots.get(&info.id).is_some_and(|slot| slot.info == info) {
+                continue;
+            }
             let old = self.slots.remove(&info.id);
             if let Some(slot) = &old {
                 self.leave(&slot.info, &mut dirty);
--- /dev/null
+++ b/crates/policy/tests/measure_fair.rs
@@ -0,0 +1,244 @@
+//! The worst-served customer before one engine, with one customer far over its share.
+//!
+//! Seven customers send steadily; the eighth sends five times as much, or long prompts only. The
+//! baseline is the engine's own order of arrival.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, VecDeque},
+    time::Duration,
+};
+
+use clem_fake::{
+    model::{Engine, Options, Output, Work},
+    prefix::Prompt,
+};
+use clem_policy::fair::{Bounds, FairQueue, Push};
+use clem_types::{Time, Tokens};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const CUSTOMERS: usize = 8;
+const BIG: usize = 7;
+const SECONDS: u64 = 60;
+const SLOTS: usize = 16;
+const ANSWER: u32 = 40;
+const DEADLINE: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Clone, Copy)]
+struct Traffic {
+    per_second: f64,
+    prompt: usize,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    id: usize,
+    customer: usize,
+    at: Time,
+    text: String,
+}
+
+enum Queue {
+    Fifo(VecDeque<Item>),
+    Fair(Box<FairQueue<usize, Item>>),
+}
+
+impl Queue {
+    fn push(&mut self, item: Item) {
+        match self {
+            Self::Fifo(queue) => queue.push_back(item),
+            Self::Fair(queue) => {
+                let cost = Tokens(item.text.len() as u32 / 4 + ANSWER);
+                let deadline = item.at + DEADLINE;
+                let pushed = queue.push(item.customer, 1, cost, deadline, item);
+                assert!(!matches!(pushed, Push::Evicted(..)));
+            }
+        }
+    }
+
+    fn pop(&mut self, now: Time) -> Option<Item> {
+        match self {
+            Self::Fifo(queue) => {
+                while queue.front().is_some_and(|item| now >= item.at + DEADLINE) {
+                    queue.pop_front();
+                }
+                queue.pop_front()
+            }
+            Self::Fair(queue) => {
+                queue.expire(now);
+                queue.pop().map(|next| next.item)
+            }
+        }
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Served {
+    tokens: u64,
+    offered: u64,
+    firsts: Vec<f64>,
+}
+
+impl Served {
+    fn p99_ms(&self) -> f64 {
+        let mut firsts = self.firsts.clone();
+        firsts.sort_by(f64::total_cmp);
+        firsts[(firsts.len() as f64 * 0.99) as usize]
+    }
+}
+
+fn arrivals(traffic: &[Traffic]) -> Vec<Item> {
+    let mut all = Vec::new();
+    for (customer, traffic) in traffic.iter().enumerate() {
+        // Each customer has its own generator, so that the others' traffic is the same in all runs.
+        let mut rng = ChaCha8Rng::seed_from_u64(31 + customer as u64);
+        let mut now = 0.0;
+        loop {
+            now += -(1.0 - rng.random::<f64>()).ln() / traffic.per_second;
+            if now > SECONDS as f64 {
+                break;
+            }
+            let at = Time::from_micros((now * 1e6) as u64);
+            let text: String = (0..traffic.prompt / 8)
+                .map(|_| format!("{:08x}", rng.random::<u32>()))
+                .collect();
+            all.push(Item {
+                id: 0,
+                customer,
+                at,
+                text,
+            });
+        }
+    }
+    all.sort_by_key(|item| item.at);
+    for (id, item) in all.iter_mut().enumerate() {
+        item.id = id;
+    }
+    all
+}
+
+fn run(traffic: &[Traffic], mut queue: Queue) -> Vec<Served> {
+    let options = Options {
+        prefill_chunk: Some(256),
+        cache_blocks: 100_000,
+        slots: SLOTS,
+        ..Options::default()
+    };
+    let mut engine = Engine::new(options);
+    let mut served = vec![Served::default(); CUSTOMERS];
+    let mut running: HashMap<String, Item> = HashMap::new();
+    let items = arrivals(traffic);
+    let mut wakes: BinaryHeap<Reverse<Time>> = items.iter().map(|item| Reverse(item.at)).collect();
+    let mut next = items.into_iter().peekable();
+    let end = Time::from_millis(SECONDS * 1000);
+    while let Some(Reverse(now)) = wakes.pop() {
+        if now > end {
+            break;
+        }
+        for output in engine.advance(now) {
+            match output {
+                Output::Token { id, index } => {
+                    let item = &running[&*id];
+                    if index == 0 {
+                        served[item.customer]
+                            .firsts
+                            .push(now.since(item.at).as_secs_f64() * 1e3);
+                    }
+                }
+                Output::Finished { id, .. } => {
+                    let item = running.remove(&*id).expect("it runs");
+                    served[item.customer].tokens += item.text.len() as u64 / 4 + u64::from(ANSWER);
+                }
+            }
+        }
+        while let Some(item) = next.next_if(|item| item.at <= now) {
+            served[item.customer].offered += item.text.len() as u64 / 4 + u64::from(ANSWER);
+            queue.push(item);
+        }
+        while running.len() < SLOTS {
+            let Some(item) = queue.pop(now) else {
+                break;
+            };
+            let id = item.id.to_string();
+            engine
+                .submit(now, Work::new(&id, Prompt::new("", &item.text), ANSWER))
+                .expect("room");
+            running.insert(id, item);
+        }
+        if let Some(wake) = engine.next_wake() {
+            wakes.push(Reverse(wake));
+        }
+    }
+    served
+}
+
+fn fair() -> Queue {
+    Queue::Fair(Box::new(FairQueue::new(Bounds {
+        flow: 64,
+        total: 1024,
+    })))
+}
+
+/// The worst share of the steady customers against max-min, and their worst p99.
+fn worst(served: &[Served]) -> (f64, f64) {
+    let mut share: f64 = 1.0;
+    let mut p99: f64 = 0.0;
+    for customer in &served[..BIG] {
+        // All of them offer less than an equal part, so max-min gives them all that they offer.
+        share = share.min(customer.tokens as f64 / customer.offered as f64);
+        p99 = p99.max(customer.p99_ms());
+    }
+    (share, p99)
+}
+
+fn compare(name: &str, steady: Traffic, big: Traffic) -> [(f64, f64); 3] {
+    let with = |big| {
+        let mut traffic = vec![steady; CUSTOMERS];
+        traffic[BIG] = big;
+        traffic
+    };
+    let quiet = worst(&run(&with(steady), fair()));
+    let busy = worst(&run(&with(big), fair()));
+    let fifo = worst(&run(&with(big), Queue::Fifo(VecDeque::new())));
+    for (case, (share, p99)) in [("quiet", quiet), ("fair", busy), ("fifo", fifo)] {
+        println!("{name}, {case}: worst share {share:.3}, worst p99 {p99:.1} ms");
+    }
+    [quiet, busy, fifo]
+}
+
+#[test]
+fn five_times_the_rate_leaves_the_others_alone() {
+    let steady = Traffic {
+        per_second: 9.0,
+        prompt: 256,
+    };
+    let big = Traffic {
+        per_second: 45.0,
+        prompt: 256,
+    };
+    let [quiet, busy, fifo] = compare("five times the rate", steady, big);
+    assert!(busy.0 >= 0.9, "share {}", busy.0);
+    assert!(busy.1 <= quiet.1 * 1.25, "{} against {}", busy.1, quiet.1);
+    assert!(fifo.1 > busy.1, "the baseline is worse");
+}
+
+#[test]
+fn long_prompts_leave_the_others_alone() {
+    let steady = Traffic {
+        per_second: 6.0,
+        prompt: 256,
+    };
+    let big = Traffic {
+        per_second: 12.0,
+        prompt: 8192,
+    };
+    let [quiet, busy, fifo] = compare("long prompts", steady, big);
+    assert!(busy.0 >= 0.9, "share {}", busy.0);
+    assert!(
+        fifo.1 > busy.1,
+        "the baseline is worse: {} {}",
+        fifo.1,
+        quiet.1
+    );
+}
