--- a/crates/checks/tests/online_faults.rs
+++ b/crates/checks/tests/online_faults.rs
@@ -7,10 +7,14 @@
 };
 use eyre::ensure;
 
+/// The only route of a fleet without a service.
+const ROUTE: &str = "route.assistant = { model = \"assistant-7b\", version = 3 }  # asked by Ana";
+
 /// Engines that take 20 ms for a token, so that there is time to break something.
 fn slow_engines(count: usize) -> Options {
     Options {
         targets: vec![TargetOptions::engine(&["--step-us", "20000"]); count],
+        rules: vec![ROUTE.to_owned()],
         ..Options::default()
     }
 }
--- a/crates/checks/tests/online_once.rs
+++ b/crates/checks/tests/online_once.rs
@@ -3,9 +3,13 @@
 use clem_checks::{Fleet, Options, Reply, Result, TargetOptions, eventually};
 use eyre::ensure;
 
+/// The only route of a fleet without an engine.
+const ROUTE: &str = "route.waitlist = { service = \"desk\", idempotent = false }  # asked by Ana";
+
 fn with_service(args: &[&str]) -> Options {
     Options {
         targets: vec![TargetOptions::service("desk", args)],
+        rules: vec![ROUTE.to_owned()],
         ..Options::default()
     }
 }
--- a/crates/checks/tests/online_poison.rs
+++ b/crates/checks/tests/online_poison.rs
@@ -3,6 +3,9 @@
 use clem_checks::{Fleet, Options, Result, TargetOptions, chat, chat_body, eventually, expected};
 use eyre::ensure;
 
+/// The only route of a fleet without a service.
+const ROUTE: &str = "route.assistant = { model = \"assistant-7b\", version = 3 }  # asked by Ana";
+
 #[tokio::test]
 async fn poison_is_pinned_after_two_crashes_and_bystanders_come_through() -> Result<()> {
     let args = [
@@ -15,6 +18,7 @@
     ];
     let options = Options {
         targets: vec![TargetOptions::engine(&args); 4],
+        rules: vec![ROUTE.to_owned()],
         ..Options::default()
     };
     let mut fleet = Fleet::start(options).await?;
--- a/crates/state/tests/records.rs
+++ b/crates/state/tests/records.rs
@@ -1,5 +1,7 @@
 //! Rules, orders, calls that run at most once, and crash reports.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 mod common;
 
 use clem_state::{ApplyOutcome, ApplyRules, Command, EndOrders, GiveOrder, Outcome};
@@ -141,6 +143,7 @@
         }));
     }
     assert!(orders::open(&world.store, &target).unwrap().is_empty());
+    assert_eq!(orders::ended(&world.store, &target).unwrap(), fence);
     let latest = orders::latest(&world.store, 1).unwrap();
     assert_eq!(latest[0].outcome, Some(OrderOutcome::Done));
     give(&mut world, "b", Action::Resume, None);
