Agent: tests of orders; batch tests green again

The four tests of orders waited for an answer in the latest call only, and missed it when another call came first: the stand-in now keeps all answers.

--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -34,8 +34,8 @@
     bench.control.change(|desk| desk.orders.push(order));
     clem_checks::eventually_value("the answer to an order", async || {
         bench.control.read(|desk| {
-            let report = desk.synced.as_ref().and_then(|s| s.report.as_ref())?;
-            report.results.iter().find(|r| r.fence == fence).cloned()
+            let mut results = desk.results.iter();
+            results.find(|result| result.fence == fence).cloned()
         })
     })
     .await
@@ -86,7 +86,7 @@
 async fn an_order_that_comes_again_is_carried_out_once() -> Result<()> {
     let bench = Bench::start("engine", &["--checks-fence", "false"], &[]).await?;
     give(&bench, load(5, 4)).await?;
-    bench.control.change(|desk| desk.synced = None);
+    bench.control.change(|desk| desk.results.clear());
     let again = give(&bench, load(5, 4)).await?;
     assert_eq!(again.outcome, OrderOutcome::Done);
     let mut sent = 0;
--- a/crates/agent/tests/support/control.rs
+++ b/crates/agent/tests/support/control.rs
@@ -18,7 +18,7 @@
     },
     online::{ReportCrash, ReportCrashReply},
     read_call,
-    sync::{ItemRef, Order, PoisonList, Sync, SyncReply},
+    sync::{ItemRef, Order, OrderResult, PoisonList, Sync, SyncReply},
 };
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
 
@@ -34,6 +34,8 @@
     pub answers: bool,
     pub synced: Option<Sync>,
     pub orders: Vec<Order>,
+    /// All answers to orders.
+    pub results: Vec<OrderResult>,
     pub cancelled: Vec<ItemRef>,
     pub poison: Option<PoisonList>,
     pub items: VecDeque<LeasedItem>,
@@ -64,6 +66,7 @@
             answers: true,
             synced: None,
             orders: Vec::new(),
+            results: Vec::new(),
             cancelled: Vec::new(),
             poison: None,
             items: VecDeque::new(),
@@ -130,7 +133,11 @@
     }
 
     async fn sync(&self, call: Sync) -> SyncReply {
-        self.change(|desk| desk.synced = Some(call.clone()));
+        self.change(|desk| {
+            let results = call.report.iter().flat_map(|report| &report.results);
+            desk.results.extend(results.cloned());
+            desk.synced = Some(call.clone());
+        });
         let mut left = Duration::from_millis(u64::from(call.wait_ms));
         while !self.has_news(&call) && !left.is_zero() {
             tokio::time::sleep(LOOK).await;
