--- a/crates/checks/tests/batch_faults.rs
+++ b/crates/checks/tests/batch_faults.rs
@@ -190,3 +190,51 @@
     }
     Ok(())
 }
+
+#[tokio::test]
+async fn a_poisonous_item_ends_as_poisoned_and_the_others_come_through() -> Result<()> {
+    const ITEMS: u32 = 8;
+    let args = [
+        SLOW[0],
+        SLOW[1],
+        "--die-on",
+        "letter 3\"",
+        "--die-after",
+        "2",
+    ];
+    let mut fleet = Fleet::start(Options {
+        targets: vec![
+            TargetOptions::engine(&args),
+            TargetOptions::engine(&args),
+            TargetOptions::service("desk", &[]),
+        ],
+        ..options()
+    })
+    .await?;
+    let id = submit(&fleet, ITEMS, 10).await?;
+    let all = eventually_value("all outcomes", async || {
+        for target in &mut fleet.targets {
+            if target.process.exited().ok()?.is_some() {
+                target.process.restart().ok()?;
+            }
+        }
+        let all = outcomes(&fleet, 0, &id).await.ok()?;
+        (all.len() == ITEMS as usize).then_some(all)
+    })
+    .await?;
+    for (name, line) in &all {
+        let wanted = if *name == content(3) {
+            "poisoned"
+        } else {
+            "done"
+        };
+        assert_eq!(line["outcome"], wanted, "{line}");
+    }
+    let lines = fleet.requests()?;
+    let deadly = lines.iter().filter(|line| line.body.contains("letter 3\""));
+    assert!(
+        deadly.count() <= 2,
+        "it was sent to an engine after two crashes"
+    );
+    Ok(())
+}
