--- a/crates/control/src/lead/soft.rs
+++ b/crates/control/src/lead/soft.rs
@@ -31,6 +31,8 @@
     pub drained: BTreeSet<TargetId>,
     /// The version of the poison list.
     pub poison: Version,
+    /// The rules by which batches of customers that are gone were last looked for.
+    pub swept: Version,
     buckets: Buckets,
     /// The newest order that each holder has been told of.
     told: BTreeMap<HolderId, (Incarnation, FenceNumber)>,
@@ -48,6 +50,7 @@
             history: History::new(rules),
             drained,
             poison: Version(0),
+            swept: Version(0),
             buckets: Buckets::new(now),
             told: BTreeMap::new(),
             stops: BTreeMap::new(),
@@ -79,6 +82,7 @@
         self.leases.sweep(now);
         let leases = &self.leases;
         self.fleet.refresh(&Facts {
+            now,
             rules: self.history.rules(),
             drained: &self.drained,
             holds: &|id, incarnation| leases.holds(id, incarnation, now),
@@ -89,6 +93,7 @@
     fn refresh_target(&mut self, target: &TargetId, now: Time) -> bool {
         let leases = &self.leases;
         let facts = Facts {
+            now,
             rules: self.history.rules(),
             drained: &self.drained,
             holds: &|id, incarnation| leases.holds(id, incarnation, now),
@@ -109,6 +114,7 @@
             rules: self.history.delta(call.rules),
             fleet,
             poison: None,
+            fence: FenceNumber(0),
             orders: Vec::new(),
             cancelled: stops.into_iter().flatten().copied().collect(),
         }
@@ -187,5 +193,6 @@
         tokens: granted.tokens,
         expires_ms: u32::try_from(ttl).unwrap_or(u32::MAX),
         retry_ms: granted.retry_ms,
+        settling: granted.settling,
     }
 }
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     control::Control,
-    platform,
+    placing, platform,
     replica::{Replica, ReplicaSettings},
     serve,
     settings::Settings,
@@ -34,7 +34,7 @@
         address,
         peers: settings.member.control,
         secret: settings.member.secret.clone(),
-        started: clock.wall(),
+        clock,
     })?;
     let control = Arc::new(Control::new(replica.clone(), clock, settings.limits));
     let internal = Router::new()
@@ -54,6 +54,7 @@
     }
     tokio::spawn(tick::refresh(Arc::clone(&control)));
     tokio::spawn(tick::expire(Arc::clone(&control)));
+    tokio::spawn(placing::run(Arc::clone(&control)));
     if let Some(platform) = settings.platform {
         tokio::spawn(platform::poll(Arc::clone(&control), platform));
     }
--- a/crates/state/tests/schedules.rs
+++ b/crates/state/tests/schedules.rs
@@ -1,5 +1,7 @@
 //! Seeded schedules of commands: what must hold after each of them.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -267,6 +269,7 @@
             let first = *answers.entry(id).or_insert(outcome);
             prop_assert_eq!(first, outcome);
             if let ApplyOutcome::Accepted(version) = outcome {
+                prop_assert_eq!(version, Version(expect + 1));
                 prop_assert_eq!(*winners.entry(version).or_insert(id), id);
             }
             let file = rules::file(&store).unwrap();
