--- a/crates/checks/tests/agreement/mod.rs
+++ b/crates/checks/tests/agreement/mod.rs
@@ -1,5 +1,8 @@
 //! A control group of real processes, without entries and targets.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 use std::time::{Duration, Instant};
 
 use clem_checks::{Fleet, Options, Result, eventually_value};
@@ -88,6 +91,14 @@
         Ok(())
     }
 
+    /// Calls the leader, wherever it is.
+    pub(crate) async fn call<C: Call>(&self, call: &C) -> Result<C::Reply>
+    where
+        ControlReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        Ok(self.client.call(call, CALL_TIMEOUT).await?)
+    }
+
     pub(crate) async fn status(&self) -> Result<StatusView> {
         Ok(self.client.call(&ReadStatus {}, CALL_TIMEOUT).await?)
     }
