--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -404,10 +404,10 @@
     /// Asks again soon: a pre-vote costs the others nothing, and they refuse it only while they
     /// count on a leader that this member has lost.
     fn reset_retry(&mut self, now: Time) {
-        let span = self.settings.heartbeat.as_micros();
-        let span = u64::try_from(span).unwrap_or(u64::MAX);
+        let pause = self.settings.election / 4;
+        let span = u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
         let extra = std::time::Duration::from_micros(self.rng.random_range(0..=span));
-        self.deadline = now + self.settings.heartbeat + extra;
+        self.deadline = now + pause + extra;
     }
 
     fn set_term(&mut self, term: Term) {
--- a/crates/log/src/settings.rs
+++ b/crates/log/src/settings.rs
@@ -32,7 +32,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(250),
+            heartbeat: Duration::from_millis(400),
             election: Duration::from_millis(1000),
             jitter: Duration::from_millis(500),
             lease: Duration::from_millis(800),
--- a/crates/log/tests/node.rs
+++ b/crates/log/tests/node.rs
@@ -269,6 +269,9 @@
     };
     node.step(now, append(1, 1));
     let first = node.ready(now).write.expect("an entry").number;
+    // The new term is synced before the entry that replaces the first one.
+    node.step(now, vote(3, 2, 2, true));
+    let term = node.ready(now).write.expect("a term").number;
     node.step(now, append(3, 2));
     let second = node.ready(now).write.expect("another entry").number;
     let matched = |node: &mut Node, number| {
@@ -280,6 +283,7 @@
         })
     };
     assert!(matched(&mut node, first) <= Some(LogIndex(1)));
+    assert!(matched(&mut node, term) <= Some(LogIndex(1)));
     assert_eq!(matched(&mut node, second), Some(LogIndex(2)));
 }
 
