--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -114,7 +114,11 @@
             }
         }
         for info in changed {
-            if self.slots.get(&info.id).is_some_and(|slot| slot.info == info) {
+            if self
+                .slots
+                .get(&info.id)
+                .is_some_and(|slot| slot.info == info)
+            {
                 continue;
             }
             let old = self.slots.remove(&info.id);
