--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -106,6 +106,7 @@
     if !fitted {
         info!(version:% = agent.read(crate::Core::version); "the change of rules didn't fit");
     }
+    // An agent that has just started knows by this what it must not obey any more.
     agent.raise_fence(reply.fence);
     if !reply.orders.is_empty() {
         // The carrier of orders lives as long as the process.
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -100,3 +100,19 @@
     assert_eq!(sent, 1);
     Ok(())
 }
+
+#[tokio::test]
+async fn a_restarted_agent_obeys_nothing_older_than_what_has_ended() -> Result<()> {
+    let mut bench = Bench::start("engine", &["--checks-fence", "false"], &[]).await?;
+    give(&bench, load(7, 4)).await?;
+    bench.agent.kill()?;
+    let newest = FenceNumber(7);
+    bench.control.change(|desk| {
+        desk.orders.clear();
+        desk.fence = newest;
+    });
+    bench.agent.restart()?;
+    let old = give(&bench, load(6, 5)).await?;
+    assert_eq!(old.outcome, OrderOutcome::Stale { newest });
+    Ok(())
+}
--- a/crates/agent/tests/support/control.rs
+++ b/crates/agent/tests/support/control.rs
@@ -9,7 +9,7 @@
 
 use clem_checks::Result;
 use clem_rules::{Rule, RuleName, Rules};
-use clem_types::Version;
+use clem_types::{FenceNumber, Version};
 use clem_wire::{
     Call, ControlReply, FleetSecret, Guard, answer,
     batch::{
@@ -34,6 +34,8 @@
     pub answers: bool,
     pub synced: Option<Sync>,
     pub orders: Vec<Order>,
+    /// The newest order that has ended.
+    pub fence: FenceNumber,
     /// All answers to orders.
     pub results: Vec<OrderResult>,
     pub cancelled: Vec<ItemRef>,
@@ -66,6 +68,7 @@
             answers: true,
             synced: None,
             orders: Vec::new(),
+            fence: FenceNumber(0),
             results: Vec::new(),
             cancelled: Vec::new(),
             poison: None,
@@ -158,6 +161,7 @@
                     .poison
                     .clone()
                     .filter(|list| list.version > call.poison),
+                fence: desk.fence,
                 orders: desk.orders.clone(),
                 cancelled: desk.cancelled.clone(),
             }
