--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -20,6 +20,8 @@
 const POLL: Duration = Duration::from_millis(50);
 /// How long a load may take.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(600);
+/// How long an order waits for a target that is not reached.
+const UP_TIMEOUT: Duration = Duration::from_secs(5);
 /// How many answers are remembered, for orders that come again before the answer was taken.
 const REMEMBERED: usize = 64;
 
@@ -75,6 +77,9 @@
         }
         Action::Load { .. } | Action::Unload { .. } | Action::Adapter { .. } => {}
     }
+    if !is_up_within(agent, UP_TIMEOUT).await {
+        return OrderOutcome::Failed("the target does not answer".to_owned());
+    }
     match agent.engine.order(fence, &engine_order(action)).await {
         Ok(OrderTaken::Yes) => settled(agent, action).await,
         Ok(OrderTaken::Stale) => OrderOutcome::Stale { newest: fence },
@@ -85,6 +90,18 @@
     }
 }
 
+/// Waits for a target that has not been reached yet, as after the agent's own start.
+async fn is_up_within(agent: &Agent, bound: Duration) -> bool {
+    let end = agent.now() + bound;
+    while !agent.read(crate::Core::is_up) {
+        if agent.now() >= end {
+            return false;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    true
+}
+
 fn engine_order(action: &Action) -> Value {
     match action {
         Action::Load { model, version } => {
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -32,6 +32,10 @@
 async fn give(bench: &Bench, order: Order) -> Result<OrderResult> {
     let fence = order.fence;
     bench.control.change(|desk| desk.orders.push(order));
+    answer(bench, fence).await
+}
+
+async fn answer(bench: &Bench, fence: FenceNumber) -> Result<OrderResult> {
     clem_checks::eventually_value("the answer to an order", async || {
         bench.control.read(|desk| {
             let mut results = desk.results.iter();
@@ -116,3 +120,14 @@
     assert_eq!(old.outcome, OrderOutcome::Stale { newest });
     Ok(())
 }
+
+#[tokio::test]
+async fn an_order_waits_for_a_target_that_is_not_known_to_be_up_yet() -> Result<()> {
+    let mut bench = Bench::start("engine", &[], &[]).await?;
+    bench.agent.kill()?;
+    bench.control.change(|desk| desk.orders.push(load(3, 4)));
+    bench.agent.restart()?;
+    let result = answer(&bench, FenceNumber(3)).await?;
+    assert_eq!(result.outcome, OrderOutcome::Done);
+    Ok(())
+}
