An apply is woken by confirmations, not by a clock

Ruled out: the log (p50 of a synced command is a few ms) and the parse. A channel of its own tells confirmations, so that they don't wake every waiting holder.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -49,18 +49,23 @@
     lead: Mutex<Option<Lead>>,
     /// Counts the changes that a waiting holder may have to be told of.
     news: watch::Sender<u64>,
+    /// Counts confirmations of the rules, apart from `news`, so that not every confirmation wakes
+    /// every holder.
+    confirmed: watch::Sender<u64>,
 }
 
 impl Control {
     /// Starts without any soft state.
     pub fn new(replica: Replica, clock: Clock, limits: Limits) -> Self {
         let (news, _) = watch::channel(0);
+        let (confirmed, _) = watch::channel(0);
         Self {
             replica,
             clock,
             limits,
             lead: Mutex::new(None),
             news,
+            confirmed,
         }
     }
 
@@ -122,6 +127,16 @@
         self.news.subscribe()
     }
 
+    /// Wakes the calls that wait for a version to be in force.
+    pub fn note_confirmed(&self) {
+        self.confirmed.send_modify(|count| *count += 1);
+    }
+
+    /// Tells when a holder has confirmed a version.
+    pub fn confirmations(&self) -> watch::Receiver<u64> {
+        self.confirmed.subscribe()
+    }
+
     /// The reply to send for a result.
     pub fn reply<T>(&self, result: Result<T>) -> ControlReply<T> {
         match result {
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -93,6 +93,12 @@
         entry.holder.incarnation == incarnation && now < entry.until
     }
 
+    /// The version that a holder has confirmed.
+    pub fn confirmed(&self, id: &HolderId) -> Version {
+        let entry = self.entries.get(id);
+        entry.map(|entry| entry.confirmed).unwrap_or_default()
+    }
+
     /// How many leases hold.
     pub fn live(&self, now: Time) -> usize {
         self.entries
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -11,4 +11,4 @@
 pub use fleet::{Facts, Fleet, PlatformVm};
 pub use history::History;
 pub use leases::{LEASE, Leases};
-pub use soft::Lead;
+pub use soft::{Heard, Lead};
--- a/crates/control/src/lead/soft.rs
+++ b/crates/control/src/lead/soft.rs
@@ -40,6 +40,17 @@
     stops: BTreeMap<HolderId, BTreeSet<ItemRef>>,
 }
 
+/// What a call of a holder brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heard {
+    /// The target that the caller stands beside.
+    pub target: Option<TargetId>,
+    /// Whether the fleet view changed.
+    pub moved: bool,
+    /// Whether the holder confirmed another version of the rules.
+    pub confirmed: bool,
+}
+
 impl Lead {
     /// The soft state of a leader that took office at `now`.
     pub fn new(epoch: Epoch, now: Time, rules: Rules, drained: BTreeSet<TargetId>) -> Self {
@@ -57,24 +68,29 @@
         }
     }
 
-    /// Takes in a call of a holder; the target that the caller stands beside, and whether the
-    /// fleet view changed.
-    pub fn hear(&mut self, call: &Sync, now: Time) -> (Option<TargetId>, bool) {
+    /// Takes in a call of a holder.
+    pub fn hear(&mut self, call: &Sync, now: Time) -> Heard {
+        let before = self.leases.confirmed(&call.holder.id);
         if self.leases.hear(call, now) {
             self.told.remove(&call.holder.id);
         }
-        let target = match call.holder.role {
+        let mut heard = Heard {
+            target: None,
+            moved: false,
+            confirmed: self.leases.confirmed(&call.holder.id) != before,
+        };
+        heard.target = match call.holder.role {
             Role::Entry => None,
             Role::Agent => Fleet::target_of(self.history.rules(), call),
         };
-        let Some(target) = target else {
-            return (None, false);
+        let Some(target) = &heard.target else {
+            return heard;
         };
-        self.fleet.hear(&target, call);
+        self.fleet.hear(target, call);
         // The call will be answered by a lease, which the target counts by.
         self.leases.grant(&call.holder.id, now, now);
-        let changed = self.refresh_target(&target, now);
-        (Some(target), changed)
+        heard.moved = self.refresh_target(target, now);
+        heard
     }
 
     /// Brings the fleet view up to date; says whether it changed.
--- a/crates/control/src/serve/admin.rs
+++ b/crates/control/src/serve/admin.rs
@@ -113,7 +113,7 @@
 }
 
 async fn wait_in_force(control: &Control, version: Version) -> Result<ApplyReply> {
-    let mut news = control.news();
+    let mut confirmed = control.confirmations();
     let deadline = tokio::time::Instant::now() + FORCE_WAIT;
     loop {
         let (in_force, waiting) = control.lead(|lead, now| {
@@ -127,7 +127,7 @@
                 waiting,
             });
         }
-        let _ = tokio::time::timeout(FORCE_STEP, news.changed()).await;
+        let _ = tokio::time::timeout(FORCE_STEP, confirmed.changed()).await;
     }
 }
 
--- a/crates/control/src/serve/sync.rs
+++ b/crates/control/src/serve/sync.rs
@@ -23,10 +23,14 @@
         let asked = control.clock.now();
         control.barrier().await?;
         let mut news = control.news();
-        let (target, changed) = control.lead(|lead, now| lead.hear(&self, now))?;
-        if changed {
+        let heard = control.lead(|lead, now| lead.hear(&self, now))?;
+        let target = heard.target;
+        if heard.moved {
             control.wake();
         }
+        if heard.confirmed {
+            control.note_confirmed();
+        }
         if let Some(target) = &target {
             end_orders(control, target, &self).await?;
         }
