--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -184,6 +184,7 @@
             }),
             poison: (call.poison != state.poison.version).then(|| state.poison.clone()),
             orders: Vec::new(),
+            fence: clem_types::FenceNumber(0),
             cancelled: Vec::new(),
         }
     }
