--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -58,40 +58,34 @@
 /// Goes on from what the disk holds.
 fn resume(shared: &Shared, folder: &mut Folder, recovered: Recovered) -> Start {
     let applied = LogIndex(shared.store().applied());
-    let mut base = recovered.base;
-    let mut entries = recovered.entries;
-    let last = entries.last().map_or(base.index, |entry| entry.index);
-    if applied > last {
-        // A copy of the state had taken the store's place, but the log was not started anew yet.
-        let Some(copied) = install::last_base(&shared.data_dir) else {
-            fatal::end(
-                "the store is ahead of the log",
-                &"no copy of the state explains it",
-            );
-        };
-        if copied.index != applied {
-            fatal::end(
-                "the store is ahead of the log",
-                &"the copy's place is another one",
-            );
-        }
+    let mut start = Start {
+        hard: recovered.hard,
+        base: recovered.base,
+        entries: recovered.entries,
+        applied,
+        ..Start::new(shared.member, seed())
+    };
+    let copied = install::last_base(&shared.data_dir);
+    if let Some(copied) = copied.filter(|copied| start.needs_reset(copied)) {
+        // It had taken the store's place, but the log was not started anew yet.
         write_base(folder, copied.clone());
-        base = copied;
-        entries = Vec::new();
+        start.base = copied;
+        start.entries = Vec::new();
     }
-    if applied < base.index {
+    let last = start.entries.last().map_or(start.base.index, |e| e.index);
+    if applied > last {
+        fatal::end(
+            "the store is ahead of the log",
+            &"no copy of the state explains it",
+        );
+    }
+    if applied < start.base.index {
         fatal::end(
             "the store is behind the log",
             &"its file was lost or replaced",
         );
     }
-    Start {
-        hard: recovered.hard,
-        base,
-        entries,
-        applied,
-        ..Start::new(shared.member, seed())
-    }
+    start
 }
 
 fn write_base(folder: &mut Folder, base: Base) {
@@ -200,14 +194,14 @@
 
 // ----------------------------------------------------------------------------
 
-/// Asks for a place for as long as this member has none in its group.
+/// Asks for a place for as long as no leader counts this member as one of its group.
 async fn ask_for_place(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(JOIN_INTERVAL).await;
         let join = {
             let seat = shared.seat();
             let Some(seat) = seat.as_ref() else { continue };
-            if seat.node().members().get(shared.member).is_some() {
+            if !seat.node().wants_join() {
                 continue;
             }
             let address = shared.address.to_string();
