Slopes: traffic is metered at the leader alone, items are leased by a known agent

Cause: a stand-in that was told another leader went round the meter and showed 0 bytes; an agent without a lease gets no items.

--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -10,7 +10,7 @@
 use clem_types::{CommandId, Version};
 use clem_wire::{
     Client, ControlClient, FleetSecret,
-    admin::{Apply, ApplyReply, ReadRules},
+    admin::{Apply, ApplyReply, MemberRole, ReadRules, ReadStatus},
 };
 use eyre::{OptionExt, WrapErr, bail};
 use tempfile::TempDir;
@@ -85,9 +85,14 @@
         ControlClient::new(self.client.clone(), addresses)
     }
 
-    /// The addresses of the processes.
-    pub(crate) fn addresses(&self) -> &[SocketAddr] {
-        &self.addresses
+    /// The address of the leader.
+    pub(crate) async fn leader(&self) -> Result<SocketAddr> {
+        let status = self.client().call(&ReadStatus {}, APPLY_TIMEOUT).await?;
+        let leader = status
+            .members
+            .iter()
+            .find(|member| member.role == MemberRole::Leader);
+        Ok(leader.ok_or_eyre("there is no leader")?.address)
     }
 
     /// The usage of each process, in the order of the addresses.
--- a/crates/slopes/src/scenario.rs
+++ b/crates/slopes/src/scenario.rs
@@ -122,21 +122,18 @@
     let control = Control::start(program).await?;
     control.apply(&rules::file(8, size)).await?;
     let seen = Arc::new(Seen::default());
-    let mut meters = Vec::new();
-    for address in control.addresses() {
-        meters.push(Meter::start(*address).await?);
-    }
-    let metered = meters.iter().map(Meter::address).collect();
-    tokio::spawn(hold(control.client_at(metered), 0, Arc::clone(&seen)));
+    let meter = Meter::start(control.leader().await?).await?;
+    let metered = control.client_at(vec![meter.address()]);
+    tokio::spawn(hold(metered, 0, Arc::clone(&seen)));
     for number in 1..size {
         tokio::spawn(hold(control.client(), number, Arc::clone(&seen)));
     }
     tokio::time::sleep(SETTLE).await;
     let calls = seen.calls.load(Ordering::Relaxed);
-    let bytes: u64 = meters.iter().map(Meter::bytes).sum();
+    let bytes = meter.bytes();
     let spent = spend(&control).await?;
     let calls = seen.calls.load(Ordering::Relaxed) - calls;
-    let bytes = meters.iter().map(Meter::bytes).sum::<u64>() - bytes;
+    let bytes = meter.bytes() - bytes;
     seen.stop.store(true, Ordering::Relaxed);
     Ok(format!(
         "| {size} | {:.0} | {} | {:.2} | {:.1} | {:.2} | {:.0} |",
@@ -236,6 +233,8 @@
 async fn items(program: &Path, size: usize) -> Result<String> {
     let control = Control::start(program).await?;
     control.apply(&rules::file(8, 1)).await?;
+    let seen = Arc::new(Seen::default());
+    tokio::spawn(hold(control.client(), 0, Arc::clone(&seen)));
     let before = control.usage()?;
     let start = Instant::now();
     upload(&control.client(), u32::try_from(size)?).await?;
@@ -243,6 +242,7 @@
     let start = Instant::now();
     run_items(&control.client(), size).await?;
     let run = start.elapsed();
+    seen.stop.store(true, Ordering::Relaxed);
     let usage = control.usage()?;
     let mut cpu = Duration::ZERO;
     let mut resident = 0;
