--- a/crates/control/src/lead/soft.rs
+++ b/crates/control/src/lead/soft.rs
@@ -144,8 +144,10 @@
         }
     }
 
-    /// Remembers that a holder is being told of orders up to `newest`.
+    /// Remembers that a holder is being told of orders up to `newest`, and of items that must
+    /// stop. Where the answer is lost, such an item's lease is not renewed, which stops it too.
     pub fn tell(&mut self, call: &Sync, newest: FenceNumber) {
+        self.stops.remove(&call.holder.id);
         let told = (call.holder.incarnation, newest);
         self.told.insert(call.holder.id.clone(), told);
     }
@@ -162,17 +164,6 @@
         self.stops.entry(holder.clone()).or_default().insert(item);
     }
 
-    /// Forgets that an item must stop, as it has.
-    pub fn item_stopped(&mut self, holder: &HolderId, item: &ItemRef) {
-        let Some(items) = self.stops.get_mut(holder) else {
-            return;
-        };
-        items.remove(item);
-        if items.is_empty() {
-            self.stops.remove(holder);
-        }
-    }
-
     /// Grants rate tokens.
     pub fn take_tokens(&mut self, call: &TakeTokens, now: Time) -> TakeTokensReply {
         let mut asks = Vec::new();
--- a/crates/control/src/serve/batch.rs
+++ b/crates/control/src/serve/batch.rs
@@ -218,17 +218,10 @@
 impl Serve for FinishItems {
     async fn serve(self, control: &Control) -> Result<FinishItemsReply> {
         let now = control.wall();
-        let holder = self.holder.clone();
-        let items: Vec<_> = self.ends.iter().map(|end| end.lease.item).collect();
         let outcome = control.propose(Command::Finish { call: self, now }).await?;
         let Outcome::Finish(reply) = outcome else {
             return Err(Refusal::Unknown);
         };
-        control.lead(|lead, _| {
-            for item in &items {
-                lead.item_stopped(&holder, item);
-            }
-        })?;
         Ok(reply)
     }
 }
--- a/crates/control/tests/lead.rs
+++ b/crates/control/tests/lead.rs
@@ -272,3 +272,19 @@
     sync(&mut lead, &second, secs(10));
     assert!(lead.is_untold(&second, FenceNumber(7)));
 }
+
+#[test]
+fn an_item_that_must_stop_is_told_once() {
+    let mut lead = lead();
+    let first = agent(1, 1);
+    sync(&mut lead, &first, secs(10));
+    let item = clem_wire::sync::ItemRef {
+        batch: clem_types::BatchId(1),
+        item: clem_types::ItemIndex(2),
+    };
+    lead.stop_item(&first.holder.id, item);
+    assert_eq!(lead.news(&first).cancelled, [item]);
+    lead.tell(&first, FenceNumber(0));
+    // Told for ever, it would keep the agent asking without a pause.
+    assert!(lead.news(&first).cancelled.is_empty());
+}
