--- /dev/null
+++ b/crates/ctl/tests/cli.rs
@@ -0,0 +1,89 @@
+//! The command line: words, flags, exit codes and what is printed.
+
+use std::process::{Command, Output};
+
+/// A port below those that the kernel hands out, at which nothing listens.
+const NOBODY: &str = "127.0.0.1:1";
+
+/// Runs the program without any of its variables in the environment.
+fn ctl(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_clemctl"))
+        .args(words)
+        .env_remove("CLEM_CONTROL")
+        .env_remove("CLEM_FLEET_SECRET_FILE")
+        .output()
+        .expect("the program starts")
+}
+
+fn errors(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn every_bad_setting_is_named_at_once() {
+    let output = ctl(&["apply", "--expect", "x", "--colour", "red", "--json"]);
+    assert_eq!(output.status.code(), Some(2));
+    insta::assert_snapshot!(errors(&output));
+}
+
+#[test]
+fn commands_that_need_the_group_ask_for_it() {
+    let output = ctl(&["status"]);
+    assert_eq!(output.status.code(), Some(2));
+    insta::assert_snapshot!(errors(&output));
+}
+
+#[test]
+fn a_file_is_checked_without_a_group() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let good = folder.path().join("good.toml");
+    let line = "customer.c = { rate = \"1/s\", burst = 1 } # asked by Ana";
+    std::fs::write(&good, line).expect("a file");
+    let output = ctl(&["check", &good.display().to_string()]);
+    assert_eq!(output.status.code(), Some(0));
+    let bad = folder.path().join("bad.toml");
+    let line = "customer.c = { rate = \"1/s\", burst = 0 }";
+    std::fs::write(&bad, line).expect("a file");
+    let output = ctl(&["check", &bad.display().to_string()]);
+    assert_eq!(output.status.code(), Some(4));
+    let text = errors(&output);
+    assert!(
+        text.contains("bad.toml:1:38: burst is a whole number"),
+        "{text}"
+    );
+    assert!(text.contains("2 findings"), "{text}");
+}
+
+#[test]
+fn a_new_key_comes_with_a_rule_that_stands_for_it() {
+    let output = ctl(&["key", "new", "--customer", "totara", "--key-id", "totara-2"]);
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let (key, rule) = text.split_once('\n').expect("two lines");
+    let key: clem_types::Key = key.parse().expect("a key");
+    let hash = key.hash();
+    let wanted = format!("key.totara-2 = {{ customer = \"totara\", blake3 = \"{hash}\" }}");
+    assert!(rule.starts_with(&wanted), "{rule}");
+}
+
+#[test]
+fn a_group_that_is_not_there_was_not_asked() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let secret = folder.path().join("secret");
+    std::fs::write(&secret, "0123456789abcdef0123").expect("a file");
+    let secret = secret.display().to_string();
+    let words = [
+        "rules",
+        "--control",
+        &address,
+        "--fleet-secret-file",
+        &secret,
+    ];
+    let output = ctl(&words);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        errors(&output).contains("nothing was done"),
+        "{}",
+        errors(&output)
+    );
+}
