--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -47,7 +47,7 @@
         b.iter(|| {
             n += 1;
             let now = Time::from_micros(n * 100);
-            let owner = if n % 2 == 0 { "a" } else { "b" };
+            let owner = if n.is_multiple_of(2) { "a" } else { "b" };
             let prefixes = Prefixes::new(owner, prompt.as_bytes());
             let query = Query {
                 backend: &backend,
