--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -183,7 +183,6 @@
             orders: Vec::new(),
             fence: clem_types::FenceNumber(0),
             cancelled: Vec::new(),
-            fence: id("0"),
         }
     }
 
