--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -41,6 +41,9 @@
     pub buckets: Buckets,
     pub once: HashMap<String, (RequestId, Option<OnceOutcome>)>,
     pub chunks: Vec<Vec<Item>>,
+    /// Whether chunks are kept, or only counted in `items`.
+    pub keep_chunks: bool,
+    pub items: usize,
     pub sealed: Option<BatchSeal>,
     pub token_calls: u32,
 }
@@ -126,6 +129,8 @@
             buckets: Buckets::new(clock.now()),
             once: HashMap::new(),
             chunks: Vec::new(),
+            keep_chunks: true,
+            items: 0,
             sealed: None,
             token_calls: 0,
         };
@@ -298,7 +303,11 @@
                 }
             }),
             BatchChunk::PATH => reply!(req, res, BatchChunk, |call: BatchChunk| {
-                self.state().chunks.push(call.items);
+                let mut state = self.state();
+                state.items += call.items.len();
+                if state.keep_chunks {
+                    state.chunks.push(call.items);
+                }
                 BatchChunkReply::Kept
             }),
             BatchSeal::PATH => reply!(req, res, BatchSeal, |call: BatchSeal| {
--- a/crates/entry/tests/support/process.rs
+++ b/crates/entry/tests/support/process.rs
@@ -78,6 +78,17 @@
         self.log.lock().expect("the log").join("\n")
     }
 
+    /// The most memory that the process has had resident, in kilobytes.
+    pub fn peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process is there");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number
+            .and_then(|number| number.parse().ok())
+            .expect("a size")
+    }
+
     pub fn signal(&self, signal: nix::sys::signal::Signal) {
         let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
         nix::sys::signal::kill(pid, signal).expect("the process is there");
--- a/crates/entry/tests/upload.rs
+++ b/crates/entry/tests/upload.rs
@@ -95,3 +95,36 @@
     assert_eq!(reply.refusal().1, "key_missing");
     assert!(control.state().sealed.is_none());
 }
+
+#[tokio::test]
+async fn an_upload_takes_no_more_memory_for_being_long() {
+    let control = Control::start().await;
+    control.state().keep_chunks = false;
+    let entry = EntryProcess::ready(&control).await;
+    let bearer = format!("Bearer {KEY}");
+    let text = "a parish letter ".repeat(60);
+    let mut body = String::new();
+    for number in 0..80_000 {
+        body += &format!(
+            r#"{{"custom_id":"l{number}","model":"assistant","body":{{"text":"{text}"}}}}"#
+        );
+        body.push('\n');
+    }
+    let headers = [("authorization", bearer.as_str())];
+    let reply = entry
+        .caller()
+        .send("POST", "/v1/batches", &headers, &body)
+        .await;
+    assert_eq!(reply.status, 202, "{}", reply.body);
+    assert_eq!(control.state().items, 80_000);
+    let peak = entry.peak_kb();
+    println!(
+        "BOUND memory of an entry that took in {} MB: {peak} KB, at most 40000",
+        body.len() >> 20
+    );
+    assert!(
+        peak < 40_000,
+        "{peak} KB for a body of {} MB",
+        body.len() >> 20
+    );
+}
