--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 pub mod agent;
+pub mod connection;
 pub mod control;
 pub mod process;
 
