--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -41,6 +41,9 @@
     pub buckets: Buckets,
     pub once: HashMap<String, (RequestId, Option<OnceOutcome>)>,
     pub chunks: Vec<Vec<Item>>,
+    /// Whether chunks are kept, or only counted in `items`.
+    pub keep_chunks: bool,
+    pub items: usize,
     pub sealed: Option<BatchSeal>,
     pub token_calls: u32,
 }
@@ -126,6 +129,8 @@
             buckets: Buckets::new(clock.now()),
             once: HashMap::new(),
             chunks: Vec::new(),
+            keep_chunks: true,
+            items: 0,
             sealed: None,
             token_calls: 0,
         };
@@ -161,11 +166,8 @@
     }
 
     async fn sync(&self, call: Sync) -> SyncReply {
-        // A long poll, in short steps.
-        for _ in 0..call.wait_ms / 10 {
-            if self.has_news(&call) {
-                break;
-            }
+        let end = self.clock.now() + Duration::from_millis(call.wait_ms.into());
+        while self.clock.now() < end && !self.has_news(&call) {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         let state = self.state();
@@ -301,7 +303,11 @@
                 }
             }),
             BatchChunk::PATH => reply!(req, res, BatchChunk, |call: BatchChunk| {
-                self.state().chunks.push(call.items);
+                let mut state = self.state();
+                state.items += call.items.len();
+                if state.keep_chunks {
+                    state.chunks.push(call.items);
+                }
                 BatchChunkReply::Kept
             }),
             BatchSeal::PATH => reply!(req, res, BatchSeal, |call: BatchSeal| {
