Agent: a target whose streams stand still counts as dead

Such an engine answers its reports, so looks at it find nothing; the test froze one in its steps and would have waited for the request's own deadline.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -41,6 +41,8 @@
     pub target: SocketAddr,
     /// The queues and their bounds.
     pub admission: Settings,
+    /// A target whose streams get no token for so long counts as dead.
+    pub stall: Duration,
 }
 
 impl Default for Options {
@@ -53,6 +55,7 @@
                 waiting: 256,
                 balance: Balance::DEFAULT,
             },
+            stall: Duration::from_secs(10),
         }
     }
 }
@@ -75,6 +78,8 @@
     rules: Rules,
     lease_end: Time,
     up: bool,
+    /// When the target last sent a token.
+    progress: Time,
     draining: bool,
     stopping: bool,
     crashes: u64,
@@ -97,6 +102,7 @@
             rules: Rules::default(),
             lease_end: Time::ZERO,
             up: false,
+            progress: Time::ZERO,
             draining: false,
             stopping: false,
             crashes: 0,
@@ -195,6 +201,8 @@
             body: call.body_hash,
             suspect: call.suspect,
             deadline: now + Duration::from_millis(u64::from(call.deadline_ms)),
+            streams: call.call.stream,
+            started: Time::ZERO,
             state: JobState::Queued,
             broken: false,
         };
@@ -303,6 +311,8 @@
             body: BodyHash::of(item.content.body.as_bytes()),
             suspect: item.suspect,
             deadline: Time::from_micros(u64::MAX),
+            streams: !self.is_service(),
+            started: Time::ZERO,
             state: JobState::Queued,
             broken: false,
         };
@@ -385,6 +395,7 @@
 
     /// A job has a new token.
     pub fn token(&mut self, now: Time, id: JobId) {
+        self.progress = now;
         self.admission.token(now, id);
     }
 
@@ -408,6 +419,18 @@
         }
     }
 
+    /// Whether streams have been at the target for the stall timeout and none has had a token.
+    pub fn is_stalled(&self, now: Time) -> bool {
+        let limit = self.options.stall;
+        if now.since(self.progress) < limit {
+            return false;
+        }
+        let mut jobs = self.jobs.values();
+        jobs.any(|job| {
+            job.streams && job.state == JobState::Started && now.since(job.started) >= limit
+        })
+    }
+
     /// The target answers.
     pub fn set_up(&mut self, up: bool) {
         self.up = up;
@@ -606,6 +629,7 @@
             return;
         }
         job.state = JobState::Started;
+        job.started = now;
         self.commands.push((id, command));
     }
 
--- a/crates/agent/src/core/job.rs
+++ b/crates/agent/src/core/job.rs
@@ -57,6 +57,10 @@
     pub suspect: bool,
     /// When it is no longer wanted.
     pub deadline: Time,
+    /// Whether its tokens come one by one.
+    pub streams: bool,
+    /// When it last left for the target.
+    pub started: Time,
     /// How far it is.
     pub state: JobState,
     /// Whether its connection to the target broke.
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -62,6 +62,14 @@
         )
         .default("50"),
     )
+    .flag(
+        Flag::new(
+            "stall-timeout-ms",
+            "MS",
+            "A target whose streams get no token for so long counts as dead.",
+        )
+        .default("10000"),
+    )
     .flag(
         Flag::new(
             "stop-timeout-ms",
@@ -78,6 +86,7 @@
     admin: Option<Listener>,
     target: SocketAddr,
     admission: clem_policy::Settings,
+    stall: Duration,
     stop_timeout: Duration,
     level: LevelFilter,
 }
@@ -110,6 +119,7 @@
     let waiting = settings.take("waiting");
     let balance = settings.take::<Balance>("batch-balance");
     let stop_timeout: Option<u64> = settings.take("stop-timeout-ms");
+    let stall: Option<u64> = settings.take("stall-timeout-ms");
     settings.finish()?;
     let missing = || eyre::eyre!("a setting is missing");
     Ok(Config {
@@ -121,6 +131,7 @@
             waiting: waiting.ok_or_else(missing)?,
             balance: balance.ok_or_else(missing)?,
         },
+        stall: Duration::from_millis(stall.ok_or_else(missing)?),
         stop_timeout: Duration::from_millis(stop_timeout.ok_or_else(missing)?),
         level,
     })
@@ -179,6 +190,7 @@
         incarnation,
         target: config.target,
         admission: config.admission,
+        stall: config.stall,
     });
     let secret = &config.member.secret;
     let control = || ControlClient::new(Client::new(secret.clone()), config.member.control.clone());
--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clem_types::Time;
 use clem_wire::online::ReportCrash;
 use log::{info, warn};
 use metrics::counter;
@@ -18,6 +19,9 @@
 /// How long jobs wait for the control leader to take the report of a crash.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// After so long a target that stalled is tried again, although it is still in the same life.
+const STALL_PAUSE: Duration = Duration::from_secs(30);
+
 /// What a look at the target showed.
 #[derive(Debug, PartialEq)]
 enum Seen {
@@ -33,6 +37,7 @@
 pub(crate) async fn watch(agent: Arc<Agent>) {
     let mut life = None;
     let mut silent = 0;
+    let mut stalled: Option<(Value, Time)> = None;
     loop {
         let seen = look(&agent).await;
         silent = if seen == Some(Seen::Silent) {
@@ -47,8 +52,13 @@
                 if changed {
                     died(&agent, "it is in another life").await;
                 }
-                life = Some(now);
-                alive(&agent).await;
+                life = Some(now.clone());
+                if agent.read(|core| core.is_stalled(agent.now())) {
+                    died(&agent, "its streams stand still").await;
+                    stalled = Some((now, agent.now()));
+                } else if !is_in(stalled.as_ref(), &now, agent.now()) {
+                    alive(&agent).await;
+                }
             }
             Some(Seen::Refuses) => died(&agent, "it takes no connections").await,
             Some(Seen::Silent) if silent >= PATIENCE => died(&agent, "it is silent").await,
@@ -67,6 +77,11 @@
     }
 }
 
+/// Whether the target is still in the life in which it stalled a short while ago.
+fn is_in(stalled: Option<&(Value, Time)>, life: &Value, now: Time) -> bool {
+    stalled.is_some_and(|(other, at)| other == life && now.since(*at) < STALL_PAUSE)
+}
+
 /// Looks at the target; none before the rules say what it is.
 async fn look(agent: &Agent) -> Option<Seen> {
     agent.read(|core| core.target().map(|_| ()))?;
--- a/crates/agent/tests/online.rs
+++ b/crates/agent/tests/online.rs
@@ -349,3 +349,19 @@
     assert_eq!(reply.status, 400);
     Ok(())
 }
+
+#[tokio::test]
+async fn a_target_whose_streams_stand_still_is_left_and_found_again() -> Result<()> {
+    let args = ["--freeze-on", "freeze me"];
+    let mut bench = Bench::start("engine", &args, &["--stall-timeout-ms", "500"]).await?;
+    let events = bench.run(&bench.chat(1, "freeze me", 5)).await?;
+    assert_eq!(failed(&events), Some(FailedReason::TargetLost));
+    assert_eq!(bench.control.read(|desk| desk.crashes.len()), 1);
+    let events = bench.run(&bench.chat(2, "hello", 3)).await?;
+    assert_eq!(not_run(&events), Some(NotRunReason::TargetDown));
+    bench.target.kill()?;
+    bench.restart_target().await?;
+    let events = bench.run(&bench.chat(3, "hello", 3)).await?;
+    assert_eq!(text(&events), expected("hello", 3));
+    Ok(())
+}
