--- a/crates/agent/src/batch.rs
+++ b/crates/agent/src/batch.rs
@@ -12,7 +12,7 @@
 /// How long a call for items may take.
 const TIMEOUT: Duration = Duration::from_millis(1500);
 /// The shortest and the longest pause between calls that bring nothing.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(1000));
 /// How often leases are renewed at the least.
 const RENEW_EVERY: Duration = Duration::from_millis(700);
 /// The most results in one report, in bytes.
--- a/crates/checks/tests/batch_faults.rs
+++ b/crates/checks/tests/batch_faults.rs
@@ -118,6 +118,21 @@
     all_done(&fleet, &id, 16, 40).await
 }
 
+#[tokio::test]
+async fn a_lost_vm_and_a_lost_control_process_lose_and_double_nothing() -> Result<()> {
+    let mut fleet = Fleet::start(options()).await?;
+    let id = submit(&fleet, 24, 40).await?;
+    running(&fleet, 0, 2).await?;
+    // The VM of a target with its agent, and a control process, at the same time; then back.
+    fleet.targets[0].agent.kill()?;
+    fleet.targets[0].process.kill()?;
+    fleet.control[0].kill()?;
+    fleet.targets[0].process.restart()?;
+    fleet.targets[0].agent.restart()?;
+    fleet.control[0].restart()?;
+    all_done(&fleet, &id, 24, 40).await
+}
+
 #[tokio::test]
 async fn a_frozen_agents_late_results_change_nothing() -> Result<()> {
     let fleet = Fleet::start(options()).await?;
