--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,7 +1,10 @@
 //! The agent's decisions: what is allowed, what runs, waits, is refused or stops.
 
+mod batch;
 mod fences;
 mod job;
+mod online;
+mod target;
 
 pub use fences::FenceBook;
 pub use job::{Command, Job, JobState, Source, Stop};
@@ -12,21 +15,16 @@
     time::Duration,
 };
 
-use clem_policy::{Admission, Balance, Full, JobId, Offer, Settings, Step};
+use clem_policy::{Admission, Balance, JobId, Settings, Step};
 use clem_rules::{Backend, Delta, Route, Rules, Target};
 use clem_types::{
-    Attempt, BodyHash, CustomerId, Incarnation, KeyId, RequestId, RouteId, TargetId, Time, Tokens,
-    Version,
+    Attempt, BodyHash, CustomerId, Incarnation, KeyId, RequestId, RouteId, TargetId, Time, Version,
 };
 use clem_wire::{
-    batch::{LeaseRef, LeasedItem},
-    dispatch::{Dispatch, FailedReason, Fence, FenceReply, NotRunReason},
-    online::InFlight,
-    sync::{ItemRef, Load, PoisonList, Verdict},
+    dispatch::{FailedReason, NotRunReason},
+    sync::{Load, PoisonList, Verdict},
 };
 
-use self::fences::Seen;
-
 /// Bytes of a request body that make one prompt token, as an estimate.
 const BYTES_PER_TOKEN: usize = 4;
 /// How long a batch item may stay parked before it is given back, to run elsewhere.
@@ -41,6 +39,8 @@
     pub target: SocketAddr,
     /// The queues and their bounds.
     pub admission: Settings,
+    /// A target whose streams get no token for so long counts as dead.
+    pub stall: Duration,
 }
 
 impl Default for Options {
@@ -53,6 +53,7 @@
                 waiting: 256,
                 balance: Balance::DEFAULT,
             },
+            stall: Duration::from_secs(10),
         }
     }
 }
@@ -75,6 +76,8 @@
     rules: Rules,
     lease_end: Time,
     up: bool,
+    /// When the target last sent a token.
+    progress: Time,
     draining: bool,
     stopping: bool,
     crashes: u64,
@@ -97,6 +100,7 @@
             rules: Rules::default(),
             lease_end: Time::ZERO,
             up: false,
+            progress: Time::ZERO,
             draining: false,
             stopping: false,
             crashes: 0,
@@ -167,308 +171,6 @@
         }
     }
 
-    // ------------------------------------------------------------------------
-    // Online requests.
-
-    /// Takes in a dispatch.
-    ///
-    /// # Errors
-    /// Why it is not taken in.
-    pub fn dispatch(&mut self, now: Time, call: &Dispatch) -> Result<JobId, Refusal> {
-        if call.incarnation != self.options.incarnation {
-            return Err(Refusal::NotRun(NotRunReason::OldIncarnation));
-        }
-        match self.fences.arrive(now, call.request, call.attempt) {
-            Seen::New => {}
-            Seen::Before => return Err(Refusal::Repeated),
-            Seen::Fenced => return Err(Refusal::NotRun(NotRunReason::Fenced)),
-            Seen::Full => return Err(Refusal::NotRun(NotRunReason::Overloaded)),
-        }
-        let job = Job {
-            source: Source::Online {
-                request: call.request,
-                attempt: call.attempt,
-            },
-            customer: call.customer.clone(),
-            key: call.key.clone(),
-            route: call.route.clone(),
-            body: call.body_hash,
-            suspect: call.suspect,
-            deadline: now + Duration::from_millis(u64::from(call.deadline_ms)),
-            state: JobState::Queued,
-            broken: false,
-        };
-        let prompt = prompt_tokens(call.call.body.len());
-        self.check(now, job, prompt, call.cost)
-            .map_err(Refusal::NotRun)
-    }
-
-    fn check(
-        &mut self,
-        now: Time,
-        mut job: Job,
-        prompt: u32,
-        cost: Tokens,
-    ) -> Result<JobId, NotRunReason> {
-        if self.stopping || self.draining {
-            return Err(NotRunReason::Draining);
-        }
-        self.allowed(now, &job)?;
-        if !self.serves(&job) {
-            return Err(NotRunReason::NotServed);
-        }
-        if !self.up {
-            return Err(NotRunReason::TargetDown);
-        }
-        match self.poison.get(&(job.customer.clone(), job.body)) {
-            Some(Verdict::Poison) => return Err(NotRunReason::SuspectBusy),
-            Some(Verdict::Suspect) => job.suspect = true,
-            None => {}
-        }
-        if job.suspect && self.jobs.values().any(|other| other.suspect) {
-            return Err(NotRunReason::SuspectBusy);
-        }
-        let id = self.next_id();
-        let offer = Offer {
-            job: id,
-            customer: job.customer.clone(),
-            weight: self.weight(job.customer.as_ref()),
-            cost,
-            prompt,
-            deadline: job.deadline,
-            suspect: job.suspect,
-        };
-        let evicted = self.admission.offer_online(now, offer);
-        let evicted = evicted.map_err(|Full| NotRunReason::Overloaded)?;
-        if let Some(evicted) = evicted {
-            let reason = NotRunReason::Overloaded;
-            self.stop(now, evicted, reason, Stop::NotRun(reason));
-        }
-        if let Source::Online { request, .. } = job.source {
-            self.requests.insert(request, id);
-        }
-        self.jobs.insert(id, job);
-        Ok(id)
-    }
-
-    fn weight(&self, customer: Option<&CustomerId>) -> u32 {
-        let customer = customer.and_then(|id| self.rules.customers().get(id));
-        customer.map_or(1, |customer| customer.weight)
-    }
-
-    /// Fences an attempt; a job that waits ends unrun, one that runs is cancelled.
-    pub fn fence(&mut self, now: Time, call: &Fence) -> Option<FenceReply> {
-        let reply = self.fences.fence(now, call.request, call.attempt);
-        let Some(id) = self.requests.get(&call.request).copied() else {
-            return reply;
-        };
-        let covered = self.attempt_of(id).is_some_and(|a| a <= call.attempt);
-        if covered {
-            self.stop(
-                now,
-                id,
-                NotRunReason::Fenced,
-                Stop::Failed(FailedReason::TargetLost),
-            );
-        }
-        reply
-    }
-
-    /// Whether what the target answers may still be relayed.
-    pub fn may_relay(&self, now: Time, id: JobId) -> bool {
-        let Some(job) = self.jobs.get(&id) else {
-            return false;
-        };
-        job.key.is_none() || self.has_lease(now)
-    }
-
-    // ------------------------------------------------------------------------
-    // Batch items.
-
-    /// Takes in a leased item whose lease ends at `until`; none when it can't run here.
-    pub fn lease(&mut self, now: Time, item: &LeasedItem, until: Time) -> Option<JobId> {
-        let known = self.job_of(item.lease);
-        if known.is_some() || self.stopping || self.draining || !self.up {
-            return None;
-        }
-        let job = Job {
-            source: Source::Batch {
-                lease: item.lease,
-                until,
-                idempotent: item.content.idempotent,
-            },
-            customer: Some(item.customer.clone()),
-            key: Some(item.key.clone()),
-            route: item.content.route.clone(),
-            body: BodyHash::of(item.content.body.as_bytes()),
-            suspect: item.suspect,
-            deadline: Time::from_micros(u64::MAX),
-            state: JobState::Queued,
-            broken: false,
-        };
-        if !self.rules.customers().contains_key(&item.customer) || !self.serves(&job) {
-            return None;
-        }
-        let id = self.next_id();
-        let prompt = prompt_tokens(item.content.body.len());
-        self.admission.offer_batch(now, id, prompt, job.suspect);
-        self.jobs.insert(id, job);
-        Some(id)
-    }
-
-    /// The job that runs under a lease.
-    pub fn job_of(&self, lease: LeaseRef) -> Option<JobId> {
-        let mut jobs = self.jobs.iter();
-        let found = jobs.find(|(_, job)| match job.source {
-            Source::Online { .. } => false,
-            Source::Batch { lease: other, .. } => other == lease,
-        });
-        found.map(|(id, _)| *id)
-    }
-
-    /// The leases of all items here.
-    pub fn leases(&self) -> Vec<LeaseRef> {
-        let mut leases = Vec::new();
-        for job in self.jobs.values() {
-            if let Source::Batch { lease, .. } = job.source {
-                leases.push(lease);
-            }
-        }
-        leases
-    }
-
-    /// Moves the ends of renewed leases.
-    pub fn renew_items(&mut self, renewed: &[LeaseRef], end: Time) {
-        for job in self.jobs.values_mut() {
-            if let Source::Batch { lease, until, .. } = &mut job.source
-                && renewed.contains(lease)
-            {
-                *until = end.max(*until);
-            }
-        }
-    }
-
-    /// Ends an item that was cancelled, under whatever lease it runs here.
-    pub fn cancel_ref(&mut self, now: Time, item: ItemRef) {
-        let found = self.ids(|job| match job.source {
-            Source::Online { .. } => false,
-            Source::Batch { lease, .. } => lease.item == item,
-        });
-        for id in found {
-            self.cancel_item(now, id);
-        }
-    }
-
-    /// Ends an item that the control leader wants no more.
-    pub fn cancel_item(&mut self, now: Time, id: JobId) {
-        self.end_with(now, id, Stop::Cancelled);
-    }
-
-    /// How many more items are worth leasing.
-    pub fn batch_room(&self, now: Time) -> usize {
-        if self.stopping || self.draining || !self.up || !self.has_lease(now) {
-            return 0;
-        }
-        self.admission.batch_room()
-    }
-
-    /// A batch job has its result; it stays until [`Core::end`], so that its lease is renewed.
-    pub fn finished(&mut self, now: Time, id: JobId) {
-        self.admission.end(now, id);
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.state = JobState::Finished;
-        }
-    }
-
-    // ------------------------------------------------------------------------
-    // Jobs at the target.
-
-    /// A job has a new token.
-    pub fn token(&mut self, now: Time, id: JobId) {
-        self.admission.token(now, id);
-    }
-
-    /// A job is over and is forgotten.
-    pub fn end(&mut self, now: Time, id: JobId) {
-        self.admission.end(now, id);
-        let Some(job) = self.jobs.remove(&id) else {
-            return;
-        };
-        if let Source::Online { request, .. } = job.source
-            && self.requests.get(&request) == Some(&id)
-        {
-            self.requests.remove(&request);
-        }
-    }
-
-    /// A job's connection to the target broke; [`Core::crash`] or [`Core::not_crashed`] follows.
-    pub fn broke(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.broken = true;
-        }
-    }
-
-    /// The target answers.
-    pub fn set_up(&mut self, up: bool) {
-        self.up = up;
-    }
-
-    /// Whether the target answers.
-    pub fn is_up(&self) -> bool {
-        self.up
-    }
-
-    /// The target died: what was in flight, with the number of the crash.
-    pub fn crash(&mut self) -> (u64, Vec<JobId>, Vec<InFlight>) {
-        self.up = false;
-        self.crashes += 1;
-        let mut ids = Vec::new();
-        let mut requests = Vec::new();
-        for (id, job) in &self.jobs {
-            if job.state != JobState::Started {
-                continue;
-            }
-            ids.push(*id);
-            requests.push(InFlight {
-                customer: job.customer.clone(),
-                body: job.body,
-                suspect: job.suspect,
-            });
-        }
-        (self.crashes, ids, requests)
-    }
-
-    /// Ends the jobs that were in flight at a crash, and those that waited for the dead target.
-    pub fn end_crashed(&mut self, now: Time, ids: &[JobId]) {
-        for id in ids {
-            self.end_with(now, *id, Stop::Lost { crashed: true });
-        }
-        let queued = self.ids(|job| job.state == JobState::Queued);
-        for id in queued {
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let stop = if job.is_online() {
-                Stop::NotRun(NotRunReason::TargetDown)
-            } else {
-                Stop::Returned
-            };
-            self.end_with(now, id, stop);
-        }
-    }
-
-    /// The target lives: jobs whose connections broke fail by themselves.
-    pub fn not_crashed(&mut self, now: Time) {
-        for id in self.ids(|job| job.broken) {
-            self.end_with(now, id, Stop::Lost { crashed: false });
-        }
-    }
-
-    /// Whether any job waits for the verdict on its broken connection.
-    pub fn has_broken(&self) -> bool {
-        self.jobs.values().any(|job| job.broken)
-    }
-
     // ------------------------------------------------------------------------
     // Draining and stopping.
 
@@ -606,6 +308,7 @@
             return;
         }
         job.state = JobState::Started;
+        job.started = now;
         self.commands.push((id, command));
     }
 
