--- a/crates/checks/tests/rules_race.rs
+++ b/crates/checks/tests/rules_race.rs
@@ -16,6 +16,19 @@
     Ok(path.display().to_string())
 }
 
+/// Nobody may work by rules older than those in force.
+async fn assert_no_older_lease(fleet: &Fleet) -> Result<()> {
+    let status = fleet.ctl(&["status", "--json"]).await?;
+    let status: serde_json::Value = serde_json::from_slice(&status.stdout)?;
+    let holders = status["holders"].as_array().cloned().unwrap_or_default();
+    assert!(!holders.is_empty());
+    for holder in holders {
+        let current = holder["rules"].as_u64() >= Some(fleet.version);
+        assert!(current || holder["lease_ms"] == 0, "{holder}");
+    }
+    Ok(())
+}
+
 fn extra(number: u32) -> String {
     format!("customer.extra-{number} = {{ rate = \"1/s\", burst = 1 }}  # asked by Mere")
 }
@@ -110,6 +123,7 @@
     fleet.apply().await?;
     let elapsed = start.elapsed();
     assert!(elapsed < IN_FORCE_BOUND, "in force after {elapsed:?}");
+    assert_no_older_lease(&fleet).await?;
     let reply = chat(&fleet, 1, "totara", "after at the other", 2).await?;
     assert_eq!(reply.status.as_u16(), 401);
     fleet.entries[0].thaw()?;
