--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -32,6 +32,10 @@
 async fn give(bench: &Bench, order: Order) -> Result<OrderResult> {
     let fence = order.fence;
     bench.control.change(|desk| desk.orders.push(order));
+    answer(bench, fence).await
+}
+
+async fn answer(bench: &Bench, fence: FenceNumber) -> Result<OrderResult> {
     clem_checks::eventually_value("the answer to an order", async || {
         bench.control.read(|desk| {
             let mut results = desk.results.iter();
@@ -100,3 +104,30 @@
     assert_eq!(sent, 1);
     Ok(())
 }
+
+#[tokio::test]
+async fn a_restarted_agent_obeys_nothing_older_than_what_has_ended() -> Result<()> {
+    let mut bench = Bench::start("engine", &["--checks-fence", "false"], &[]).await?;
+    give(&bench, load(7, 4)).await?;
+    bench.agent.kill()?;
+    let newest = FenceNumber(7);
+    bench.control.change(|desk| {
+        desk.orders.clear();
+        desk.fence = newest;
+    });
+    bench.agent.restart()?;
+    let old = give(&bench, load(6, 5)).await?;
+    assert_eq!(old.outcome, OrderOutcome::Stale { newest });
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_order_waits_for_a_target_that_is_not_known_to_be_up_yet() -> Result<()> {
+    let mut bench = Bench::start("engine", &[], &[]).await?;
+    bench.agent.kill()?;
+    bench.control.change(|desk| desk.orders.push(load(3, 4)));
+    bench.agent.restart()?;
+    let result = answer(&bench, FenceNumber(3)).await?;
+    assert_eq!(result.outcome, OrderOutcome::Done);
+    Ok(())
+}
--- a/crates/control/src/lead/soft.rs
+++ b/crates/control/src/lead/soft.rs
@@ -40,6 +40,17 @@
     stops: BTreeMap<HolderId, BTreeSet<ItemRef>>,
 }
 
+/// What a call of a holder brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heard {
+    /// The target that the caller stands beside.
+    pub target: Option<TargetId>,
+    /// Whether the fleet view changed.
+    pub moved: bool,
+    /// Whether the holder confirmed another version of the rules.
+    pub confirmed: bool,
+}
+
 impl Lead {
     /// The soft state of a leader that took office at `now`.
     pub fn new(epoch: Epoch, now: Time, rules: Rules, drained: BTreeSet<TargetId>) -> Self {
@@ -57,24 +68,29 @@
         }
     }
 
-    /// Takes in a call of a holder; the target that the caller stands beside, and whether the
-    /// fleet view changed.
-    pub fn hear(&mut self, call: &Sync, now: Time) -> (Option<TargetId>, bool) {
+    /// Takes in a call of a holder.
+    pub fn hear(&mut self, call: &Sync, now: Time) -> Heard {
+        let before = self.leases.confirmed(&call.holder.id);
         if self.leases.hear(call, now) {
             self.told.remove(&call.holder.id);
         }
-        let target = match call.holder.role {
+        let mut heard = Heard {
+            target: None,
+            moved: false,
+            confirmed: self.leases.confirmed(&call.holder.id) != before,
+        };
+        heard.target = match call.holder.role {
             Role::Entry => None,
             Role::Agent => Fleet::target_of(self.history.rules(), call),
         };
-        let Some(target) = target else {
-            return (None, false);
+        let Some(target) = &heard.target else {
+            return heard;
         };
-        self.fleet.hear(&target, call);
+        self.fleet.hear(target, call);
         // The call will be answered by a lease, which the target counts by.
         self.leases.grant(&call.holder.id, now, now);
-        let changed = self.refresh_target(&target, now);
-        (Some(target), changed)
+        heard.moved = self.refresh_target(target, now);
+        heard
     }
 
     /// Brings the fleet view up to date; says whether it changed.
@@ -128,8 +144,10 @@
         }
     }
 
-    /// Remembers that a holder is being told of orders up to `newest`.
+    /// Remembers that a holder is being told of orders up to `newest`, and of items that must
+    /// stop. Where the answer is lost, such an item's lease is not renewed, which stops it too.
     pub fn tell(&mut self, call: &Sync, newest: FenceNumber) {
+        self.stops.remove(&call.holder.id);
         let told = (call.holder.incarnation, newest);
         self.told.insert(call.holder.id.clone(), told);
     }
@@ -146,17 +164,6 @@
         self.stops.entry(holder.clone()).or_default().insert(item);
     }
 
-    /// Forgets that an item must stop, as it has.
-    pub fn item_stopped(&mut self, holder: &HolderId, item: &ItemRef) {
-        let Some(items) = self.stops.get_mut(holder) else {
-            return;
-        };
-        items.remove(item);
-        if items.is_empty() {
-            self.stops.remove(holder);
-        }
-    }
-
     /// Grants rate tokens.
     pub fn take_tokens(&mut self, call: &TakeTokens, now: Time) -> TakeTokensReply {
         let mut asks = Vec::new();
