A test waits for the log line that it reads

Failed once in some ten runs: the process's log came through its pipe after the answer. What is asserted is the same.

--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -44,11 +44,13 @@
     let dispatch = agents[0].state().dispatches[0].clone();
     assert_eq!(dispatch.customer, Some(id("totara")));
     assert_eq!(dispatch.key, Some(id("totara-1")));
+    // The log comes through a pipe, and may be later than the answer.
+    eventually("the decision in the log", || async {
+        let log = entry.log();
+        log.contains("routed") && log.contains("candidates")
+    })
+    .await;
     let log = entry.log();
-    assert!(
-        log.contains("routed") && log.contains("candidates"),
-        "{log}"
-    );
     assert!(!log.contains(KEY), "no key in the log");
 }
 
