A rolling restart under load refuses nobody

Ruled out: the buckets themselves (a new leader answers 'settling', which entries wait for) and the entries' planned stop. Requests now wait for a leader for up to 2.5 s, bounded by the entry's 4,096 running requests and its lease; after that one failed try refuses. Also: a caller of control no longer follows the others' word to a leader that was just silent, and waits 1 s for one process in place of 1.5 s.

--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -115,7 +115,7 @@
         }
         Err(error) => {
             log::warn!(error = error.to_string().as_str(); "no rate tokens from control");
-            inner.limiter.failed(round)
+            inner.limiter.failed(entry.now(), round)
         }
     };
     for outcome in outcomes {
--- a/crates/policy/src/limiter.rs
+++ b/crates/policy/src/limiter.rs
@@ -30,6 +30,11 @@
 const SEND_WITHIN: Duration = Duration::from_millis(250);
 /// The most customers in one call.
 const BATCH_MAX: usize = 512;
+/// How long requests wait for a leader: as long as a change of leader takes, and a new one needs
+/// to settle.
+const LEADERLESS_PATIENCE: Duration = Duration::from_millis(2500);
+/// The pause before a leader is looked for again.
+const LEADERLESS_PAUSE: Duration = Duration::from_millis(20);
 /// A customer without traffic for this long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -74,6 +79,8 @@
     customers: HashMap<CustomerId, Local>,
     /// Customers that need something of the leader, so that no call walks all customers.
     due: BTreeSet<CustomerId>,
+    /// Since when no leader has answered.
+    leaderless: Option<Time>,
 }
 
 /// One customer's tokens at this entry.
@@ -189,6 +196,7 @@
         grants: &[Granted],
         ttl: Duration,
     ) -> Vec<Outcome> {
+        self.leaderless = None;
         let mut outcomes = Vec::new();
         for (place, ask) in round.asks.iter().enumerate() {
             let grant = grants.get(place).copied().unwrap_or(Granted::NONE);
@@ -233,9 +241,13 @@
         outcomes
     }
 
-    /// Takes in that the leader did not answer: what was asked for or given back is lost, and the
-    /// waiting requests are refused.
-    pub fn failed(&mut self, round: &Round) -> Vec<Outcome> {
+    /// Takes in that the leader did not answer: what was asked for or given back is lost.
+    ///
+    /// The waiting requests ask again while the leader may just be changing, and are refused once
+    /// none has answered for [`LEADERLESS_PATIENCE`].
+    pub fn failed(&mut self, now: Time, round: &Round) -> Vec<Outcome> {
+        let since = *self.leaderless.get_or_insert(round.asked);
+        let patient = now.since(since) < LEADERLESS_PATIENCE;
         let mut outcomes = Vec::new();
         for ask in &round.asks {
             let Some(local) = self.customers.get_mut(&ask.customer) else {
@@ -246,6 +258,11 @@
             if refused == 0 {
                 continue;
             }
+            if patient {
+                local.waiting += refused;
+                local.ask_after = now + LEADERLESS_PAUSE;
+                continue;
+            }
             outcomes.push(Outcome {
                 customer: ask.customer.clone(),
                 admitted: 0,
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -126,7 +126,7 @@
                 let entry = &mut self.entries[e];
                 entry.answer = None;
                 if let Some(round) = entry.round.take() {
-                    entry.limiter.failed(&round);
+                    entry.limiter.failed(now, &round);
                 }
             }
             Step::Answer(e) if now >= self.entries[e].frozen => self.answer(e),
--- a/crates/policy/tests/measure_limit.rs
+++ b/crates/policy/tests/measure_limit.rs
@@ -175,7 +175,7 @@
             Some(grants) if now >= sent + ONE_WAY + ONE_WAY => {
                 entry.limiter.answered(now, &round, &grants, GRANT_TTL)
             }
-            None if now >= sent + PATIENCE => entry.limiter.failed(&round),
+            None if now >= sent + PATIENCE => entry.limiter.failed(now, &round),
             reply => {
                 entry.round = Some((round, sent, reply));
                 Vec::new()
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -1,6 +1,6 @@
 //! What operators' tools ask of the control leader.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use clem_types::{CommandId, DataCentre, FenceNumber, HolderId, TargetId, UnixMillis, Version};
 use serde::{Deserialize, Serialize};
@@ -24,6 +24,7 @@
 
 impl Call for Apply {
     const PATH: &'static str = "/internal/admin/apply";
+    const HELD: Duration = Duration::from_secs(5);
     type Reply = ApplyReply;
 }
 
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,6 +1,6 @@
 //! What a call between two processes is, and how it can fail.
 
-use std::{fmt, net::SocketAddr};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -11,6 +11,8 @@
 pub trait Call: Serialize + DeserializeOwned {
     /// The path that the message is posted to.
     const PATH: &'static str;
+    /// How long the other side may hold the call before it answers.
+    const HELD: Duration = Duration::ZERO;
     /// What comes back.
     type Reply: Serialize + DeserializeOwned;
 }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -10,8 +10,11 @@
 
 /// The pause before all control processes are asked again.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
-/// How long one control process is waited for before the next one is asked.
-const TRY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How much longer than a call may be held a control process is waited for before the next one
+/// is asked.
+const TRY_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a process that was silent is not taken for the leader on another one's word.
+const SILENT_SPAN: Duration = Duration::from_millis(1500);
 
 type Result<T> = std::result::Result<T, CallError>;
 
@@ -22,7 +25,16 @@
 pub struct ControlClient {
     client: Client,
     addresses: Vec<SocketAddr>,
-    leader: Mutex<Leader>,
+    view: Mutex<View>,
+}
+
+/// What is known of the control processes.
+#[derive(Debug, Clone, Copy)]
+struct View {
+    leader: Leader,
+    /// A process that did not answer, and until when the others' word on it does not count: they
+    /// may not have noticed yet that it is frozen or cut off.
+    silent: Option<(SocketAddr, Instant)>,
 }
 
 /// Which control process is asked next.
@@ -44,7 +56,10 @@
         Self {
             client,
             addresses,
-            leader: Mutex::new(Leader::Listed(0)),
+            view: Mutex::new(View {
+                leader: Leader::Listed(0),
+                silent: None,
+            }),
         }
     }
 
@@ -67,7 +82,7 @@
                 }
                 let address = self.next_address();
                 match self
-                    .ask(address, call, left.min(self.patience(timeout)))
+                    .ask(address, call, left.min(self.patience::<C>(timeout)))
                     .await
                 {
                     Ok(ControlReply::Done(reply)) => return Ok(reply),
@@ -79,6 +94,7 @@
                     Err(error @ CallError::Refused { .. }) => return Err(error),
                     Err(error) => {
                         arrived |= !error.is_not_run();
+                        self.note_silent(address);
                         self.follow(None);
                     }
                 }
@@ -87,13 +103,12 @@
         }
     }
 
-    /// Long polls wait longer than other calls; their own timeout says how long.
-    fn patience(&self, timeout: Duration) -> Duration {
+    /// A single control process is waited for as long as the call may take.
+    fn patience<C: Call>(&self, timeout: Duration) -> Duration {
         if self.addresses.len() == 1 {
-            timeout
-        } else {
-            TRY_TIMEOUT
+            return timeout;
         }
+        C::HELD + TRY_TIMEOUT
     }
 
     async fn ask<C: Call>(
@@ -114,23 +129,34 @@
         crate::codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
     }
 
+    fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn next_address(&self) -> SocketAddr {
-        match *self.leader.lock().unwrap_or_else(PoisonError::into_inner) {
+        match self.view().leader {
             Leader::Listed(place) => self.addresses[place],
             Leader::Named(address) => address,
         }
     }
 
+    fn note_silent(&self, address: SocketAddr) {
+        self.view().silent = Some((address, Instant::now() + SILENT_SPAN));
+    }
+
     fn follow(&self, named: Option<SocketAddr>) {
-        let mut leader = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut view = self.view();
+        let now = Instant::now();
+        let silent = view.silent.filter(|(_, until)| now < *until);
+        let named = named.filter(|named| silent.is_none_or(|(address, _)| address != *named));
         let Some(named) = named else {
-            *leader = match *leader {
+            view.leader = match view.leader {
                 Leader::Listed(place) => Leader::Listed((place + 1) % self.addresses.len()),
                 Leader::Named(_) => Leader::Listed(0),
             };
             return;
         };
-        *leader = match self.addresses.iter().position(|address| *address == named) {
+        view.leader = match self.addresses.iter().position(|address| *address == named) {
             Some(place) => Leader::Listed(place),
             None => Leader::Named(named),
         };
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -1,7 +1,7 @@
 //! Leases on the rules, the view of the fleet, and orders to targets: what entries and agents
 //! fetch from the control leader by long polls. See `docs/DESIGN.md`, "Rules in force".
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use clem_rules::Delta;
 use clem_types::{
@@ -59,6 +59,7 @@
 
 impl Call for Sync {
     const PATH: &'static str = "/internal/sync";
+    const HELD: Duration = Duration::from_secs(1);
     type Reply = SyncReply;
 }
 
