--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -24,7 +24,7 @@
 
 impl Call for Apply {
     const PATH: &'static str = "/internal/admin/apply";
-    const HELD: Duration = Duration::from_secs(5);
+    const HELD: Duration = Duration::from_millis(500);
     type Reply = ApplyReply;
 }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -12,7 +12,7 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 /// How much longer than a call may be held a control process is waited for before the next one
 /// is asked.
-const TRY_TIMEOUT: Duration = Duration::from_secs(1);
+const TRY_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long a process that was silent is not taken for the leader on another one's word.
 const SILENT_SPAN: Duration = Duration::from_millis(1500);
 
