--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Requests come from entries as dispatches, batch items from the control leader as leases. The
 //! [`Core`] decides, without I/O and with the time as an argument, what runs, waits, is refused or
-//! stops; the other modules carry its [`Command`]s out. See `docs/notes-agent.md`.
+//! stops; the other modules carry its [`Command`]s out. See `docs/design/agent.md`.
 //!
 //! ```
 //! use clem_agent::{Core, Options};
--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -2,7 +2,7 @@
 //!
 //! An entry holds a few hundred kilobytes of an upload at a time, whatever its length: lines are
 //! gathered into chunks, and each chunk is durable before the next one is read. See
-//! `docs/notes-entry.md`, "Batches".
+//! `docs/design/online.md`, "Batches".
 
 mod lines;
 mod results;
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -2,7 +2,7 @@
 //!
 //! The truth about whether a request ran comes from here. "Not run" is said only when no byte
 //! left, when the agent says so in a frame, or when the agent has fenced the attempt before it
-//! started. See `docs/notes-entry.md`, "Dispatch".
+//! started. See `docs/design/online.md`, "Dispatch".
 
 mod attempt;
 pub(crate) mod verdict;
--- a/crates/log/benches/commit.rs
+++ b/crates/log/benches/commit.rs
@@ -1,7 +1,7 @@
 //! Commands committed on three nodes whose logs are synced to disk by one writing thread each.
 //!
 //! The nodes stand in one process and hand each other their messages at once, so this is the cost
-//! of consensus and disk without the network. `docs/notes-log.md` has the figures.
+//! of consensus and disk without the network. `docs/design/agreement.md` has the figures.
 
 use std::{hint::black_box, path::Path, thread};
 
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Node`] is one member. It does no I/O and reads no clock: the driver hands it messages and
 //! the present time, takes a [`Ready`] after each round, writes and syncs what stands there,
-//! reports the sync, sends the messages and applies the committed entries. docs/notes-log.md says
+//! reports the sync, sends the messages and applies the committed entries. docs/design/agreement.md says
 //! what the protocol promises and why it keeps it.
 //!
 //! ```
--- a/crates/policy/examples/yield_plot.rs
+++ b/crates/policy/examples/yield_plot.rs
@@ -1,4 +1,4 @@
-//! Draws online harm against batch throughput for each policy: `docs/yield.svg`, and a table on
+//! Draws online harm against batch throughput for each policy: `docs/design/yield.svg`, and a table on
 //! standard output.
 
 #[path = "../tests/fill/mod.rs"]
@@ -14,7 +14,7 @@
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 const SIZE: (u32, u32) = (760, 460);
-const PLOT: &str = "docs/yield.svg";
+const PLOT: &str = "docs/design/yield.svg";
 /// The harm that the default must stay within.
 const TARGET: (f64, f64) = (1.10, 0.85);
 
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -2,7 +2,7 @@
 //! left.
 //!
 //! Engines know no priorities, so everything that must not wait behind batch is decided here,
-//! before a request reaches the engine. See `docs/notes-agent.md`.
+//! before a request reaches the engine. See `docs/design/agent.md`.
 
 mod fill;
 
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -14,7 +14,7 @@
 /// Where an agent stands between sparing online requests (0) and batch throughput (100).
 ///
 /// At every point online requests are admitted first; the balance says how much slower batch
-/// streams may make those that run. See `docs/notes-agent.md`.
+/// streams may make those that run. See `docs/design/agent.md`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Balance(u8);
 
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -4,7 +4,7 @@
 //! bucket plus all tokens that are granted and may still be spent never exceeds the burst, so
 //! in *every* window of length `w` at most `burst + rate * w` requests are admitted:
 //! what is spent in the window was held at its start, in the bucket at its start, or has been
-//! refilled since. See `docs/notes-entry.md`, "Rate and burst".
+//! refilled since. See `docs/design/online.md`, "Rate and burst".
 //!
 //! - A grant expires at the holder [`GRANT_TTL`] after the holder asked, and here
 //!   [`EXPIRY_MARGIN`] later than that after the call arrived.
--- a/crates/policy/src/limiter.rs
+++ b/crates/policy/src/limiter.rs
@@ -3,7 +3,7 @@
 //! A request takes a token that is at hand, or waits for one call to the leader; it is refused
 //! only on the leader's word. Calls are batched: one at a time is under way, for all customers
 //! that need something. The sizes of asks follow demand, tokens that lie idle go back. See
-//! `docs/notes-entry.md`, "Rate and burst".
+//! `docs/design/online.md`, "Rate and burst".
 
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -3,7 +3,7 @@
 //! [`plan`] holds what the rules declare against what the engines report and names the next
 //! orders. It is called again and again; each call works from what is so far, and an order that
 //! is open counts as carried out, so that nothing is ordered twice. See
-//! `docs/notes-control.md`, "Placement".
+//! `docs/design/control.md`, "Placement".
 //!
 //! - A version that a route uses is never unloaded below what is declared for it.
 //! - A version is unloaded only when every other declared version of its model stands in full.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,7 +1,7 @@
 //! When a request is tried again, and when a caller should come back.
 //!
 //! A process spends at most a tenth of its first attempts on retries, so that a lost data centre
-//! does not multiply the load on the rest. See `docs/notes-entry.md`, "Retries".
+//! does not multiply the load on the rest. See `docs/design/online.md`, "Retries".
 
 use std::time::Duration;
 
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -5,7 +5,7 @@
 //! that entries agree without talking), two at random, and two at random of other data centres.
 //! Each is given a cost in tokens: the work before it in the queue, plus the part of the prompt
 //! that it would have to read in. The lowest cost wins, so affinity holds only as far as it saves
-//! more than waiting costs. See `docs/notes-entry.md`, "Routing".
+//! more than waiting costs. See `docs/design/online.md`, "Routing".
 //!
 //! Targets that fail or lag behind their pool are ejected for a while, see [`health`]; never more
 //! than half of a pool, and when nothing else is left they are used all the same.
--- a/crates/policy/tests/yielding.rs
+++ b/crates/policy/tests/yielding.rs
@@ -1,4 +1,4 @@
-//! Batch makes way for chat: bounds on seeded runs in virtual time. See `docs/notes-agent.md`.
+//! Batch makes way for chat: bounds on seeded runs in virtual time. See `docs/design/agent.md`.
 
 mod fill;
 
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -4,7 +4,7 @@
 //! an index for each route, and nothing walks a whole batch in one step. Customers share each
 //! route by weight; within a customer the earliest due time goes first, but every
 //! [`SMALL_EVERY`]th item comes from the smallest batch, so that it doesn't starve behind a giant
-//! one. See `docs/notes-control.md`, "Batches".
+//! one. See `docs/design/control.md`, "Batches".
 //!
 //! An item has its one final outcome when its result record stands, or when its batch is
 //! cancelled and no record stands.
