--- a/crates/checks/tests/agreement/mod.rs
+++ b/crates/checks/tests/agreement/mod.rs
@@ -131,6 +131,14 @@
         Ok(member.ok_or_eyre("not a member")?.identity.clone())
     }
 
+    /// Asks the group.
+    pub(crate) async fn ask<C: Call>(&self, call: &C) -> Result<C::Reply>
+    where
+        ControlReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        Ok(self.client.call(call, CALL_TIMEOUT).await?)
+    }
+
     /// Asks one process alone; none when it doesn't answer as the leader.
     pub(crate) async fn ask_one<C: Call>(&self, place: usize, call: &C) -> Option<C::Reply>
     where
--- a/crates/checks/tests/agreement_copy.rs
+++ b/crates/checks/tests/agreement_copy.rs
@@ -8,6 +8,8 @@
 
 use agreement::Group;
 use clem_checks::{Result, eventually_value};
+use clem_types::Version;
+use clem_wire::admin::{Apply, ApplyReply};
 
 /// Customers in a large file: about half a megabyte.
 const CUSTOMERS: u32 = 6000;
@@ -39,6 +41,33 @@
     .await
 }
 
+/// Hands leadership to the member at a place, so that what it has is what is read.
+async fn lead_with(group: &Group, place: usize) -> Result<()> {
+    let identity = group.identity(place).await?;
+    eventually_value("the repaired member to lead", async || {
+        if group.leader().await.ok()? == place {
+            return Some(());
+        }
+        let _ = group.fleet.ctl(&["members", "transfer", &identity]).await;
+        None
+    })
+    .await
+}
+
+/// A command sent again gets its first answer, from the copy of the table of answers.
+async fn check_first_answer(group: &Group) -> Result<()> {
+    let first = Apply {
+        command: "change-4".parse()?,
+        expect: Version(3),
+        text: large_text(1),
+    };
+    match group.ask(&first).await? {
+        ApplyReply::Accepted { version, .. } => assert_eq!(version, Version(4)),
+        other => panic!("another answer: {other:?}"),
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_lost_disk_is_filled_from_a_copy_and_a_second_loss_loses_nothing() -> Result<()> {
     let mut group = Group::start().await?;
@@ -48,11 +77,11 @@
     group.lose_disk(place)?;
     group.change_to(large_text(CHANGES)).await?;
     group.whole_without(&lost).await?;
-    assert!(
-        group.fleet.control[place]
-            .log()?
-            .contains("copy of the state taken in")
-    );
+    let log = group.fleet.control[place].log()?;
+    assert!(log.contains("copy of the state taken in"));
+    lead_with(&group, place).await?;
+    group.check_rules().await?;
+    check_first_answer(&group).await?;
     // With the leader gone, the repaired member is needed for a quorum.
     let leader = group.leader().await?;
     group.fleet.control[leader].kill()?;
