Held calls are answered at once when leadership moves

Cause: a sync call that the leader held was woken by news only. Ruled out: the handover itself (10 to 30 ms), and rules read before they were applied. That second suspicion was a fault all the same: a member led by its lease before it had applied what was committed, so it could build its state from old rules while the store was synced. It now leads only once it has caught up; found by reading, no test of its own yet.

--- a/crates/control/src/replica/seat.rs
+++ b/crates/control/src/replica/seat.rs
@@ -43,6 +43,8 @@
     /// Members that need a copy of the state.
     wanting: Vec<MemberId>,
     free_bytes: u64,
+    /// The term in which this member leads and has applied what was committed before.
+    caught_up: Option<Term>,
 }
 
 /// A proposal that waits for its commit.
@@ -72,6 +74,7 @@
             outbox: BTreeMap::new(),
             wanting: Vec::new(),
             free_bytes: u64::MAX,
+            caught_up: None,
         }
     }
 
@@ -79,11 +82,23 @@
         &self.node
     }
 
-    /// The term in which this member leads by a lease that holds at `now`.
+    /// The term in which this member leads by a lease that holds at `now`, with everything applied
+    /// that was committed before it led.
     pub(super) fn leads(&self, now: Time) -> Option<Epoch> {
-        self.node
-            .holds_lease(now)
-            .then(|| Epoch(self.node.term().0))
+        let term = self.node.term();
+        let leads = self.node.holds_lease(now) && self.caught_up == Some(term);
+        leads.then_some(Epoch(term.0))
+    }
+
+    /// Notes that the state machine holds all that was committed when this member began to lead.
+    ///
+    /// The lease alone does not say so: entries wait to be applied while the store is synced, and
+    /// between a message and the round that follows it.
+    fn note_caught_up(&mut self, now: Time, store: &RedbStore) {
+        let applied = LogIndex(store.applied());
+        if self.node.holds_lease(now) && applied >= self.node.commit() {
+            self.caught_up = Some(self.node.term());
+        }
     }
 
     /// Bytes that may still be written to the disk, as of the last write.
@@ -171,6 +186,7 @@
             self.apply(store);
         }
         self.answer_reads(store);
+        self.note_caught_up(now, store);
         if !self.node.is_leader() {
             self.give_up_waiting();
         }
--- a/crates/control/src/serve/sync.rs
+++ b/crates/control/src/serve/sync.rs
@@ -23,6 +23,9 @@
         let asked = control.clock.now();
         control.barrier().await?;
         let mut news = control.news();
+        // A holder whose leader has gone asks the next one at once, while its lease still runs.
+        let mut leadership = control.replica.watch();
+        leadership.mark_unchanged();
         let heard = control.lead(|lead, now| lead.hear(&self, now))?;
         let target = heard.target;
         if heard.moved {
@@ -41,8 +44,12 @@
             if let Some(mut reply) = look(control, &self, target.as_ref(), false)? {
                 return finish(control, &self, asked, &mut reply);
             }
-            let woken = tokio::time::timeout_at(deadline, news.changed()).await;
-            if woken.is_ok() {
+            let woken = tokio::select! {
+                _ = news.changed() => true,
+                _ = leadership.changed() => true,
+                () = tokio::time::sleep_until(deadline) => false,
+            };
+            if woken {
                 continue;
             }
             let reply = look(control, &self, target.as_ref(), true)?;
