Serve: replies of another kind by let-else, no catch-all arms

Cause: the style asks for explicit matches; three arms took any other outcome. No change of behaviour; clem-state and clem-control tests green.

--- a/crates/control/src/serve/batch.rs
+++ b/crates/control/src/serve/batch.rs
@@ -63,10 +63,10 @@
             retention: limits.retention_ms,
             now: control.wall(),
         });
-        match control.propose(command).await? {
-            Outcome::BatchBegin(reply) => Ok(reply),
-            _ => Err(Refusal::Unknown),
-        }
+        let Outcome::BatchBegin(reply) = control.propose(command).await? else {
+            return Err(Refusal::Unknown);
+        };
+        Ok(reply)
     }
 }
 
@@ -77,10 +77,10 @@
         }
         let room = control.limits.batch_bytes;
         let command = Command::BatchChunk { call: self, room };
-        match control.propose(command).await? {
-            Outcome::BatchChunk(reply) => Ok(reply),
-            _ => Err(Refusal::Unknown),
-        }
+        let Outcome::BatchChunk(reply) = control.propose(command).await? else {
+            return Err(Refusal::Unknown);
+        };
+        Ok(reply)
     }
 }
 
--- a/crates/state/src/orders.rs
+++ b/crates/state/src/orders.rs
@@ -61,7 +61,7 @@
     let newest = newest(store, &command.target)?;
     let reply = match command.expect {
         Some(expect) if expect != newest => GiveOrderReply::Conflict { newest },
-        _ => put_order(store, index, command)?,
+        Some(_) | None => put_order(store, index, command)?,
     };
     answers::remember(store, &command.command, content, &reply)?;
     Ok(reply)
