--- a/crates/boot/src/admin.rs
+++ b/crates/boot/src/admin.rs
@@ -46,6 +46,11 @@
             .wrap_err("the metrics recorder can't be started")?;
         Ok(Self { handle })
     }
+
+    /// All metrics, as text.
+    pub fn render(&self) -> String {
+        self.handle.render()
+    }
 }
 
 /// `GET /healthz`, `/readyz` and `/metrics`.
@@ -89,6 +94,6 @@
 #[async_trait]
 impl Handler for Page {
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        res.render(self.metrics.handle.render());
+        res.render(self.metrics.render());
     }
 }
--- a/crates/boot/src/lib.rs
+++ b/crates/boot/src/lib.rs
@@ -29,14 +29,16 @@
 mod program;
 mod run;
 mod settings;
+mod stdout;
 mod stop;
 
 pub use admin::{Metrics, Readiness, admin_routes};
 pub use clock::Clock;
-pub use listen::{Listener, acceptor, bind};
+pub use listen::{Listener, acceptor, bind, listen};
 pub use logs::start_logs;
 pub use member::{Member, take_level, take_secret};
 pub use program::{Flag, Program, Start};
 pub use run::{EXIT_FAILURE, EXIT_SETTINGS, run};
 pub use settings::{Finding, Findings, Settings};
+pub use stdout::start_stdout_logs;
 pub use stop::stop_signal;
--- a/crates/boot/src/listen.rs
+++ b/crates/boot/src/listen.rs
@@ -36,7 +36,11 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<Listener> {
+/// Binds an address that no flag names.
+///
+/// # Errors
+/// The address can't be bound.
+pub fn listen(address: SocketAddr) -> io::Result<Listener> {
     let socket = match address {
         SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
         SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
@@ -50,6 +54,13 @@
     Ok(Listener { socket, address })
 }
 
+impl Listener {
+    /// The bound socket, for a server of its own.
+    pub fn into_socket(self) -> tokio::net::TcpListener {
+        self.socket
+    }
+}
+
 /// Turns a bound socket into what salvo serves.
 ///
 /// # Errors
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -9,7 +9,7 @@
 use crate::{
     control::Control,
     placing, platform,
-    replica::{Replica, ReplicaSettings},
+    replica::{RESERVE_BYTES, Replica, ReplicaSettings},
     serve,
     settings::Settings,
     tick,
@@ -35,6 +35,9 @@
         peers: settings.member.control,
         secret: settings.member.secret.clone(),
         clock,
+        may_found: true,
+        reserve_bytes: RESERVE_BYTES,
+        pace: clem_log::Settings::default(),
     })?;
     let control = Arc::new(Control::new(replica.clone(), clock, settings.limits));
     let internal = Router::new()
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -11,8 +11,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_log::{
-    Base, ClusterId, LogIndex, Member, MemberId, Members, Node, Seat as LogSeat, Settings, Start,
-    Write,
+    Base, ClusterId, LogIndex, Member, MemberId, Members, Node, Seat as LogSeat, Start, Write,
     disk::{DiskEvent, Folder, Identity, Recovered, Writer},
 };
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -39,13 +38,13 @@
         Some(cluster) => (cluster, resume(&shared, &mut folder, recovered)),
         None => form(&shared, &mut folder).await,
     };
-    let node = Node::new(shared.clock.now(), start, Settings::default());
+    let node = Node::new(shared.clock.now(), start, shared.pace);
     let (writer, events) = match Writer::start(folder) {
         Ok(started) => started,
         Err(error) => fatal::end("the log's thread can't be started", &error),
     };
     log::info!(member:% = shared.member, cluster:% = cluster; "takes its seat");
-    *shared.seat() = Some(Seat::new(cluster, node, writer));
+    *shared.seat() = Some(Seat::new(cluster, node, writer, shared.reserve_bytes));
     go_on(shared, events).await;
 }
 
@@ -129,6 +128,10 @@
     for address in others(shared) {
         let asked = shared.client.call(address, &Hello {}, HELLO_TIMEOUT).await;
         let Ok(reply) = asked else { continue };
+        if let Some(group) = &reply.group {
+            let known = group.members.iter().filter_map(|m| m.address.parse().ok());
+            shared.add_peers(known);
+        }
         answers.push(Answer { address, reply });
     }
     answers
@@ -136,17 +139,19 @@
 
 fn others(shared: &Shared) -> Vec<SocketAddr> {
     shared
-        .peers
-        .iter()
-        .copied()
+        .peers()
+        .into_iter()
         .filter(|address| *address != shared.address)
         .collect()
 }
 
 /// The new group, if it is for this process to found it and nobody is missing.
 fn found_group(shared: &Shared, answers: &[Answer]) -> Option<Group> {
+    if !shared.may_found {
+        return None;
+    }
     let others = others(shared);
-    let named = others.len() < shared.peers.len();
+    let named = others.len() < shared.peers().len();
     let lowest = others.iter().all(|address| shared.address < *address);
     if !named || !lowest || answers.len() < others.len() {
         return None;
@@ -204,6 +209,8 @@
             if !seat.node().wants_join() {
                 continue;
             }
+            let known = seat.node().members().iter();
+            shared.add_peers(known.filter_map(|m| m.address.parse().ok()));
             let address = shared.address.to_string();
             Join {
                 cluster: seat.cluster,
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -51,8 +51,17 @@
     pub secret: FleetSecret,
     /// The process's clock.
     pub clock: Clock,
+    /// Whether a new group may be founded; else an empty disk only joins one.
+    pub may_found: bool,
+    /// Free bytes on the disk below which all proposals are refused.
+    pub reserve_bytes: u64,
+    /// Spans and sizes that steer the group.
+    pub pace: clem_log::Settings,
 }
 
+/// Free bytes on the disk below which all proposals are refused, unless a program says otherwise.
+pub const RESERVE_BYTES: u64 = 64 * 1024 * 1024;
+
 /// A handle on this process's replica; clones stand for the same one.
 #[derive(Clone)]
 pub struct Replica {
@@ -73,6 +82,9 @@
             peers,
             secret,
             clock,
+            may_found,
+            reserve_bytes,
+            pace,
         } = settings;
         fs::create_dir_all(&data_dir)
             .wrap_err_with(|| format!("can't make the data folder {}", data_dir.display()))?;
@@ -95,6 +107,9 @@
             client: Client::new(secret),
             member: recovered.identity.member,
             store,
+            may_found,
+            reserve_bytes,
+            pace,
         }));
         tokio::spawn(formation::run(Arc::clone(&shared), folder, recovered));
         Ok(Self { shared })
@@ -245,6 +260,19 @@
         }
     }
 
+    /// Adds addresses at which members are looked for.
+    pub fn add_peers(&self, found: impl IntoIterator<Item = SocketAddr>) {
+        self.shared.add_peers(found);
+    }
+
+    /// Names the members that are to be replaced although they live.
+    pub fn set_leaving(&self, leaving: &[SocketAddr]) {
+        let addresses: Vec<String> = leaving.iter().map(ToString::to_string).collect();
+        if let Some(seat) = self.shared.seat().as_mut() {
+            seat.set_leaving(&addresses);
+        }
+    }
+
     /// Hands leadership to another member before a planned stop, if there is one.
     pub async fn hand_over(&self) {
         if self.transfer(None).is_err() {
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -24,7 +24,7 @@
 
 use clem_state::Outcome;
 
-pub use handle::{Replica, ReplicaSettings};
+pub use handle::{RESERVE_BYTES, Replica, ReplicaSettings};
 
 /// What became of a proposed command.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/control/src/replica/seat.rs
+++ b/crates/control/src/replica/seat.rs
@@ -23,8 +23,6 @@
 const COMPACT_ENTRIES: u64 = 20_000;
 /// The log that stays for members that lag a little, in bytes.
 const KEEP_BYTES: usize = 2 * 1024 * 1024;
-/// Free bytes on the disk below which all proposals are refused.
-const RESERVE_BYTES: u64 = 64 * 1024 * 1024;
 
 /// A seat in the group.
 pub(super) struct Seat {
@@ -43,6 +41,8 @@
     /// Members that need a copy of the state.
     wanting: Vec<MemberId>,
     free_bytes: u64,
+    /// Free bytes below which all proposals are refused.
+    reserve_bytes: u64,
     /// The term in which this member leads and has applied what was committed before.
     caught_up: Option<Term>,
 }
@@ -60,7 +60,7 @@
 }
 
 impl Seat {
-    pub(super) fn new(cluster: ClusterId, node: Node, writer: Writer) -> Self {
+    pub(super) fn new(cluster: ClusterId, node: Node, writer: Writer, reserve_bytes: u64) -> Self {
         Self {
             cluster,
             node,
@@ -74,6 +74,7 @@
             outbox: BTreeMap::new(),
             wanting: Vec::new(),
             free_bytes: u64::MAX,
+            reserve_bytes,
             caught_up: None,
         }
     }
@@ -145,6 +146,10 @@
         self.node.join(now, id, address)
     }
 
+    pub(super) fn set_leaving(&mut self, addresses: &[String]) {
+        self.node.set_leaving(addresses);
+    }
+
     pub(super) fn change(&mut self, now: Time, change: &Change) -> Result<LogIndex, Refused> {
         self.node.change(now, change)
     }
@@ -166,7 +171,7 @@
     /// The log is synced up to this write.
     pub(super) fn written(&mut self, now: Time, number: WriteNumber, free_bytes: u64) {
         self.free_bytes = free_bytes;
-        self.node.set_disk_full(free_bytes < RESERVE_BYTES);
+        self.node.set_disk_full(free_bytes < self.reserve_bytes);
         self.node.synced(now, number);
     }
 
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -20,10 +20,16 @@
 /// The locks are only ever held between two waits, and in this order: seat, store, install.
 pub(super) struct Shared {
     pub(super) address: SocketAddr,
-    pub(super) peers: Vec<SocketAddr>,
+    peers: Mutex<Vec<SocketAddr>>,
     pub(super) data_dir: PathBuf,
     pub(super) clock: Clock,
     pub(super) client: Client,
+    /// Whether a new group may be founded.
+    pub(super) may_found: bool,
+    /// Free bytes on the disk below which all proposals are refused.
+    pub(super) reserve_bytes: u64,
+    /// Spans and sizes that steer the group.
+    pub(super) pace: clem_log::Settings,
     /// This process's member id.
     pub(super) member: MemberId,
     /// The term that this process leads, if it does.
@@ -44,6 +50,9 @@
     pub(super) client: Client,
     pub(super) member: MemberId,
     pub(super) store: RedbStore,
+    pub(super) may_found: bool,
+    pub(super) reserve_bytes: u64,
+    pub(super) pace: clem_log::Settings,
 }
 
 impl Shared {
@@ -51,7 +60,10 @@
         let (epoch, _) = watch::channel(None);
         Self {
             address: parts.address,
-            peers: parts.peers,
+            peers: Mutex::new(parts.peers),
+            may_found: parts.may_found,
+            reserve_bytes: parts.reserve_bytes,
+            pace: parts.pace,
             data_dir: parts.data_dir,
             clock: parts.clock,
             client: parts.client,
@@ -64,6 +76,22 @@
         }
     }
 
+    /// The addresses at which members are looked for.
+    pub(super) fn peers(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        peers.clone()
+    }
+
+    /// Adds addresses at which members are looked for.
+    pub(super) fn add_peers(&self, found: impl IntoIterator<Item = SocketAddr>) {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        for address in found {
+            if !peers.contains(&address) {
+                peers.push(address);
+            }
+        }
+    }
+
     /// The seat in the group; none before the group is founded or joined.
     pub(super) fn seat(&self) -> MutexGuard<'_, Option<Seat>> {
         self.seat.lock().unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/crates/direct/src/alone.rs
@@ -0,0 +1,78 @@
+//! Placing without the hub: while no leader answers, each process goes by what it knows itself.
+//!
+//! The load that this answers: some seconds without a leader, after a kill, a freeze or a cut.
+//! Callers are better served by a guess than by a refusal; each customer's rate is kept by giving
+//! every front an equal share of it.
+
+use std::{collections::HashMap, time::Duration};
+
+use clem_policy::dispatch::{Ended, Meter, RateLimit};
+use clem_types::Time;
+
+/// How long a target that failed is left.
+const LEFT: Duration = Duration::from_millis(1000);
+/// How long placing goes on without asking a leader that was silent.
+const SILENT_SPAN: Duration = Duration::from_millis(300);
+
+/// What a process knows itself.
+#[derive(Debug, Default)]
+pub(crate) struct Alone {
+    failed: HashMap<String, Time>,
+    meters: HashMap<String, Meter>,
+    /// Until when no leader is asked.
+    until: Option<Time>,
+}
+
+impl Alone {
+    /// Whether the leader should not be asked now.
+    pub(crate) fn is_alone(&self, now: Time) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// The leader did not answer.
+    pub(crate) fn note_silent(&mut self, now: Time) -> bool {
+        let first = self.until.is_none();
+        self.until = Some(now + SILENT_SPAN);
+        first
+    }
+
+    /// The leader answers; says whether it had been silent.
+    pub(crate) fn note_heard(&mut self) -> bool {
+        self.meters.clear();
+        self.until.take().is_some()
+    }
+
+    /// Takes in how an attempt at a target ended.
+    pub(crate) fn note(&mut self, now: Time, target: &str, ended: Ended) {
+        match ended {
+            Ended::Unreachable | Ended::Silent | Ended::Replaced | Ended::Full => {
+                self.failed.insert(target.to_owned(), now + LEFT);
+            }
+            Ended::Answered => {
+                self.failed.remove(target);
+            }
+            Ended::Broken | Ended::NotRun | Ended::Lost => {}
+        }
+    }
+
+    pub(crate) fn is_left(&self, now: Time, target: &str) -> bool {
+        self.failed.get(target).is_some_and(|until| now < *until)
+    }
+
+    /// Takes a request out of this front's share of a customer's rate.
+    ///
+    /// # Errors
+    /// When there will be one.
+    pub(crate) fn take(
+        &mut self,
+        now: Time,
+        customer: &str,
+        limit: RateLimit,
+    ) -> Result<(), Duration> {
+        let meter = self
+            .meters
+            .entry(customer.to_owned())
+            .or_insert_with(|| Meter::new(now, limit, limit.burst));
+        meter.take(now)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,21 @@
+//! The direct way to targets: what the hub says, slots, connections, one attempt at a target.
+//!
+//! See `docs/design/platform.md`.
+
+mod alone;
+mod events;
+mod exchange;
+mod follow;
+mod list;
+mod node;
+mod pool;
+mod slot;
+mod view;
+
+pub use events::{Event, Events};
+pub use exchange::{Kept, Outcome, Reply, Shipment};
+pub use follow::follow;
+pub use list::{poll_alone, read_targets};
+pub use node::{Node, NodeSettings};
+pub use slot::{Placed, Slot, release_loop};
+pub use view::View;
--- /dev/null
+++ b/crates/direct/src/list.rs
@@ -0,0 +1,100 @@
+//! Reading the platform's list of targets.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use clem_edge::{Dialect, TargetVm};
+use http::{Request, header};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::Node;
+
+/// How long one page may take.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The longest page, in bytes.
+const PAGE_BYTES: usize = 4 * 1024 * 1024;
+/// The most pages; more is taken for a list that goes round.
+const PAGES_MAX: usize = 200;
+/// How long the hub's word on the targets is waited for before a process reads the list itself.
+const OVERDUE: Duration = Duration::from_millis(2000);
+/// How often a process looks whether the hub's word is overdue, and reads the list if it is.
+const ALONE_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// The result of reading the list, or why it can't be had.
+type Result<T> = std::result::Result<T, String>;
+
+/// Reads all pages of the list.
+///
+/// # Errors
+/// A page can't be had or read; what was read before it is not the whole list.
+pub async fn read_targets(dialect: &dyn Dialect, address: SocketAddr) -> Result<Vec<TargetVm>> {
+    let mut targets = Vec::new();
+    let mut page = None;
+    for _ in 0..PAGES_MAX {
+        let path = dialect.list_path(page.as_deref());
+        let body = tokio::time::timeout(PAGE_TIMEOUT, read_page(address, &path))
+            .await
+            .map_err(|_| "no answer in time".to_owned())??;
+        let read = dialect
+            .read_list(&body)
+            .map_err(|findings| findings.to_string())?;
+        if read.unreadable > 0 {
+            log::warn!(entries = read.unreadable; "entries of the list can't be read");
+        }
+        targets.extend(read.targets);
+        match read.next {
+            Some(next) => page = Some(next),
+            None => return Ok(targets),
+        }
+    }
+    Err("the list has no end".to_owned())
+}
+
+async fn read_page(address: SocketAddr, path: &str) -> Result<Bytes> {
+    let text = |error: &dyn std::fmt::Display| error.to_string();
+    let stream = TcpStream::connect(address).await.map_err(|e| text(&e))?;
+    let io = TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io)
+        .await
+        .map_err(|e| text(&e))?;
+    tokio::spawn(connection);
+    let request = Request::get(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONNECTION, "close")
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| text(&e))?;
+    let response = sender.send_request(request).await.map_err(|e| text(&e))?;
+    if !response.status().is_success() {
+        return Err(format!("answered with {}", response.status()));
+    }
+    let body = Limited::new(response.into_body(), PAGE_BYTES);
+    let body = body.collect().await.map_err(|e| text(&e))?;
+    Ok(body.to_bytes())
+}
+
+/// Reads the list itself while the hub says nothing: targets that leave must not get new work,
+/// whether the hub has a leader or not.
+pub async fn poll_alone(node: Arc<Node>) {
+    loop {
+        // Spread, so that not all processes read at once.
+        tokio::time::sleep(node.spread(ALONE_INTERVAL)).await;
+        let now = node.now();
+        let heard = {
+            let view = node.view();
+            view.heard.max(view.listed)
+        };
+        if heard.is_some_and(|at| now.since(at) < OVERDUE) {
+            continue;
+        }
+        match read_targets(&*node.dialect, node.list).await {
+            Ok(targets) => {
+                log::info!(targets = targets.len(); "list read without the hub");
+                node.view().take_targets(node.now(), targets);
+                node.note_change();
+            }
+            Err(error) => log::warn!(error; "list not read"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/slot.rs
@@ -0,0 +1,192 @@
+//! Slots at targets: asked of the hub's leader, or taken alone while none answers.
+
+use std::{sync::Arc, time::Duration};
+
+use clem_edge::TargetVm;
+use clem_policy::dispatch::{Ended, Held, RateLimit, Ticket, Urgency, Verdict, Want};
+use clem_wire::fleet::{Place, Release};
+
+use crate::Node;
+
+/// How long ends of requests wait for others, so that they travel together.
+const RELEASE_PAUSE: Duration = Duration::from_millis(2);
+/// How long an answer of the leader may be on its way, beyond the time for which it may be held.
+const ANSWER_SLACK: Duration = Duration::from_millis(150);
+/// How long a message that gives slots back is waited for.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
+/// When to come back while there is no target.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(400);
+/// A front's share of a customer's burst while it is alone, so that fronts that lose the hub one
+/// after the other stay within the burst together.
+const BURST_SHARE: f64 = 0.5;
+
+/// A slot at a target; given back when it is dropped.
+pub struct Slot {
+    node: Arc<Node>,
+    ticket: Ticket,
+    ended: Ended,
+    /// The target.
+    pub target: TargetVm,
+}
+
+/// What became of asking for a slot.
+pub enum Placed {
+    /// The request may be sent.
+    Slot(Slot),
+    /// The customer is over its rate.
+    OverRate(Duration),
+    /// There is no room.
+    Busy(Duration),
+}
+
+impl Slot {
+    /// Says how the request ended; before that it counts as not sent.
+    pub fn note(&mut self, ended: Ended) {
+        self.ended = ended;
+    }
+
+    /// The number of the slot.
+    pub fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.node.give_back(self.ticket, self.ended);
+    }
+}
+
+/// A ticket that is being asked for; if whoever asks goes away, the answer is not wanted.
+struct Asking<'a> {
+    node: &'a Node,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            self.node.give_back(ticket, Ended::NotRun);
+        }
+    }
+}
+
+impl Node {
+    /// Asks for a slot; `limit` is the customer's rate, for when no leader answers.
+    pub async fn place(self: &Arc<Self>, mut want: Want, limit: Option<RateLimit>) -> Placed {
+        want.ticket = self.new_ticket();
+        want.holder.clone_from(&self.holder);
+        want.data_centre.clone_from(&self.data_centre);
+        let alone = self.alone().is_alone(self.now());
+        if alone {
+            return self.place_alone(&want, limit);
+        }
+        let mut asking = Asking {
+            node: self,
+            ticket: Some(want.ticket),
+        };
+        let call = Place {
+            want,
+            ends: self.take_ends(),
+        };
+        let timeout = call.want.patience + ANSWER_SLACK;
+        let answered = self.hub.ask_leader(&call, timeout).await;
+        let Place { want, ends } = call;
+        let verdict = match answered {
+            Ok(verdict) => verdict,
+            Err(error) => {
+                // Slots that are not given back now are found missing in the next report.
+                if self.alone().note_silent(self.now()) {
+                    log::warn!(error:% = error, ends = ends.len(); "no leader places");
+                }
+                return self.place_alone(&want, limit);
+            }
+        };
+        asking.ticket = None;
+        if self.alone().note_heard() {
+            log::info!("leader places again");
+        }
+        match verdict {
+            Verdict::Granted { target } => self.granted(&want, &target),
+            Verdict::OverRate { retry } => Placed::OverRate(retry),
+            Verdict::Busy { retry } => Placed::Busy(retry),
+            Verdict::NoTarget => Placed::Busy(NO_TARGET_RETRY),
+        }
+    }
+
+    fn granted(self: &Arc<Self>, want: &Want, target: &str) -> Placed {
+        let known = self.view().targets.get(target).cloned();
+        let Some(target) = known else {
+            // The leader's list is newer than this process's.
+            self.give_back(want.ticket, Ended::NotRun);
+            return Placed::Busy(NO_TARGET_RETRY);
+        };
+        self.hold(Held {
+            ticket: want.ticket,
+            service: want.service.clone(),
+            target: target.id.clone(),
+            batch: matches!(want.urgency, Urgency::Batch { .. }),
+        });
+        Placed::Slot(Slot {
+            node: Arc::clone(self),
+            ticket: want.ticket,
+            ended: Ended::NotRun,
+            target,
+        })
+    }
+
+    fn place_alone(self: &Arc<Self>, want: &Want, limit: Option<RateLimit>) -> Placed {
+        let now = self.now();
+        if matches!(want.urgency, Urgency::Batch { .. }) {
+            return Placed::Busy(NO_TARGET_RETRY);
+        }
+        let fronts = f64::from(self.view().fronts.max(1));
+        if let (Some(customer), Some(limit)) = (&want.customer, limit) {
+            let share = RateLimit {
+                rate: limit.rate / fronts,
+                burst: limit.burst / fronts * BURST_SHARE,
+            };
+            if let Err(retry) = self.alone().take(now, customer, share) {
+                return Placed::OverRate(retry);
+            }
+        }
+        let mut best: Option<(f64, TargetVm)> = None;
+        for target in self.view().ready(&want.service) {
+            if want.avoid.contains(&target.id) || self.alone().is_left(now, &target.id) {
+                continue;
+            }
+            // Other fronts have their own share of each target.
+            let load = self.held_at(&target.id) as f64 + self.draw() / 2.0;
+            if best.as_ref().is_none_or(|(least, _)| load < *least) {
+                best = Some((load, target.clone()));
+            }
+        }
+        let Some((load, target)) = best else {
+            return Placed::Busy(NO_TARGET_RETRY);
+        };
+        if load >= f64::from(target.slots) {
+            return Placed::Busy(want.on_time.max(NO_TARGET_RETRY));
+        }
+        self.granted(want, &target.id)
+    }
+}
+
+/// Tells the leader which slots are given back, for as long as the process runs.
+pub async fn release_loop(node: Arc<Node>) {
+    loop {
+        node.ends_ready.notified().await;
+        tokio::time::sleep(RELEASE_PAUSE).await;
+        let ends = node.take_ends();
+        if ends.is_empty() {
+            continue;
+        }
+        let call = Release {
+            holder: node.holder.clone(),
+            ends,
+        };
+        // A lost message is made good by the next report of what is held.
+        if let Err(error) = node.hub.ask_leader(&call, RELEASE_TIMEOUT).await {
+            log::debug!(error:% = error, slots = call.ends.len(); "slots not given back yet");
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/hop.rs
@@ -0,0 +1,34 @@
+//! Headers that concern one connection only.
+
+use http::{HeaderMap, HeaderName, header};
+
+/// Headers of one connection, whatever the message.
+const HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// The headers without those that concern one connection only.
+pub fn end_to_end(from: &HeaderMap) -> HeaderMap {
+    let mut named: Vec<HeaderName> = HOP.to_vec();
+    named.push(HeaderName::from_static("keep-alive"));
+    named.push(HeaderName::from_static("proxy-connection"));
+    for value in from.get_all(header::CONNECTION) {
+        let Ok(text) = value.to_str() else { continue };
+        let names = text.split(',').filter_map(|name| name.trim().parse().ok());
+        named.extend(names);
+    }
+    let mut headers = HeaderMap::with_capacity(from.len());
+    for (name, value) in from {
+        if named.contains(name) {
+            continue;
+        }
+        headers.append(name, value.clone());
+    }
+    headers
+}
--- /dev/null
+++ b/crates/front/src/attempt.rs
@@ -0,0 +1,190 @@
+//! A request's attempts at targets, until one answers or none may follow.
+
+use std::{sync::Arc, time::Duration};
+
+use clem_direct::{Outcome, Placed, Reply, Slot};
+use clem_edge::{Cause, Forward, Refusal};
+use clem_policy::dispatch::Ended;
+use http::Response;
+
+use crate::{
+    answer::AnswerBody,
+    front::{Front, Running},
+    relay,
+    request::CallerRequest,
+};
+
+/// The time that a target's answer is waited for is shorter by this than what is left, so that
+/// the caller hears a final word in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+/// When to come back after a target was full.
+const FULL_RETRY: Duration = Duration::from_millis(100);
+/// How often a request that was not sent looks for another target.
+const UNSENT_MAX: u32 = 4;
+
+/// Where a request stands.
+pub(crate) struct Course {
+    pub(crate) front: Arc<Front>,
+    pub(crate) request: CallerRequest,
+    pub(crate) running: Running,
+    /// Targets that may have run it.
+    pub(crate) runs: u32,
+    /// Targets that have failed it.
+    pub(crate) avoid: Vec<String>,
+    /// The last event that the caller has got.
+    pub(crate) seen: Option<u64>,
+}
+
+/// Why no target answers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Failed {
+    pub(crate) refusal: Refusal,
+}
+
+/// Runs a request and relays its answer.
+pub(crate) async fn run(
+    front: &Arc<Front>,
+    request: CallerRequest,
+    running: Running,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let seen = request.ask.seen;
+    let mut course = Course {
+        front: Arc::clone(front),
+        request,
+        running,
+        runs: 0,
+        avoid: Vec::new(),
+        seen,
+    };
+    let outcome = course.next_answer().await;
+    match outcome {
+        Ok((slot, reply)) => Ok(relay::start(course, slot, reply)),
+        Err(failed) => {
+            course.note_end("refused", &failed.refusal);
+            Err(failed.refusal)
+        }
+    }
+}
+
+impl Course {
+    /// Gets an answer from one target after the other.
+    pub(crate) async fn next_answer(&mut self) -> Result<(Slot, Reply), Failed> {
+        let mut unsent = 0;
+        loop {
+            let mut slot = self.next_slot().await?;
+            let outcome = self.send(&mut slot).await;
+            let target = slot.target.id.clone();
+            let repeatable = self.request.route.is_repeatable();
+            match outcome {
+                Some(Outcome::Answered(reply)) => {
+                    self.runs += 1;
+                    return Ok((slot, *reply));
+                }
+                Some(Outcome::NotSent(reason)) => {
+                    self.note_attempt(&target, "not sent", &reason);
+                    unsent += 1;
+                }
+                Some(Outcome::Refused(head)) => {
+                    let reason = if head.replaced { "replaced" } else { "full" };
+                    self.note_attempt(&target, "not run", reason);
+                    unsent += 1;
+                    // A target that refuses has been sent to all the same.
+                    if self.request.route.attempts <= 1 && !head.replaced {
+                        return Err(self.not_run(FULL_RETRY));
+                    }
+                }
+                Some(Outcome::Lost(reason)) => {
+                    self.note_attempt(&target, "lost", &reason);
+                    self.runs += 1;
+                    if !repeatable || self.runs >= self.request.route.attempts {
+                        return Err(failed(Cause::Broken));
+                    }
+                }
+                None => {
+                    slot.note(Ended::Silent);
+                    self.note_attempt(&target, "silent", "");
+                    return Err(failed(Cause::OutOfTime));
+                }
+            }
+            self.avoid.push(target);
+            if unsent >= UNSENT_MAX {
+                return Err(self.not_run(FULL_RETRY));
+            }
+        }
+    }
+
+    async fn next_slot(&mut self) -> Result<Slot, Failed> {
+        let node = Arc::clone(&self.front.node);
+        let now = node.now();
+        let Some(service) = self.request.route.pick(node.draw()).map(str::to_owned) else {
+            return Err(self.not_run(FULL_RETRY));
+        };
+        let want = self.request.want(now, &service, &self.avoid);
+        match node.place(want, self.request.limit()).await {
+            Placed::Slot(slot) => Ok(slot),
+            Placed::OverRate(retry) => Err(Failed {
+                refusal: Refusal::after(Cause::OverLimit, node.spread(retry)),
+            }),
+            Placed::Busy(retry) => Err(self.not_run(node.spread(retry))),
+        }
+    }
+
+    /// Sends the request; none when nothing came in time.
+    async fn send(&self, slot: &mut Slot) -> Option<Outcome> {
+        let node = &self.front.node;
+        let left = self.request.left(node.now());
+        let target = slot.target.id.clone();
+        let forward = Forward {
+            id: &self.request.id,
+            target: &target,
+            customer: self.request.customer.as_ref().map(|c| c.name.as_str()),
+            patience: Some(left),
+            seen: self.seen,
+        };
+        let sent = node.send(slot, &self.request.shipment, &forward);
+        let answered = tokio::time::timeout(left.saturating_sub(ANSWER_MARGIN), sent).await;
+        answered.ok()
+    }
+
+    /// Nothing more is sent: a promise that the request has not run, unless it may have.
+    fn not_run(&self, retry: Duration) -> Failed {
+        if self.runs > 0 {
+            return failed(Cause::Broken);
+        }
+        Failed {
+            refusal: Refusal::after(Cause::Busy, retry),
+        }
+    }
+
+    fn note_attempt(&self, target: &str, outcome: &str, reason: &str) {
+        log::warn!(
+            request = self.request.id.as_str(), target, outcome, reason, runs = self.runs;
+            "attempt failed"
+        );
+    }
+
+    pub(crate) fn note_end(&self, outcome: &str, refusal: &Refusal) {
+        let now = self.front.node.now();
+        let took = now.since(self.request.arrived).as_millis() as u64;
+        let retry = refusal.retry.map_or(0, |retry| retry.as_millis() as u64);
+        log::info!(
+            request = self.request.id.as_str(), route = self.request.route.name.as_str(),
+            customer = self.customer(), outcome, cause:% = refusal.cause, retry_ms = retry,
+            runs = self.runs, took_ms = took;
+            "request ended"
+        );
+        let cause = refusal.cause.to_string();
+        metrics::counter!("clem_front_refused", "cause" => cause).increment(1);
+    }
+
+    pub(crate) fn customer(&self) -> &str {
+        let customer = self.request.customer.as_ref();
+        customer.map_or("", |customer| customer.name.as_str())
+    }
+}
+
+fn failed(cause: Cause) -> Failed {
+    Failed {
+        refusal: Refusal::new(cause),
+    }
+}
--- /dev/null
+++ b/crates/front/src/handle.rs
@@ -0,0 +1,124 @@
+//! A caller's request from its head to its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use clem_direct::Shipment;
+use clem_edge::{Cause, Customer, Inbound, Refusal, RouteKind, Ruleset};
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use crate::{
+    answer::{AnswerBody, whole},
+    attempt, batch,
+    front::Front,
+    request::CallerRequest,
+};
+
+/// How long a caller that names no time waits.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// When to come back to a process that knows no rules yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(200);
+/// When to come back to a process that is full.
+const FULL_RETRY: Duration = Duration::from_millis(300);
+
+/// Answers a caller.
+pub(crate) async fn handle(front: &Arc<Front>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let mut response = match answer(front, request).await {
+        Ok(response) => response,
+        Err(refusal) => front.node.dialect.refusal(&refusal).map(whole),
+    };
+    if front.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answer(
+    front: &Arc<Front>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let arrived = front.node.now();
+    let (head, body) = request.into_parts();
+    let node = &front.node;
+    let Some(rules) = node.view().rules.clone() else {
+        return Err(Refusal::after(Cause::NotReady, NOT_READY_RETRY));
+    };
+    let malformed = |findings: clem_edge::Findings| {
+        log::warn!(findings:% = findings; "request malformed");
+        Refusal::new(Cause::Malformed)
+    };
+    let inbound = node.dialect.read_inbound(&head).map_err(malformed)?;
+    let ask = node.dialect.read_ask(&head).map_err(malformed)?;
+    let path = head.uri.path();
+    let limits = rules.limits;
+    if inbound != Inbound::Forward {
+        if !rules.has_host(&ask.host) {
+            return Err(not_found(&ask.host, path, &rules));
+        }
+        let customer = authenticate(&rules, ask.key.as_deref())?;
+        return batch::answer(front, customer, inbound).await;
+    }
+    let Some(route) = rules.route(&ask.host, path) else {
+        return Err(not_found(&ask.host, path, &rules));
+    };
+    let customer = if route.open || !rules.has_keys() {
+        None
+    } else {
+        Some(authenticate(&rules, ask.key.as_deref())?)
+    };
+    let Some(running) = front.start() else {
+        return Err(Refusal::after(Cause::Busy, FULL_RETRY));
+    };
+    let body = read_body(body, limits.body_bytes).await?;
+    if route.kind == RouteKind::Batch {
+        let (Some(customer), Some(id)) = (customer, ask.id.as_deref()) else {
+            return Err(Refusal::new(Cause::Malformed));
+        };
+        return batch::submit(front, &rules, route, customer, id, &body).await;
+    }
+    let Some(id) = ask.id.clone() else {
+        return Err(Refusal::new(Cause::Malformed));
+    };
+    let request = CallerRequest {
+        id,
+        route: Arc::new(route.clone()),
+        customer: customer.cloned().map(Arc::new),
+        shipment: Shipment {
+            method: head.method,
+            path: head.uri.to_string(),
+            headers: head.headers,
+            body,
+        },
+        arrived,
+        until: arrived + ask.patience.unwrap_or(PATIENCE).min(route.timeout),
+        ask,
+    };
+    attempt::run(front, request, running).await
+}
+
+fn not_found(host: &str, path: &str, rules: &Ruleset) -> Refusal {
+    log::info!(host, path, rules = rules.version.0; "no route");
+    Refusal::new(Cause::NotFound)
+}
+
+fn authenticate<'a>(rules: &'a Ruleset, key: Option<&[u8]>) -> Result<&'a Customer, Refusal> {
+    let holder = key.and_then(|key| rules.holder(key));
+    holder.ok_or_else(|| {
+        log::info!(shown = key.is_some(), rules = rules.version.0; "key refused");
+        Refusal::new(Cause::KeyUnknown)
+    })
+}
+
+async fn read_body(body: Incoming, most: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::new(Cause::TooLong))
+        }
+        // The caller has gone, or sends no HTTP.
+        Err(_) => Err(Refusal::new(Cause::Malformed)),
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,15 @@
+//! The callers' side of the direct path.
+//!
+//! See `docs/design/platform.md`.
+
+mod answer;
+mod attempt;
+mod batch;
+mod front;
+mod handle;
+mod program;
+mod ready;
+mod relay;
+mod request;
+
+pub use program::{FrontSettings, run};
--- /dev/null
+++ b/crates/front/src/program.rs
@@ -0,0 +1,125 @@
+//! The program from its settings to its end.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use clem_boot::{Metrics, listen, stop_signal};
+use clem_direct::{Node, NodeSettings, follow, poll_alone, release_loop};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::{GracefulShutdown, Watcher},
+};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{front::Front, handle::handle, ready};
+
+/// How long a stopping process goes on taking connections, so that the balancer can turn away.
+const TURN_AWAY: Duration = Duration::from_millis(2600);
+/// The part of the grace period that is left unused, so that the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// How much longer a connection may lie unused than callers are told.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// How long a connection may lie unused before any rules were heard of.
+const IDLE_START: Duration = Duration::from_secs(15);
+
+/// The checked settings.
+pub struct FrontSettings {
+    /// What the node needs.
+    pub node: NodeSettings,
+    /// Where callers come in.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this process is ready.
+    pub ready: SocketAddr,
+    /// How long a planned stop may take.
+    pub grace: Duration,
+    /// The most requests that run at once.
+    pub running_max: usize,
+}
+
+/// Runs the program until it is asked to stop.
+///
+/// # Errors
+/// A socket can't be used.
+pub async fn run(settings: FrontSettings) -> eyre::Result<()> {
+    let metrics = Metrics::start()?;
+    let callers = listen(settings.callers)?;
+    let balancer = listen(settings.ready)?;
+    let node = Arc::new(Node::new(settings.node));
+    let front = Arc::new(Front::new(Arc::clone(&node), settings.running_max));
+    tokio::spawn(follow(Arc::clone(&node)));
+    tokio::spawn(poll_alone(Arc::clone(&node)));
+    tokio::spawn(release_loop(Arc::clone(&node)));
+    tokio::spawn(ready::keep(Arc::clone(&front)));
+    tokio::spawn(ready::serve(
+        Arc::clone(&front),
+        metrics,
+        balancer.into_socket(),
+    ));
+    log::info!(vm = node.vm.as_str(), callers:% = settings.callers; "front started");
+    let graceful = GracefulShutdown::new();
+    let socket = callers.into_socket();
+    let stop = stop_signal();
+    tokio::pin!(stop);
+    tokio::select! {
+        () = accept(&front, &socket, &graceful) => {}
+        stopped = &mut stop => stopped?,
+    }
+    log::info!(vm = node.vm.as_str(), running = front.running(); "front stops");
+    let end = tokio::time::Instant::now() + settings.grace.saturating_sub(GRACE_MARGIN);
+    front.stop();
+    let turned = tokio::time::timeout(TURN_AWAY, accept(&front, &socket, &graceful)).await;
+    debug_assert!(turned.is_err(), "connections are taken for ever");
+    drop(socket);
+    if tokio::time::timeout_at(end, graceful.shutdown())
+        .await
+        .is_err()
+    {
+        log::warn!(running = front.running(); "connections cut off at the end of the grace period");
+    }
+    log::info!(vm = node.vm.as_str(); "front stopped");
+    Ok(())
+}
+
+async fn accept(front: &Arc<Front>, socket: &TcpListener, graceful: &GracefulShutdown) {
+    loop {
+        match socket.accept().await {
+            Ok((stream, _)) => {
+                serve(front, stream, graceful.watcher());
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "connection not taken");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+fn serve(front: &Arc<Front>, stream: TcpStream, watcher: Watcher) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "connection ended at once");
+        return;
+    }
+    let rules = front.node.view().rules.clone();
+    let idle = rules
+        .as_ref()
+        .map_or(IDLE_START, |rules| rules.limits.idle_time);
+    let head = rules.as_ref().map_or(0, |rules| rules.limits.head_bytes);
+    let front = Arc::clone(front);
+    tokio::spawn(async move {
+        let service = service_fn(|request| {
+            let front = Arc::clone(&front);
+            async move { Ok::<_, Infallible>(handle(&front, request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle + IDLE_MARGIN)
+            .max_buf_size(head.max(HEAD_BYTES_MIN))
+            .serve_connection(TokioIo::new(stream), service);
+        if let Err(error) = watcher.watch(connection).await {
+            log::debug!(error:% = error; "caller's connection ended");
+        }
+    });
+}
+
+/// The least room for a request's head, in bytes.
+const HEAD_BYTES_MIN: usize = 16 * 1024;
--- /dev/null
+++ b/crates/front/src/ready.rs
@@ -0,0 +1,66 @@
+//! Whether the balancer should send callers here.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use clem_boot::Metrics;
+
+use crate::front::Front;
+
+/// How often readiness is looked at.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Keeps readiness up to date: a process is ready once it has rules and targets.
+pub(crate) async fn keep(front: Arc<Front>) {
+    loop {
+        let ready = {
+            let view = front.node.view();
+            view.rules.is_some() && !view.targets.is_empty()
+        };
+        if ready && !front.is_stopping() && !front.readiness.get() {
+            front.readiness.set(true);
+            log::info!(rules = front.node.view().version().0; "ready");
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Answers the balancer, and whoever reads metrics.
+pub(crate) async fn serve(front: Arc<Front>, metrics: Metrics, socket: TcpListener) {
+    loop {
+        let Ok((stream, _)) = socket.accept().await else {
+            tokio::time::sleep(INTERVAL).await;
+            continue;
+        };
+        let front = Arc::clone(&front);
+        let metrics = metrics.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request: http::Request<hyper::body::Incoming>| {
+                let response = if request.uri().path() == "/metrics" {
+                    Response::new(Full::new(Bytes::from(metrics.render())))
+                } else {
+                    readiness(front.readiness.get())
+                };
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // The balancer opens a new connection if this one ends.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn readiness(ready: bool) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- /dev/null
+++ b/crates/hub/src/lib.rs
@@ -0,0 +1,14 @@
+//! The hub of the direct path: rules, targets, slots, rates, and where batches are kept.
+//!
+//! See `docs/design/platform.md`.
+
+mod hub;
+mod lead;
+mod list;
+mod order;
+mod program;
+mod serve;
+
+pub use hub::{Hub, Refusal, Result};
+pub use lead::{Lead, Process};
+pub use program::{HubSettings, group_pace, run};
--- /dev/null
+++ b/crates/hub/src/list.rs
@@ -0,0 +1,71 @@
+//! What the leader does from time to time: reading the platform's list, letting time pass.
+
+use std::{sync::Arc, time::Duration};
+
+use clem_direct::read_targets;
+use clem_state::{Command, depot::DepotChange};
+
+use crate::{Hub, Result};
+
+/// How often the list is read; a target that leaves is listed seconds before it stops.
+const LIST_INTERVAL: Duration = Duration::from_millis(900);
+/// How often requests are looked through for ones that are out of time.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Reads the list for as long as the process runs, while it leads.
+pub(crate) async fn poll(hub: Arc<Hub>) {
+    let mut failing = false;
+    loop {
+        if hub.lead(|_, _| ()).is_err() {
+            tokio::time::sleep(TICK * 5).await;
+            continue;
+        }
+        match read_targets(&*hub.dialect, hub.list).await {
+            Ok(targets) => {
+                if std::mem::take(&mut failing) {
+                    log::info!("list regained");
+                }
+                let count = targets.len();
+                // A leader that lost its place meanwhile has no use for the list.
+                if let Ok(true) = hub.lead(|lead, now| lead.set_targets(now, targets)) {
+                    log::info!(targets = count; "targets changed");
+                }
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(error; "list lost");
+                }
+            }
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+/// Lets time pass for as long as the process runs.
+pub(crate) async fn tick(hub: Arc<Hub>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        hub.peers.set_addresses(&hub.members());
+        // What a process that does not lead leaves undone, the leader does.
+        let _ = step(&hub).await;
+    }
+}
+
+async fn step(hub: &Hub) -> Result<()> {
+    let founders = hub.lead(|lead, now| {
+        lead.tick(now);
+        lead.founders(now, hub.tolerance)
+    })?;
+    let Some(founders) = founders else {
+        return Ok(());
+    };
+    log::info!(founders:? = founders; "founds the group that keeps batches");
+    change_depot(hub, DepotChange::Found(founders)).await
+}
+
+/// Changes the group that keeps batches.
+pub(crate) async fn change_depot(hub: &Hub, change: DepotChange) -> Result<()> {
+    hub.propose(Command::Depot(change)).await?;
+    let depot = hub.replica.read(clem_state::depot::read);
+    hub.lead(|lead, _| lead.set_depot(depot))
+}
--- /dev/null
+++ b/crates/hub/src/order.rs
@@ -0,0 +1,115 @@
+//! The operator's calls, which any member takes and passes on to the leader.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use clem_edge::{Cause, OrderCall, Refusal, RetireStart};
+use clem_wire::fleet::{GetRules, PutRules, Retire, RetireReply, RulesDocument};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+use crate::Hub;
+
+/// How long the leader is waited for; the operator asks another member after a second.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
+/// The longest document of rules, in bytes.
+const DOCUMENT_BYTES: usize = 4 * 1024 * 1024;
+/// How long a connection may take to send a head, or lie unused.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Serves the operator for as long as the process runs.
+pub(crate) async fn serve(hub: Arc<Hub>, socket: TcpListener) {
+    loop {
+        let stream = match socket.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "connection of the operator not taken");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let hub = Arc::clone(&hub);
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let hub = Arc::clone(&hub);
+                async move { Ok::<_, Infallible>(answer(&hub, request).await.map(Full::new)) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!(error:% = error; "connection of the operator ended");
+            }
+        });
+    }
+}
+
+async fn answer(hub: &Hub, request: Request<Incoming>) -> Response<Bytes> {
+    let (head, body) = request.into_parts();
+    let Some(call) = hub.dialect.read_order(&head) else {
+        return hub.dialect.refusal(&Refusal::new(Cause::NotFound));
+    };
+    match call {
+        OrderCall::PutRules => {
+            let body = Limited::new(body, DOCUMENT_BYTES);
+            let Ok(body) = body.collect().await else {
+                return hub.dialect.refusal(&Refusal::new(Cause::TooLong));
+            };
+            put_rules(hub, body.to_bytes()).await
+        }
+        OrderCall::GetRules => match hub.peers.call(&GetRules {}, LEADER_TIMEOUT).await {
+            Ok(rules) if rules.version.0 > 0 => hub.dialect.rules_document(rules.document),
+            Ok(_) | Err(_) => hub.dialect.refusal(&Refusal::new(Cause::NotReady)),
+        },
+        OrderCall::StartRetire { vm } => {
+            let call = Retire { vm, begin: true };
+            match hub.peers.call(&call, LEADER_TIMEOUT).await {
+                Ok(RetireReply::Running | RetireReply::Completed) => {
+                    hub.dialect.retire_started(RetireStart::Started)
+                }
+                Ok(RetireReply::Unknown) => hub.dialect.retire_started(RetireStart::Unknown),
+                Ok(RetireReply::TooFew) => hub.dialect.retire_started(RetireStart::TooFew),
+                Err(_) => hub.dialect.refusal(&Refusal::new(Cause::NotReady)),
+            }
+        }
+        OrderCall::GetRetire { vm } => {
+            let call = Retire { vm, begin: false };
+            match hub.peers.call(&call, LEADER_TIMEOUT).await {
+                Ok(RetireReply::Completed) => hub.dialect.retire_state(Some(true)),
+                Ok(RetireReply::Running | RetireReply::TooFew) => {
+                    hub.dialect.retire_state(Some(false))
+                }
+                Ok(RetireReply::Unknown) => hub.dialect.retire_state(None),
+                Err(_) => hub.dialect.refusal(&Refusal::new(Cause::NotReady)),
+            }
+        }
+    }
+}
+
+async fn put_rules(hub: &Hub, document: Bytes) -> Response<Bytes> {
+    let rules = match hub.dialect.read_rules(&document) {
+        Ok(rules) => rules,
+        Err(findings) => {
+            log::warn!(findings:% = findings; "rules refused");
+            return hub.dialect.order_wrong(&findings);
+        }
+    };
+    let call = PutRules {
+        rules: RulesDocument {
+            version: rules.version,
+            document,
+        },
+    };
+    match hub.peers.call(&call, LEADER_TIMEOUT).await {
+        Ok(_) => hub.dialect.order_done(),
+        Err(error) => {
+            log::warn!(version = rules.version.0, error:% = error; "rules not put, or not known");
+            hub.dialect.refusal(&Refusal::new(Cause::NotReady))
+        }
+    }
+}
--- /dev/null
+++ b/crates/hub/src/serve.rs
@@ -0,0 +1,175 @@
+//! The calls that the leader answers.
+
+use std::{future::Future, marker::PhantomData, sync::Arc, time::Duration};
+
+use clem_policy::dispatch::{Ticket, Verdict};
+use clem_state::{Command, Outcome, depot::DepotChange, document};
+use clem_types::Version;
+use clem_wire::{
+    Call, answer,
+    fleet::{
+        FOLLOW_HELD, Follow, GetRules, News, PLACE_HELD, Place, PutRules, Release, Retire,
+        RetireReply, RulesDocument,
+    },
+    read_call,
+};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+
+use crate::{Hub, Refusal, Result, list::change_depot};
+
+/// A call that the leader answers.
+trait Serve: Call + Send + 'static {
+    /// Answers the call.
+    fn serve(self, hub: &Hub) -> impl Future<Output = Result<Self::Reply>> + Send;
+}
+
+/// The paths of all calls.
+pub(crate) fn routes(hub: &Arc<Hub>) -> Vec<Router> {
+    vec![
+        route::<Follow>(hub),
+        route::<Place>(hub),
+        route::<Release>(hub),
+        route::<PutRules>(hub),
+        route::<GetRules>(hub),
+        route::<Retire>(hub),
+    ]
+}
+
+fn route<C: Serve>(hub: &Arc<Hub>) -> Router
+where
+    C::Reply: Send,
+{
+    let path = C::PATH.trim_start_matches('/');
+    Router::with_path(path).post(Endpoint::<C> {
+        hub: Arc::clone(hub),
+        call: PhantomData,
+    })
+}
+
+/// Reads a call, has it answered, and writes the reply.
+struct Endpoint<C> {
+    hub: Arc<Hub>,
+    call: PhantomData<fn() -> C>,
+}
+
+#[async_trait]
+impl<C: Serve> Handler for Endpoint<C>
+where
+    C::Reply: Send,
+{
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let Some(call) = read_call::<C>(req, res).await else {
+            return;
+        };
+        let result = call.serve(&self.hub).await;
+        answer(res, &self.hub.reply(result));
+    }
+}
+
+impl Serve for Follow {
+    async fn serve(self, hub: &Hub) -> Result<News> {
+        let mut news = hub.news();
+        let mut leadership = hub.replica.watch();
+        leadership.mark_unchanged();
+        hub.lead(|lead, now| lead.hear(now, &self))?;
+        let wait = Duration::from_millis(self.wait_ms.into()).min(FOLLOW_HELD);
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            news.mark_unchanged();
+            let members = hub.members();
+            if let Some(reply) = hub.lead(|lead, _| lead.news(&self, members))? {
+                return Ok(reply);
+            }
+            tokio::select! {
+                _ = news.changed() => {}
+                _ = leadership.changed() => {}
+                () = tokio::time::sleep_until(deadline) => return Ok(News::default()),
+            }
+        }
+    }
+}
+
+/// A request that waits for its slot; whoever asked may go away.
+struct Asked<'a> {
+    hub: &'a Hub,
+    ticket: Ticket,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        self.hub.forget(self.ticket);
+    }
+}
+
+impl Serve for Place {
+    async fn serve(self, hub: &Hub) -> Result<Verdict> {
+        let ticket = self.want.ticket;
+        let held = self.want.patience.min(PLACE_HELD) + Duration::from_millis(50);
+        let answer = hub.lead(|lead, now| {
+            for (ticket, ended) in &self.ends {
+                lead.dispatcher.withdraw_or_release(now, *ticket, *ended);
+            }
+            let receiver = hub.wait_for(ticket);
+            lead.dispatcher.ask(now, self.want);
+            receiver
+        })?;
+        let _asked = Asked { hub, ticket };
+        match tokio::time::timeout(held, answer).await {
+            Ok(Ok(verdict)) => Ok(verdict),
+            Ok(Err(_)) => Err(Refusal::NotLeader),
+            Err(_) => Ok(Verdict::Busy {
+                retry: Duration::from_millis(500),
+            }),
+        }
+    }
+}
+
+impl Serve for Release {
+    async fn serve(self, hub: &Hub) -> Result<()> {
+        hub.lead(|lead, now| {
+            for (ticket, ended) in self.ends {
+                lead.dispatcher.withdraw_or_release(now, ticket, ended);
+            }
+        })
+    }
+}
+
+impl Serve for PutRules {
+    async fn serve(self, hub: &Hub) -> Result<Version> {
+        let version = self.rules.version;
+        let outcome = hub.propose(Command::Document(self.rules)).await?;
+        let Outcome::Document(kept) = outcome else {
+            return Err(Refusal::Unknown);
+        };
+        log::info!(version = version.0, kept = kept.0; "rules put");
+        let rules = hub.replica.read(document::document);
+        hub.lead(|lead, now| hub.take_rules(lead, now, &rules))?;
+        Ok(kept)
+    }
+}
+
+impl Serve for GetRules {
+    async fn serve(self, hub: &Hub) -> Result<RulesDocument> {
+        hub.barrier().await?;
+        Ok(hub.replica.read(document::document))
+    }
+}
+
+impl Serve for Retire {
+    async fn serve(self, hub: &Hub) -> Result<RetireReply> {
+        hub.barrier().await?;
+        let wanted = 2 * hub.tolerance + 1;
+        let reply = hub.lead(|lead, _| lead.retire(&self.vm, wanted, self.begin))?;
+        if self.begin && reply == RetireReply::Running {
+            log::info!(vm = self.vm.as_str(); "vm is to be emptied");
+            change_depot(hub, DepotChange::Retire(self.vm)).await?;
+        }
+        Ok(reply)
+    }
+}
--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -57,16 +57,18 @@
         }
     }
 
-    /// A new disk asks for the place of the lost one at its address.
+    /// A new disk asks for the place of the lost one at its address, or for one in a group that
+    /// lacks voters.
     ///
     /// Repeated by the new disk until it finds itself among the members.
     pub fn join(&mut self, now: Time, id: MemberId, address: &str) -> Result<()> {
         let leader = self.leader;
         let known = self.members().iter().any(|m| m.address == address);
+        let open = known || self.lacks_voter(now);
         let Role::Leader(lead) = &mut self.role else {
             return Err(Refused::NotLeader { leader });
         };
-        if !known {
+        if !open {
             return Err(Refused::ChangeRefused);
         }
         let address = address.to_owned();
@@ -113,6 +115,11 @@
             if !fresh || members.get(*id).is_some() {
                 continue;
             }
+            let known = members.iter().any(|m| m.address == join.address);
+            let learns = members.iter().any(|m| m.seat == Seat::Learner);
+            if !known && (learns || !self.lacks_voter(now)) {
+                continue;
+            }
             let mut same = members.iter().filter(|m| m.address == join.address);
             let Some(old) = same.find(|m| m.seat == Seat::Learner) else {
                 return Some(Change::AddLearner {
@@ -139,7 +146,7 @@
             .iter()
             .find(|m| m.address == learner.address && m.id != learner.id);
         let Some(rival) = rival else {
-            return caught_up.then_some(Change::Promote(learner.id));
+            return self.change_for_spare(now, learner, caught_up);
         };
         if caught_up && self.is_silent(now, rival.id) {
             return Some(Change::Remove(rival.id));
@@ -150,6 +157,41 @@
         lost.then_some(Change::Remove(learner.id))
     }
 
+    /// Names the members, by their addresses, that are to be replaced although they live.
+    pub fn set_leaving(&mut self, addresses: &[String]) {
+        let members = self.members().iter();
+        let leaving = members.filter(|m| addresses.contains(&m.address));
+        self.leaving = leaving.map(|m| m.id).collect();
+    }
+
+    /// The change that a learner at an address of its own is due, if any.
+    fn change_for_spare(&self, now: Time, learner: &Member, caught_up: bool) -> Option<Change> {
+        let wanted = self.settings.voters;
+        if self.is_silent(now, learner.id) {
+            return (wanted > 0).then_some(Change::Remove(learner.id));
+        }
+        if !caught_up {
+            return None;
+        }
+        if wanted == 0 || self.members().voters().count() < wanted {
+            return Some(Change::Promote(learner.id));
+        }
+        self.silent_voter(now).map(Change::Remove)
+    }
+
+    /// Whether the group has fewer voters than it should, or one that is silent.
+    fn lacks_voter(&self, now: Time) -> bool {
+        let wanted = self.settings.voters;
+        let few = self.members().voters().count() < wanted;
+        wanted > 0 && (few || self.silent_voter(now).is_some())
+    }
+
+    /// A voter that should be replaced: one that is silent, or one that is to leave.
+    fn silent_voter(&self, now: Time) -> Option<MemberId> {
+        let mut others = self.members().voters().filter(|id| *id != self.id);
+        others.find(|id| self.is_silent(now, *id) || self.leaving.contains(id))
+    }
+
     /// Whether a member has not been heard from for so long that its disk counts as lost, given
     /// that another disk holds its address.
     fn is_silent(&self, now: Time, id: MemberId) -> bool {
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -88,6 +88,10 @@
             lead.transfer = None;
         }
         self.replace_lost(now);
+        if self.leaving.contains(&self.id) {
+            // Refused while another change or transfer is under way; tried again at the next tick.
+            let _ = self.transfer(now, None);
+        }
         self.beat(now, false);
     }
 
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -108,6 +108,8 @@
     /// The leader's time of the last append that isn't answered yet.
     answer: Option<u64>,
     refuse_writes: bool,
+    /// Members that are to be replaced although they live.
+    leaving: BTreeSet<MemberId>,
     output: Output,
 }
 
@@ -223,6 +225,7 @@
             matched: LogIndex::default(),
             answer: None,
             refuse_writes: false,
+            leaving: BTreeSet::new(),
             output: Output::default(),
         };
         node.reset_deadline(now);
--- a/crates/log/src/settings.rs
+++ b/crates/log/src/settings.rs
@@ -27,6 +27,10 @@
     pub apply_bytes: usize,
     /// How far a learner may lie behind to be promoted, in entries.
     pub learner_lag: u64,
+    /// How many voters there should be: a new disk at any address fills the group up to that, or
+    /// takes the place of a silent voter. 0: a new disk only takes the place of the one at its
+    /// address.
+    pub voters: usize,
 }
 
 impl Default for Settings {
@@ -42,6 +46,7 @@
             pending_bytes: 8 * 1024 * 1024,
             apply_bytes: 1024 * 1024,
             learner_lag: 64,
+            voters: 0,
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! same output.
 
 pub mod bucket;
+pub mod dispatch;
 pub mod fair;
 pub mod limiter;
 pub mod placement;
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -1,18 +1,21 @@
 //! The commands that the log carries, and their outcomes.
 
-use clem_types::{CommandId, UnixMillis};
+use clem_types::{CommandId, UnixMillis, Version};
 use clem_wire::{
     admin::GiveOrderReply,
     batch::{
         BatchBeginReply, BatchCancel, BatchChunk, BatchChunkReply, BatchSeal, BatchSealReply,
         FinishItems, FinishItemsReply, LeaseItemsReply,
     },
+    fleet::RulesDocument,
     online::{OnceBegin, OnceBeginReply, OnceFinish, ReportCrash, ReportCrashReply},
 };
 use serde::{Deserialize, Serialize};
 
 use crate::{
     batch::{Begin, CancelOutcome, Lease},
+    depot::DepotChange,
+    jobs::{JobCommand, JobOutcome},
     orders::{EndOrders, GiveOrder},
     rules::{ApplyOutcome, ApplyRules},
 };
@@ -84,6 +87,12 @@
         /// The present.
         now: UnixMillis,
     },
+    /// Keeps a whole set of rules, if it is newer.
+    Document(RulesDocument),
+    /// Changes the group that keeps batches.
+    Depot(DepotChange),
+    /// Changes the batches of the direct path.
+    Job(JobCommand),
 }
 
 /// What a command brought about.
@@ -113,6 +122,10 @@
     Finish(FinishItemsReply),
     /// How many records were dropped.
     Expired(usize),
+    /// The version of the rules that are kept now.
+    Document(Version),
+    /// What became of a change of batches.
+    Job(JobOutcome),
 }
 
 impl Command {
@@ -132,7 +145,10 @@
             | Self::BatchCancel { .. }
             | Self::Lease(_)
             | Self::Finish { .. }
-            | Self::Expire { .. } => None,
+            | Self::Expire { .. }
+            | Self::Document(_)
+            | Self::Depot(_)
+            | Self::Job(_) => None,
         }
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -24,6 +24,9 @@
 //! ```
 
 pub mod batch;
+pub mod depot;
+pub mod document;
+pub mod jobs;
 pub mod orders;
 pub mod poison;
 pub mod rules;
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -16,6 +16,9 @@
 /// How long a process that was silent is not taken for the leader on another one's word.
 const SILENT_SPAN: Duration = Duration::from_millis(1500);
 
+/// How many processes are asked for the leader when a caller can't wait.
+const LEADER_TRIES: usize = 3;
+
 type Result<T> = std::result::Result<T, CallError>;
 
 /// Sends calls to whichever control process leads.
@@ -24,7 +27,7 @@
 #[derive(Debug)]
 pub struct ControlClient {
     client: Client,
-    addresses: Vec<SocketAddr>,
+    addresses: Mutex<Vec<SocketAddr>>,
     view: Mutex<View>,
 }
 
@@ -47,15 +50,11 @@
 }
 
 impl ControlClient {
-    /// A client of the control processes at `addresses`.
+    /// A client of the control processes at `addresses`, which may follow later.
     pub fn new(client: Client, addresses: Vec<SocketAddr>) -> Self {
-        debug_assert!(
-            !addresses.is_empty(),
-            "settings name at least one control process"
-        );
         Self {
             client,
-            addresses,
+            addresses: Mutex::new(addresses),
             view: Mutex::new(View {
                 leader: Leader::Listed(0),
                 silent: None,
@@ -63,6 +62,28 @@
         }
     }
 
+    /// Replaces the addresses, as members come and go; an empty list changes nothing.
+    pub fn set_addresses(&self, addresses: &[SocketAddr]) {
+        let mut known = self.addresses();
+        if addresses.is_empty() || *known == addresses {
+            return;
+        }
+        let mut view = self.view();
+        let asked = match view.leader {
+            Leader::Listed(place) => known.get(place).copied(),
+            Leader::Named(address) => Some(address),
+        };
+        let place = addresses.iter().position(|one| Some(*one) == asked);
+        view.leader = Leader::Listed(place.unwrap_or_default());
+        *known = addresses.to_vec();
+    }
+
+    fn addresses(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sends a call to the leader and waits for its reply, for `timeout` at the most.
     ///
     /// # Errors
@@ -75,12 +96,15 @@
         let end = Instant::now() + timeout;
         let mut arrived = false;
         loop {
-            for _ in 0..=self.addresses.len() {
+            let members = self.addresses().len();
+            for _ in 0..=members {
                 let left = end.saturating_duration_since(Instant::now());
                 if left.is_zero() {
                     return Err(out_of_time(arrived));
                 }
-                let address = self.next_address();
+                let Some(address) = self.next_address() else {
+                    return Err(out_of_time(arrived));
+                };
                 match self
                     .ask(address, call, left.min(self.patience::<C>(timeout)))
                     .await
@@ -103,9 +127,41 @@
         }
     }
 
+    /// Sends a call to the presumed leader only, so that a caller who has another way out learns
+    /// soon that no leader answers.
+    ///
+    /// # Errors
+    /// The process that was taken for the leader is silent, or no process leads.
+    pub async fn ask_leader<C: Call>(&self, call: &C, timeout: Duration) -> Result<C::Reply>
+    where
+        ControlReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        let end = Instant::now() + timeout;
+        for _ in 0..LEADER_TRIES {
+            let left = end.saturating_duration_since(Instant::now());
+            let Some(address) = self.next_address() else {
+                return Err(out_of_time(false));
+            };
+            match self.ask(address, call, left).await {
+                Ok(ControlReply::Done(reply)) => return Ok(reply),
+                Ok(ControlReply::NotLeader { leader }) => self.follow(leader),
+                Ok(ControlReply::Unknown) => {
+                    self.follow(None);
+                    return Err(out_of_time(true));
+                }
+                Err(error) => {
+                    self.note_silent(address);
+                    self.follow(None);
+                    return Err(error);
+                }
+            }
+        }
+        Err(out_of_time(false))
+    }
+
     /// A single control process is waited for as long as the call may take.
     fn patience<C: Call>(&self, timeout: Duration) -> Duration {
-        if self.addresses.len() == 1 {
+        if self.addresses().len() == 1 {
             return timeout;
         }
         C::HELD + TRY_TIMEOUT
@@ -133,10 +189,12 @@
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn next_address(&self) -> SocketAddr {
+    /// The process to ask; none as long as no address is known.
+    fn next_address(&self) -> Option<SocketAddr> {
+        let addresses = self.addresses();
         match self.view().leader {
-            Leader::Listed(place) => self.addresses[place],
-            Leader::Named(address) => address,
+            Leader::Listed(place) => addresses.get(place % addresses.len().max(1)).copied(),
+            Leader::Named(address) => Some(address),
         }
     }
 
@@ -145,18 +203,19 @@
     }
 
     fn follow(&self, named: Option<SocketAddr>) {
+        let addresses = self.addresses();
         let mut view = self.view();
         let now = Instant::now();
         let silent = view.silent.filter(|(_, until)| now < *until);
         let named = named.filter(|named| silent.is_none_or(|(address, _)| address != *named));
         let Some(named) = named else {
             view.leader = match view.leader {
-                Leader::Listed(place) => Leader::Listed((place + 1) % self.addresses.len()),
+                Leader::Listed(place) => Leader::Listed((place + 1) % addresses.len().max(1)),
                 Leader::Named(_) => Leader::Listed(0),
             };
             return;
         };
-        view.leader = match self.addresses.iter().position(|address| *address == named) {
+        view.leader = match addresses.iter().position(|address| *address == named) {
             Some(place) => Leader::Listed(place),
             None => Leader::Named(named),
         };
--- /dev/null
+++ b/crates/wire/src/fleet.rs
@@ -0,0 +1,179 @@
+//! What the processes of the direct path ask of the hub's leader: rules, targets, slots.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use clem_edge::TargetVm;
+use clem_policy::dispatch::{Ended, Held, Ticket, Verdict, Want};
+use clem_types::{Epoch, Version};
+use serde::{Deserialize, Serialize};
+
+use crate::Call;
+
+/// The longest time that a [`Follow`] is held.
+pub const FOLLOW_HELD: Duration = Duration::from_millis(1000);
+/// The longest time that a [`Place`] is held.
+pub const PLACE_HELD: Duration = Duration::from_millis(1500);
+
+/// What a process of the direct path does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Duty {
+    /// It takes callers' requests.
+    Front,
+    /// It keeps batches.
+    Batch,
+}
+
+/// Shows that a process lives, and asks for what is new.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Follow {
+    /// The process, by a name that changes at each start.
+    pub holder: String,
+    /// Its vm.
+    pub vm: String,
+    /// Where it answers other processes; none if it doesn't.
+    pub address: Option<SocketAddr>,
+    /// What it does.
+    pub duty: Duty,
+    /// The rules that it has.
+    pub rules: Version,
+    /// The list of targets and processes that it has.
+    pub seen: Seen,
+    /// The slots that it holds.
+    pub held: Vec<Held>,
+    /// The members of the group that keeps batches, if it leads that group.
+    pub members: Option<Vec<SocketAddr>>,
+    /// How long the answer may be held until there is something new.
+    pub wait_ms: u32,
+}
+
+/// A state of the list of targets and processes; numbers of two leaders can't be compared.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// The leader's term.
+    pub epoch: Epoch,
+    /// Counts the leader's changes.
+    pub change: u64,
+}
+
+impl Call for Follow {
+    const PATH: &'static str = "/internal/fleet/follow";
+    const HELD: Duration = FOLLOW_HELD;
+    type Reply = News;
+}
+
+/// What is new.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct News {
+    /// Newer rules.
+    pub rules: Option<RulesDocument>,
+    /// A newer list.
+    pub fleet: Option<FleetList>,
+    /// Slots to give back soon.
+    pub recalls: Vec<Ticket>,
+}
+
+/// A whole set of rules, as the operator gave it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RulesDocument {
+    /// The operator's version.
+    pub version: Version,
+    /// The document.
+    pub document: Bytes,
+}
+
+/// The targets, and where processes are found.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetList {
+    /// Which state of the list this is.
+    pub seen: Seen,
+    /// The platform's targets; none as long as the leader has not read the list.
+    pub targets: Option<Vec<TargetVm>>,
+    /// The members of the hub.
+    pub hub: Vec<SocketAddr>,
+    /// The first members of the group that keeps batches; empty before it is founded.
+    pub founders: Vec<SocketAddr>,
+    /// The processes that keep batches.
+    pub batch: Vec<SocketAddr>,
+    /// Those of them that are being emptied.
+    pub retiring: Vec<SocketAddr>,
+    /// How many fronts the leader hears from.
+    pub fronts: u32,
+}
+
+/// Asks for a slot.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Place {
+    /// What is wanted.
+    pub want: Want,
+    /// Slots that are given back with it.
+    pub ends: Vec<(Ticket, Ended)>,
+}
+
+impl Call for Place {
+    const PATH: &'static str = "/internal/fleet/place";
+    const HELD: Duration = PLACE_HELD;
+    type Reply = Verdict;
+}
+
+/// Gives slots back.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Release {
+    /// The process that held them.
+    pub holder: String,
+    /// The slots, and how their requests ended.
+    pub ends: Vec<(Ticket, Ended)>,
+}
+
+impl Call for Release {
+    const PATH: &'static str = "/internal/fleet/release";
+    type Reply = ();
+}
+
+/// Puts a whole set of rules in force; the sender has checked it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PutRules {
+    /// The rules.
+    pub rules: RulesDocument,
+}
+
+impl Call for PutRules {
+    const PATH: &'static str = "/internal/fleet/put-rules";
+    type Reply = Version;
+}
+
+/// Reads the newest rules.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GetRules {}
+
+impl Call for GetRules {
+    const PATH: &'static str = "/internal/fleet/get-rules";
+    type Reply = RulesDocument;
+}
+
+/// Empties a vm that keeps batches, or asks how far that is.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Retire {
+    /// The vm.
+    pub vm: String,
+    /// Whether to begin; else only to tell.
+    pub begin: bool,
+}
+
+impl Call for Retire {
+    const PATH: &'static str = "/internal/fleet/retire";
+    type Reply = RetireReply;
+}
+
+/// How far the emptying of a vm is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RetireReply {
+    /// There is no such vm.
+    Unknown,
+    /// Too few would be left.
+    TooFew,
+    /// It still holds what others don't.
+    Running,
+    /// It may be taken away.
+    Completed,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod batch;
 pub mod codec;
 pub mod dispatch;
+pub mod fleet;
+pub mod jobs;
 pub mod online;
 pub mod sync;
 
