Leader view: calls that fail together move on once

Cause: all calls of a process shared one pointer to the presumed leader, and each failed call advanced it. Fronts also notice a silent leader within 240 ms, by a ping when an answer is overdue.

--- a/crates/direct/src/alone.rs
+++ b/crates/direct/src/alone.rs
@@ -11,35 +11,34 @@
 
 /// How long a target that failed is left.
 const LEFT: Duration = Duration::from_millis(1000);
-/// How long placing goes on without asking a leader that was silent.
-const SILENT_SPAN: Duration = Duration::from_millis(300);
 
 /// What a process knows itself.
 #[derive(Debug, Default)]
 pub(crate) struct Alone {
     failed: HashMap<String, Time>,
     meters: HashMap<String, Meter>,
-    /// Until when no leader is asked.
-    until: Option<Time>,
+    /// Whether the leader was silent and none has been heard of since.
+    silent: bool,
 }
 
 impl Alone {
     /// Whether the leader should not be asked now.
-    pub(crate) fn is_alone(&self, now: Time) -> bool {
-        self.until.is_some_and(|until| now < until)
+    pub(crate) fn is_alone(&self) -> bool {
+        self.silent
     }
 
-    /// The leader did not answer.
-    pub(crate) fn note_silent(&mut self, now: Time) -> bool {
-        let first = self.until.is_none();
-        self.until = Some(now + SILENT_SPAN);
-        first
+    /// The leader did not answer; says whether it had until now.
+    pub(crate) fn note_silent(&mut self) -> bool {
+        !std::mem::replace(&mut self.silent, true)
     }
 
     /// The leader answers; says whether it had been silent.
     pub(crate) fn note_heard(&mut self) -> bool {
+        if !std::mem::take(&mut self.silent) {
+            return false;
+        }
         self.meters.clear();
-        self.until.take().is_some()
+        true
     }
 
     /// Takes in how an attempt at a target ended.
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -2,14 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clem_wire::fleet::{Follow, News};
+use clem_wire::fleet::{FOLLOW_HELD, Follow, News};
 
 use crate::Node;
 
 /// How long one answer is waited for, over all members of the hub.
-const TIMEOUT: Duration = Duration::from_millis(2500);
+const TIMEOUT: Duration = Duration::from_millis(8000);
 /// How long the answer may be held.
-const WAIT: Duration = Duration::from_millis(800);
+const WAIT: Duration = FOLLOW_HELD;
 /// The pause after no member of the hub answered.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -21,6 +21,7 @@
         match node.hub.call(&call, TIMEOUT).await {
             Ok(news) => {
                 let now = node.now();
+                node.note_leader();
                 if let Some(since) = lost.take() {
                     let away = now.since(since).as_millis();
                     log::info!(away_ms = away as u64; "hub regained");
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -68,6 +68,7 @@
     rng: Mutex<StdRng>,
     changes: watch::Sender<u64>,
     recalls: Mutex<Vec<Ticket>>,
+    leader_heard: Mutex<Time>,
     /// Tells that slots are called back.
     pub recalled: Notify,
 }
@@ -98,6 +99,7 @@
             rng: Mutex::new(rng),
             changes: watch::Sender::new(0),
             recalls: Mutex::default(),
+            leader_heard: Mutex::new(Time::ZERO),
             recalled: Notify::new(),
         }
     }
@@ -136,6 +138,19 @@
         lock(&self.alone)
     }
 
+    /// The hub's leader has answered.
+    pub(crate) fn note_leader(&self) {
+        *lock(&self.leader_heard) = self.now();
+        if self.alone().note_heard() {
+            log::info!("leader places again");
+        }
+    }
+
+    /// When the hub's leader last answered.
+    pub(crate) fn leader_heard(&self) -> Time {
+        *lock(&self.leader_heard)
+    }
+
     pub(crate) fn note_change(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -4,7 +4,10 @@
 
 use clem_edge::TargetVm;
 use clem_policy::dispatch::{Ended, Held, RateLimit, Ticket, Urgency, Verdict, Want};
-use clem_wire::fleet::{Place, Release};
+use clem_wire::{
+    CallError,
+    fleet::{Ping, Place, Release},
+};
 
 use crate::Node;
 
@@ -14,6 +17,9 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(150);
 /// How long a message that gives slots back is waited for.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long the leader may say nothing to anybody here before it is asked whether it is there, and
+/// how long it may take to say so.
+const QUIET_MAX: Duration = Duration::from_millis(120);
 /// When to come back while there is no target.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(400);
 /// A front's share of a customer's burst while it is alone, so that fronts that lose the hub one
@@ -77,7 +83,7 @@
         want.ticket = self.new_ticket();
         want.holder.clone_from(&self.holder);
         want.data_centre.clone_from(&self.data_centre);
-        let alone = self.alone().is_alone(self.now());
+        let alone = self.alone().is_alone();
         if alone {
             return self.place_alone(&want, limit);
         }
@@ -90,22 +96,23 @@
             ends: self.take_ends(),
         };
         let timeout = call.want.patience + ANSWER_SLACK;
-        let answered = self.hub.ask_leader(&call, timeout).await;
+        let answered = tokio::select! {
+            answered = self.hub.ask_leader(&call, timeout) => answered,
+            error = self.watch_leader() => Err(error),
+        };
         let Place { want, ends } = call;
         let verdict = match answered {
             Ok(verdict) => verdict,
             Err(error) => {
                 // Slots that are not given back now are found missing in the next report.
-                if self.alone().note_silent(self.now()) {
+                if self.alone().note_silent() {
                     log::warn!(error:% = error, ends = ends.len(); "no leader places");
                 }
                 return self.place_alone(&want, limit);
             }
         };
         asking.ticket = None;
-        if self.alone().note_heard() {
-            log::info!("leader places again");
-        }
+        self.note_leader();
         match verdict {
             Verdict::Granted { target } => self.granted(&want, &target),
             Verdict::OverRate { retry } => Placed::OverRate(retry),
@@ -114,6 +121,22 @@
         }
     }
 
+    /// Returns once the leader is found to be silent: an answer that it holds back looks the same
+    /// as one that will never come.
+    async fn watch_leader(&self) -> CallError {
+        loop {
+            tokio::time::sleep(QUIET_MAX).await;
+            let heard = self.leader_heard();
+            if self.now().since(heard) < QUIET_MAX {
+                continue;
+            }
+            match self.hub.ask_leader(&Ping {}, QUIET_MAX).await {
+                Ok(()) => self.note_leader(),
+                Err(error) => return error,
+            }
+        }
+    }
+
     fn granted(self: &Arc<Self>, want: &Want, target: &str) -> Placed {
         let known = self.view().targets.get(target).cloned();
         let Some(target) = known else {
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -8,7 +8,7 @@
 use clem_wire::{
     Call, answer,
     fleet::{
-        FOLLOW_HELD, Follow, GetRules, News, PLACE_HELD, Place, PutRules, Release, Retire,
+        FOLLOW_HELD, Follow, GetRules, News, PLACE_HELD, Ping, Place, PutRules, Release, Retire,
         RetireReply, RulesDocument,
     },
     read_call,
@@ -28,6 +28,7 @@
     vec![
         route::<Follow>(hub),
         route::<Place>(hub),
+        route::<Ping>(hub),
         route::<Release>(hub),
         route::<PutRules>(hub),
         route::<GetRules>(hub),
@@ -130,6 +131,12 @@
     }
 }
 
+impl Serve for Ping {
+    async fn serve(self, hub: &Hub) -> Result<()> {
+        hub.lead(|_, _| ())
+    }
+}
+
 impl Serve for Release {
     async fn serve(self, hub: &Hub) -> Result<()> {
         hub.lead(|lead, now| {
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -6,16 +6,13 @@
     time::{Duration, Instant},
 };
 
-use crate::{Call, CallError, Client, ControlReply};
+use crate::{Call, CallError, Client, ControlReply, LeaderView};
 
 /// The pause before all control processes are asked again.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 /// How much longer than a call may be held a control process is waited for before the next one
 /// is asked.
 const TRY_TIMEOUT: Duration = Duration::from_millis(700);
-/// How long a process that was silent is not taken for the leader on another one's word.
-const SILENT_SPAN: Duration = Duration::from_millis(1500);
-
 /// How many processes are asked for the leader when a caller can't wait.
 const LEADER_TRIES: usize = 3;
 
@@ -27,26 +24,7 @@
 #[derive(Debug)]
 pub struct ControlClient {
     client: Client,
-    addresses: Mutex<Vec<SocketAddr>>,
-    view: Mutex<View>,
-}
-
-/// What is known of the control processes.
-#[derive(Debug, Clone, Copy)]
-struct View {
-    leader: Leader,
-    /// A process that did not answer, and until when the others' word on it does not count: they
-    /// may not have noticed yet that it is frozen or cut off.
-    silent: Option<(SocketAddr, Instant)>,
-}
-
-/// Which control process is asked next.
-#[derive(Debug, Clone, Copy)]
-enum Leader {
-    /// The process at this place of the list.
-    Listed(usize),
-    /// A process that the settings don't list, named by another one.
-    Named(SocketAddr),
+    view: Mutex<LeaderView>,
 }
 
 impl ControlClient {
@@ -54,34 +32,13 @@
     pub fn new(client: Client, addresses: Vec<SocketAddr>) -> Self {
         Self {
             client,
-            addresses: Mutex::new(addresses),
-            view: Mutex::new(View {
-                leader: Leader::Listed(0),
-                silent: None,
-            }),
+            view: Mutex::new(LeaderView::new(addresses)),
         }
     }
 
     /// Replaces the addresses, as members come and go; an empty list changes nothing.
     pub fn set_addresses(&self, addresses: &[SocketAddr]) {
-        let mut known = self.addresses();
-        if addresses.is_empty() || *known == addresses {
-            return;
-        }
-        let mut view = self.view();
-        let asked = match view.leader {
-            Leader::Listed(place) => known.get(place).copied(),
-            Leader::Named(address) => Some(address),
-        };
-        let place = addresses.iter().position(|one| Some(*one) == asked);
-        view.leader = Leader::Listed(place.unwrap_or_default());
-        *known = addresses.to_vec();
-    }
-
-    fn addresses(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
-        self.addresses
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.view().set_known(addresses);
     }
 
     /// Sends a call to the leader and waits for its reply, for `timeout` at the most.
@@ -96,30 +53,36 @@
         let end = Instant::now() + timeout;
         let mut arrived = false;
         loop {
-            let members = self.addresses().len();
+            let members = self.view().count();
             for _ in 0..=members {
                 let left = end.saturating_duration_since(Instant::now());
                 if left.is_zero() {
                     return Err(out_of_time(arrived));
                 }
-                let Some(address) = self.next_address() else {
+                let Some(address) = self.view().target() else {
                     return Err(out_of_time(arrived));
                 };
-                match self
-                    .ask(address, call, left.min(self.patience::<C>(timeout)))
-                    .await
-                {
-                    Ok(ControlReply::Done(reply)) => return Ok(reply),
-                    Ok(ControlReply::NotLeader { leader }) => self.follow(leader),
+                let patience = self.patience::<C>(timeout);
+                match self.ask(address, call, left.min(patience)).await {
+                    Ok(ControlReply::Done(reply)) => {
+                        self.view().note_leads(address);
+                        return Ok(reply);
+                    }
+                    Ok(ControlReply::NotLeader { leader }) => {
+                        self.view().note_follows(Instant::now(), address, leader);
+                    }
                     Ok(ControlReply::Unknown) => {
                         arrived = true;
-                        self.follow(None);
+                        self.view().note_follows(Instant::now(), address, None);
                     }
                     Err(error @ CallError::Refused { .. }) => return Err(error),
                     Err(error) => {
                         arrived |= !error.is_not_run();
-                        self.note_silent(address);
-                        self.follow(None);
+                        if !error.is_not_run() && left < patience {
+                            // It may only not have had the time to answer.
+                            return Err(out_of_time(arrived));
+                        }
+                        self.view().note_silent(Instant::now(), address);
                     }
                 }
             }
@@ -139,19 +102,23 @@
         let end = Instant::now() + timeout;
         for _ in 0..LEADER_TRIES {
             let left = end.saturating_duration_since(Instant::now());
-            let Some(address) = self.next_address() else {
+            let Some(address) = self.view().target() else {
                 return Err(out_of_time(false));
             };
             match self.ask(address, call, left).await {
-                Ok(ControlReply::Done(reply)) => return Ok(reply),
-                Ok(ControlReply::NotLeader { leader }) => self.follow(leader),
+                Ok(ControlReply::Done(reply)) => {
+                    self.view().note_leads(address);
+                    return Ok(reply);
+                }
+                Ok(ControlReply::NotLeader { leader }) => {
+                    self.view().note_follows(Instant::now(), address, leader);
+                }
                 Ok(ControlReply::Unknown) => {
-                    self.follow(None);
+                    self.view().note_follows(Instant::now(), address, None);
                     return Err(out_of_time(true));
                 }
                 Err(error) => {
-                    self.note_silent(address);
-                    self.follow(None);
+                    self.view().note_silent(Instant::now(), address);
                     return Err(error);
                 }
             }
@@ -161,7 +128,7 @@
 
     /// A single control process is waited for as long as the call may take.
     fn patience<C: Call>(&self, timeout: Duration) -> Duration {
-        if self.addresses().len() == 1 {
+        if self.view().count() == 1 {
             return timeout;
         }
         C::HELD + TRY_TIMEOUT
@@ -185,41 +152,9 @@
         crate::codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
     }
 
-    fn view(&self) -> MutexGuard<'_, View> {
+    fn view(&self) -> MutexGuard<'_, LeaderView> {
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// The process to ask; none as long as no address is known.
-    fn next_address(&self) -> Option<SocketAddr> {
-        let addresses = self.addresses();
-        match self.view().leader {
-            Leader::Listed(place) => addresses.get(place % addresses.len().max(1)).copied(),
-            Leader::Named(address) => Some(address),
-        }
-    }
-
-    fn note_silent(&self, address: SocketAddr) {
-        self.view().silent = Some((address, Instant::now() + SILENT_SPAN));
-    }
-
-    fn follow(&self, named: Option<SocketAddr>) {
-        let addresses = self.addresses();
-        let mut view = self.view();
-        let now = Instant::now();
-        let silent = view.silent.filter(|(_, until)| now < *until);
-        let named = named.filter(|named| silent.is_none_or(|(address, _)| address != *named));
-        let Some(named) = named else {
-            view.leader = match view.leader {
-                Leader::Listed(place) => Leader::Listed((place + 1) % addresses.len().max(1)),
-                Leader::Named(_) => Leader::Listed(0),
-            };
-            return;
-        };
-        view.leader = match addresses.iter().position(|address| *address == named) {
-            Some(place) => Leader::Listed(place),
-            None => Leader::Named(named),
-        };
-    }
 }
 
 fn out_of_time(arrived: bool) -> CallError {
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::Call;
 
 /// The longest time that a [`Follow`] is held.
-pub const FOLLOW_HELD: Duration = Duration::from_millis(1000);
+pub const FOLLOW_HELD: Duration = Duration::from_millis(400);
 /// The longest time that a [`Place`] is held.
 pub const PLACE_HELD: Duration = Duration::from_millis(1500);
 
@@ -116,6 +116,15 @@
     type Reply = Verdict;
 }
 
+/// Asks whether the leader is there, when an answer is overdue that it may only be holding.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Ping {}
+
+impl Call for Ping {
+    const PATH: &'static str = "/internal/fleet/ping";
+    type Reply = ();
+}
+
 /// Gives slots back.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Release {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,6 +30,7 @@
 mod call;
 mod client;
 mod control;
+mod leader;
 mod secret;
 mod server;
 
@@ -37,5 +38,6 @@
 pub use client::Client;
 pub use control::ControlClient;
 pub use dispatch::AgentMessage;
+pub use leader::LeaderView;
 pub use secret::{FleetSecret, SECRET_HEADER};
 pub use server::{Guard, answer, read_call};
