Slots of callers that went away, cancelled runs and detached changes

Cause 1: a slot counted as broken from the moment of sending; a caller that left, or an item that was stopped, put the failure on its target. Runs now stop only for their own batch, and a target that is tried again takes others once a request has been there for 500 ms. Ruled out: lost grants (the hub's own count agreed with the keepers').

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -5,10 +5,10 @@
 use clem_direct::{Events, Outcome, Placed, Reply, Shipment, Slot};
 use clem_edge::{Forward, ItemSpec, ListedState};
 use clem_policy::dispatch::{Ended, Ticket, Urgency, Want};
-use clem_state::jobs::EndedItem;
+use clem_state::jobs::{EndedItem, JobNumber};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::{board::Ready, keeper::Keeper};
 
@@ -79,10 +79,10 @@
                 self.end(ListedState::Errored, "given up");
                 return;
             }
-            closed.mark_unchanged();
+            let keeper = Arc::clone(&self.keeper);
             let run = tokio::select! {
                 run = self.run_once() => run,
-                _ = closed.changed() => Run::Again,
+                () = wait_closed(&keeper, &mut closed, job) => Run::Closed,
             };
             match run {
                 Run::Whole => {
@@ -326,3 +326,12 @@
         });
     }
 }
+
+/// Waits until a job is not to be run here any more.
+async fn wait_closed(keeper: &Keeper, closed: &mut watch::Receiver<u64>, job: JobNumber) {
+    while keeper.is_open(job) {
+        if closed.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/batch/src/serve.rs
+++ b/crates/batch/src/serve.rs
@@ -20,8 +20,12 @@
 
 /// A call that the leader answers.
 trait Serve: Call + Send + 'static {
+    /// Whether the call is carried through although whoever sent it goes away: a change that is
+    /// committed must reach the leader's soft state as well.
+    const DETACHED: bool = false;
+
     /// Answers the call.
-    fn serve(self, keeper: &Keeper) -> impl Future<Output = Result<Self::Reply>> + Send;
+    fn serve(self, keeper: Arc<Keeper>) -> impl Future<Output = Result<Self::Reply>> + Send;
 }
 
 /// The paths of all calls.
@@ -66,13 +70,23 @@
         let Some(call) = read_call::<C>(req, res).await else {
             return;
         };
-        let result = call.serve(&self.keeper).await;
+        let serving = call.serve(Arc::clone(&self.keeper));
+        let result = if C::DETACHED {
+            match tokio::spawn(serving).await {
+                Ok(result) => result,
+                Err(_) => Err(Refusal::Unknown),
+            }
+        } else {
+            serving.await
+        };
         answer(res, &self.keeper.reply(result));
     }
 }
 
 impl Serve for SubmitJob {
-    async fn serve(self, keeper: &Keeper) -> Result<SubmitReply> {
+    const DETACHED: bool = true;
+
+    async fn serve(self, keeper: Arc<Keeper>) -> Result<SubmitReply> {
         keeper.lead(|_| ())?;
         let now = keeper.node.clock.wall();
         let batch = self.spec.id.clone();
@@ -93,7 +107,7 @@
 }
 
 impl Serve for ReadResults {
-    async fn serve(self, keeper: &Keeper) -> Result<Option<ResultsPage>> {
+    async fn serve(self, keeper: Arc<Keeper>) -> Result<Option<ResultsPage>> {
         let mut listed = keeper.listed();
         let wait = Duration::from_millis(self.wait_ms.into()).min(Self::HELD);
         let deadline = tokio::time::Instant::now() + wait;
@@ -132,7 +146,7 @@
 }
 
 impl Serve for ReadItem {
-    async fn serve(self, keeper: &Keeper) -> Result<Option<Bytes>> {
+    async fn serve(self, keeper: Arc<Keeper>) -> Result<Option<Bytes>> {
         keeper.lead(|_| ())?;
         let number = keeper
             .replica
@@ -147,7 +161,9 @@
 }
 
 impl Serve for EndJob {
-    async fn serve(self, keeper: &Keeper) -> Result<bool> {
+    const DETACHED: bool = true;
+
+    async fn serve(self, keeper: Arc<Keeper>) -> Result<bool> {
         keeper.lead(|_| ())?;
         let batch = self.job.id.clone();
         let JobOutcome::Ended(ended) = keeper.propose(JobCommand::End(self.job)).await? else {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -75,13 +75,15 @@
                 Ok(request) => request,
                 Err(error) => return Outcome::NotSent(error.to_string()),
             };
-            slot.note(Ended::Broken);
+            // Whoever asks may go away meanwhile; that says nothing of the target.
+            slot.note(Ended::Lost);
             match connection.try_send_request(request).await {
                 Ok(response) => return self.take_head(slot, response, connection, forward.id),
                 Err(mut error) => {
                     let unsent = error.take_message().is_some();
                     let reason = error.into_error().to_string();
                     if !unsent {
+                        slot.note(Ended::Broken);
                         return Outcome::Lost(reason);
                     }
                     slot.note(Ended::Unreachable);
@@ -117,6 +119,7 @@
         let (head, body) = response.into_parts();
         let read = self.dialect.read_head(&head, id);
         if !read.matches {
+            slot.note(Ended::Broken);
             return Outcome::Lost("the answer belongs to another request".to_owned());
         }
         if read.not_run {
--- a/crates/hub/src/list.rs
+++ b/crates/hub/src/list.rs
@@ -41,6 +41,34 @@
     }
 }
 
+/// How often the use of slots is logged.
+const SLOTS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Logs the use of slots for as long as the process runs, while it leads.
+pub(crate) async fn log_slots(hub: Arc<Hub>) {
+    loop {
+        tokio::time::sleep(SLOTS_INTERVAL).await;
+        let views = hub.lead(|lead, now| {
+            let services = lead.dispatcher.services().cloned().collect::<Vec<_>>();
+            let dispatcher = &lead.dispatcher;
+            let view = |service: String| Some((dispatcher.view(now, &service)?, service));
+            services.into_iter().filter_map(view).collect::<Vec<_>>()
+        });
+        // A process that does not lead has no slots to show.
+        for (view, service) in views.unwrap_or_default() {
+            if view.online + view.batch == 0 && view.waiting == 0 {
+                continue;
+            }
+            log::info!(
+                service = service.as_str(), targets = view.targets, slots = view.slots,
+                free = view.free, online = view.online, batch = view.batch,
+                waiting = view.waiting;
+                "slots"
+            );
+        }
+    }
+}
+
 /// Lets time pass for as long as the process runs.
 pub(crate) async fn tick(hub: Arc<Hub>) {
     loop {
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -96,6 +96,7 @@
     tokio::spawn(order::serve(Arc::clone(&hub), orders.into_socket()));
     tokio::spawn(list::poll(Arc::clone(&hub)));
     tokio::spawn(list::tick(Arc::clone(&hub)));
+    tokio::spawn(list::log_slots(Arc::clone(&hub)));
     log::info!(vm = settings.vm.as_str(), address:% = settings.address; "hub started");
     stop_signal().await?;
     log::info!(vm = settings.vm.as_str(); "hub stops");
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -19,8 +19,12 @@
 
 /// A call that the leader answers.
 trait Serve: Call + Send + 'static {
+    /// Whether the call is carried through although whoever sent it goes away: a change that is
+    /// committed must reach the leader's soft state as well.
+    const DETACHED: bool = false;
+
     /// Answers the call.
-    fn serve(self, hub: &Hub) -> impl Future<Output = Result<Self::Reply>> + Send;
+    fn serve(self, hub: Arc<Hub>) -> impl Future<Output = Result<Self::Reply>> + Send;
 }
 
 /// The paths of all calls.
@@ -68,13 +72,21 @@
         let Some(call) = read_call::<C>(req, res).await else {
             return;
         };
-        let result = call.serve(&self.hub).await;
+        let serving = call.serve(Arc::clone(&self.hub));
+        let result = if C::DETACHED {
+            match tokio::spawn(serving).await {
+                Ok(result) => result,
+                Err(_) => Err(Refusal::Unknown),
+            }
+        } else {
+            serving.await
+        };
         answer(res, &self.hub.reply(result));
     }
 }
 
 impl Serve for Follow {
-    async fn serve(self, hub: &Hub) -> Result<News> {
+    async fn serve(self, hub: Arc<Hub>) -> Result<News> {
         let mut news = hub.news();
         let mut leadership = hub.replica.watch();
         leadership.mark_unchanged();
@@ -109,7 +121,7 @@
 }
 
 impl Serve for Place {
-    async fn serve(self, hub: &Hub) -> Result<Verdict> {
+    async fn serve(self, hub: Arc<Hub>) -> Result<Verdict> {
         let ticket = self.want.ticket;
         let held = self.want.patience.min(PLACE_HELD) + Duration::from_millis(50);
         let answer = hub.lead(|lead, now| {
@@ -120,7 +132,7 @@
             lead.dispatcher.ask(now, self.want);
             receiver
         })?;
-        let _asked = Asked { hub, ticket };
+        let _asked = Asked { hub: &hub, ticket };
         match tokio::time::timeout(held, answer).await {
             Ok(Ok(verdict)) => Ok(verdict),
             Ok(Err(_)) => Err(Refusal::NotLeader),
@@ -132,13 +144,13 @@
 }
 
 impl Serve for Ping {
-    async fn serve(self, hub: &Hub) -> Result<()> {
+    async fn serve(self, hub: Arc<Hub>) -> Result<()> {
         hub.lead(|_, _| ())
     }
 }
 
 impl Serve for Release {
-    async fn serve(self, hub: &Hub) -> Result<()> {
+    async fn serve(self, hub: Arc<Hub>) -> Result<()> {
         hub.lead(|lead, now| {
             for (ticket, ended) in self.ends {
                 lead.dispatcher.withdraw_or_release(now, ticket, ended);
@@ -148,7 +160,9 @@
 }
 
 impl Serve for PutRules {
-    async fn serve(self, hub: &Hub) -> Result<Version> {
+    const DETACHED: bool = true;
+
+    async fn serve(self, hub: Arc<Hub>) -> Result<Version> {
         let version = self.rules.version;
         let outcome = hub.propose(Command::Document(self.rules)).await?;
         let Outcome::Document(kept) = outcome else {
@@ -162,20 +176,22 @@
 }
 
 impl Serve for GetRules {
-    async fn serve(self, hub: &Hub) -> Result<RulesDocument> {
+    async fn serve(self, hub: Arc<Hub>) -> Result<RulesDocument> {
         hub.barrier().await?;
         Ok(hub.replica.read(document::document))
     }
 }
 
 impl Serve for Retire {
-    async fn serve(self, hub: &Hub) -> Result<RetireReply> {
+    const DETACHED: bool = true;
+
+    async fn serve(self, hub: Arc<Hub>) -> Result<RetireReply> {
         hub.barrier().await?;
         let wanted = 2 * hub.tolerance + 1;
         let reply = hub.lead(|lead, _| lead.retire(&self.vm, wanted, self.begin))?;
         if self.begin && reply == RetireReply::Running {
             log::info!(vm = self.vm.as_str(); "vm is to be emptied");
-            change_depot(hub, DepotChange::Retire(self.vm)).await?;
+            change_depot(&hub, DepotChange::Retire(self.vm)).await?;
         }
         Ok(reply)
     }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -227,7 +227,7 @@
                 continue;
             }
             let pool = self.pools.entry(one.service.clone()).or_default();
-            pool.occupy(&one.target, one.batch);
+            pool.occupy(now, &one.target, one.batch);
             self.grants.insert(
                 one.ticket,
                 Grant {
@@ -277,8 +277,8 @@
     }
 
     /// What a service's pool looks like, for logs and metrics.
-    pub fn view(&self, service: &str) -> Option<PoolView> {
-        self.pools.get(service).map(Pool::view)
+    pub fn view(&self, now: Time, service: &str) -> Option<PoolView> {
+        self.pools.get(service).map(|pool| pool.view(now))
     }
 
     /// The services that have a pool.
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -37,6 +37,8 @@
     pub targets: usize,
     /// Slots of listed targets.
     pub slots: u32,
+    /// Slots that may be granted now.
+    pub free: u32,
     /// Slots that online requests hold.
     pub online: u32,
     /// Slots that batch items hold.
@@ -174,7 +176,7 @@
             };
             let want = self.waiting.remove(place).want;
             if let Some(known) = self.targets.get_mut(&target) {
-                known.occupy(batch);
+                known.occupy(now, batch);
             }
             placed.push((want, target));
         }
@@ -236,9 +238,9 @@
     }
 
     /// Counts a grant that a former leader gave.
-    pub(super) fn occupy(&mut self, target: &str, batch: bool) {
+    pub(super) fn occupy(&mut self, now: Time, target: &str, batch: bool) {
         if let Some(known) = self.targets.get_mut(target) {
-            known.occupy(batch);
+            known.occupy(now, batch);
             return;
         }
         let mut fresh = Target::new(Slots {
@@ -247,15 +249,16 @@
             slots: 0,
         });
         fresh.listed = false;
-        fresh.occupy(batch);
+        fresh.occupy(now, batch);
         self.targets.insert(target.to_owned(), fresh);
     }
 
-    pub(super) fn view(&self) -> PoolView {
+    pub(super) fn view(&self, now: Time) -> PoolView {
         let listed = || self.targets.values().filter(|t| t.listed);
         PoolView {
             targets: listed().count(),
             slots: listed().map(|t| t.slots.slots).sum(),
+            free: listed().map(|t| t.free(now)).sum(),
             online: self.targets.values().map(|t| t.online).sum(),
             batch: self.targets.values().map(|t| t.batch).sum(),
             waiting: self.waiting.len(),
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -9,6 +9,9 @@
 const LEFT_MIN: Duration = Duration::from_millis(500);
 /// The longest time that a target is left.
 const LEFT_MAX: Duration = Duration::from_secs(4);
+/// How long a request must have been at a target that is tried again before others follow: one
+/// that is dark or refuses shows it sooner.
+const TRIAL_SPAN: Duration = Duration::from_millis(500);
 /// Broken answers in a row after which a target is left; some targets break one now and then.
 const BROKEN_MAX: u32 = 3;
 
@@ -56,6 +59,8 @@
     left_until: Time,
     /// Whether only one request may try it.
     trial: bool,
+    /// When the request that tries it was sent.
+    tried: Option<Time>,
 }
 
 impl Target {
@@ -68,6 +73,7 @@
             failures: 0,
             left_until: Time::ZERO,
             trial: false,
+            tried: None,
         }
     }
 
@@ -80,7 +86,12 @@
         if !self.listed || now < self.left_until {
             return 0;
         }
-        let most = if self.trial { 1 } else { self.slots.slots };
+        let passed = self.tried.is_some_and(|at| now.since(at) >= TRIAL_SPAN);
+        let most = if self.trial && !passed {
+            1
+        } else {
+            self.slots.slots
+        };
         most.saturating_sub(self.used())
     }
 
@@ -89,7 +100,10 @@
         self.listed && now >= self.left_until
     }
 
-    pub(super) fn occupy(&mut self, batch: bool) {
+    pub(super) fn occupy(&mut self, now: Time, batch: bool) {
+        if self.trial && self.tried.is_none() {
+            self.tried = Some(now);
+        }
         if batch {
             self.batch += 1;
         } else {
@@ -98,6 +112,10 @@
     }
 
     pub(super) fn release(&mut self, now: Time, batch: bool, ended: Ended) {
+        if self.used() <= 1 {
+            // The next request tries it anew, unless this one was answered.
+            self.tried = None;
+        }
         let count = if batch {
             &mut self.batch
         } else {
@@ -134,5 +152,6 @@
         let span = (LEFT_MIN * 2u32.pow(doublings)).min(LEFT_MAX);
         self.left_until = now + span;
         self.trial = true;
+        self.tried = None;
     }
 }
