--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -3,8 +3,7 @@
 //! The load that this answers: short online requests in bursts above what the targets can run,
 //! beside batch items that hold a slot for seconds. Engines admit in order of arrival and know no
 //! priorities, so a request waits here, in one place for the whole fleet, until a slot is free:
-//! - online requests first, by rank and then by arrival; those that can still be on time before
-//!   those that can't,
+//! - online requests first, by rank and then by arrival,
 //! - batch items in the slots that online requests leave, by due time; their slots are called
 //!   back when online requests wait, as an item goes on elsewhere from where it stood,
 //! - a request that would be late by the time of its turn is refused at once, with the time at
@@ -202,8 +201,7 @@
             recalls.retain(|recalled| *recalled != ticket);
         }
         if let Some(pool) = self.pools.get_mut(&grant.service) {
-            let held = now.since(grant.since);
-            pool.release(now, &grant.target, grant.batch, held, ended);
+            pool.release(now, &grant.target, grant.batch, grant.since, ended);
         }
         self.run(now);
     }
@@ -312,7 +310,7 @@
                 self.decided
                     .push((want.ticket, Verdict::Granted { target }));
             }
-            let short = pool.shortage(now);
+            let short = pool.shortage();
             recall(service, short, &mut self.grants, &mut self.recalls);
         }
         for (want, verdict) in refused {
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -10,10 +10,16 @@
 const HOLD_START: Duration = Duration::from_millis(500);
 /// The weight of a new hold time in the average.
 const HOLD_GAIN: f64 = 0.05;
+/// The part of the usual time that a request is expected to go on for when it has held its slot
+/// for longer than usual.
+const OVERDUE_PART: u32 = 8;
 /// One slot in this many is kept free of batch items, so that an online request finds one.
 const RESERVE_SHARE: u32 = 12;
 /// How many slots more a target of the own data centre may have in use and still be preferred.
 const NEAR_BONUS: u32 = 1;
+/// The share of the time that a request may wait which its expected wait may fill; the rest is for
+/// requests that hold their slots longer than usual.
+const WAIT_SHARE: f64 = 0.8;
 /// The shortest time to come back after a refusal.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 /// The longest time to come back after a refusal.
@@ -24,6 +30,8 @@
 pub struct Pool {
     targets: BTreeMap<String, Target>,
     waiting: Vec<Waiting>,
+    /// When the running online requests got their slots.
+    running: Vec<Time>,
     /// The average time that an online request holds its slot.
     hold: Option<Duration>,
     /// Counts asks, so that equal ones go by arrival.
@@ -52,8 +60,6 @@
 struct Waiting {
     want: Want,
     arrival: u64,
-    /// Until when it can still be on time.
-    on_time: Time,
     /// When it is refused.
     until: Time,
     /// When it is due, for an item.
@@ -92,10 +98,11 @@
             return None;
         }
         let wait = self.expected_wait(now, want.rank)?;
-        if wait <= want.on_time {
+        let bearable = want.on_time.mul_f64(WAIT_SHARE);
+        if wait <= bearable {
             return None;
         }
-        let retry = (wait - want.on_time).clamp(RETRY_MIN, RETRY_MAX);
+        let retry = (wait - bearable).clamp(RETRY_MIN, RETRY_MAX);
         Some(Verdict::Busy { retry })
     }
 
@@ -105,17 +112,30 @@
         let slots: u32 = up.iter().map(|t| t.slots.slots).sum();
         let free: u32 = up.iter().map(|t| t.free(now)).sum();
         let batch: u32 = up.iter().map(|t| t.batch).sum();
-        let ahead = self.waiting.iter().filter(|w| {
-            matches!(w.want.urgency, Urgency::Online) && w.want.rank <= rank && now < w.on_time
-        });
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|w| matches!(w.want.urgency, Urgency::Online) && w.want.rank <= rank);
         let ahead = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
         // Slots of batch items come back within milliseconds.
-        let missing = (ahead + 1).saturating_sub(free + batch);
-        if missing == 0 {
-            return None;
+        let missing = ahead.checked_sub(free + batch)?;
+        let mut ends: Vec<Duration> = self.running.iter().map(|at| self.rest(now, *at)).collect();
+        ends.sort_unstable();
+        let hold = self.hold.unwrap_or(HOLD_START);
+        if ends.is_empty() {
+            return Some(hold / slots.max(1) * (missing + 1));
         }
-        let each = self.hold.unwrap_or(HOLD_START) / slots.max(1);
-        Some(each * missing)
+        // The slot that comes free after those that others ahead get.
+        let missing = missing as usize;
+        let rounds = u32::try_from(missing / ends.len()).unwrap_or(u32::MAX);
+        Some(ends[missing % ends.len()] + hold * rounds)
+    }
+
+    /// How much longer a request that began at `since` should hold its slot.
+    fn rest(&self, now: Time, since: Time) -> Duration {
+        let hold = self.hold.unwrap_or(HOLD_START);
+        let rest = hold.saturating_sub(now.since(since));
+        rest.max(hold / OVERDUE_PART)
     }
 
     pub(super) fn push(&mut self, now: Time, want: Want) {
@@ -126,7 +146,6 @@
         };
         self.waiting.push(Waiting {
             arrival: self.arrivals,
-            on_time: now + want.on_time,
             until: now + want.patience,
             due,
             want,
@@ -160,7 +179,7 @@
         if self.waiting.is_empty() {
             return placed;
         }
-        self.waiting.sort_by_key(|w| turn(w, now));
+        self.waiting.sort_by_key(turn);
         let reserve = self.reserve(now);
         let mut place = 0;
         while place < self.waiting.len() {
@@ -178,6 +197,9 @@
             if let Some(known) = self.targets.get_mut(&target) {
                 known.occupy(now, batch);
             }
+            if !batch {
+                self.running.push(now);
+            }
             placed.push((want, target));
         }
         placed
@@ -187,7 +209,7 @@
     fn reserve(&self, now: Time) -> u32 {
         let up = self.targets.values().filter(|t| t.is_up(now));
         let slots: u32 = up.map(|t| t.slots.slots).sum();
-        slots.div_ceil(RESERVE_SHARE)
+        slots / RESERVE_SHARE
     }
 
     /// The target with the fewest slots in use, rather in the data centre of whoever asks.
@@ -206,13 +228,10 @@
         best.map(|(_, target)| target.slots.target.clone())
     }
 
-    /// How many slots online requests that can still be on time wait for.
-    pub(super) fn shortage(&self, now: Time) -> usize {
-        let online = self
-            .waiting
-            .iter()
-            .filter(|w| matches!(w.want.urgency, Urgency::Online) && now < w.on_time);
-        online.count()
+    /// How many slots online requests wait for.
+    pub(super) fn shortage(&self) -> usize {
+        let online = |w: &&Waiting| matches!(w.want.urgency, Urgency::Online);
+        self.waiting.iter().filter(online).count()
     }
 
     pub(super) fn release(
@@ -220,13 +239,18 @@
         now: Time,
         target: &str,
         batch: bool,
-        held: Duration,
+        since: Time,
         ended: Ended,
     ) {
-        if !batch && ended == Ended::Answered {
-            let hold = self.hold.unwrap_or(HOLD_START).as_secs_f64();
-            let next = hold + (held.as_secs_f64() - hold) * HOLD_GAIN;
-            self.hold = Some(Duration::from_secs_f64(next));
+        if !batch {
+            if let Some(place) = self.running.iter().position(|at| *at == since) {
+                self.running.swap_remove(place);
+            }
+            if ended == Ended::Answered {
+                let hold = self.hold.unwrap_or(HOLD_START).as_secs_f64();
+                let held = now.since(since).as_secs_f64();
+                self.hold = Some(Duration::from_secs_f64(hold + (held - hold) * HOLD_GAIN));
+            }
         }
         let Some(known) = self.targets.get_mut(target) else {
             return;
@@ -239,6 +263,9 @@
 
     /// Counts a grant that a former leader gave.
     pub(super) fn occupy(&mut self, now: Time, target: &str, batch: bool) {
+        if !batch {
+            self.running.push(now);
+        }
         if let Some(known) = self.targets.get_mut(target) {
             known.occupy(now, batch);
             return;
@@ -266,14 +293,11 @@
     }
 }
 
-/// The order of turns: online requests that can be on time, then online ones that can't, then
-/// batch items by due time.
-fn turn(waiting: &Waiting, now: Time) -> (u8, u8, Time, u64) {
+/// The order of turns: online requests by rank and arrival, then batch items by due time.
+fn turn(waiting: &Waiting) -> (u8, u8, Time, u64) {
+    let rank = waiting.want.rank;
     match waiting.want.urgency {
-        Urgency::Online if now < waiting.on_time => {
-            (0, waiting.want.rank, Time::ZERO, waiting.arrival)
-        }
-        Urgency::Online => (1, waiting.want.rank, Time::ZERO, waiting.arrival),
-        Urgency::Batch { .. } => (2, waiting.want.rank, waiting.due, waiting.arrival),
+        Urgency::Online => (0, rank, Time::ZERO, waiting.arrival),
+        Urgency::Batch { .. } => (1, rank, waiting.due, waiting.arrival),
     }
 }
--- /dev/null
+++ b/crates/policy/tests/dispatch.rs
@@ -0,0 +1,270 @@
+//! Loads that the dispatcher answers, and what callers get.
+
+use std::time::Duration;
+
+use clem_policy::dispatch::{
+    Dispatcher, Ended, Held, RateLimit, Slots, Ticket, Urgency, Verdict, Want,
+};
+use clem_types::Time;
+
+const SERVICE: &str = "engines";
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn dispatcher(targets: usize, slots: u32) -> Dispatcher {
+    let mut dispatcher = Dispatcher::default();
+    let list: Vec<Slots> = (0..targets).map(|n| target(n, slots)).collect();
+    dispatcher.set_targets(at(0), SERVICE, &list);
+    dispatcher
+}
+
+fn target(number: usize, slots: u32) -> Slots {
+    Slots {
+        target: format!("t{number}"),
+        data_centre: "a".to_owned(),
+        slots,
+    }
+}
+
+fn want(ticket: u64) -> Want {
+    Want {
+        ticket: Ticket(ticket),
+        holder: "front".to_owned(),
+        service: SERVICE.to_owned(),
+        customer: None,
+        rank: 0,
+        urgency: Urgency::Online,
+        on_time: ms(240),
+        patience: ms(800),
+        data_centre: "a".to_owned(),
+        avoid: Vec::new(),
+    }
+}
+
+fn item(ticket: u64, due: u64) -> Want {
+    Want {
+        holder: "keeper".to_owned(),
+        rank: 2,
+        urgency: Urgency::Batch { due: ms(due) },
+        patience: ms(5000),
+        ..want(ticket)
+    }
+}
+
+fn verdict(dispatcher: &mut Dispatcher, ticket: u64) -> Option<Verdict> {
+    let decided = dispatcher.take_decided();
+    let found = decided.iter().find(|(known, _)| known.0 == ticket);
+    found.map(|(_, verdict)| verdict.clone())
+}
+
+fn is_granted(verdict: &Option<Verdict>) -> bool {
+    matches!(verdict, Some(Verdict::Granted { .. }))
+}
+
+#[test]
+fn an_online_request_goes_before_items_that_came_earlier() {
+    let mut dispatcher = dispatcher(1, 1);
+    dispatcher.ask(at(0), want(1));
+    assert!(is_granted(&verdict(&mut dispatcher, 1)));
+    dispatcher.ask(at(1), item(2, 10));
+    let mut patient = want(3);
+    patient.on_time = ms(2000);
+    dispatcher.ask(at(2), patient);
+    dispatcher.release(at(50), Ticket(1), Ended::Answered);
+    assert!(is_granted(&verdict(&mut dispatcher, 3)));
+}
+
+#[test]
+fn a_burst_of_online_requests_calls_back_the_youngest_items() {
+    let mut dispatcher = dispatcher(2, 8);
+    for ticket in 0..14 {
+        dispatcher.ask(at(ticket), item(ticket, 10_000));
+    }
+    assert_eq!(dispatcher.take_decided().len(), 14);
+    for ticket in 100..105 {
+        dispatcher.ask(at(1000), want(ticket));
+    }
+    let granted = dispatcher
+        .take_decided()
+        .iter()
+        .filter(|(_, v)| is_granted(&Some(v.clone())))
+        .count();
+    assert_eq!(granted, 2, "the slots that items leave free");
+    let recalled = dispatcher.take_recalls("keeper");
+    assert_eq!(recalled, [Ticket(13), Ticket(12), Ticket(11)]);
+    for ticket in recalled {
+        dispatcher.release(at(1005), ticket, Ended::Answered);
+    }
+    assert_eq!(
+        dispatcher.take_decided().len(),
+        3,
+        "each of the others is on time"
+    );
+}
+
+#[test]
+fn items_go_by_due_time() {
+    let mut dispatcher = dispatcher(1, 2);
+    dispatcher.ask(at(0), item(1, 9000));
+    assert!(is_granted(&verdict(&mut dispatcher, 1)));
+    dispatcher.ask(at(1), item(2, 9000));
+    dispatcher.ask(at(2), item(3, 2000));
+    dispatcher.release(at(3), Ticket(1), Ended::Answered);
+    assert!(is_granted(&verdict(&mut dispatcher, 3)));
+}
+
+/// Twice as many requests as can run: those that are refused hear it at once, those that are
+/// granted are on time.
+#[test]
+fn what_could_not_be_on_time_is_refused_at_once() {
+    let mut dispatcher = dispatcher(4, 8);
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    let mut asked = std::collections::HashMap::new();
+    let (mut late, mut granted, mut refused) = (0, 0, 0);
+    let mut ticket = 0;
+    for now in 0..6000 {
+        running.retain(|(ticket, end)| {
+            let over = *end <= now;
+            if over {
+                dispatcher.release(at(now), Ticket(*ticket), Ended::Answered);
+            }
+            !over
+        });
+        // 32 slots of 500 ms run 64 requests a second; 125 a second come.
+        if now % 8 == 0 {
+            ticket += 1;
+            asked.insert(ticket, now);
+            dispatcher.ask(at(now), want(ticket));
+        }
+        dispatcher.tick(at(now));
+        for (ticket, verdict) in dispatcher.take_decided() {
+            let waited = now - asked[&ticket.0];
+            match verdict {
+                Verdict::Granted { .. } => {
+                    granted += 1;
+                    late += u32::from(waited > 240);
+                    running.push((ticket.0, now + 500));
+                }
+                Verdict::Busy { retry } => {
+                    refused += 1;
+                    assert!(retry >= ms(50));
+                    assert!(waited <= 75, "a refusal after {waited} ms");
+                }
+                Verdict::OverRate { .. } | Verdict::NoTarget => panic!("{verdict:?}"),
+            }
+        }
+    }
+    assert!(granted >= 350, "the slots are used: {granted}");
+    assert!(refused >= 300, "the rest is refused: {refused}");
+    assert_eq!(late, 0, "of {granted}");
+}
+
+/// Found by a hunt: callers that left and items that were stopped counted against their target,
+/// and 2 of 72 slots were in use while 88 items waited.
+#[test]
+fn requests_that_nobody_wants_any_more_say_nothing_of_their_target() {
+    let mut dispatcher = dispatcher(1, 8);
+    for ticket in 0..6 {
+        dispatcher.ask(at(ticket), want(ticket));
+        dispatcher.release(at(ticket), Ticket(ticket), Ended::Lost);
+    }
+    dispatcher.take_decided();
+    for ticket in 10..18 {
+        dispatcher.ask(at(100), want(ticket));
+    }
+    assert_eq!(dispatcher.take_decided().len(), 8);
+}
+
+/// The same load: a target that is tried again takes others once a request has stayed there.
+#[test]
+fn a_target_that_is_tried_again_is_soon_used_whole() {
+    let mut dispatcher = dispatcher(1, 8);
+    dispatcher.ask(at(0), want(1));
+    dispatcher.release(at(1), Ticket(1), Ended::Unreachable);
+    dispatcher.ask(at(100), item(2, 60_000));
+    dispatcher.ask(at(100), item(3, 60_000));
+    assert!(
+        !is_granted(&verdict(&mut dispatcher, 2)),
+        "it is left for a while"
+    );
+    dispatcher.tick(at(700));
+    assert!(is_granted(&verdict(&mut dispatcher, 2)));
+    dispatcher.tick(at(900));
+    assert!(!is_granted(&verdict(&mut dispatcher, 3)), "one tries it");
+    dispatcher.tick(at(1300));
+    assert!(is_granted(&verdict(&mut dispatcher, 3)));
+}
+
+#[test]
+fn no_window_holds_more_than_rate_and_burst() {
+    let mut dispatcher = dispatcher(50, 50);
+    let limit = RateLimit {
+        rate: 20.0,
+        burst: 10.0,
+    };
+    let rates = [("c".to_owned(), limit)].into();
+    dispatcher.set_rates(at(0), &rates, 10.0);
+    let mut granted = Vec::new();
+    for now in 0..4000 {
+        let mut asked = want(now);
+        asked.customer = Some("c".to_owned());
+        dispatcher.ask(at(now), asked);
+        if is_granted(&verdict(&mut dispatcher, now)) {
+            granted.push(now);
+            dispatcher.release(at(now), Ticket(now), Ended::Answered);
+        }
+    }
+    for (place, start) in granted.iter().enumerate() {
+        let inside = granted[place..]
+            .iter()
+            .filter(|t| **t < start + 1000)
+            .count();
+        assert!(inside <= 31, "{inside} in the second after {start}");
+    }
+    assert!(granted.len() >= 85, "the rate is given: {}", granted.len());
+}
+
+#[test]
+fn a_report_mends_what_lost_messages_left() {
+    let mut dispatcher = dispatcher(1, 1);
+    dispatcher.ask(at(0), want(1));
+    assert!(is_granted(&verdict(&mut dispatcher, 1)));
+    // The end of the request was lost on its way.
+    dispatcher.report(at(1000), "front", &[]);
+    dispatcher.ask(at(1001), want(2));
+    assert!(is_granted(&verdict(&mut dispatcher, 2)));
+    // A leader that has just begun hears of the slots that its predecessor gave.
+    let mut fresh = self::dispatcher(1, 1);
+    let held = Held {
+        ticket: Ticket(2),
+        service: SERVICE.to_owned(),
+        target: "t0".to_owned(),
+        batch: false,
+    };
+    fresh.report(at(0), "front", &[held]);
+    fresh.ask(at(1), want(3));
+    assert!(!is_granted(&verdict(&mut fresh, 3)));
+}
+
+#[test]
+fn the_slots_of_a_holder_that_is_gone_come_back() {
+    let mut dispatcher = dispatcher(1, 1);
+    dispatcher.ask(at(0), want(1));
+    assert!(is_granted(&verdict(&mut dispatcher, 1)));
+    let mut other = want(2);
+    other.holder = "other".to_owned();
+    other.patience = ms(10_000);
+    other.on_time = ms(10_000);
+    dispatcher.ask(at(10), other);
+    for now in (20..4600).step_by(20) {
+        dispatcher.report(at(now), "other", &[]);
+        dispatcher.tick(at(now));
+    }
+    assert!(is_granted(&verdict(&mut dispatcher, 2)));
+}
