--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -8,6 +8,7 @@
 use clem_hub::group_pace;
 use clem_wire::{FleetSecret, Guard};
 use salvo::{Router, Server};
+use tokio::sync::watch;
 
 use crate::{duties, keeper::Keeper, serve};
 
@@ -32,15 +33,19 @@
     pub secret: FleetSecret,
 }
 
-/// Runs the program until it is asked to stop.
+/// Runs the program until it is asked to stop; `seeds` brings members of the hub that are named
+/// later.
 ///
 /// # Errors
 /// The data folder or a socket can't be used.
-pub async fn run(settings: BatchSettings) -> eyre::Result<()> {
+pub async fn run(
+    settings: BatchSettings,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+) -> eyre::Result<()> {
     let internal = listen(settings.address)?;
     let node = Arc::new(Node::new(settings.node));
     log::info!(vm = node.vm.as_str(), address:% = settings.address; "batch keeper started");
-    tokio::spawn(follow(Arc::clone(&node)));
+    tokio::spawn(follow(Arc::clone(&node), seeds));
     tokio::spawn(poll_alone(Arc::clone(&node)));
     tokio::spawn(release_loop(Arc::clone(&node)));
     let stop = stop_signal();
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -1,9 +1,11 @@
 //! Following the hub: rules, targets and processes, as its leader knows them.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_wire::fleet::{FOLLOW_HELD, Follow, News};
 
+use tokio::sync::watch;
+
 use crate::Node;
 
 /// How long one answer is waited for, over all members of the hub.
@@ -13,8 +15,9 @@
 /// The pause after no member of the hub answered.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Follows the hub for as long as the process runs.
-pub async fn follow(node: Arc<Node>) {
+/// Follows the hub for as long as the process runs; `seeds` brings members that are named later, in
+/// case all that were known are gone.
+pub async fn follow(node: Arc<Node>, seeds: watch::Receiver<Vec<SocketAddr>>) {
     let mut lost = None;
     loop {
         let call = call(&node);
@@ -33,6 +36,7 @@
                     lost = Some(node.now());
                     log::warn!(error:% = error, rules = node.view().version().0; "hub lost");
                 }
+                node.hub.add_addresses(&seeds.borrow());
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -22,9 +22,6 @@
 const QUIET_MAX: Duration = Duration::from_millis(120);
 /// When to come back while there is no target.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(400);
-/// A front's share of a customer's burst while it is alone, so that fronts that lose the hub one
-/// after the other stay within the burst together.
-const BURST_SHARE: f64 = 0.5;
 
 /// A slot at a target; given back when it is dropped.
 pub struct Slot {
@@ -114,7 +111,12 @@
         asking.ticket = None;
         self.note_leader();
         match verdict {
-            Verdict::Granted { target } => self.granted(&want, &target),
+            Verdict::Granted { target, share } => {
+                if let Some(customer) = &want.customer {
+                    self.alone().note_share(customer, share);
+                }
+                self.granted(&want, &target)
+            }
             Verdict::OverRate { retry } => Placed::OverRate(retry),
             Verdict::Busy { retry } => Placed::Busy(retry),
             Verdict::NoTarget => Placed::Busy(NO_TARGET_RETRY),
@@ -163,15 +165,11 @@
         if matches!(want.urgency, Urgency::Batch { .. }) {
             return Placed::Busy(NO_TARGET_RETRY);
         }
-        let fronts = f64::from(self.view().fronts.max(1));
-        if let (Some(customer), Some(limit)) = (&want.customer, limit) {
-            let share = RateLimit {
-                rate: limit.rate / fronts,
-                burst: limit.burst / fronts * BURST_SHARE,
-            };
-            if let Err(retry) = self.alone().take(now, customer, share) {
-                return Placed::OverRate(retry);
-            }
+        let fronts = self.view().fronts;
+        if let (Some(customer), Some(limit)) = (&want.customer, limit)
+            && let Err(retry) = self.alone().take(now, customer, limit, fronts)
+        {
+            return Placed::OverRate(retry);
         }
         let mut best: Option<(f64, TargetVm)> = None;
         for target in self.view().ready(&want.service) {
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -9,7 +9,10 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::{GracefulShutdown, Watcher},
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 use crate::{front::Front, handle::handle, ready};
 
@@ -36,17 +39,21 @@
     pub running_max: usize,
 }
 
-/// Runs the program until it is asked to stop.
+/// Runs the program until it is asked to stop; `seeds` brings members of the hub that are named
+/// later.
 ///
 /// # Errors
 /// A socket can't be used.
-pub async fn run(settings: FrontSettings) -> eyre::Result<()> {
+pub async fn run(
+    settings: FrontSettings,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+) -> eyre::Result<()> {
     let metrics = Metrics::start()?;
     let callers = listen(settings.callers)?;
     let balancer = listen(settings.ready)?;
     let node = Arc::new(Node::new(settings.node));
     let front = Arc::new(Front::new(Arc::clone(&node), settings.running_max));
-    tokio::spawn(follow(Arc::clone(&node)));
+    tokio::spawn(follow(Arc::clone(&node), seeds));
     tokio::spawn(poll_alone(Arc::clone(&node)));
     tokio::spawn(release_loop(Arc::clone(&node)));
     tokio::spawn(ready::keep(Arc::clone(&front)));
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -7,6 +7,7 @@
 use clem_edge::Dialect;
 use clem_wire::{Client, ControlClient, FleetSecret, Guard};
 use salvo::{Router, Server};
+use tokio::sync::watch;
 
 use crate::{Hub, hub::Parts, list, order, serve};
 
@@ -54,11 +55,15 @@
     }
 }
 
-/// Runs the program until it is asked to stop.
+/// Runs the program until it is asked to stop; `seeds` brings members of the hub that are named
+/// later.
 ///
 /// # Errors
 /// The data folder or a socket can't be used.
-pub async fn run(settings: HubSettings) -> eyre::Result<()> {
+pub async fn run(
+    settings: HubSettings,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+) -> eyre::Result<()> {
     let clock = Clock::start();
     let Some(data_dir) = settings.data_dir else {
         eyre::bail!("a vm of the hub needs a data folder");
@@ -94,6 +99,7 @@
     let stop = server.handle();
     let serving = tokio::spawn(server.serve(router));
     tokio::spawn(order::serve(Arc::clone(&hub), orders.into_socket()));
+    tokio::spawn(take_seeds(replica.clone(), seeds));
     tokio::spawn(list::poll(Arc::clone(&hub)));
     tokio::spawn(list::tick(Arc::clone(&hub)));
     tokio::spawn(list::log_slots(Arc::clone(&hub)));
@@ -105,3 +111,10 @@
     serving.await?;
     Ok(())
 }
+
+/// Looks for members of the group where the settings name them later, too.
+async fn take_seeds(replica: Replica, mut seeds: watch::Receiver<Vec<SocketAddr>>) {
+    while seeds.changed().await.is_ok() {
+        replica.add_peers(seeds.borrow_and_update().iter().copied());
+    }
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -76,12 +76,15 @@
 }
 
 /// What becomes of a request for a slot.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Verdict {
     /// It may be sent to this target now.
     Granted {
         /// The target.
         target: String,
+        /// The holder's share of the customer's requests of late, from 0 to 1: what it may take of
+        /// the rate while no leader answers.
+        share: f64,
     },
     /// The customer is over its rate.
     OverRate {
@@ -298,6 +301,8 @@
         for (service, pool) in &mut self.pools {
             refused.extend(pool.expire(now));
             for (want, target) in pool.place(now) {
+                let meter = want.customer.as_ref().and_then(|c| self.meters.get_mut(c));
+                let share = meter.map_or(1.0, |meter| meter.count(now, &want.holder));
                 let grant = Grant {
                     holder: want.holder,
                     service: service.clone(),
@@ -308,7 +313,7 @@
                 };
                 self.grants.insert(want.ticket, grant);
                 self.decided
-                    .push((want.ticket, Verdict::Granted { target }));
+                    .push((want.ticket, Verdict::Granted { target, share }));
             }
             let short = pool.shortage();
             recall(service, short, &mut self.grants, &mut self.recalls);
--- a/crates/policy/src/dispatch/rate.rs
+++ b/crates/policy/src/dispatch/rate.rs
@@ -1,6 +1,6 @@
 //! A customer's rate and burst, kept in one place for the whole fleet.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use clem_types::Time;
 
@@ -13,12 +13,33 @@
     pub burst: f64,
 }
 
-/// The level of a customer's bucket, in requests.
+/// Requests below which a holder is forgotten.
+const SHARE_MIN: f64 = 0.01;
+/// The span over which the shares of holders are averaged.
+const SHARE_SPAN: Duration = Duration::from_secs(8);
+
+/// The level of a customer's bucket, in requests, and who takes them.
 #[derive(Debug, Clone)]
 pub struct Meter {
     limit: RateLimit,
     level: f64,
     filled: Time,
+    /// Requests taken by each holder, of which old ones count less and less.
+    taken: HashMap<String, Taken>,
+}
+
+/// Requests that a holder has taken, as of a moment.
+#[derive(Debug, Clone, Copy)]
+struct Taken {
+    count: f64,
+    at: Time,
+}
+
+impl Taken {
+    fn now(&self, now: Time) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / SHARE_SPAN.as_secs_f64();
+        self.count * (-age).exp()
+    }
 }
 
 impl Meter {
@@ -28,6 +49,7 @@
             limit,
             level: start.min(limit.burst.max(1.0)),
             filled: now,
+            taken: HashMap::new(),
         }
     }
 
@@ -55,6 +77,22 @@
         Err(Duration::from_secs_f64(wait))
     }
 
+    /// Counts a request of a holder and returns the holder's share of all of late, from 0 to 1.
+    pub fn count(&mut self, now: Time, holder: &str) -> f64 {
+        let taken = self.taken.entry(holder.to_owned()).or_insert(Taken {
+            count: 0.0,
+            at: now,
+        });
+        *taken = Taken {
+            count: taken.now(now) + 1.0,
+            at: now,
+        };
+        let own = taken.count;
+        self.taken.retain(|_, taken| taken.now(now) > SHARE_MIN);
+        let all: f64 = self.taken.values().map(|taken| taken.now(now)).sum();
+        own / all.max(own)
+    }
+
     /// Gives one request back that was not run.
     pub fn give_back(&mut self) {
         self.level = (self.level + 1.0).min(self.limit.burst.max(1.0));
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -268,3 +268,31 @@
     }
     assert!(is_granted(&verdict(&mut dispatcher, 2)));
 }
+
+/// While no leader answers, fronts share a customer's rate as they did before.
+#[test]
+fn holders_hear_their_share_of_a_customers_requests() {
+    let mut dispatcher = dispatcher(50, 50);
+    let limit = RateLimit {
+        rate: 500.0,
+        burst: 500.0,
+    };
+    dispatcher.set_rates(at(0), &[("c".to_owned(), limit)].into(), 500.0);
+    let mut shares = std::collections::HashMap::new();
+    for ticket in 0..400 {
+        let mut asked = want(ticket);
+        asked.customer = Some("c".to_owned());
+        asked.holder = if ticket % 4 == 0 { "few" } else { "many" }.to_owned();
+        let holder = asked.holder.clone();
+        dispatcher.ask(at(ticket * 10), asked);
+        let Some(Verdict::Granted { share, .. }) = verdict(&mut dispatcher, ticket) else {
+            panic!("there is room");
+        };
+        shares.insert(holder, share);
+    }
+    let (few, many) = (shares["few"], shares["many"]);
+    assert!(
+        (few - 0.25).abs() < 0.05 && (many - 0.75).abs() < 0.05,
+        "{few} and {many}"
+    );
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -41,6 +41,11 @@
         self.view().set_known(addresses);
     }
 
+    /// Adds addresses to those that are known.
+    pub fn add_addresses(&self, addresses: &[SocketAddr]) {
+        self.view().add_known(addresses);
+    }
+
     /// Sends a call to the leader and waits for its reply, for `timeout` at the most.
     ///
     /// # Errors
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -41,6 +41,16 @@
         }
     }
 
+    /// Adds processes to those that are known.
+    pub fn add_known(&mut self, more: &[SocketAddr]) {
+        for address in more {
+            if !self.known.contains(address) {
+                self.known.push(*address);
+            }
+        }
+        self.asked = self.asked.or_else(|| self.known.first().copied());
+    }
+
     /// The process to ask; none as long as none is known.
     pub fn target(&self) -> Option<SocketAddr> {
         self.asked
