Sooner leaders of the hub; placing while a new one has no list; every refusal has its line

The groups' spans are shorter (election 500 to 750 ms, before 700 to 1100), a leader reads the list at once, a front places by its own list while the leader has none, and a front that has just started tells callers to come back when it should have rules. Ruled out: rules from a member's disk before a leader is there (a withdrawn key could come back).

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -38,6 +38,8 @@
     /// Runs in a row that broke without an event.
     crashes: u32,
     avoid: Vec<String>,
+    /// The target of the last run.
+    target: String,
 }
 
 /// How one run ended.
@@ -64,6 +66,7 @@
             failed: 0,
             crashes: 0,
             avoid: Vec::new(),
+            target: String::new(),
         }
     }
 
@@ -116,7 +119,7 @@
         }
         let mut slot = match self.place().await {
             Placed::Slot(slot) => slot,
-            Placed::OverRate(_) | Placed::Busy(_) => {
+            Placed::OverRate(_) | Placed::Busy { .. } => {
                 tokio::time::sleep(BUSY_PAUSE).await;
                 self.avoid.clear();
                 return Run::Again;
@@ -125,6 +128,7 @@
         let recall = self.keeper.await_recall(slot.ticket());
         let node = Arc::clone(&self.keeper.node);
         let target = slot.target.id.clone();
+        self.target.clone_from(&target);
         let shipment = self.shipment();
         let id = self.spec.id.clone();
         let customer = self.ready.job.name.customer.clone();
@@ -311,7 +315,7 @@
             .saturating_sub(self.ready.due.0);
         log::info!(
             item = self.spec.id.as_str(), batch = self.ready.job.name.id.as_str(), state:% = state,
-            reason, late_ms = late, failed = self.failed;
+            reason, late_ms = late, failed = self.failed, target = self.target.as_str();
             "item ended"
         );
         let text = match state {
--- a/crates/direct/src/list.rs
+++ b/crates/direct/src/list.rs
@@ -19,6 +19,8 @@
 const PAGES_MAX: usize = 200;
 /// How long the hub's word on the targets is waited for before a process reads the list itself.
 const OVERDUE: Duration = Duration::from_millis(2000);
+/// How long a process that has just started waits for the hub's word at least.
+const FIRST_WAIT: Duration = Duration::from_millis(300);
 /// How often a process looks whether the hub's word is overdue, and reads the list if it is.
 const ALONE_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -77,9 +79,13 @@
 /// Reads the list itself while the hub says nothing: targets that leave must not get new work,
 /// whether the hub has a leader or not.
 pub async fn poll_alone(node: Arc<Node>) {
+    // Spread, so that not all processes read at once.
+    tokio::time::sleep(FIRST_WAIT.mul_f64(1.0 + node.draw())).await;
+    let mut first = true;
     loop {
-        // Spread, so that not all processes read at once.
-        tokio::time::sleep(node.spread(ALONE_INTERVAL)).await;
+        if !std::mem::take(&mut first) {
+            tokio::time::sleep(node.spread(ALONE_INTERVAL)).await;
+        }
         let now = node.now();
         let heard = {
             let view = node.view();
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -134,6 +134,16 @@
         retry.mul_f64(1.0 + self.draw() / 2.0)
     }
 
+    /// Whether requests are placed without the hub's leader at present.
+    pub fn is_alone(&self) -> bool {
+        self.alone().is_alone()
+    }
+
+    /// How long the process has run.
+    pub fn uptime(&self) -> Duration {
+        self.now().since(Time::ZERO)
+    }
+
     pub(crate) fn alone(&self) -> MutexGuard<'_, Alone> {
         lock(&self.alone)
     }
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -30,6 +30,8 @@
     ended: Ended,
     /// The target.
     pub target: TargetVm,
+    /// Whether it was taken without the hub's leader.
+    pub alone: bool,
 }
 
 /// What became of asking for a slot.
@@ -39,7 +41,12 @@
     /// The customer is over its rate.
     OverRate(Duration),
     /// There is no room.
-    Busy(Duration),
+    Busy {
+        /// When to come back.
+        retry: Duration,
+        /// How long the request would have waited.
+        wait: Duration,
+    },
 }
 
 impl Slot {
@@ -115,11 +122,12 @@
                 if let Some(customer) = &want.customer {
                     self.alone().note_share(customer, share);
                 }
-                self.granted(&want, &target)
+                self.granted(&want, &target, false)
             }
             Verdict::OverRate { retry } => Placed::OverRate(retry),
-            Verdict::Busy { retry } => Placed::Busy(retry),
-            Verdict::NoTarget => Placed::Busy(NO_TARGET_RETRY),
+            Verdict::Busy { retry, wait } => Placed::Busy { retry, wait },
+            // A leader that has just begun may not have read the list yet.
+            Verdict::NoTarget => self.place_alone(&want, limit),
         }
     }
 
@@ -139,12 +147,15 @@
         }
     }
 
-    fn granted(self: &Arc<Self>, want: &Want, target: &str) -> Placed {
+    fn granted(self: &Arc<Self>, want: &Want, target: &str, alone: bool) -> Placed {
         let known = self.view().targets.get(target).cloned();
         let Some(target) = known else {
             // The leader's list is newer than this process's.
             self.give_back(want.ticket, Ended::NotRun);
-            return Placed::Busy(NO_TARGET_RETRY);
+            return Placed::Busy {
+                retry: NO_TARGET_RETRY,
+                wait: Duration::ZERO,
+            };
         };
         self.hold(Held {
             ticket: want.ticket,
@@ -157,13 +168,17 @@
             ticket: want.ticket,
             ended: Ended::NotRun,
             target,
+            alone,
         })
     }
 
     fn place_alone(self: &Arc<Self>, want: &Want, limit: Option<RateLimit>) -> Placed {
         let now = self.now();
         if matches!(want.urgency, Urgency::Batch { .. }) {
-            return Placed::Busy(NO_TARGET_RETRY);
+            return Placed::Busy {
+                retry: NO_TARGET_RETRY,
+                wait: Duration::ZERO,
+            };
         }
         let fronts = self.view().fronts;
         if let (Some(customer), Some(limit)) = (&want.customer, limit)
@@ -183,12 +198,18 @@
             }
         }
         let Some((load, target)) = best else {
-            return Placed::Busy(NO_TARGET_RETRY);
+            return Placed::Busy {
+                retry: NO_TARGET_RETRY,
+                wait: Duration::ZERO,
+            };
         };
         if load >= f64::from(target.slots) {
-            return Placed::Busy(want.on_time.max(NO_TARGET_RETRY));
+            return Placed::Busy {
+                retry: want.on_time.max(NO_TARGET_RETRY),
+                wait: want.on_time,
+            };
         }
-        self.granted(want, &target.id)
+        self.granted(want, &target.id, true)
     }
 }
 
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -33,6 +33,21 @@
     pub(crate) avoid: Vec<String>,
     /// The last event that the caller has got.
     pub(crate) seen: Option<u64>,
+    /// How the last slot was got, for the log.
+    pub(crate) placed: Placing,
+}
+
+/// How a slot was got, or not.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Placing {
+    /// The target.
+    pub(crate) target: String,
+    /// How long the slot was waited for.
+    pub(crate) waited: Duration,
+    /// How long the wait would have been, for a request that was refused.
+    pub(crate) expected: Duration,
+    /// Whether no leader had a part in it.
+    pub(crate) alone: bool,
 }
 
 /// Why no target answers.
@@ -55,6 +70,7 @@
         runs: 0,
         avoid: Vec::new(),
         seen,
+        placed: Placing::default(),
     };
     let outcome = course.next_answer().await;
     match outcome {
@@ -120,12 +136,25 @@
             return Err(self.not_run(FULL_RETRY));
         };
         let want = self.request.want(now, &service, &self.avoid);
-        match node.place(want, self.request.limit()).await {
-            Placed::Slot(slot) => Ok(slot),
+        let placed = node.place(want, self.request.limit()).await;
+        self.placed = Placing {
+            waited: node.now().since(now),
+            alone: node.is_alone(),
+            ..Placing::default()
+        };
+        match placed {
+            Placed::Slot(slot) => {
+                self.placed.target.clone_from(&slot.target.id);
+                self.placed.alone = slot.alone;
+                Ok(slot)
+            }
             Placed::OverRate(retry) => Err(Failed {
                 refusal: Refusal::after(Cause::OverLimit, node.spread(retry)),
             }),
-            Placed::Busy(retry) => Err(self.not_run(node.spread(retry))),
+            Placed::Busy { retry, wait } => {
+                self.placed.expected = wait;
+                Err(self.not_run(node.spread(retry)))
+            }
         }
     }
 
@@ -165,11 +194,13 @@
 
     pub(crate) fn note_end(&self, outcome: &str, refusal: &Refusal) {
         let now = self.front.node.now();
-        let took = now.since(self.request.arrived).as_millis() as u64;
-        let retry = refusal.retry.map_or(0, |retry| retry.as_millis() as u64);
+        let took = millis(now.since(self.request.arrived));
+        let retry = refusal.retry.map_or(0, millis);
         log::info!(
             request = self.request.id.as_str(), route = self.request.route.name.as_str(),
             customer = self.customer(), outcome, cause:% = refusal.cause, retry_ms = retry,
+            waited_ms = millis(self.placed.waited), expected_ms = millis(self.placed.expected),
+            alone = self.placed.alone, target = self.placed.target.as_str(),
             runs = self.runs, took_ms = took;
             "request ended"
         );
@@ -188,3 +219,8 @@
         refusal: Refusal::new(cause),
     }
 }
+
+/// A span as a log line shows it.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -11,15 +11,18 @@
 
 use crate::{
     answer::{AnswerBody, whole},
-    attempt, batch,
+    attempt::{self, millis},
+    batch,
     front::Front,
     request::CallerRequest,
 };
 
 /// How long a caller that names no time waits.
 const PATIENCE: Duration = Duration::from_secs(30);
-/// When to come back to a process that knows no rules yet.
-const NOT_READY_RETRY: Duration = Duration::from_millis(200);
+/// How long a process takes after its start to know rules and targets, when the hub starts too.
+const START_SPAN: Duration = Duration::from_millis(1600);
+/// The shortest time to come back to a process that knows no rules yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 /// When to come back to a process that is full.
 const FULL_RETRY: Duration = Duration::from_millis(300);
 
@@ -43,44 +46,54 @@
     let arrived = front.node.now();
     let (head, body) = request.into_parts();
     let node = &front.node;
-    let Some(rules) = node.view().rules.clone() else {
-        return Err(Refusal::after(Cause::NotReady, NOT_READY_RETRY));
-    };
     let malformed = |findings: clem_edge::Findings| {
         log::warn!(findings:% = findings; "request malformed");
         Refusal::new(Cause::Malformed)
     };
     let inbound = node.dialect.read_inbound(&head).map_err(malformed)?;
     let ask = node.dialect.read_ask(&head).map_err(malformed)?;
+    let rules = node.view().rules.clone();
+    let early = Early {
+        id: ask.id.as_deref().unwrap_or_default(),
+        rules: rules.as_ref().map_or(0, |rules| rules.version.0),
+    };
+    let Some(rules) = rules else {
+        let left = START_SPAN.saturating_sub(node.uptime());
+        let retry = node.spread(left.max(NOT_READY_RETRY));
+        return Err(early.refuse(Refusal::after(Cause::NotReady, retry)));
+    };
     let path = head.uri.path();
     let limits = rules.limits;
     if inbound != Inbound::Forward {
         if !rules.has_host(&ask.host) {
-            return Err(not_found(&ask.host, path, &rules));
+            log::info!(request = early.id, host = ask.host.as_str(), path; "no route");
+            return Err(early.refuse(Refusal::new(Cause::NotFound)));
         }
-        let customer = authenticate(&rules, ask.key.as_deref())?;
+        let customer = authenticate(&rules, ask.key.as_deref(), &early)?;
         return batch::answer(front, customer, inbound).await;
     }
     let Some(route) = rules.route(&ask.host, path) else {
-        return Err(not_found(&ask.host, path, &rules));
+        log::info!(request = early.id, host = ask.host.as_str(), path; "no route");
+        return Err(early.refuse(Refusal::new(Cause::NotFound)));
     };
     let customer = if route.open || !rules.has_keys() {
         None
     } else {
-        Some(authenticate(&rules, ask.key.as_deref())?)
+        Some(authenticate(&rules, ask.key.as_deref(), &early)?)
     };
     let Some(running) = front.start() else {
-        return Err(Refusal::after(Cause::Busy, FULL_RETRY));
+        return Err(early.refuse(Refusal::after(Cause::Busy, FULL_RETRY)));
     };
-    let body = read_body(body, limits.body_bytes).await?;
+    let body = read_body(body, limits.body_bytes).await;
+    let body = body.map_err(|refusal| early.refuse(refusal))?;
     if route.kind == RouteKind::Batch {
         let (Some(customer), Some(id)) = (customer, ask.id.as_deref()) else {
-            return Err(Refusal::new(Cause::Malformed));
+            return Err(early.refuse(Refusal::new(Cause::Malformed)));
         };
         return batch::submit(front, &rules, route, customer, id, &body).await;
     }
     let Some(id) = ask.id.clone() else {
-        return Err(Refusal::new(Cause::Malformed));
+        return Err(early.refuse(Refusal::new(Cause::Malformed)));
     };
     let request = CallerRequest {
         id,
@@ -99,16 +112,32 @@
     attempt::run(front, request, running).await
 }
 
-fn not_found(host: &str, path: &str, rules: &Ruleset) -> Refusal {
-    log::info!(host, path, rules = rules.version.0; "no route");
-    Refusal::new(Cause::NotFound)
+/// What a line says of a request that is refused before it is placed.
+struct Early<'a> {
+    id: &'a str,
+    rules: u64,
+}
+
+impl Early<'_> {
+    fn refuse(&self, refusal: Refusal) -> Refusal {
+        log::info!(
+            request = self.id, cause:% = refusal.cause, rules = self.rules,
+            retry_ms = refusal.retry.map_or(0, millis);
+            "request refused"
+        );
+        refusal
+    }
 }
 
-fn authenticate<'a>(rules: &'a Ruleset, key: Option<&[u8]>) -> Result<&'a Customer, Refusal> {
+fn authenticate<'a>(
+    rules: &'a Ruleset,
+    key: Option<&[u8]>,
+    early: &Early<'_>,
+) -> Result<&'a Customer, Refusal> {
     let holder = key.and_then(|key| rules.holder(key));
     holder.ok_or_else(|| {
-        log::info!(shown = key.is_some(), rules = rules.version.0; "key refused");
-        Refusal::new(Cause::KeyUnknown)
+        log::info!(request = early.id, shown = key.is_some(); "key refused");
+        early.refuse(Refusal::new(Cause::KeyUnknown))
     })
 }
 
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     answer::{AnswerBody, CutOff, Relayed},
-    attempt::Course,
+    attempt::{Course, millis},
 };
 
 /// Pieces of an answer that may wait for a slow caller.
@@ -186,8 +186,9 @@
     metrics::counter!("clem_front_answers").increment(1);
     log::info!(
         request = course.request.id.as_str(), route = course.request.route.name.as_str(),
-        customer = course.customer(), outcome, status, runs = course.runs,
-        took_ms = took.as_millis() as u64, running = course.front.running();
+        customer = course.customer(), outcome, status, target = course.placed.target.as_str(),
+        waited_ms = millis(course.placed.waited), alone = course.placed.alone,
+        runs = course.runs, took_ms = millis(took), running = course.front.running();
         "request ended"
     );
     debug_assert!(
--- a/crates/hub/src/list.rs
+++ b/crates/hub/src/list.rs
@@ -15,9 +15,14 @@
 /// Reads the list for as long as the process runs, while it leads.
 pub(crate) async fn poll(hub: Arc<Hub>) {
     let mut failing = false;
+    let mut leadership = hub.replica.watch();
     loop {
         if hub.lead(|_, _| ()).is_err() {
-            tokio::time::sleep(TICK * 5).await;
+            // Read at once when this process begins to lead.
+            tokio::select! {
+                _ = leadership.changed() => {}
+                () = tokio::time::sleep(TICK * 5) => {}
+            }
             continue;
         }
         match read_targets(&*hub.dialect, hub.list).await {
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -43,13 +43,14 @@
     pub dialect: Arc<dyn Dialect>,
 }
 
-/// Spans of a group that must replace a lost leader within about a second.
+/// Spans of a group that must replace a lost leader within well under a second: requests are placed
+/// without it meanwhile. They leave room for a disk that takes some milliseconds a sync.
 pub fn group_pace(tolerance: usize) -> clem_log::Settings {
     clem_log::Settings {
-        heartbeat: Duration::from_millis(200),
-        election: Duration::from_millis(700),
-        jitter: Duration::from_millis(400),
-        lease: Duration::from_millis(550),
+        heartbeat: Duration::from_millis(150),
+        election: Duration::from_millis(500),
+        jitter: Duration::from_millis(250),
+        lease: Duration::from_millis(380),
         voters: 2 * tolerance + 1,
         ..clem_log::Settings::default()
     }
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -138,6 +138,7 @@
             Ok(Err(_)) => Err(Refusal::NotLeader),
             Err(_) => Ok(Verdict::Busy {
                 retry: Duration::from_millis(500),
+                wait: held,
             }),
         }
     }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -95,6 +95,8 @@
     Busy {
         /// When there should be room.
         retry: Duration,
+        /// How long it would have waited, or has waited.
+        wait: Duration,
     },
     /// The service has no target that may get work.
     NoTarget,
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -103,7 +103,7 @@
             return None;
         }
         let retry = (wait - bearable).clamp(RETRY_MIN, RETRY_MAX);
-        Some(Verdict::Busy { retry })
+        Some(Verdict::Busy { retry, wait })
     }
 
     /// How long an online request of this rank would wait; none if there is a slot at once.
@@ -167,8 +167,9 @@
                 continue;
             }
             let want = self.waiting.remove(place).want;
+            let wait = want.patience;
             let retry = self.hold.unwrap_or(HOLD_START).clamp(RETRY_MIN, RETRY_MAX);
-            over.push((want, Verdict::Busy { retry }));
+            over.push((want, Verdict::Busy { retry, wait }));
         }
         over
     }
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -151,7 +151,7 @@
                     late += u32::from(waited > 240);
                     running.push((ticket.0, now + 500));
                 }
-                Verdict::Busy { retry } => {
+                Verdict::Busy { retry, .. } => {
                     refused += 1;
                     assert!(retry >= ms(50));
                     assert!(waited <= 75, "a refusal after {waited} ms");
