A voter leaves once its successor votes; groups log their members

Cause: a spare took the place of a leaving voter by removal first and promotion after. The successor is promoted first, and a vm counts as empty once a committed set of voters without it has its full size. Ruled out: founding and elections (all three processes took their seats; the members in the new log line showed two voters and a learner).

--- a/crates/batch/src/duties.rs
+++ b/crates/batch/src/duties.rs
@@ -57,9 +57,7 @@
 
 /// Tells the hub who the members are, with the next report.
 fn report_members(keeper: &Keeper) {
-    let members = keeper.replica.members();
-    let members = members.iter().map(|member| member.address).collect();
-    keeper.node.view().members = Some(members);
+    keeper.node.view().members = Some(keeper.replica.voters());
 }
 
 /// As many items as there are slots may run or wait for one.
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -20,7 +20,7 @@
     calls::{Group, Hello, HelloReply, Join},
     drive::drive,
     fatal, gauges, install,
-    seat::Seat,
+    seat::{Seat, note_members},
     shared::Shared,
 };
 
@@ -44,6 +44,7 @@
         Err(error) => fatal::end("the log's thread can't be started", &error),
     };
     log::info!(member:% = shared.member, cluster:% = cluster; "takes its seat");
+    note_members(node.members(), node.last());
     *shared.seat() = Some(Seat::new(cluster, node, writer, shared.reserve_bytes));
     go_on(shared, events).await;
 }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -197,6 +197,14 @@
         self.shared.epoch.subscribe()
     }
 
+    /// The addresses of the group's voters, without changes that are not committed.
+    pub fn voters(&self) -> Vec<SocketAddr> {
+        let seat = self.shared.seat();
+        seat.as_ref()
+            .map(super::seat::Seat::voters)
+            .unwrap_or_default()
+    }
+
     /// The members of the group.
     pub fn members(&self) -> Vec<MemberView> {
         let seat = self.shared.seat();
--- a/crates/control/src/replica/seat.rs
+++ b/crates/control/src/replica/seat.rs
@@ -1,11 +1,14 @@
 //! A seat in the group: the consensus node, the writing thread and the state machine together.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+};
 
 use bytes::Bytes;
 use clem_log::{
-    Base, Change, ClusterId, Entry, LogIndex, MemberId, Message, Node, Payload, ReadId, Ready,
-    Refused, Term, WriteNumber, disk::Writer,
+    Base, Change, ClusterId, Entry, LogIndex, MemberId, Members, Message, Node, Payload, ReadId,
+    Ready, Refused, Seat as LogSeat, Term, WriteNumber, disk::Writer,
 };
 use clem_state::Command;
 use clem_store::RedbStore;
@@ -45,6 +48,8 @@
     reserve_bytes: u64,
     /// The term in which this member leads and has applied what was committed before.
     caught_up: Option<Term>,
+    /// The addresses of the voters by the last change that is applied here.
+    voters: Option<Vec<SocketAddr>>,
 }
 
 /// A proposal that waits for its commit.
@@ -76,6 +81,7 @@
             free_bytes: u64::MAX,
             reserve_bytes,
             caught_up: None,
+            voters: None,
         }
     }
 
@@ -102,6 +108,12 @@
         }
     }
 
+    /// The addresses of the voters, without changes that are not committed.
+    pub(super) fn voters(&self) -> Vec<SocketAddr> {
+        let known = self.voters.clone();
+        known.unwrap_or_else(|| voters(self.node.members()))
+    }
+
     /// Bytes that may still be written to the disk, as of the last write.
     pub(super) fn free_bytes(&self) -> u64 {
         self.free_bytes
@@ -242,7 +254,12 @@
         let waiting = self.waiting.remove(&entry.index);
         let data = match &entry.payload {
             Payload::Data(data) => data,
-            Payload::Noop | Payload::Members(_) => return,
+            Payload::Members(members) => {
+                self.voters = Some(voters(members));
+                note_members(members, entry.index);
+                return;
+            }
+            Payload::Noop => return,
         };
         if entry.index.0 <= store.applied() {
             return;
@@ -345,6 +362,28 @@
     }
 }
 
+fn voters(members: &Members) -> Vec<SocketAddr> {
+    let voters = members.iter().filter(|m| m.seat == LogSeat::Voter);
+    voters.filter_map(|m| m.address.parse().ok()).collect()
+}
+
+/// Logs who takes part in the group from an entry on.
+pub(super) fn note_members(members: &Members, index: LogIndex) {
+    let mut voters = Vec::new();
+    let mut learners = Vec::new();
+    for member in members.iter() {
+        let list = match member.seat {
+            LogSeat::Voter => &mut voters,
+            LogSeat::Learner => &mut learners,
+        };
+        list.push(format!("{}@{}", member.id, member.address));
+    }
+    log::info!(
+        index = index.0, voters = voters.join(" "), learners = learners.join(" ");
+        "members"
+    );
+}
+
 /// About how many bytes a message takes.
 fn message_bytes(message: &Message) -> usize {
     /// Bytes of a message without its entries.
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -206,8 +206,8 @@
             }
             return RetireReply::Running;
         }
-        let empty = process.address.is_none_or(|a| !self.members.contains(&a));
-        if !self.members.is_empty() && empty {
+        let gone = process.address.is_none_or(|a| !self.members.contains(&a));
+        if gone && self.members.len() >= wanted {
             return RetireReply::Completed;
         }
         RetireReply::Running
--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -104,6 +104,9 @@
             return None;
         };
         let members = self.members();
+        if let Some(id) = self.replaced_voter(now) {
+            return Some(Change::Remove(id));
+        }
         for learner in members.iter().filter(|m| m.seat == Seat::Learner) {
             let change = self.change_for(now, lead, learner);
             if change.is_some() {
@@ -170,13 +173,19 @@
         if self.is_silent(now, learner.id) {
             return (wanted > 0).then_some(Change::Remove(learner.id));
         }
-        if !caught_up {
+        let needed = wanted == 0 || self.lacks_voter(now);
+        // It votes before the one that it replaces is removed: a disk that is lost right after
+        // the removal must not leave the group without a quorum.
+        (caught_up && needed).then_some(Change::Promote(learner.id))
+    }
+
+    /// A voter that has a successor, where there are more voters than there should be.
+    fn replaced_voter(&self, now: Time) -> Option<MemberId> {
+        let wanted = self.settings.voters;
+        if wanted == 0 || self.members().voters().count() <= wanted {
             return None;
         }
-        if wanted == 0 || self.members().voters().count() < wanted {
-            return Some(Change::Promote(learner.id));
-        }
-        self.silent_voter(now).map(Change::Remove)
+        self.silent_voter(now)
     }
 
     /// Whether the group has fewer voters than it should, or one that is silent.
--- a/crates/log/tests/trio/mod.rs
+++ b/crates/log/tests/trio/mod.rs
@@ -43,8 +43,12 @@
 
 impl Trio {
     pub(crate) fn campaigning() -> Self {
+        Self::with(Settings::default())
+    }
+
+    pub(crate) fn with(settings: Settings) -> Self {
         let nodes = (1..=3)
-            .map(|id| Node::new(Time::ZERO, start(id), Settings::default()))
+            .map(|id| Node::new(Time::ZERO, start(id), settings))
             .collect();
         let mut trio = Self {
             nodes,
@@ -104,7 +108,7 @@
     pub(crate) fn deliver(&mut self) {
         loop {
             let mut messages = Vec::new();
-            for node in 0..3 {
+            for node in 0..self.nodes.len() {
                 if self.lost == Some(node) {
                     continue;
                 }
