--- a/crates/log/tests/trio/mod.rs
+++ b/crates/log/tests/trio/mod.rs
@@ -1,5 +1,7 @@
 //! Three nodes whose messages arrive at once and in order.
 
+#![allow(dead_code, reason = "each test uses its own part")]
+
 use std::time::Duration;
 
 use clem_log::{Base, LogIndex, Member, MemberId, Members, Node, ReadId, Seat, Settings, Start};
