--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -6,6 +6,7 @@
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_direct::{Node, NodeSettings, follow, poll_alone, release_loop};
 use clem_hub::group_pace;
+use clem_log::disk::read_identity;
 use clem_wire::{FleetSecret, Guard};
 use salvo::{Router, Server};
 use tokio::sync::watch;
@@ -50,9 +51,13 @@
     tokio::spawn(release_loop(Arc::clone(&node)));
     let stop = stop_signal();
     tokio::pin!(stop);
+    // A disk that belongs to a group needs no word of the hub to go on.
+    let identity = read_identity(&settings.data_dir)?;
+    let grouped = identity.is_some_and(|identity| identity.cluster.is_some());
     let peers = tokio::select! {
-        peers = find_peers(&node, settings.address) => peers,
-        stopped = &mut stop => return Ok(stopped?),
+        peers = find_peers(&node, settings.address), if !grouped => peers,
+        stopped = &mut stop, if !grouped => return Ok(stopped?),
+        else => Vec::new(),
     };
     let replica = Replica::open(ReplicaSettings {
         data_dir: settings.data_dir,
--- a/crates/log/src/disk.rs
+++ b/crates/log/src/disk.rs
@@ -23,5 +23,5 @@
 
 pub use error::{DiskError, Result};
 pub use folder::{Folder, Recovered};
-pub use identity::Identity;
+pub use identity::{Identity, read as read_identity};
 pub use writer::{DiskEvent, Writer};
--- a/crates/log/src/disk/identity.rs
+++ b/crates/log/src/disk/identity.rs
@@ -33,7 +33,10 @@
 }
 
 /// Reads the identity of `folder`; none when the folder is new.
-pub(super) fn read(folder: &Path) -> Result<Option<Identity>> {
+///
+/// # Errors
+/// The file can't be read, or is damaged.
+pub fn read(folder: &Path) -> Result<Option<Identity>> {
     let path = folder.join(FILE);
     let bytes = match fs::read(&path) {
         Ok(bytes) => bytes,
