--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -5,7 +5,10 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use clem_control::replica::{Proposed, Replica};
+use clem_control::{
+    replica::Replica,
+    serving::{self, Grouped, Refusal, Result},
+};
 use clem_direct::Node;
 use clem_policy::dispatch::Ticket;
 use clem_state::{
@@ -13,23 +16,10 @@
     jobs::{self, EndedItem, JobCommand, JobOutcome},
 };
 use clem_types::{Epoch, ItemIndex};
-use clem_wire::ControlReply;
 use tokio::sync::{Notify, oneshot, watch};
 
 use crate::board::Board;
 
-/// Why a call isn't answered by this process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Refusal {
-    /// This process does not lead; nothing was done.
-    NotLeader,
-    /// Whether the call took effect isn't known.
-    Unknown,
-}
-
-/// The result of a call.
-pub(crate) type Result<T> = std::result::Result<T, Refusal>;
-
 /// What all handlers and runs of this process share; all of it is used on one thread.
 pub(crate) struct Keeper {
     pub(crate) node: Arc<Node>,
@@ -94,22 +84,11 @@
 
     /// Proposes a change and waits for its outcome.
     pub(crate) async fn propose(&self, command: JobCommand) -> Result<JobOutcome> {
-        match self.replica.propose(Command::Job(command)).await {
-            Proposed::Done(Outcome::Job(outcome)) => Ok(outcome),
-            Proposed::Done(_) | Proposed::Unknown => Err(Refusal::Unknown),
-            Proposed::NotLeader => Err(Refusal::NotLeader),
-        }
-    }
-
-    /// The reply to send for a result.
-    pub(crate) fn reply<T>(&self, result: Result<T>) -> ControlReply<T> {
-        match result {
-            Ok(reply) => ControlReply::Done(reply),
-            Err(Refusal::NotLeader) => ControlReply::NotLeader {
-                leader: self.replica.leader(),
-            },
-            Err(Refusal::Unknown) => ControlReply::Unknown,
-        }
+        let outcome = serving::propose(&self.replica, Command::Job(command)).await?;
+        let Outcome::Job(outcome) = outcome else {
+            return Err(Refusal::Unknown);
+        };
+        Ok(outcome)
     }
 
     /// An item has ended; it is listed with the next change.
@@ -168,6 +147,12 @@
     }
 }
 
+impl Grouped for Keeper {
+    fn replica(&self) -> &Replica {
+        &self.replica
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/batch/src/serve.rs
+++ b/crates/batch/src/serve.rs
@@ -1,89 +1,34 @@
 //! The calls that the leader answers.
 
-use std::{future::Future, marker::PhantomData, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clem_control::serving::{Refusal, Result, Serve, route};
 use clem_edge::ResultsPage;
 use clem_state::jobs::{self, JobCommand, JobOutcome};
 use clem_types::ItemIndex;
 use clem_wire::{
-    Call, answer,
+    Call,
     jobs::{EndJob, ReadItem, ReadResults, SubmitJob, SubmitReply},
-    read_call,
 };
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use salvo::Router;
 
-use crate::keeper::{Keeper, Refusal, Result};
+use crate::keeper::Keeper;
 
 /// The longest text of a page of results, in bytes; a page may hold 1 MB with its frame.
 const PAGE_BYTES: usize = 900_000;
 
-/// A call that the leader answers.
-trait Serve: Call + Send + 'static {
-    /// Whether the call is carried through although whoever sent it goes away: a change that is
-    /// committed must reach the leader's soft state as well.
-    const DETACHED: bool = false;
-
-    /// Answers the call.
-    fn serve(self, keeper: Arc<Keeper>) -> impl Future<Output = Result<Self::Reply>> + Send;
-}
-
 /// The paths of all calls.
 pub(crate) fn routes(keeper: &Arc<Keeper>) -> Vec<Router> {
     vec![
-        route::<SubmitJob>(keeper),
-        route::<ReadResults>(keeper),
-        route::<ReadItem>(keeper),
-        route::<EndJob>(keeper),
+        route::<SubmitJob, _>(keeper),
+        route::<ReadResults, _>(keeper),
+        route::<ReadItem, _>(keeper),
+        route::<EndJob, _>(keeper),
     ]
 }
 
-fn route<C: Serve>(keeper: &Arc<Keeper>) -> Router
-where
-    C::Reply: Send,
-{
-    let path = C::PATH.trim_start_matches('/');
-    Router::with_path(path).post(Endpoint::<C> {
-        keeper: Arc::clone(keeper),
-        call: PhantomData,
-    })
-}
-
-/// Reads a call, has it answered, and writes the reply.
-struct Endpoint<C> {
-    keeper: Arc<Keeper>,
-    call: PhantomData<fn() -> C>,
-}
-
-#[async_trait]
-impl<C: Serve> Handler for Endpoint<C>
-where
-    C::Reply: Send,
-{
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        let Some(call) = read_call::<C>(req, res).await else {
-            return;
-        };
-        let serving = call.serve(Arc::clone(&self.keeper));
-        let result = if C::DETACHED {
-            match tokio::spawn(serving).await {
-                Ok(result) => result,
-                Err(_) => Err(Refusal::Unknown),
-            }
-        } else {
-            serving.await
-        };
-        answer(res, &self.keeper.reply(result));
-    }
-}
-
-impl Serve for SubmitJob {
+impl Serve<Keeper> for SubmitJob {
     const DETACHED: bool = true;
 
     async fn serve(self, keeper: Arc<Keeper>) -> Result<SubmitReply> {
@@ -106,7 +51,7 @@
     }
 }
 
-impl Serve for ReadResults {
+impl Serve<Keeper> for ReadResults {
     async fn serve(self, keeper: Arc<Keeper>) -> Result<Option<ResultsPage>> {
         let mut listed = keeper.listed();
         let wait = Duration::from_millis(self.wait_ms.into()).min(Self::HELD);
@@ -145,7 +90,7 @@
     }
 }
 
-impl Serve for ReadItem {
+impl Serve<Keeper> for ReadItem {
     async fn serve(self, keeper: Arc<Keeper>) -> Result<Option<Bytes>> {
         keeper.lead(|_| ())?;
         let number = keeper
@@ -160,7 +105,7 @@
     }
 }
 
-impl Serve for EndJob {
+impl Serve<Keeper> for EndJob {
     const DETACHED: bool = true;
 
     async fn serve(self, keeper: Arc<Keeper>) -> Result<bool> {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -9,26 +9,15 @@
 use clem_rules::Rules;
 use clem_state::{Command, Outcome, orders, poison, rules};
 use clem_types::{Epoch, Time, UnixMillis};
-use clem_wire::ControlReply;
 use tokio::sync::watch;
 
+pub use crate::serving::{Refusal, Result};
 use crate::{
     lead::Lead,
-    replica::{Proposed, Replica},
+    replica::Replica,
+    serving::{self, Grouped},
 };
 
-/// Why a call isn't answered by this process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// This process does not lead; nothing was done.
-    NotLeader,
-    /// Whether the call took effect isn't known.
-    Unknown,
-}
-
-/// The result of a call.
-pub type Result<T> = std::result::Result<T, Refusal>;
-
 /// Bounds that enter commands as values.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -76,10 +65,7 @@
     /// # Errors
     /// This process does not lead.
     pub async fn barrier(&self) -> Result<()> {
-        if self.replica.read_barrier().await {
-            return Ok(());
-        }
-        Err(Refusal::NotLeader)
+        serving::barrier(&self.replica).await
     }
 
     /// Proposes a command and waits for its outcome.
@@ -87,11 +73,7 @@
     /// # Errors
     /// This process does not lead, or lost its place meanwhile.
     pub async fn propose(&self, command: Command) -> Result<Outcome> {
-        match self.replica.propose(command).await {
-            Proposed::Done(outcome) => Ok(outcome),
-            Proposed::NotLeader => Err(Refusal::NotLeader),
-            Proposed::Unknown => Err(Refusal::Unknown),
-        }
+        serving::propose(&self.replica, command).await
     }
 
     /// Works on the leader's soft state; built anew when this process has just begun to lead.
@@ -139,17 +121,6 @@
         self.confirmed.subscribe()
     }
 
-    /// The reply to send for a result.
-    pub fn reply<T>(&self, result: Result<T>) -> ControlReply<T> {
-        match result {
-            Ok(reply) => ControlReply::Done(reply),
-            Err(Refusal::NotLeader) => ControlReply::NotLeader {
-                leader: self.replica.leader(),
-            },
-            Err(Refusal::Unknown) => ControlReply::Unknown,
-        }
-    }
-
     fn take_office(&self, epoch: Epoch, now: Time) -> Lead {
         let file = self.replica.read(rules::file);
         let rules = match clem_rules::parse(&file.text, file.version) {
@@ -171,3 +142,9 @@
         lead
     }
 }
+
+impl Grouped for Control {
+    fn replica(&self) -> &Replica {
+        &self.replica
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod program;
 pub mod replica;
 pub mod serve;
+pub mod serving;
 pub mod settings;
 pub mod tick;
--- a/crates/control/src/serve/admin.rs
+++ b/crates/control/src/serve/admin.rs
@@ -30,19 +30,20 @@
 
 pub(super) fn routes(control: &Arc<Control>) -> Vec<Router> {
     vec![
-        route::<Apply>(control),
-        route::<ReadRules>(control),
-        route::<GiveOrder>(control),
-        route::<ReadStatus>(control),
-        route::<ChangeMembers>(control),
+        route::<Apply, _>(control),
+        route::<ReadRules, _>(control),
+        route::<GiveOrder, _>(control),
+        route::<ReadStatus, _>(control),
+        route::<ChangeMembers, _>(control),
     ]
 }
 
 // ---------------------------------------------------------------------------------------------
 // Rules
 
-impl Serve for Apply {
-    async fn serve(self, control: &Control) -> Result<ApplyReply> {
+impl Serve<Control> for Apply {
+    async fn serve(self, control: Arc<Control>) -> Result<ApplyReply> {
+        let control = &*control;
         let rules = match clem_rules::parse(&self.text, self.expect.next()) {
             Ok(rules) => rules,
             Err(findings) => return Ok(rejected(findings)),
@@ -131,8 +132,9 @@
     }
 }
 
-impl Serve for ReadRules {
-    async fn serve(self, control: &Control) -> Result<RulesFile> {
+impl Serve<Control> for ReadRules {
+    async fn serve(self, control: Arc<Control>) -> Result<RulesFile> {
+        let control = &*control;
         control.barrier().await?;
         Ok(control.replica.read(rules::file))
     }
@@ -141,8 +143,9 @@
 // ---------------------------------------------------------------------------------------------
 // Orders
 
-impl Serve for GiveOrder {
-    async fn serve(self, control: &Control) -> Result<GiveOrderReply> {
+impl Serve<Control> for GiveOrder {
+    async fn serve(self, control: Arc<Control>) -> Result<GiveOrderReply> {
+        let control = &*control;
         control.barrier().await?;
         let refused = control.lead(|lead, _| order_check::check(lead, &self).err())?;
         if let Some(reason) = refused {
@@ -183,8 +186,9 @@
 // ---------------------------------------------------------------------------------------------
 // Status and members
 
-impl Serve for ReadStatus {
-    async fn serve(self, control: &Control) -> Result<StatusView> {
+impl Serve<Control> for ReadStatus {
+    async fn serve(self, control: Arc<Control>) -> Result<StatusView> {
+        let control = &*control;
         control.barrier().await?;
         let orders = control
             .replica
@@ -205,8 +209,9 @@
     }
 }
 
-impl Serve for ChangeMembers {
-    async fn serve(self, control: &Control) -> Result<ChangeMembersReply> {
+impl Serve<Control> for ChangeMembers {
+    async fn serve(self, control: Arc<Control>) -> Result<ChangeMembersReply> {
+        let control = &*control;
         log::info!(command:% = self.command, change:? = self.change; "members are to change");
         match control.replica.change_members(self.change).await {
             ControlReply::Done(reply) => Ok(reply),
--- a/crates/control/src/serve/batch.rs
+++ b/crates/control/src/serve/batch.rs
@@ -26,22 +26,23 @@
 
 pub(super) fn routes(control: &Arc<Control>) -> Vec<Router> {
     vec![
-        route::<BatchBegin>(control),
-        route::<BatchChunk>(control),
-        route::<BatchSeal>(control),
-        route::<BatchStatus>(control),
-        route::<BatchCancel>(control),
-        route::<BatchResults>(control),
-        route::<LeaseItems>(control),
-        route::<FinishItems>(control),
+        route::<BatchBegin, _>(control),
+        route::<BatchChunk, _>(control),
+        route::<BatchSeal, _>(control),
+        route::<BatchStatus, _>(control),
+        route::<BatchCancel, _>(control),
+        route::<BatchResults, _>(control),
+        route::<LeaseItems, _>(control),
+        route::<FinishItems, _>(control),
     ]
 }
 
 // ---------------------------------------------------------------------------------------------
 // Uploads
 
-impl Serve for BatchBegin {
-    async fn serve(self, control: &Control) -> Result<BatchBeginReply> {
+impl Serve<Control> for BatchBegin {
+    async fn serve(self, control: Arc<Control>) -> Result<BatchBeginReply> {
+        let control = &*control;
         control.barrier().await?;
         if let Some(reason) = disk_full(control) {
             return Ok(BatchBeginReply::Full { reason });
@@ -70,8 +71,9 @@
     }
 }
 
-impl Serve for BatchChunk {
-    async fn serve(self, control: &Control) -> Result<BatchChunkReply> {
+impl Serve<Control> for BatchChunk {
+    async fn serve(self, control: Arc<Control>) -> Result<BatchChunkReply> {
+        let control = &*control;
         if let Some(reason) = disk_full(control) {
             return Ok(BatchChunkReply::Full { reason });
         }
@@ -90,8 +92,9 @@
     full.then(|| "the disk has no room for more batches".to_owned())
 }
 
-impl Serve for BatchSeal {
-    async fn serve(self, control: &Control) -> Result<BatchSealReply> {
+impl Serve<Control> for BatchSeal {
+    async fn serve(self, control: Arc<Control>) -> Result<BatchSealReply> {
+        let control = &*control;
         let now = control.wall();
         let (batch, items) = (self.batch, self.items);
         let outcome = control
@@ -108,8 +111,9 @@
 // ---------------------------------------------------------------------------------------------
 // Status, results and cancel
 
-impl Serve for BatchStatus {
-    async fn serve(self, control: &Control) -> Result<Option<BatchView>> {
+impl Serve<Control> for BatchStatus {
+    async fn serve(self, control: Arc<Control>) -> Result<Option<BatchView>> {
+        let control = &*control;
         control.barrier().await?;
         let now = control.wall();
         Ok(control
@@ -118,15 +122,17 @@
     }
 }
 
-impl Serve for BatchResults {
-    async fn serve(self, control: &Control) -> Result<Option<ResultsPage>> {
+impl Serve<Control> for BatchResults {
+    async fn serve(self, control: Arc<Control>) -> Result<Option<ResultsPage>> {
+        let control = &*control;
         control.barrier().await?;
         Ok(control.replica.read(|store| batch::results(store, &self)))
     }
 }
 
-impl Serve for BatchCancel {
-    async fn serve(self, control: &Control) -> Result<Option<BatchView>> {
+impl Serve<Control> for BatchCancel {
+    async fn serve(self, control: Arc<Control>) -> Result<Option<BatchView>> {
+        let control = &*control;
         let now = control.wall();
         let batch = self.batch;
         let outcome = control
@@ -149,8 +155,9 @@
 // ---------------------------------------------------------------------------------------------
 // Leases and ends
 
-impl Serve for LeaseItems {
-    async fn serve(self, control: &Control) -> Result<LeaseItemsReply> {
+impl Serve<Control> for LeaseItems {
+    async fn serve(self, control: Arc<Control>) -> Result<LeaseItemsReply> {
+        let control = &*control;
         control.barrier().await?;
         let routes = control.lead(|lead, now| {
             // An agent without a lease on the rules gets no new work.
@@ -227,8 +234,9 @@
     routes
 }
 
-impl Serve for FinishItems {
-    async fn serve(self, control: &Control) -> Result<FinishItemsReply> {
+impl Serve<Control> for FinishItems {
+    async fn serve(self, control: Arc<Control>) -> Result<FinishItemsReply> {
+        let control = &*control;
         let now = control.wall();
         let outcome = control.propose(Command::Finish { call: self, now }).await?;
         let Outcome::Finish(reply) = outcome else {
--- a/crates/control/src/serve/online.rs
+++ b/crates/control/src/serve/online.rs
@@ -15,22 +15,24 @@
 
 pub(super) fn routes(control: &Arc<Control>) -> Vec<Router> {
     vec![
-        route::<TakeTokens>(control),
-        route::<OnceBegin>(control),
-        route::<OnceFinish>(control),
-        route::<ReportCrash>(control),
+        route::<TakeTokens, _>(control),
+        route::<OnceBegin, _>(control),
+        route::<OnceFinish, _>(control),
+        route::<ReportCrash, _>(control),
     ]
 }
 
-impl Serve for TakeTokens {
-    async fn serve(self, control: &Control) -> Result<TakeTokensReply> {
+impl Serve<Control> for TakeTokens {
+    async fn serve(self, control: Arc<Control>) -> Result<TakeTokensReply> {
+        let control = &*control;
         control.barrier().await?;
         control.lead(|lead, now| lead.take_tokens(&self, now))
     }
 }
 
-impl Serve for OnceBegin {
-    async fn serve(self, control: &Control) -> Result<OnceBeginReply> {
+impl Serve<Control> for OnceBegin {
+    async fn serve(self, control: Arc<Control>) -> Result<OnceBeginReply> {
+        let control = &*control;
         let now = control.wall();
         match control
             .propose(Command::OnceBegin { call: self, now })
@@ -42,15 +44,17 @@
     }
 }
 
-impl Serve for OnceFinish {
-    async fn serve(self, control: &Control) -> Result<OnceFinishReply> {
+impl Serve<Control> for OnceFinish {
+    async fn serve(self, control: Arc<Control>) -> Result<OnceFinishReply> {
+        let control = &*control;
         control.propose(Command::OnceFinish(self)).await?;
         Ok(OnceFinishReply {})
     }
 }
 
-impl Serve for ReportCrash {
-    async fn serve(self, control: &Control) -> Result<ReportCrashReply> {
+impl Serve<Control> for ReportCrash {
+    async fn serve(self, control: Arc<Control>) -> Result<ReportCrashReply> {
+        let control = &*control;
         let now = control.wall();
         let target = self.target.clone();
         let requests = self.requests.len();
--- a/crates/control/src/serve/sync.rs
+++ b/crates/control/src/serve/sync.rs
@@ -15,11 +15,12 @@
 const MAX_WAIT: Duration = Duration::from_millis(1000);
 
 pub(super) fn routes(control: &Arc<Control>) -> Vec<Router> {
-    vec![route::<Sync>(control)]
+    vec![route::<Sync, _>(control)]
 }
 
-impl Serve for Sync {
-    async fn serve(self, control: &Control) -> Result<SyncReply> {
+impl Serve<Control> for Sync {
+    async fn serve(self, control: Arc<Control>) -> Result<SyncReply> {
+        let control = &*control;
         let asked = control.clock.now();
         control.barrier().await?;
         let mut news = control.news();
--- /dev/null
+++ b/crates/control/src/serving.rs
@@ -0,0 +1,122 @@
+//! What all programs around a replicated group do alike: proposing, and answering calls as the
+//! leader.
+
+use std::{future::Future, marker::PhantomData, sync::Arc};
+
+use clem_state::{Command, Outcome};
+use clem_wire::{Call, ControlReply, answer, read_call};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+
+use crate::replica::{Proposed, Replica};
+
+/// Why a call isn't answered by this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// This process does not lead; nothing was done.
+    NotLeader,
+    /// Whether the call took effect isn't known.
+    Unknown,
+}
+
+/// The result of a call.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// What handlers share in a program around a replicated group.
+pub trait Grouped: Send + Sync + 'static {
+    /// This process's part in the group.
+    fn replica(&self) -> &Replica;
+}
+
+/// A call that the leader of a group answers; `S` is what its handlers share.
+pub trait Serve<S>: Call + Send + 'static {
+    /// Whether the call is carried through although whoever sent it goes away: a change that is
+    /// committed must reach the leader's soft state as well.
+    const DETACHED: bool = false;
+
+    /// Answers the call.
+    fn serve(self, shared: Arc<S>) -> impl Future<Output = Result<Self::Reply>> + Send;
+}
+
+/// The path of one call.
+pub fn route<C, S>(shared: &Arc<S>) -> Router
+where
+    C: Serve<S>,
+    C::Reply: Send,
+    S: Grouped,
+{
+    let path = C::PATH.trim_start_matches('/');
+    Router::with_path(path).post(Endpoint::<C, S> {
+        shared: Arc::clone(shared),
+        call: PhantomData,
+    })
+}
+
+/// Proposes a command and waits for its outcome.
+///
+/// # Errors
+/// This process does not lead, or lost its place meanwhile.
+pub async fn propose(replica: &Replica, command: Command) -> Result<Outcome> {
+    match replica.propose(command).await {
+        Proposed::Done(outcome) => Ok(outcome),
+        Proposed::NotLeader => Err(Refusal::NotLeader),
+        Proposed::Unknown => Err(Refusal::Unknown),
+    }
+}
+
+/// Waits until reads here are not stale.
+///
+/// # Errors
+/// This process does not lead.
+pub async fn barrier(replica: &Replica) -> Result<()> {
+    if replica.read_barrier().await {
+        return Ok(());
+    }
+    Err(Refusal::NotLeader)
+}
+
+/// Reads a call, has it answered, and writes the reply.
+struct Endpoint<C, S> {
+    shared: Arc<S>,
+    call: PhantomData<fn() -> C>,
+}
+
+#[async_trait]
+impl<C, S> Handler for Endpoint<C, S>
+where
+    C: Serve<S>,
+    C::Reply: Send,
+    S: Grouped,
+{
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let Some(call) = read_call::<C>(req, res).await else {
+            return;
+        };
+        let serving = call.serve(Arc::clone(&self.shared));
+        let result = if C::DETACHED {
+            match tokio::spawn(serving).await {
+                Ok(result) => result,
+                Err(_) => Err(Refusal::Unknown),
+            }
+        } else {
+            serving.await
+        };
+        answer(res, &reply(self.shared.replica(), result));
+    }
+}
+
+/// The reply to send for a result.
+fn reply<T>(replica: &Replica, result: Result<T>) -> ControlReply<T> {
+    match result {
+        Ok(reply) => ControlReply::Done(reply),
+        Err(Refusal::NotLeader) => ControlReply::NotLeader {
+            leader: replica.leader(),
+        },
+        Err(Refusal::Unknown) => ControlReply::Unknown,
+    }
+}
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -45,16 +45,18 @@
         for line in text.lines() {
             let (name, value) = line.split_once(':').unwrap_or((line, ""));
             let value = value.strip_prefix(' ').unwrap_or(value);
-            match name {
-                "id" => id = value.trim().parse().ok(),
-                "data" => match &mut data {
-                    Some(data) => {
-                        data.push('\n');
-                        data.push_str(value);
-                    }
-                    None => data = Some(value.to_owned()),
-                },
-                _ => {}
+            if name == "id" {
+                id = value.trim().parse().ok();
+            }
+            if name != "data" {
+                continue;
+            }
+            match &mut data {
+                Some(data) => {
+                    data.push('\n');
+                    data.push_str(value);
+                }
+                None => data = Some(value.to_owned()),
             }
         }
         Some(Event { bytes, id, data })
--- /dev/null
+++ b/crates/direct/tests/events.rs
@@ -0,0 +1,27 @@
+//! Splitting a stream into whole events, however its bytes arrive.
+
+use clem_direct::Events;
+
+const STREAM: &str = "id: 0\ndata: a\n\nid: 1\r\ndata: b\r\n\r\ndata: c\ndata: d\n\nid: 9";
+
+#[test]
+fn events_are_whole_whatever_the_pieces() {
+    for size in 1..STREAM.len() {
+        let mut events = Events::default();
+        let mut seen = Vec::new();
+        for piece in STREAM.as_bytes().chunks(size) {
+            events.push(piece);
+            while let Some(event) = events.next_event() {
+                seen.push((event.id, event.data));
+            }
+        }
+        let text = |data: &str| Some(data.to_owned());
+        let whole = [
+            (Some(0), text("a")),
+            (Some(1), text("b")),
+            (None, text("c\nd")),
+        ];
+        assert_eq!(seen, whole, "in pieces of {size} bytes");
+        assert!(!events.is_empty(), "an event that was begun is left");
+    }
+}
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -7,28 +7,19 @@
 };
 
 use clem_boot::Clock;
-use clem_control::replica::{Proposed, Replica};
+use clem_control::{
+    replica::Replica,
+    serving::{self, Grouped, Refusal, Result},
+};
 use clem_edge::Dialect;
 use clem_policy::dispatch::{Ended, Ticket, Verdict};
 use clem_state::{Command, Outcome, depot, document};
 use clem_types::Time;
-use clem_wire::{ControlClient, ControlReply};
+use clem_wire::ControlClient;
 use tokio::sync::{oneshot, watch};
 
 use crate::lead::{Lead, LeadStart};
 
-/// Why a call isn't answered by this process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// This process does not lead; nothing was done.
-    NotLeader,
-    /// Whether the call took effect isn't known.
-    Unknown,
-}
-
-/// The result of a call.
-pub type Result<T> = std::result::Result<T, Refusal>;
-
 /// What all handlers of this process share; all of it is used on one thread.
 pub struct Hub {
     /// This process's part in the group.
@@ -82,10 +73,7 @@
     /// # Errors
     /// This process does not lead.
     pub async fn barrier(&self) -> Result<()> {
-        if self.replica.read_barrier().await {
-            return Ok(());
-        }
-        Err(Refusal::NotLeader)
+        serving::barrier(&self.replica).await
     }
 
     /// Proposes a command and waits for its outcome.
@@ -93,11 +81,7 @@
     /// # Errors
     /// This process does not lead, or lost its place meanwhile.
     pub async fn propose(&self, command: Command) -> Result<Outcome> {
-        match self.replica.propose(command).await {
-            Proposed::Done(outcome) => Ok(outcome),
-            Proposed::NotLeader => Err(Refusal::NotLeader),
-            Proposed::Unknown => Err(Refusal::Unknown),
-        }
+        serving::propose(&self.replica, command).await
     }
 
     /// Works on the leader's soft state, built anew when this process has just begun to lead, and
@@ -179,17 +163,6 @@
         self.news.subscribe()
     }
 
-    /// The reply to send for a result.
-    pub(crate) fn reply<T>(&self, result: Result<T>) -> ControlReply<T> {
-        match result {
-            Ok(reply) => ControlReply::Done(reply),
-            Err(Refusal::NotLeader) => ControlReply::NotLeader {
-                leader: self.replica.leader(),
-            },
-            Err(Refusal::Unknown) => ControlReply::Unknown,
-        }
-    }
-
     /// The addresses of the members.
     pub(crate) fn members(&self) -> Vec<SocketAddr> {
         self.replica.members().iter().map(|m| m.address).collect()
@@ -210,3 +183,9 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Grouped for Hub {
+    fn replica(&self) -> &Replica {
+        &self.replica
+    }
+}
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -9,6 +9,6 @@
 mod program;
 mod serve;
 
-pub use hub::{Hub, Refusal, Result};
+pub use hub::Hub;
 pub use lead::{Lead, Process};
 pub use program::{HubSettings, group_pace, run};
--- a/crates/hub/src/list.rs
+++ b/crates/hub/src/list.rs
@@ -2,10 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clem_control::serving::Result;
 use clem_direct::read_targets;
 use clem_state::{Command, depot::DepotChange};
 
-use crate::{Hub, Result};
+use crate::Hub;
 
 /// How often the list is read; a target that leaves is listed seconds before it stops.
 const LIST_INTERVAL: Duration = Duration::from_millis(900);
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -1,91 +1,33 @@
 //! The calls that the leader answers.
 
-use std::{future::Future, marker::PhantomData, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
+use clem_control::serving::{Refusal, Result, Serve, route};
 use clem_policy::dispatch::{Ticket, Verdict};
 use clem_state::{Command, Outcome, depot::DepotChange, document};
 use clem_types::Version;
-use clem_wire::{
-    Call, answer,
-    fleet::{
-        FOLLOW_HELD, Follow, GetRules, News, PLACE_HELD, Ping, Place, PutRules, Release, Retire,
-        RetireReply, RulesDocument,
-    },
-    read_call,
+use clem_wire::fleet::{
+    FOLLOW_HELD, Follow, GetRules, News, PLACE_HELD, Ping, Place, PutRules, Release, Retire,
+    RetireReply, RulesDocument,
 };
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use salvo::Router;
 
-use crate::{Hub, Refusal, Result, list::change_depot};
-
-/// A call that the leader answers.
-trait Serve: Call + Send + 'static {
-    /// Whether the call is carried through although whoever sent it goes away: a change that is
-    /// committed must reach the leader's soft state as well.
-    const DETACHED: bool = false;
-
-    /// Answers the call.
-    fn serve(self, hub: Arc<Hub>) -> impl Future<Output = Result<Self::Reply>> + Send;
-}
+use crate::{Hub, list::change_depot};
 
 /// The paths of all calls.
 pub(crate) fn routes(hub: &Arc<Hub>) -> Vec<Router> {
     vec![
-        route::<Follow>(hub),
-        route::<Place>(hub),
-        route::<Ping>(hub),
-        route::<Release>(hub),
-        route::<PutRules>(hub),
-        route::<GetRules>(hub),
-        route::<Retire>(hub),
+        route::<Follow, _>(hub),
+        route::<Place, _>(hub),
+        route::<Ping, _>(hub),
+        route::<Release, _>(hub),
+        route::<PutRules, _>(hub),
+        route::<GetRules, _>(hub),
+        route::<Retire, _>(hub),
     ]
 }
 
-fn route<C: Serve>(hub: &Arc<Hub>) -> Router
-where
-    C::Reply: Send,
-{
-    let path = C::PATH.trim_start_matches('/');
-    Router::with_path(path).post(Endpoint::<C> {
-        hub: Arc::clone(hub),
-        call: PhantomData,
-    })
-}
-
-/// Reads a call, has it answered, and writes the reply.
-struct Endpoint<C> {
-    hub: Arc<Hub>,
-    call: PhantomData<fn() -> C>,
-}
-
-#[async_trait]
-impl<C: Serve> Handler for Endpoint<C>
-where
-    C::Reply: Send,
-{
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        let Some(call) = read_call::<C>(req, res).await else {
-            return;
-        };
-        let serving = call.serve(Arc::clone(&self.hub));
-        let result = if C::DETACHED {
-            match tokio::spawn(serving).await {
-                Ok(result) => result,
-                Err(_) => Err(Refusal::Unknown),
-            }
-        } else {
-            serving.await
-        };
-        answer(res, &self.hub.reply(result));
-    }
-}
-
-impl Serve for Follow {
+impl Serve<Hub> for Follow {
     async fn serve(self, hub: Arc<Hub>) -> Result<News> {
         let mut news = hub.news();
         let mut leadership = hub.replica.watch();
@@ -120,7 +62,7 @@
     }
 }
 
-impl Serve for Place {
+impl Serve<Hub> for Place {
     async fn serve(self, hub: Arc<Hub>) -> Result<Verdict> {
         let ticket = self.want.ticket;
         let held = self.want.patience.min(PLACE_HELD) + Duration::from_millis(50);
@@ -144,13 +86,13 @@
     }
 }
 
-impl Serve for Ping {
+impl Serve<Hub> for Ping {
     async fn serve(self, hub: Arc<Hub>) -> Result<()> {
         hub.lead(|_, _| ())
     }
 }
 
-impl Serve for Release {
+impl Serve<Hub> for Release {
     async fn serve(self, hub: Arc<Hub>) -> Result<()> {
         hub.lead(|lead, now| {
             for (ticket, ended) in self.ends {
@@ -160,7 +102,7 @@
     }
 }
 
-impl Serve for PutRules {
+impl Serve<Hub> for PutRules {
     const DETACHED: bool = true;
 
     async fn serve(self, hub: Arc<Hub>) -> Result<Version> {
@@ -176,14 +118,14 @@
     }
 }
 
-impl Serve for GetRules {
+impl Serve<Hub> for GetRules {
     async fn serve(self, hub: Arc<Hub>) -> Result<RulesDocument> {
         hub.barrier().await?;
         Ok(hub.replica.read(document::document))
     }
 }
 
-impl Serve for Retire {
+impl Serve<Hub> for Retire {
     const DETACHED: bool = true;
 
     async fn serve(self, hub: Arc<Hub>) -> Result<RetireReply> {
