Leader view: a process that fails at once is not taken for a frozen one

The change that keeps a caller's own end from counting as a process's silence also returned on each refused connection, as the patience with one process is longer than an agent's whole call; and a process that had just been starting was left for 1.5 s although it led again. Ruled out: the detached calls and the shared serving (the failing calls are the agents' syncs). Test: a_process_that_failed_at_once_is_asked_on_the_others_word.

--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -13,6 +13,9 @@
 /// How much longer than a call may be held a control process is waited for before the next one
 /// is asked.
 const TRY_TIMEOUT: Duration = Duration::from_millis(700);
+/// A call that fails sooner than this has met a process that is starting or stopping, not one that
+/// is frozen or cut off.
+const AT_ONCE: Duration = Duration::from_millis(100);
 /// How many processes are asked for the leader when a caller can't wait.
 const LEADER_TRIES: usize = 3;
 
@@ -68,6 +71,7 @@
                     return Err(out_of_time(arrived));
                 };
                 let patience = self.patience::<C>(timeout);
+                let asked = Instant::now();
                 match self.ask(address, call, left.min(patience)).await {
                     Ok(ControlReply::Done(reply)) => {
                         self.view().note_leads(address);
@@ -83,11 +87,11 @@
                     Err(error @ CallError::Refused { .. }) => return Err(error),
                     Err(error) => {
                         arrived |= !error.is_not_run();
-                        if !error.is_not_run() && left < patience {
+                        if left < patience && Instant::now() >= end {
                             // It may only not have had the time to answer.
                             return Err(out_of_time(arrived));
                         }
-                        self.view().note_silent(Instant::now(), address);
+                        self.note_error(asked, address);
                     }
                 }
             }
@@ -110,6 +114,7 @@
             let Some(address) = self.view().target() else {
                 return Err(out_of_time(false));
             };
+            let asked = Instant::now();
             match self.ask(address, call, left).await {
                 Ok(ControlReply::Done(reply)) => {
                     self.view().note_leads(address);
@@ -123,7 +128,7 @@
                     return Err(out_of_time(true));
                 }
                 Err(error) => {
-                    self.view().note_silent(Instant::now(), address);
+                    self.note_error(asked, address);
                     return Err(error);
                 }
             }
@@ -157,6 +162,16 @@
         crate::codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
     }
 
+    /// Moves on from a process that was asked at `asked` and did not answer.
+    fn note_error(&self, asked: Instant, address: SocketAddr) {
+        let now = Instant::now();
+        if now.duration_since(asked) < AT_ONCE {
+            self.view().note_failed(now, address);
+        } else {
+            self.view().note_silent(now, address);
+        }
+    }
+
     fn view(&self) -> MutexGuard<'_, LeaderView> {
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -76,6 +76,13 @@
         self.asked = named.or_else(|| self.after(now, address));
     }
 
+    /// A process failed at once, as one does that is just starting: it may lead in a moment.
+    pub fn note_failed(&mut self, now: Instant, address: SocketAddr) {
+        if self.asked == Some(address) {
+            self.asked = self.after(now, address);
+        }
+    }
+
     /// A process did not answer.
     pub fn note_silent(&mut self, now: Instant, address: SocketAddr) {
         self.silent
--- a/crates/wire/tests/leader.rs
+++ b/crates/wire/tests/leader.rs
@@ -60,3 +60,15 @@
     view.set_known(&[]);
     assert_eq!(view.target(), Some(address(4)));
 }
+
+/// Found by the rolling restart: a process that was just starting was left for as long as a frozen
+/// one, also when it led again, and leases ran out.
+#[test]
+fn a_process_that_failed_at_once_is_asked_on_the_others_word() {
+    let now = Instant::now();
+    let mut view = view();
+    view.note_failed(now, address(1));
+    assert_eq!(view.target(), Some(address(2)));
+    view.note_follows(now, address(2), Some(address(1)));
+    assert_eq!(view.target(), Some(address(1)));
+}
