Handing over: the leader stays until another one leads

Now: the order is sent again until a newer term is known; a successor that knows no leader obeys; of equal successors the one heard last is taken; the stopping process waits until another member leads, and hands over again if it is elected meanwhile.

--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -282,21 +282,29 @@
     }
 
     /// Hands leadership to another member before a planned stop, if there is one.
+    ///
+    /// It waits until that member leads: a process that ended as soon as it had given up its place
+    /// would take the order to campaign with it, and the group would wait for an election.
     pub async fn hand_over(&self) {
         if self.transfer(None).is_err() {
             return;
         }
         let end = self.shared.clock.now() + HAND_OVER_TIMEOUT;
-        while self.shared.clock.now() < end && self.is_leader() {
+        while !self.is_led_by_another() {
+            if self.shared.clock.now() >= end {
+                log::warn!(waited_ms = HAND_OVER_TIMEOUT.as_millis() as u64; "no member took over");
+                return;
+            }
             tokio::time::sleep(BUSY_PAUSE).await;
+            // Refused unless this member was elected again meanwhile.
+            let _ = self.transfer(None);
         }
     }
 
-    fn is_leader(&self) -> bool {
-        self.shared
-            .seat()
-            .as_ref()
-            .is_some_and(|seat| seat.node().is_leader())
+    fn is_led_by_another(&self) -> bool {
+        let seat = self.shared.seat();
+        let leader = seat.as_ref().and_then(|seat| seat.node().leader());
+        leader.is_some_and(|leader| leader != self.shared.member)
     }
 
     fn change(&self, change: &Change) -> std::result::Result<(), Refused> {
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -176,19 +176,25 @@
 
     /// Campaigns at once, as the leader has given up its place for this member.
     pub(super) fn on_campaign(&mut self, now: Time, from: MemberId, term: Term) {
-        let follows = self.leader == Some(from) && matches!(self.role, Role::Follower);
-        if term != self.term || !follows || !self.members().is_voter(self.id) {
+        // A successor that has just restarted may not have heard yet who led.
+        let follows = self.leader.is_none_or(|leader| leader == from);
+        let waits = match self.role {
+            Role::Follower | Role::PreCandidate { .. } => true,
+            Role::Candidate { .. } | Role::Leader(_) => false,
+        };
+        if term != self.term || !follows || !waits || !self.members().is_voter(self.id) {
             return;
         }
         self.start_vote(now, true);
     }
 
-    /// The most advanced voter, to hand leadership to.
+    /// The most advanced voter, to hand leadership to; of several the one that was heard last, as
+    /// the others may be gone.
     pub(super) fn best_successor(&self) -> Option<MemberId> {
         let Role::Leader(lead) = &self.role else {
             return None;
         };
-        let matched = |id: &MemberId| lead.peers.get(id).map_or(LogIndex(0), |p| p.matched);
-        self.other_voters().into_iter().max_by_key(matched)
+        let advance = |id: &MemberId| lead.peers.get(id).map(|p| (p.matched, p.heard));
+        self.other_voters().into_iter().max_by_key(advance)
     }
 }
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -3,13 +3,17 @@
 use bytes::Bytes;
 use clem_types::Time;
 
-use super::{Lead, Node, Role, Transfer};
+use super::{Lead, Node, Role, Successor, Transfer};
 use crate::{
     Append, Body, LogIndex, MemberId, Payload, Refused, Result, Settings, Term,
     memlog::MemLog,
     progress::{Flow, Progress},
 };
 
+/// How often a successor is told to campaign in the span of a heartbeat: a lost message must not
+/// leave the group without a leader for long.
+const CALLS_PER_HEARTBEAT: u32 = 8;
+
 impl Node {
     /// Puts a command into the log; it is committed when it comes out of [`ready`](Self::ready).
     pub fn propose(&mut self, _now: Time, data: Bytes) -> Result<LogIndex> {
@@ -72,8 +76,24 @@
         if matched != Some(last) || self.commit != last {
             return;
         }
-        self.send(transfer.to, Body::Campaign);
         self.become_follower(now, self.term, None);
+        self.call_successor(now, transfer.to);
+    }
+
+    fn call_successor(&mut self, now: Time, id: MemberId) {
+        self.send(id, Body::Campaign);
+        let again = now + self.settings.heartbeat / CALLS_PER_HEARTBEAT;
+        self.successor = Some(Successor { id, again });
+    }
+
+    /// Tells the successor again, until a newer term shows that it has campaigned.
+    pub(super) fn urge_successor(&mut self, now: Time) {
+        let Some(successor) = self.successor else {
+            return;
+        };
+        if successor.again <= now {
+            self.call_successor(now, successor.id);
+        }
     }
 
     pub(super) fn tick_leader(&mut self, now: Time) {
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -110,9 +110,19 @@
     refuse_writes: bool,
     /// Members that are to be replaced although they live.
     leaving: BTreeSet<MemberId>,
+    /// The member for which this one gave up its place, as long as no newer term is known.
+    successor: Option<Successor>,
     output: Output,
 }
 
+/// A member that was told to campaign.
+#[derive(Debug, Clone, Copy)]
+struct Successor {
+    id: MemberId,
+    /// When it is told again: the message may have been lost.
+    again: Time,
+}
+
 #[derive(Debug)]
 enum Role {
     Follower,
@@ -226,6 +236,7 @@
             answer: None,
             refuse_writes: false,
             leaving: BTreeSet::new(),
+            successor: None,
             output: Output::default(),
         };
         node.reset_deadline(now);
@@ -262,8 +273,10 @@
             return;
         }
         if now < self.deadline {
+            self.urge_successor(now);
             return;
         }
+        self.successor = None;
         self.reset_deadline(now);
         if self.members().is_voter(self.id) {
             self.start_pre_vote(now);
@@ -282,7 +295,8 @@
     /// When the next [`tick`](Self::tick) is due.
     pub fn wake_at(&self) -> Time {
         let Role::Leader(lead) = &self.role else {
-            return self.deadline;
+            let again = self.successor.map_or(self.deadline, |next| next.again);
+            return self.deadline.min(again);
         };
         let next = lead
             .peers
@@ -417,6 +431,7 @@
         debug_assert!(term > self.term, "terms only rise");
         self.term = term;
         self.vote = None;
+        self.successor = None;
         self.disk.hard_changed = true;
     }
 
