--- a/crates/log/tests/handover.rs
+++ b/crates/log/tests/handover.rs
@@ -57,7 +57,11 @@
     trio.now = trio.now + Duration::from_millis(300);
     trio.nodes[0].tick(trio.now);
     let messages = trio.nodes[0].ready(trio.now).messages;
-    assert!(messages.iter().all(|message| message.body != Body::Campaign));
+    assert!(
+        messages
+            .iter()
+            .all(|message| message.body != Body::Campaign)
+    );
 }
 
 #[test]
