Hubs without a disk pass calls on instead of ending

Cause, by reading: a hub that runs on a vm without a disk ended by itself at its start, and was started again and again. A deploy file can only say how many hubs a data centre has, not that each needs a disk, so a deployment with fewer disks than that would have counted such ends.

Now such a process answers operators through the members, tells other processes where the group is, and never votes or founds.

--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -60,7 +60,7 @@
         else => Vec::new(),
     };
     let replica = Replica::open(ReplicaSettings {
-        data_dir: settings.data_dir,
+        data_dir: Some(settings.data_dir),
         address: settings.address,
         peers,
         secret: settings.secret.clone(),
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -30,7 +30,7 @@
     let clock = Clock::start();
     let address = settings.member.listener.address();
     let replica = Replica::open(ReplicaSettings {
-        data_dir: settings.data_dir,
+        data_dir: Some(settings.data_dir),
         address,
         peers: settings.member.control,
         secret: settings.member.secret.clone(),
--- a/crates/control/src/replica/calls.rs
+++ b/crates/control/src/replica/calls.rs
@@ -41,6 +41,8 @@
 pub(super) struct HelloReply {
     /// Its member id.
     pub(super) member: MemberId,
+    /// Whether it has a disk: the others never vote, nor found a group.
+    pub(super) votes: bool,
     /// The group that it belongs to, and that group's first members; none while its disk is new.
     pub(super) group: Option<Group>,
 }
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -6,6 +6,8 @@
 //! address, and only when every named process has answered and none knows a group. So a lost disk
 //! never founds a second group while one member of the first still answers.
 //!
+//! A process without a disk answers these questions too, but is never a member.
+//!
 //! See `docs/DESIGN.md`, "Agreement".
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -26,6 +28,8 @@
 
 /// The pause between two rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
+/// How often a process without a disk looks for the members.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 /// How long one process is waited for.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often a member without a place in its group asks for one.
@@ -124,6 +128,14 @@
     }
 }
 
+/// Looks for the members of the group, for a process without a disk.
+pub(super) async fn look(shared: Arc<Shared>) {
+    loop {
+        ask_all(&shared).await;
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
 async fn ask_all(shared: &Shared) -> Vec<Answer> {
     let mut answers = Vec::new();
     for address in others(shared) {
@@ -153,12 +165,13 @@
     }
     let others = others(shared);
     let named = others.len() < shared.peers().len();
-    let lowest = others.iter().all(|address| shared.address < *address);
+    let voting: Vec<&Answer> = answers.iter().filter(|a| a.reply.votes).collect();
+    let lowest = voting.iter().all(|answer| shared.address < answer.address);
     if !named || !lowest || answers.len() < others.len() {
         return None;
     }
     let mut members = vec![voter(shared.member, shared.address)];
-    for answer in answers {
+    for answer in voting {
         members.push(voter(answer.reply.member, answer.address));
     }
     let group = Group {
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -41,8 +41,9 @@
 /// What a replica needs to start.
 #[derive(Debug)]
 pub struct ReplicaSettings {
-    /// The folder of everything that must survive.
-    pub data_dir: PathBuf,
+    /// The folder of everything that must survive; none for a process without a disk, which only
+    /// tells others where the group is.
+    pub data_dir: Option<PathBuf>,
     /// This process's address.
     pub address: SocketAddr,
     /// The addresses of the first members.
@@ -86,6 +87,24 @@
             reserve_bytes,
             pace,
         } = settings;
+        let Some(data_dir) = data_dir else {
+            let store = RedbStore::in_memory().wrap_err("can't open a store in memory")?;
+            let shared = Arc::new(Shared::new(Parts {
+                address,
+                peers,
+                data_dir: PathBuf::new(),
+                clock,
+                client: Client::new(secret),
+                member: MemberId(rand::random()),
+                votes: false,
+                store,
+                may_found: false,
+                reserve_bytes,
+                pace,
+            }));
+            tokio::spawn(formation::look(Arc::clone(&shared)));
+            return Ok(Self { shared });
+        };
         fs::create_dir_all(&data_dir)
             .wrap_err_with(|| format!("can't make the data folder {}", data_dir.display()))?;
         let fresh = Identity {
@@ -106,6 +125,7 @@
             clock,
             client: Client::new(secret),
             member: recovered.identity.member,
+            votes: true,
             store,
             may_found,
             reserve_bytes,
@@ -268,6 +288,11 @@
         }
     }
 
+    /// The addresses at which members are looked for.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.shared.peers()
+    }
+
     /// Adds addresses at which members are looked for.
     pub fn add_peers(&self, found: impl IntoIterator<Item = SocketAddr>) {
         self.shared.add_peers(found);
--- a/crates/control/src/replica/routes.rs
+++ b/crates/control/src/replica/routes.rs
@@ -77,6 +77,7 @@
             res,
             &HelloReply {
                 member: self.0.member,
+                votes: self.0.votes,
                 group,
             },
         );
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -32,6 +32,8 @@
     pub(super) pace: clem_log::Settings,
     /// This process's member id.
     pub(super) member: MemberId,
+    /// Whether it has a disk, and so may vote.
+    pub(super) votes: bool,
     /// The term that this process leads, if it does.
     pub(super) epoch: watch::Sender<Option<Epoch>>,
     /// There is something to send or to apply.
@@ -49,6 +51,7 @@
     pub(super) clock: Clock,
     pub(super) client: Client,
     pub(super) member: MemberId,
+    pub(super) votes: bool,
     pub(super) store: RedbStore,
     pub(super) may_found: bool,
     pub(super) reserve_bytes: u64,
@@ -68,6 +71,7 @@
             clock: parts.clock,
             client: parts.client,
             member: parts.member,
+            votes: parts.votes,
             epoch,
             work: Notify::new(),
             seat: Mutex::new(None),
--- a/crates/control/tests/handover.rs
+++ b/crates/control/tests/handover.rs
@@ -22,7 +22,7 @@
     let folder = TempDir::new().unwrap();
     let secret = FleetSecret::new("handover-test-01").unwrap();
     let replica = Replica::open(ReplicaSettings {
-        data_dir: folder.path().to_owned(),
+        data_dir: Some(folder.path().to_owned()),
         address: listener.address(),
         peers,
         secret: secret.clone(),
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -30,6 +30,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// All members, this one included.
     pub peers: ControlClient,
+    /// Whether this process may be a member; otherwise it passes calls on.
+    pub has_disk: bool,
     /// Where the platform lists its targets.
     pub list: SocketAddr,
     /// How many disks may be lost at once.
@@ -47,6 +49,7 @@
     pub(crate) clock: Clock,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) peers: ControlClient,
+    pub(crate) has_disk: bool,
     pub(crate) list: SocketAddr,
     pub(crate) tolerance: usize,
     pub(crate) restart_allowance: f64,
@@ -59,6 +62,7 @@
             clock: parts.clock,
             dialect: parts.dialect,
             peers: parts.peers,
+            has_disk: parts.has_disk,
             list: parts.list,
             tolerance: parts.tolerance,
             restart_allowance: parts.restart_allowance,
--- a/crates/hub/src/list.rs
+++ b/crates/hub/src/list.rs
@@ -80,6 +80,9 @@
     loop {
         tokio::time::sleep(TICK).await;
         hub.peers.set_addresses(&hub.members());
+        if !hub.has_disk {
+            hub.peers.add_addresses(&hub.replica.peers());
+        }
         // What a process that does not lead leaves undone, the leader does.
         let _ = step(&hub).await;
     }
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -66,13 +66,11 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
 ) -> eyre::Result<()> {
     let clock = Clock::start();
-    let Some(data_dir) = settings.data_dir else {
-        eyre::bail!("a vm of the hub needs a data folder");
-    };
+    let has_disk = settings.data_dir.is_some();
     let internal = listen(settings.address)?;
     let orders = listen(settings.orders)?;
     let replica = Replica::open(ReplicaSettings {
-        data_dir,
+        data_dir: settings.data_dir,
         address: settings.address,
         peers: settings.peers.clone(),
         secret: settings.secret.clone(),
@@ -88,6 +86,7 @@
         clock,
         dialect: settings.dialect,
         peers: ControlClient::new(Client::new(settings.secret.clone()), peers),
+        has_disk,
         list: settings.list,
         tolerance: settings.tolerance,
         restart_allowance: settings.restart_allowance,
@@ -104,7 +103,10 @@
     tokio::spawn(list::poll(Arc::clone(&hub)));
     tokio::spawn(list::tick(Arc::clone(&hub)));
     tokio::spawn(list::log_slots(Arc::clone(&hub)));
-    log::info!(vm = settings.vm.as_str(), address:% = settings.address; "hub started");
+    log::info!(
+        vm = settings.vm.as_str(), address:% = settings.address, has_disk;
+        "hub started"
+    );
     stop_signal().await?;
     log::info!(vm = settings.vm.as_str(); "hub stops");
     replica.hand_over().await;
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -5,7 +5,7 @@
 use clem_types::Time;
 
 use super::{Lead, Node, Role};
-use crate::{Ballot, Body, LogIndex, MemberId, Payload, Term, progress::Progress};
+use crate::{Ballot, Body, MemberId, Payload, Term, progress::Progress};
 
 impl Node {
     fn ballot(&self, transfer: bool) -> Ballot {
--- a/crates/store/src/redb_store.rs
+++ b/crates/store/src/redb_store.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use redb::{
     Builder, Database, Durability, ReadTransaction, ReadableDatabase, ReadableTable,
-    TableDefinition, WriteTransaction,
+    TableDefinition, WriteTransaction, backends::InMemoryBackend,
 };
 
 use crate::{Pair, Result, Snapshot, Store, StoreError};
@@ -73,6 +73,18 @@
             .set_cache_size(cache)
             .create(path)
             .map_err(|e| StoreError::new("open", e))?;
+        Self::begin(db)
+    }
+
+    /// Opens an empty store that is gone with the process, for one that has no disk.
+    pub fn in_memory() -> Result<Self> {
+        let db = Builder::new()
+            .create_with_backend(InMemoryBackend::new())
+            .map_err(|e| StoreError::new("open", e))?;
+        Self::begin(db)
+    }
+
+    fn begin(db: Database) -> Result<Self> {
         let batch = begin(&db)?;
         let applied = read_applied(&batch)?;
         batch
