Rates without a leader: no new burst, and parts of the rate that add up

Now a grant says what is left of the burst, the part of the rate is measured against four seconds of the rate, and what an earlier leader said fades slowly. Ruled out as the only cause: the allowance of a new leader (10 requests each).

Alone moved to clem-policy, where it is tested without a network. The test of parts asks at the customer's rate now, as that is what the part is of.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -2,7 +2,6 @@
 //!
 //! See `docs/design/platform.md`.
 
-mod alone;
 mod events;
 mod exchange;
 mod follow;
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -9,13 +9,13 @@
 
 use clem_boot::Clock;
 use clem_edge::Dialect;
-use clem_policy::dispatch::{Ended, Held, Ticket};
+use clem_policy::dispatch::{Alone, Ended, Held, Ticket};
 use clem_types::Time;
 use clem_wire::{Client, ControlClient, FleetSecret, fleet::Duty};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::{Notify, watch};
 
-use crate::{alone::Alone, pool::Pool, view::View};
+use crate::{pool::Pool, view::View};
 
 /// What a node needs to start.
 pub struct NodeSettings {
@@ -150,8 +150,9 @@
 
     /// The hub's leader has answered.
     pub(crate) fn note_leader(&self) {
-        *lock(&self.leader_heard) = self.now();
-        if self.alone().note_heard() {
+        let now = self.now();
+        *lock(&self.leader_heard) = now;
+        if self.alone().note_heard(now) {
             log::info!("leader places again");
         }
     }
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -120,11 +120,16 @@
         match verdict {
             Verdict::Granted { target, share } => {
                 if let Some(customer) = &want.customer {
-                    self.alone().note_share(customer, share);
+                    self.alone().note_share(self.now(), customer, share);
                 }
                 self.granted(&want, &target, false)
             }
-            Verdict::OverRate { retry } => Placed::OverRate(retry),
+            Verdict::OverRate { retry } => {
+                if let Some(customer) = &want.customer {
+                    self.alone().note_spent(customer);
+                }
+                Placed::OverRate(retry)
+            }
             Verdict::Busy { retry, wait } => Placed::Busy { retry, wait },
             // A leader that has just begun may not have read the list yet.
             Verdict::NoTarget => self.place_alone(&want, limit),
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -11,6 +11,7 @@
 //!
 //! Pure: no clock, no network. See `docs/design/platform.md`, "Who runs next".
 
+mod alone;
 mod pool;
 mod rate;
 mod target;
@@ -23,8 +24,9 @@
 use clem_types::Time;
 use serde::{Deserialize, Serialize};
 
+pub use alone::Alone;
 pub use pool::{Pool, PoolView};
-pub use rate::{Meter, RateLimit};
+pub use rate::{Meter, RateLimit, Share};
 pub use target::{Ended, Slots};
 
 /// How long a holder may be silent before its grants are taken back.
@@ -82,9 +84,8 @@
     Granted {
         /// The target.
         target: String,
-        /// The holder's share of the customer's requests of late, from 0 to 1: what it may take of
-        /// the rate while no leader answers.
-        share: f64,
+        /// What the holder may take of the customer's rate while no leader answers.
+        share: Share,
     },
     /// The customer is over its rate.
     OverRate {
@@ -304,7 +305,7 @@
             refused.extend(pool.expire(now));
             for (want, target) in pool.place(now) {
                 let meter = want.customer.as_ref().and_then(|c| self.meters.get_mut(c));
-                let share = meter.map_or(1.0, |meter| meter.count(now, &want.holder));
+                let share = meter.map_or(Share::WHOLE, |meter| meter.count(now, &want.holder));
                 let grant = Grant {
                     holder: want.holder,
                     service: service.clone(),
--- a/crates/policy/src/dispatch/rate.rs
+++ b/crates/policy/src/dispatch/rate.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use clem_types::Time;
+use serde::{Deserialize, Serialize};
 
 /// A customer's rate and burst; a rate of 0 bounds nothing.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -13,10 +14,30 @@
     pub burst: f64,
 }
 
+/// What a holder may take of a customer's rate while no leader answers.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// Its part of the customer's requests of late, from 0 to 1.
+    pub part: f64,
+    /// What is left of the customer's burst, from 0 to 1.
+    pub left: f64,
+}
+
+impl Share {
+    /// The share of a holder that is alone with a customer who has asked for nothing yet.
+    pub const WHOLE: Self = Self {
+        part: 1.0,
+        left: 1.0,
+    };
+}
+
+/// How many seconds of a customer's rate must have been counted before a holder's part of them is
+/// taken for its part of the rate: a leader that has just begun has seen few holders.
+const EVIDENCE_S: f64 = 4.0;
 /// Requests below which a holder is forgotten.
 const SHARE_MIN: f64 = 0.01;
 /// The span over which the shares of holders are averaged.
-const SHARE_SPAN: Duration = Duration::from_secs(8);
+pub(super) const SHARE_SPAN: Duration = Duration::from_secs(8);
 
 /// The level of a customer's bucket, in requests, and who takes them.
 #[derive(Debug, Clone)]
@@ -77,8 +98,8 @@
         Err(Duration::from_secs_f64(wait))
     }
 
-    /// Counts a request of a holder and returns the holder's share of all of late, from 0 to 1.
-    pub fn count(&mut self, now: Time, holder: &str) -> f64 {
+    /// Counts a request of a holder and returns what that holder may take without a leader.
+    pub fn count(&mut self, now: Time, holder: &str) -> Share {
         let taken = self.taken.entry(holder.to_owned()).or_insert(Taken {
             count: 0.0,
             at: now,
@@ -90,7 +111,16 @@
         let own = taken.count;
         self.taken.retain(|_, taken| taken.now(now) > SHARE_MIN);
         let all: f64 = self.taken.values().map(|taken| taken.now(now)).sum();
-        own / all.max(own)
+        Share {
+            part: own / all.max(self.limit.rate * EVIDENCE_S).max(own),
+            left: self.left(now),
+        }
+    }
+
+    /// What is left of the burst, from 0 to 1.
+    pub fn left(&mut self, now: Time) -> f64 {
+        self.fill(now);
+        self.level / self.limit.burst.max(1.0)
     }
 
     /// Gives one request back that was not run.
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -269,17 +269,18 @@
     assert!(is_granted(&verdict(&mut dispatcher, 2)));
 }
 
-/// While no leader answers, fronts share a customer's rate as they did before.
+/// While no leader answers, fronts share a customer's rate as they did before, if it was used: a
+/// leader that has seen little of a customer must not tell the first front that all of it is its own.
 #[test]
 fn holders_hear_their_share_of_a_customers_requests() {
     let mut dispatcher = dispatcher(50, 50);
     let limit = RateLimit {
-        rate: 500.0,
-        burst: 500.0,
+        rate: 100.0,
+        burst: 100.0,
     };
-    dispatcher.set_rates(at(0), &[("c".to_owned(), limit)].into(), 500.0);
+    dispatcher.set_rates(at(0), &[("c".to_owned(), limit)].into(), 100.0);
     let mut shares = std::collections::HashMap::new();
-    for ticket in 0..400 {
+    for ticket in 0..2000 {
         let mut asked = want(ticket);
         asked.customer = Some("c".to_owned());
         asked.holder = if ticket % 4 == 0 { "few" } else { "many" }.to_owned();
@@ -290,9 +291,31 @@
         };
         shares.insert(holder, share);
     }
-    let (few, many) = (shares["few"], shares["many"]);
+    let (few, many) = (shares["few"].part, shares["many"].part);
     assert!(
         (few - 0.25).abs() < 0.05 && (many - 0.75).abs() < 0.05,
         "{few} and {many}"
     );
 }
+
+#[test]
+fn a_new_leader_tells_no_holder_that_the_whole_rate_is_its_own() {
+    let mut dispatcher = dispatcher(50, 50);
+    let limit = RateLimit {
+        rate: 100.0,
+        burst: 100.0,
+    };
+    dispatcher.set_rates(at(0), &[("c".to_owned(), limit)].into(), 100.0);
+    let mut sum = 0.0;
+    for ticket in 0..20 {
+        let mut asked = want(ticket);
+        asked.customer = Some("c".to_owned());
+        asked.holder = format!("front-{ticket}");
+        dispatcher.ask(at(ticket * 10), asked);
+        let Some(Verdict::Granted { share, .. }) = verdict(&mut dispatcher, ticket) else {
+            panic!("there is room");
+        };
+        sum += share.part;
+    }
+    assert!(sum <= 1.0, "20 fronts hold {sum} of the rate together");
+}
