Hub: an office outlasts a lease that runs out for a moment

Its lease had run out for a moment; queue, slots and targets were thrown away, and until the list was read again the log shows 0 targets and then 135 waiting requests. 147 of 1302 requests of these two seconds were late or refused. The same happened to the leader that keeps batches: all runs were cut and begun anew.

Not the cause: processor time (0.05 of 0.32 cores at most), the disk, an election (the term is the same).

Now what a leader knows stays as long as its office: it leads, and a quorum answered within the span of an election. What must not be stale goes through the log as before.

--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -197,6 +197,14 @@
         self.shared.seat().as_ref()?.leads(now)
     }
 
+    /// The term in which this process leads, also while its lease has run out for a moment.
+    ///
+    /// For work that a second leader does not harm for as long as a message takes; what must not be
+    /// stale goes through [`barrier`](Self::barrier) or [`propose`](Self::propose).
+    pub fn office(&self, now: Time) -> Option<Epoch> {
+        self.shared.seat().as_ref()?.office(now)
+    }
+
     /// Bytes that may still be written to the disk, as of the last write.
     pub fn free_bytes(&self) -> u64 {
         let seat = self.shared.seat();
--- a/crates/control/src/replica/seat.rs
+++ b/crates/control/src/replica/seat.rs
@@ -97,6 +97,13 @@
         leads.then_some(Epoch(term.0))
     }
 
+    /// The term in which this member leads at `now`, maybe by a lease that has just run out.
+    pub(super) fn office(&self, now: Time) -> Option<Epoch> {
+        let term = self.node.term();
+        let leads = self.node.is_in_office(now) && self.caught_up == Some(term);
+        leads.then_some(Epoch(term.0))
+    }
+
     /// Notes that the state machine holds all that was committed when this member began to lead.
     ///
     /// The lease alone does not say so: entries wait to be applied while the store is synced, and
--- a/crates/control/tests/handover.rs
+++ b/crates/control/tests/handover.rs
@@ -1,4 +1,4 @@
-//! A planned stop of the leader leaves the group with another one.
+//! How long a leader leads: planned stops, and answers that are late.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
 
@@ -15,21 +15,23 @@
 
 struct Member {
     replica: Replica,
+    clock: Clock,
     _folder: TempDir,
 }
 
-fn start(listener: Listener, peers: Vec<SocketAddr>) -> Member {
+fn start(listener: Listener, peers: Vec<SocketAddr>, pace: clem_log::Settings) -> Member {
     let folder = TempDir::new().unwrap();
+    let clock = Clock::start();
     let secret = FleetSecret::new("handover-test-01").unwrap();
     let replica = Replica::open(ReplicaSettings {
         data_dir: Some(folder.path().to_owned()),
         address: listener.address(),
         peers,
         secret: secret.clone(),
-        clock: Clock::start(),
+        clock,
         may_found: true,
         reserve_bytes: RESERVE_BYTES,
-        pace: clem_log::Settings::default(),
+        pace,
     })
     .unwrap();
     let mut routes = replica.routes();
@@ -38,10 +40,19 @@
     tokio::spawn(server.serve(router));
     Member {
         replica,
+        clock,
         _folder: folder,
     }
 }
 
+fn group(pace: clem_log::Settings) -> Vec<Member> {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let listeners: Vec<Listener> = (0..3).map(|_| listen(any).unwrap()).collect();
+    let peers: Vec<SocketAddr> = listeners.iter().map(Listener::address).collect();
+    let start = |listener| start(listener, peers.clone(), pace);
+    listeners.into_iter().map(start).collect()
+}
+
 async fn leader(members: &[Member]) -> &Member {
     let found = async {
         loop {
@@ -58,13 +69,7 @@
 
 #[tokio::test]
 async fn a_leader_that_stops_stays_until_another_one_leads() {
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    let listeners: Vec<Listener> = (0..3).map(|_| listen(any).unwrap()).collect();
-    let peers: Vec<SocketAddr> = listeners.iter().map(Listener::address).collect();
-    let members: Vec<Member> = listeners
-        .into_iter()
-        .map(|listener| start(listener, peers.clone()))
-        .collect();
+    let members = group(clem_log::Settings::default());
     let old = leader(&members).await;
     let place = old.replica.leader().unwrap();
 
@@ -76,3 +81,28 @@
         "the leader may go although {next:?} leads"
     );
 }
+
+/// Found on a grown site: a lease that ran out for a moment emptied the queue and the targets.
+#[tokio::test]
+async fn an_office_goes_on_while_leases_run_out() {
+    let members = group(clem_log::Settings {
+        lease: Duration::from_millis(40),
+        election: Duration::from_secs(3),
+        ..clem_log::Settings::default()
+    });
+    let old = leader(&members).await;
+    let clock = old.clock;
+    let epoch = old.replica.office(clock.now());
+    assert!(epoch.is_some());
+    let mut lapsed = 0;
+    for _ in 0..150 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let now = clock.now();
+        lapsed += u32::from(old.replica.leads(now).is_none());
+        assert_eq!(old.replica.office(now), epoch);
+    }
+    assert!(
+        lapsed > 0,
+        "heartbeats come more rarely than the lease lasts"
+    );
+}
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -82,7 +82,8 @@
         node.jobs.set_addresses(&list.batch);
         log::info!(
             epoch = list.seen.epoch.0, change = list.seen.change,
-            targets = list.targets.as_ref().map_or(0, Vec::len), batch = list.batch.len();
+            targets = list.targets.as_ref().map_or(node.view().targets.len(), Vec::len),
+            batch = list.batch.len();
             "fleet changed"
         );
         node.view().take_list(now, list);
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -96,7 +96,7 @@
     pub fn lead<T>(&self, work: impl FnOnce(&mut Lead, Time) -> T) -> Result<T> {
         let now = self.clock.now();
         let mut lead = self.lead.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(epoch) = self.replica.leads(now) else {
+        let Some(epoch) = self.replica.office(now) else {
             if lead.take().is_some() {
                 log::warn!("leads no more");
                 self.waiting().clear();
@@ -119,10 +119,10 @@
         let Some(lead) = lead.as_mut() else {
             return Err(Refusal::NotLeader);
         };
-        let change = lead.change();
+        let stamp = lead.stamp();
         let result = work(lead, now);
         self.hand_out(lead, now);
-        if lead.change() != change || lead.has_recalls() {
+        if lead.stamp() != stamp || lead.has_recalls() {
             self.news.send_modify(|count| *count += 1);
         }
         Ok(result)
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -12,7 +12,7 @@
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{Dispatcher, RateLimit, Slots};
 use clem_state::depot::Depot;
-use clem_types::{Epoch, Time};
+use clem_types::{Epoch, Time, Version};
 use clem_wire::fleet::{Duty, FleetList, Follow, News, RetireReply, RulesDocument, Seen};
 
 /// How long a process that says nothing counts as there.
@@ -22,10 +22,14 @@
 const FOUND_PATIENCE: Duration = Duration::from_millis(600);
 
 /// What a leader starts from.
-pub(crate) struct LeadStart {
-    pub(crate) epoch: Epoch,
-    pub(crate) depot: Depot,
-    pub(crate) allowance: f64,
+#[derive(Debug)]
+pub struct LeadStart {
+    /// The term.
+    pub epoch: Epoch,
+    /// What is replicated of the group that keeps batches.
+    pub depot: Depot,
+    /// What a customer may send at once, in requests: what it spent before is not known.
+    pub allowance: f64,
 }
 
 /// What only the leader knows.
@@ -40,6 +44,8 @@
     /// What is replicated of the group that keeps batches.
     pub depot: Depot,
     change: u64,
+    /// Counts the changes of the targets.
+    listed: u64,
     targets: Option<Vec<TargetVm>>,
     services: BTreeSet<String>,
     processes: BTreeMap<String, Process>,
@@ -62,13 +68,15 @@
 }
 
 impl Lead {
-    pub(crate) fn new(start: LeadStart) -> Self {
+    /// A leader that has heard of nobody yet.
+    pub fn new(start: LeadStart) -> Self {
         Self {
             epoch: start.epoch,
             dispatcher: Dispatcher::default(),
             rules: RulesDocument::default(),
             depot: start.depot,
             change: 1,
+            listed: 0,
             targets: None,
             services: BTreeSet::new(),
             processes: BTreeMap::new(),
@@ -78,9 +86,9 @@
         }
     }
 
-    /// Counts the changes that others have to be told of.
-    pub fn change(&self) -> u64 {
-        self.change
+    /// Differs whenever there is something that others have to be told of.
+    pub fn stamp(&self) -> (u64, Version) {
+        (self.change, self.rules.version)
     }
 
     /// Whether any process should give slots back.
@@ -104,7 +112,6 @@
             rates.insert(customer.name.clone(), limit);
         }
         self.dispatcher.set_rates(now, &rates, self.allowance);
-        self.change += 1;
     }
 
     /// Takes what is replicated of the group that keeps batches.
@@ -138,6 +145,7 @@
         }
         self.services = by_service.keys().map(|name| (*name).to_owned()).collect();
         self.targets = Some(targets);
+        self.listed += 1;
         self.change += 1;
         true
     }
@@ -218,11 +226,13 @@
         let seen = Seen {
             epoch: self.epoch,
             change: self.change,
+            targets: self.listed,
         };
         let rules = (self.rules.version > follow.rules).then(|| self.rules.clone());
+        let knows_targets = (follow.seen.epoch, follow.seen.targets) == (seen.epoch, seen.targets);
         let fleet = (follow.seen != seen).then(|| FleetList {
             seen,
-            targets: self.targets.clone(),
+            targets: self.targets.clone().filter(|_| !knows_targets),
             hub,
             founders: self.depot.founders.clone(),
             batch: self.batch().filter_map(|p| p.address).collect(),
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -10,5 +10,5 @@
 mod serve;
 
 pub use hub::Hub;
-pub use lead::{Lead, Process};
+pub use lead::{Lead, LeadStart, Process};
 pub use program::{HubSettings, group_pace, run};
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -116,7 +116,7 @@
     }
 
     /// When a quorum was last heard from.
-    fn quorum_heard(&self, now: Time) -> Time {
+    pub(super) fn quorum_heard(&self, now: Time) -> Time {
         let Role::Leader(lead) = &self.role else {
             return Time::ZERO;
         };
--- a/crates/log/src/node/read.rs
+++ b/crates/log/src/node/read.rs
@@ -42,6 +42,19 @@
             .is_some_and(|asked| now < asked + self.settings.lease)
     }
 
+    /// Whether this member leads and a quorum has answered within the span of an election.
+    ///
+    /// Weaker than a lease, which runs out each time that answers are a little late: another member
+    /// may already lead for as long as a message takes. Enough for work that a second leader does
+    /// not harm, and for keeping what only a leader knows.
+    pub fn is_in_office(&self, now: Time) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let heard = self.quorum_heard(now) + self.settings.election;
+        lead.transfer.is_none() && self.commit >= lead.first && now < heard
+    }
+
     /// When the latest message that a quorum has answered was sent.
     fn quorum_asked(&self, now: Time) -> Option<Time> {
         let Role::Leader(lead) = &self.role else {
--- a/crates/log/tests/node.rs
+++ b/crates/log/tests/node.rs
@@ -427,3 +427,18 @@
     node.step(now, vote(1, 3, 5, false));
     assert!(node.ready(now).write.is_none());
 }
+
+#[test]
+fn an_office_outlasts_a_lease_but_not_an_election() {
+    let mut trio = Trio::elected();
+    let settings = Settings::default();
+    let lapsed = trio.now + settings.lease + Duration::from_millis(50);
+    assert!(!trio.nodes[0].holds_lease(lapsed));
+    assert!(trio.nodes[0].is_in_office(lapsed), "no other leads yet");
+    let over = trio.now + settings.election;
+    assert!(!trio.nodes[0].is_in_office(over));
+    trio.nodes[0]
+        .transfer(trio.now, Some(MemberId(2)))
+        .expect("it leads");
+    assert!(!trio.nodes[0].is_in_office(trio.now), "it has handed over");
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -54,6 +54,8 @@
     pub epoch: Epoch,
     /// Counts the leader's changes.
     pub change: u64,
+    /// Counts the changes of the targets: they are most of the list, and seldom change.
+    pub targets: u64,
 }
 
 impl Call for Follow {
@@ -87,7 +89,8 @@
 pub struct FleetList {
     /// Which state of the list this is.
     pub seen: Seen,
-    /// The platform's targets; none as long as the leader has not read the list.
+    /// The platform's targets; none as long as the leader has not read the list, or if the reader
+    /// has seen them.
     pub targets: Option<Vec<TargetVm>>,
     /// The members of the hub.
     pub hub: Vec<SocketAddr>,
