Returns of refused callers are spread, and the second time they wait

Not the cause: the election (0.55 s), the list.

Now a refused caller is told a time between when there should be room and a third of its time, drawn evenly; and one that has less time left than callers of its route usually bring has been here before: it waits behind those who can still be on time, and is refused only if it can't be served at all.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -170,6 +170,7 @@
             urgency: Urgency::Batch {
                 due: Duration::from_millis(left),
             },
+            last: false,
             on_time: PLACE_PATIENCE,
             patience: PLACE_PATIENCE,
             data_centre: String::new(),
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -9,7 +9,7 @@
 
 use clem_boot::Clock;
 use clem_edge::Dialect;
-use clem_policy::dispatch::{Alone, Ended, Held, Ticket};
+use clem_policy::dispatch::{Alone, Ended, Held, Ticket, comeback};
 use clem_types::Time;
 use clem_wire::{Client, ControlClient, FleetSecret, fleet::Duty};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -134,6 +134,11 @@
         retry.mul_f64(1.0 + self.draw() / 2.0)
     }
 
+    /// When a caller with `left` of its time should come back, if there should be room after `room`.
+    pub fn comeback(&self, room: Duration, left: Duration) -> Duration {
+        comeback(self.draw(), room, left)
+    }
+
     /// Whether requests are placed without the hub's leader at present.
     pub fn is_alone(&self) -> bool {
         self.alone().is_alone()
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -19,6 +19,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// When to come back after a target was full.
 const FULL_RETRY: Duration = Duration::from_millis(100);
+/// The shortest time to come back after there was no room: a crowd lasts longer than one request.
+const BUSY_RETRY_MIN: Duration = Duration::from_millis(300);
 /// How often a request that was not sent looks for another target.
 const UNSENT_MAX: u32 = 4;
 
@@ -153,7 +155,8 @@
             }),
             Placed::Busy { retry, wait } => {
                 self.placed.expected = wait;
-                Err(self.not_run(node.spread(retry)))
+                let left = self.request.left(node.now());
+                Err(self.not_run(node.comeback(retry.max(BUSY_RETRY_MIN), left)))
             }
         }
     }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,12 +1,16 @@
 //! What all requests of this process share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use clem_boot::Readiness;
 use clem_direct::Node;
+use clem_policy::dispatch::Habits;
 
 /// What all requests of this process share.
 pub(crate) struct Front {
@@ -14,6 +18,7 @@
     pub(crate) readiness: Readiness,
     /// The most requests that run at once, by the memory that they may take.
     pub(crate) running_max: usize,
+    habits: Mutex<Habits>,
     stopping: AtomicBool,
     running: AtomicUsize,
 }
@@ -27,6 +32,7 @@
             node,
             readiness: Readiness::default(),
             running_max,
+            habits: Mutex::default(),
             stopping: AtomicBool::new(false),
             running: AtomicUsize::new(0),
         }
@@ -45,6 +51,12 @@
         self.running.load(Ordering::Relaxed)
     }
 
+    /// Counts a caller of a route; says whether it has most likely been refused before.
+    pub(crate) fn has_returned(&self, route: &str, patience: Duration) -> bool {
+        let mut habits = self.habits.lock().unwrap_or_else(PoisonError::into_inner);
+        habits.note(route, patience)
+    }
+
     /// Counts a request as running, if there is room for it.
     pub(crate) fn start(self: &Arc<Self>) -> Option<Running> {
         if self.running() >= self.running_max {
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -20,7 +20,7 @@
 /// How long a caller that names no time waits.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// How long a process takes after its start to know rules and targets, when the hub starts too.
-const START_SPAN: Duration = Duration::from_millis(1600);
+const START_SPAN: Duration = Duration::from_millis(800);
 /// The shortest time to come back to a process that knows no rules yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 /// When to come back to a process that is full.
@@ -59,7 +59,8 @@
     };
     let Some(rules) = rules else {
         let left = START_SPAN.saturating_sub(node.uptime());
-        let retry = node.spread(left.max(NOT_READY_RETRY));
+        let patience = ask.patience.unwrap_or(PATIENCE);
+        let retry = node.comeback(left.max(NOT_READY_RETRY), patience);
         return Err(early.refuse(Refusal::after(Cause::NotReady, retry)));
     };
     let path = head.uri.path();
@@ -95,8 +96,12 @@
     let Some(id) = ask.id.clone() else {
         return Err(early.refuse(Refusal::new(Cause::Malformed)));
     };
+    let returned = ask
+        .patience
+        .is_some_and(|patience| front.has_returned(&route.name, patience));
     let request = CallerRequest {
         id,
+        returned,
         route: Arc::new(route.clone()),
         customer: customer.cloned().map(Arc::new),
         shipment: Shipment {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -23,6 +23,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) customer: Option<Arc<Customer>>,
     pub(crate) shipment: Shipment,
+    /// Whether the caller has most likely been refused before.
+    pub(crate) returned: bool,
     pub(crate) arrived: Time,
     /// When the caller or the operator wants it to be over.
     pub(crate) until: Time,
@@ -49,6 +51,7 @@
             customer: self.customer.as_ref().map(|c| c.name.clone()),
             rank: rank.unwrap_or(self.route.rank),
             urgency: Urgency::Online,
+            last: self.returned,
             on_time,
             patience,
             data_centre: String::new(),
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -7,11 +7,13 @@
 //! - batch items in the slots that online requests leave, by due time; their slots are called
 //!   back when online requests wait, as an item goes on elsewhere from where it stood,
 //! - a request that would be late by the time of its turn is refused at once, with the time at
-//!   which there should be room.
+//!   which there should be room; a caller who has come back waits instead, after those who can
+//!   still be on time.
 //!
 //! Pure: no clock, no network. See `docs/design/platform.md`, "Who runs next".
 
 mod alone;
+mod comeback;
 mod pool;
 mod rate;
 mod target;
@@ -25,6 +27,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use alone::Alone;
+pub use comeback::{Habits, comeback};
 pub use pool::{Pool, PoolView};
 pub use rate::{Meter, RateLimit, Share};
 pub use target::{Ended, Slots};
@@ -67,6 +70,8 @@
     pub rank: u8,
     /// Whether somebody waits for it.
     pub urgency: Urgency,
+    /// Whether whoever asks has been refused before and won't come back.
+    pub last: bool,
     /// How long it may wait and still be on time.
     pub on_time: Duration,
     /// How long it may wait at all.
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -97,8 +97,12 @@
         if matches!(want.urgency, Urgency::Batch { .. }) {
             return None;
         }
-        let wait = self.expected_wait(now, want.rank)?;
-        let bearable = want.on_time.mul_f64(WAIT_SHARE);
+        let wait = self.expected_wait(now, want)?;
+        let bearable = if want.last {
+            want.patience
+        } else {
+            want.on_time.mul_f64(WAIT_SHARE)
+        };
         if wait <= bearable {
             return None;
         }
@@ -106,8 +110,8 @@
         Some(Verdict::Busy { retry, wait })
     }
 
-    /// How long an online request of this rank would wait; none if there is a slot at once.
-    fn expected_wait(&self, now: Time, rank: u8) -> Option<Duration> {
+    /// How long an online request would wait; none if there is a slot at once.
+    fn expected_wait(&self, now: Time, want: &Want) -> Option<Duration> {
         let up: Vec<&Target> = self.targets.values().filter(|t| t.is_up(now)).collect();
         let slots: u32 = up.iter().map(|t| t.slots.slots).sum();
         let free: u32 = up.iter().map(|t| t.free(now)).sum();
@@ -115,7 +119,8 @@
         let ahead = self
             .waiting
             .iter()
-            .filter(|w| matches!(w.want.urgency, Urgency::Online) && w.want.rank <= rank);
+            .filter(|w| matches!(w.want.urgency, Urgency::Online))
+            .filter(|w| (w.want.last, w.want.rank) <= (want.last, want.rank));
         let ahead = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
         // Slots of batch items come back within milliseconds.
         let missing = ahead.checked_sub(free + batch)?;
@@ -294,11 +299,13 @@
     }
 }
 
-/// The order of turns: online requests by rank and arrival, then batch items by due time.
+/// The order of turns: online requests by rank and arrival, then those of callers who have come
+/// back, then batch items by due time.
 fn turn(waiting: &Waiting) -> (u8, u8, Time, u64) {
     let rank = waiting.want.rank;
     match waiting.want.urgency {
+        Urgency::Online if waiting.want.last => (1, rank, Time::ZERO, waiting.arrival),
         Urgency::Online => (0, rank, Time::ZERO, waiting.arrival),
-        Urgency::Batch { .. } => (1, rank, waiting.due, waiting.arrival),
+        Urgency::Batch { .. } => (2, rank, waiting.due, waiting.arrival),
     }
 }
--- /dev/null
+++ b/crates/policy/tests/comeback.rs
@@ -0,0 +1,190 @@
+//! A crowd that is too large for a second, of callers who come back once: who is served.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use clem_policy::dispatch::{
+    Dispatcher, Ended, Habits, Slots, Ticket, Urgency, Verdict, Want, comeback,
+};
+use clem_types::Time;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVICE: &str = "engines";
+/// 80 slots that are held for half a second each: 160 requests a second.
+const TARGETS: usize = 10;
+const SLOTS: u32 = 8;
+const HOLD_MS: u64 = 500;
+const OBJECTIVE_MS: u64 = 300;
+const PATIENCE_MS: u64 = 5000;
+/// The load: calm, a crowd, calm.
+const LOAD: [(u64, u64); 3] = [(3000, 80), (4200, 260), (12_000, 40)];
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Manner {
+    /// As before: come back when there should be room, and be judged anew.
+    Soon,
+    /// Come back spread over the time that callers honour, and wait if need be.
+    Spread,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    /// Served on time by the first attempt.
+    prompt: usize,
+    /// Served on time by the second attempt.
+    again: usize,
+    late: usize,
+    lost: usize,
+}
+
+struct Caller {
+    first: u64,
+    attempt: u64,
+    returned: bool,
+}
+
+fn want(ticket: u64, last: bool) -> Want {
+    Want {
+        ticket: Ticket(ticket),
+        holder: "front".to_owned(),
+        service: SERVICE.to_owned(),
+        customer: None,
+        rank: 0,
+        urgency: Urgency::Online,
+        last,
+        on_time: Duration::from_millis(OBJECTIVE_MS - 60),
+        patience: Duration::from_millis(OBJECTIVE_MS * 3 - 60),
+        data_centre: "a".to_owned(),
+        avoid: Vec::new(),
+    }
+}
+
+fn play(manner: Manner) -> Seen {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut dispatcher = Dispatcher::default();
+    let slots = (0..TARGETS).map(|n| Slots {
+        target: format!("t{n}"),
+        data_centre: "a".to_owned(),
+        slots: SLOTS,
+    });
+    dispatcher.set_targets(Time::ZERO, SERVICE, &slots.collect::<Vec<_>>());
+    let mut seen = Seen::default();
+    let mut callers: Vec<Caller> = Vec::new();
+    let mut arrivals: BTreeMap<(u64, u64), ()> = BTreeMap::new();
+    let mut start = 0;
+    for (end, per_s) in LOAD {
+        let count = (end - start) * per_s / 1000;
+        for _ in 0..count {
+            let at = rng.random_range(start..end);
+            arrivals.insert((at, callers.len() as u64), ());
+            callers.push(Caller {
+                first: at,
+                attempt: at,
+                returned: false,
+            });
+        }
+        start = end;
+    }
+    let mut ends: BTreeMap<(u64, u64), ()> = BTreeMap::new();
+    for ms in 0..15_000 {
+        let now = Time::from_millis(ms);
+        while let Some(entry) = ends.first_entry() {
+            let (at, ticket) = *entry.key();
+            if at > ms {
+                break;
+            }
+            entry.remove();
+            dispatcher.release(now, Ticket(ticket), Ended::Answered);
+        }
+        while let Some(entry) = arrivals.first_entry() {
+            let (at, ticket) = *entry.key();
+            if at > ms {
+                break;
+            }
+            entry.remove();
+            let caller = &callers[ticket as usize];
+            let last = caller.returned && manner == Manner::Spread;
+            dispatcher.ask(now, want(ticket, last));
+        }
+        dispatcher.tick(now);
+        for (ticket, verdict) in dispatcher.take_decided() {
+            let caller = &mut callers[ticket.0 as usize];
+            let retry = match verdict {
+                Verdict::Granted { .. } => {
+                    ends.insert((ms + HOLD_MS, ticket.0), ());
+                    let prompt = ms + 60 - caller.attempt <= OBJECTIVE_MS;
+                    match (prompt, caller.returned) {
+                        (true, false) => seen.prompt += 1,
+                        (true, true) => seen.again += 1,
+                        (false, _) => seen.late += 1,
+                    }
+                    continue;
+                }
+                Verdict::Busy { retry, .. } => retry,
+                other => panic!("{other:?}"),
+            };
+            if caller.returned {
+                seen.lost += 1;
+                continue;
+            }
+            let left = Duration::from_millis(caller.first + PATIENCE_MS - ms);
+            let pause = match manner {
+                Manner::Soon => retry.mul_f64(1.0 + rng.random::<f64>() / 2.0),
+                Manner::Spread => {
+                    let room = retry.max(Duration::from_millis(300));
+                    comeback(rng.random(), room, left)
+                }
+            };
+            let at = ms + pause.min(left / 3).as_millis() as u64;
+            caller.returned = true;
+            caller.attempt = at;
+            arrivals.insert((at, ticket.0), ());
+        }
+    }
+    seen
+}
+
+#[test]
+fn callers_who_come_back_are_served_after_a_crowd() {
+    let soon = play(Manner::Soon);
+    let spread = play(Manner::Spread);
+    println!("MEASURED soon {soon:?}, spread {spread:?}");
+    assert_eq!(
+        spread.lost, 0,
+        "all have seconds left when the crowd is over"
+    );
+    assert!(soon.lost > 20, "the load is too light to tell");
+    let prompt = spread.prompt as f64 / soon.prompt as f64;
+    assert!(
+        prompt > 0.97,
+        "first attempts were served instead: {prompt}"
+    );
+}
+
+#[test]
+fn a_caller_with_less_time_than_usual_has_returned() {
+    let ms = Duration::from_millis;
+    let mut habits = Habits::default();
+    for _ in 0..50 {
+        assert!(!habits.note("chat", ms(5000)));
+        assert!(!habits.note("page", ms(1500)));
+    }
+    assert!(habits.note("chat", ms(3400)));
+    assert!(!habits.note("page", ms(1500)));
+    assert!(!habits.note("chat", ms(9000)), "one is more patient");
+    assert!(!habits.note("chat", ms(5000)), "the others are as before");
+}
+
+#[test]
+fn returns_are_spread_over_the_time_that_callers_honour() {
+    let ms = Duration::from_millis;
+    assert_eq!(comeback(0.0, ms(300), ms(4500)), ms(300));
+    assert_eq!(comeback(1.0, ms(300), ms(4500)), ms(1500));
+    assert_eq!(
+        comeback(0.5, ms(900), ms(900)),
+        ms(900),
+        "not before there is room"
+    );
+}
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -40,6 +40,7 @@
         customer: None,
         rank: 0,
         urgency: Urgency::Online,
+        last: false,
         on_time: ms(240),
         patience: ms(800),
         data_centre: "a".to_owned(),
