--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -194,6 +194,8 @@
         !is_granted(&verdict(&mut dispatcher, 2)),
         "it is left for a while"
     );
+    // A holder that says nothing for long counts as gone.
+    dispatcher.report(at(600), "keeper", &[]);
     dispatcher.tick(at(700));
     assert!(is_granted(&verdict(&mut dispatcher, 2)));
     dispatcher.tick(at(900));
