Try: slots that were called back are granted again after 250 ms

Likely, and not traced: processes that are only slow report the slot again and are called back again. Kept: what a silent holder had in the queue is refused, not dropped, so that customers get their requests back.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -36,6 +36,11 @@
 /// that lives ever is. Targets finish or drop what a frozen or killed process had sent them, and
 /// one that was only slow reports its grants again.
 pub const HOLDER_SILENCE: Duration = Duration::from_millis(1200);
+/// How long a holder may take to give back a slot that was called back: one that lives does so in
+/// milliseconds, and the targets of one that was killed have dropped what it had sent.
+const RECALL_MAX: Duration = Duration::from_millis(250);
+/// When to come back for a request whose holder was silent.
+const SILENT_RETRY: Duration = Duration::from_millis(300);
 /// How long a grant may be missing in a holder's report before it counts as given back: the
 /// answer that carried it may still have been on its way.
 const REPORT_LAG: Duration = Duration::from_millis(600);
@@ -131,7 +136,8 @@
     target: String,
     batch: bool,
     since: Time,
-    recalled: bool,
+    /// When it was called back.
+    recalled: Option<Time>,
 }
 
 /// The queues and slots of all services, and the customers' rates.
@@ -247,7 +253,7 @@
                     target: one.target.clone(),
                     batch: one.batch,
                     since: now,
-                    recalled: false,
+                    recalled: None,
                 },
             );
         }
@@ -263,12 +269,27 @@
             .map(|(name, _)| name.clone())
             .collect();
         for holder in gone {
-            for pool in self.pools.values_mut() {
-                pool.forget(&holder);
+            let forgotten: Vec<Want> = self
+                .pools
+                .values_mut()
+                .flat_map(|pool| pool.forget(&holder))
+                .collect();
+            for want in forgotten {
+                let refused = Verdict::Busy {
+                    retry: SILENT_RETRY,
+                    wait: HOLDER_SILENCE,
+                };
+                self.refuse(now, &want, refused);
             }
             self.report(now, &holder, &[]);
             self.heard.remove(&holder);
         }
+        let is_kept = |grant: &Grant| grant.recalled.is_some_and(|at| now.since(at) >= RECALL_MAX);
+        let kept = self.grants.iter().filter(|(_, grant)| is_kept(grant));
+        let kept: Vec<Ticket> = kept.map(|(ticket, _)| *ticket).collect();
+        for ticket in kept {
+            self.release(now, ticket, Ended::Lost);
+        }
         self.run(now);
     }
 
@@ -321,14 +342,14 @@
                     target: target.clone(),
                     batch: matches!(want.urgency, Urgency::Batch { .. }),
                     since: now,
-                    recalled: false,
+                    recalled: None,
                 };
                 self.grants.insert(want.ticket, grant);
                 self.decided
                     .push((want.ticket, Verdict::Granted { target, share }));
             }
             let short = pool.shortage();
-            recall(service, short, &mut self.grants, &mut self.recalls);
+            recall(now, service, short, &mut self.grants, &mut self.recalls);
         }
         for (want, verdict) in refused {
             self.refuse(now, &want, verdict);
@@ -338,6 +359,7 @@
 
 /// Calls back the youngest grants of batch items until `short` slots are on their way back.
 fn recall(
+    now: Time,
     service: &str,
     short: usize,
     grants: &mut BTreeMap<Ticket, Grant>,
@@ -349,11 +371,11 @@
     let of_batch = |grant: &Grant| grant.batch && grant.service == service;
     let coming = grants
         .values()
-        .filter(|g| of_batch(g) && g.recalled)
+        .filter(|g| of_batch(g) && g.recalled.is_some())
         .count();
     let mut young: Vec<(Time, Ticket)> = grants
         .iter()
-        .filter(|(_, grant)| of_batch(grant) && !grant.recalled)
+        .filter(|(_, grant)| of_batch(grant) && grant.recalled.is_none())
         .map(|(ticket, grant)| (grant.since, *ticket))
         .collect();
     young.sort_unstable();
@@ -361,7 +383,7 @@
         let Some(grant) = grants.get_mut(&ticket) else {
             continue;
         };
-        grant.recalled = true;
+        grant.recalled = Some(now);
         recalls
             .entry(grant.holder.clone())
             .or_default()
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -163,8 +163,10 @@
     }
 
     /// Takes out the requests of a holder that is gone: a grant would reach nobody.
-    pub(super) fn forget(&mut self, holder: &str) {
-        self.waiting.retain(|waiting| waiting.want.holder != holder);
+    pub(super) fn forget(&mut self, holder: &str) -> Vec<Want> {
+        let is_gone = |waiting: &mut Waiting| waiting.want.holder == holder;
+        let forgotten = self.waiting.extract_if(.., is_gone);
+        forgotten.map(|waiting| waiting.want).collect()
     }
 
     /// Takes out the requests whose time is over.
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -300,6 +300,25 @@
     assert_eq!(on_time, asked, "all slots are free again by then");
 }
 
+/// Seen on botez-cluj: the process that ran all items was taken away as a crowd came.
+#[test]
+fn a_holder_that_gives_nothing_back_holds_up_no_crowd() {
+    let mut dispatcher = dispatcher(4, 8);
+    for ticket in 0..29 {
+        dispatcher.ask(at(0), item(ticket, 10_000));
+    }
+    dispatcher.take_decided();
+    for ticket in 100..116 {
+        dispatcher.ask(at(100), want(ticket));
+    }
+    for now in (100..=400).step_by(20) {
+        dispatcher.tick(at(now));
+    }
+    let decided = dispatcher.take_decided();
+    let granted = decided.iter().filter(|(_, v)| is_granted(&Some(v.clone())));
+    assert_eq!(granted.count(), 16, "{decided:?}");
+}
+
 /// While no leader answers, fronts share a customer's rate as they did before, if it was used: a
 /// leader that has seen little of a customer must not tell the first front that all of it is its own.
 #[test]
