Revert: slots that were called back are granted again after 250 ms

What a silent holder had in the queue is still refused with a final answer, and the test counts those answers.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -36,9 +36,6 @@
 /// that lives ever is. Targets finish or drop what a frozen or killed process had sent them, and
 /// one that was only slow reports its grants again.
 pub const HOLDER_SILENCE: Duration = Duration::from_millis(1200);
-/// How long a holder may take to give back a slot that was called back: one that lives does so in
-/// milliseconds, and the targets of one that was killed have dropped what it had sent.
-const RECALL_MAX: Duration = Duration::from_millis(250);
 /// When to come back for a request whose holder was silent.
 const SILENT_RETRY: Duration = Duration::from_millis(300);
 /// How long a grant may be missing in a holder's report before it counts as given back: the
@@ -136,8 +133,7 @@
     target: String,
     batch: bool,
     since: Time,
-    /// When it was called back.
-    recalled: Option<Time>,
+    recalled: bool,
 }
 
 /// The queues and slots of all services, and the customers' rates.
@@ -253,7 +249,7 @@
                     target: one.target.clone(),
                     batch: one.batch,
                     since: now,
-                    recalled: None,
+                    recalled: false,
                 },
             );
         }
@@ -284,12 +280,6 @@
             self.report(now, &holder, &[]);
             self.heard.remove(&holder);
         }
-        let is_kept = |grant: &Grant| grant.recalled.is_some_and(|at| now.since(at) >= RECALL_MAX);
-        let kept = self.grants.iter().filter(|(_, grant)| is_kept(grant));
-        let kept: Vec<Ticket> = kept.map(|(ticket, _)| *ticket).collect();
-        for ticket in kept {
-            self.release(now, ticket, Ended::Lost);
-        }
         self.run(now);
     }
 
@@ -342,14 +332,14 @@
                     target: target.clone(),
                     batch: matches!(want.urgency, Urgency::Batch { .. }),
                     since: now,
-                    recalled: None,
+                    recalled: false,
                 };
                 self.grants.insert(want.ticket, grant);
                 self.decided
                     .push((want.ticket, Verdict::Granted { target, share }));
             }
             let short = pool.shortage();
-            recall(now, service, short, &mut self.grants, &mut self.recalls);
+            recall(service, short, &mut self.grants, &mut self.recalls);
         }
         for (want, verdict) in refused {
             self.refuse(now, &want, verdict);
@@ -359,7 +349,6 @@
 
 /// Calls back the youngest grants of batch items until `short` slots are on their way back.
 fn recall(
-    now: Time,
     service: &str,
     short: usize,
     grants: &mut BTreeMap<Ticket, Grant>,
@@ -371,11 +360,11 @@
     let of_batch = |grant: &Grant| grant.batch && grant.service == service;
     let coming = grants
         .values()
-        .filter(|g| of_batch(g) && g.recalled.is_some())
+        .filter(|g| of_batch(g) && g.recalled)
         .count();
     let mut young: Vec<(Time, Ticket)> = grants
         .iter()
-        .filter(|(_, grant)| of_batch(grant) && grant.recalled.is_none())
+        .filter(|(_, grant)| of_batch(grant) && !grant.recalled)
         .map(|(ticket, grant)| (grant.since, *ticket))
         .collect();
     young.sort_unstable();
@@ -383,7 +372,7 @@
         let Some(grant) = grants.get_mut(&ticket) else {
             continue;
         };
-        grant.recalled = Some(now);
+        grant.recalled = true;
         recalls
             .entry(grant.holder.clone())
             .or_default()
