Transfer: a member that does not lead says so first

Cause of the known red a_lost_disk_is_filled_from_a_copy_and_a_second_loss_loses_nothing ("waited 60 s for: the repaired member to lead"), from the logs of a reproduced failure: the tool asked the repaired member itself to take the leadership, as it happened to be the first that it knows; that member refused for good, as nobody can hand over to itself, in place of saying that it does not lead. The leader was never asked, 2,000 times in a row. Whether it fails depends on the order of addresses.

Ruled out: an election that is lost, a copy that is not caught up (both logged as done, no change of leadership after).

Test that fails first: clem-log handover a_member_that_does_not_lead_says_so_when_asked_to_lead_itself.

--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -46,6 +46,12 @@
     ///
     /// Until it is done or given up, proposals are refused.
     pub fn transfer(&mut self, now: Time, to: Option<MemberId>) -> Result<()> {
+        if !self.is_leader() {
+            // The leader may well be able to do what this member can't judge.
+            return Err(Refused::NotLeader {
+                leader: self.leader,
+            });
+        }
         let leader = self.leader;
         let successor = to.or_else(|| self.best_successor());
         let until = now + self.settings.election;
--- a/crates/log/tests/handover.rs
+++ b/crates/log/tests/handover.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use clem_log::{Body, HardState, MemberId, Message, Node, Settings, Start, Term};
+use clem_log::{Body, HardState, MemberId, Message, Node, Refused, Settings, Start, Term};
 use clem_types::Time;
 use trio::Trio;
 
@@ -73,3 +73,13 @@
     trio.deliver();
     assert!(trio.nodes[1].is_leader(), "without waiting for a timeout");
 }
+
+/// Seen as a red test of copies: asked to lead itself, a member that did not lead refused for good,
+/// and the leader was never asked.
+#[test]
+fn a_member_that_does_not_lead_says_so_when_asked_to_lead_itself() {
+    let mut trio = Trio::elected();
+    let asked = trio.nodes[1].transfer(trio.now, Some(MemberId(2)));
+    let leader = Some(MemberId(1));
+    assert_eq!(asked, Err(Refused::NotLeader { leader }));
+}
