Batch reads wait until they are not stale; one copy of barrier and propose

Found when the change was read once more: since an office outlasts its lease, reads of results and bodies at the leader of the batch keepers no longer asked for a lease. For as long as a message takes, a former leader could have said that a batch is unknown which the next one had taken. Both handlers look a job up in one place. No test of its own: the span is some milliseconds between two processes, and the barrier itself is tested in clem-log and clem-checks.

`Grouped` brings barrier and propose for all programs around a group; Control and Hub had a copy each.

--- a/crates/batch/src/duties.rs
+++ b/crates/batch/src/duties.rs
@@ -79,7 +79,7 @@
         let done: Vec<_> = ended.iter().map(|item| (item.job, item.item)).collect();
         while keeper.lead(|_| ()).is_ok() {
             if keeper
-                .propose(JobCommand::List(ended.clone()))
+                .propose_job(JobCommand::List(ended.clone()))
                 .await
                 .is_ok()
             {
@@ -117,7 +117,9 @@
             .read(|store| jobs::has_older(store, UnixMillis(before)));
         if old {
             // A change that was not made is tried again next time.
-            let _ = keeper.propose(JobCommand::Forget(UnixMillis(before))).await;
+            let _ = keeper
+                .propose_job(JobCommand::Forget(UnixMillis(before)))
+                .await;
         }
     }
 }
--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -7,7 +7,7 @@
 
 use clem_control::{
     replica::Replica,
-    serving::{self, Grouped, Refusal, Result},
+    serving::{Grouped, Refusal, Result},
 };
 use clem_direct::Node;
 use clem_policy::dispatch::Ticket;
@@ -82,9 +82,9 @@
         Ok(work(board))
     }
 
-    /// Proposes a change and waits for its outcome.
-    pub(crate) async fn propose(&self, command: JobCommand) -> Result<JobOutcome> {
-        let outcome = serving::propose(&self.replica, Command::Job(command)).await?;
+    /// Proposes a change of jobs and waits for its outcome.
+    pub(crate) async fn propose_job(&self, command: JobCommand) -> Result<JobOutcome> {
+        let outcome = self.propose(Command::Job(command)).await?;
         let Outcome::Job(outcome) = outcome else {
             return Err(Refusal::Unknown);
         };
--- a/crates/batch/src/serve.rs
+++ b/crates/batch/src/serve.rs
@@ -3,13 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use clem_control::serving::{Refusal, Result, Serve, route};
+use clem_control::serving::{Grouped, Refusal, Result, Serve, route};
 use clem_edge::ResultsPage;
-use clem_state::jobs::{self, JobCommand, JobOutcome};
+use clem_state::jobs::{self, JobCommand, JobNumber, JobOutcome};
 use clem_types::ItemIndex;
 use clem_wire::{
     Call,
-    jobs::{EndJob, ReadItem, ReadResults, SubmitJob, SubmitReply},
+    jobs::{EndJob, JobName, ReadItem, ReadResults, SubmitJob, SubmitReply},
 };
 use salvo::Router;
 
@@ -36,7 +36,7 @@
         let now = keeper.node.clock.wall();
         let batch = self.spec.id.clone();
         let command = JobCommand::Submit { call: self, now };
-        let JobOutcome::Submitted(reply, fresh) = keeper.propose(command).await? else {
+        let JobOutcome::Submitted(reply, fresh) = keeper.propose_job(command).await? else {
             return Err(Refusal::Unknown);
         };
         log::info!(batch = batch.as_str(), reply:? = reply, fresh = fresh.is_some(); "batch taken");
@@ -59,11 +59,7 @@
         let after = u32::try_from(self.after).unwrap_or(u32::MAX);
         loop {
             listed.mark_unchanged();
-            keeper.lead(|_| ())?;
-            let number = keeper
-                .replica
-                .read(|store| jobs::number_of(store, &self.job));
-            let Some(number) = number else {
+            let Some(number) = number_of(&keeper, &self.job).await? else {
                 return Ok(None);
             };
             let Some(job) = keeper.replica.read(|store| jobs::job(store, number)) else {
@@ -92,11 +88,7 @@
 
 impl Serve<Keeper> for ReadItem {
     async fn serve(self, keeper: Arc<Keeper>) -> Result<Option<Bytes>> {
-        keeper.lead(|_| ())?;
-        let number = keeper
-            .replica
-            .read(|store| jobs::number_of(store, &self.job));
-        let Some(number) = number else {
+        let Some(number) = number_of(&keeper, &self.job).await? else {
             return Ok(None);
         };
         Ok(keeper
@@ -105,13 +97,19 @@
     }
 }
 
+/// The number of a job, if there is such a job; what is read here afterwards is not stale.
+async fn number_of(keeper: &Keeper, job: &JobName) -> Result<Option<JobNumber>> {
+    keeper.barrier().await?;
+    Ok(keeper.replica.read(|store| jobs::number_of(store, job)))
+}
+
 impl Serve<Keeper> for EndJob {
     const DETACHED: bool = true;
 
     async fn serve(self, keeper: Arc<Keeper>) -> Result<bool> {
         keeper.lead(|_| ())?;
         let batch = self.job.id.clone();
-        let JobOutcome::Ended(ended) = keeper.propose(JobCommand::End(self.job)).await? else {
+        let JobOutcome::Ended(ended) = keeper.propose_job(JobCommand::End(self.job)).await? else {
             return Err(Refusal::Unknown);
         };
         log::info!(batch = batch.as_str(), found = ended.is_some(); "batch ended");
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -7,16 +7,12 @@
 
 use clem_boot::Clock;
 use clem_rules::Rules;
-use clem_state::{Command, Outcome, orders, poison, rules};
+use clem_state::{orders, poison, rules};
 use clem_types::{Epoch, Time, UnixMillis};
 use tokio::sync::watch;
 
-pub use crate::serving::{Refusal, Result};
-use crate::{
-    lead::Lead,
-    replica::Replica,
-    serving::{self, Grouped},
-};
+pub use crate::serving::{Grouped, Refusal, Result};
+use crate::{lead::Lead, replica::Replica};
 
 /// Bounds that enter commands as values.
 #[derive(Debug, Clone, Copy)]
@@ -60,22 +56,6 @@
         }
     }
 
-    /// Waits until reads here are not stale.
-    ///
-    /// # Errors
-    /// This process does not lead.
-    pub async fn barrier(&self) -> Result<()> {
-        serving::barrier(&self.replica).await
-    }
-
-    /// Proposes a command and waits for its outcome.
-    ///
-    /// # Errors
-    /// This process does not lead, or lost its place meanwhile.
-    pub async fn propose(&self, command: Command) -> Result<Outcome> {
-        serving::propose(&self.replica, command).await
-    }
-
     /// Works on the leader's soft state; built anew when this process has just begun to lead.
     ///
     /// # Errors
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -87,14 +87,16 @@
             reserve_bytes,
             pace,
         } = settings;
+        let client = Client::new(secret);
         let Some(data_dir) = data_dir else {
+            // It never takes a seat, so nothing is ever written.
             let store = RedbStore::in_memory().wrap_err("can't open a store in memory")?;
             let shared = Arc::new(Shared::new(Parts {
                 address,
                 peers,
                 data_dir: PathBuf::new(),
                 clock,
-                client: Client::new(secret),
+                client,
                 member: MemberId(rand::random()),
                 votes: false,
                 store,
@@ -123,7 +125,7 @@
             peers,
             data_dir,
             clock,
-            client: Client::new(secret),
+            client,
             member: recovered.identity.member,
             votes: true,
             store,
--- a/crates/control/src/serving.rs
+++ b/crates/control/src/serving.rs
@@ -25,6 +25,33 @@
 pub trait Grouped: Send + Sync + 'static {
     /// This process's part in the group.
     fn replica(&self) -> &Replica;
+
+    /// Waits until reads here are not stale.
+    ///
+    /// # Errors
+    /// This process does not lead.
+    fn barrier(&self) -> impl Future<Output = Result<()>> + Send {
+        async {
+            if self.replica().read_barrier().await {
+                return Ok(());
+            }
+            Err(Refusal::NotLeader)
+        }
+    }
+
+    /// Proposes a command and waits for its outcome.
+    ///
+    /// # Errors
+    /// This process does not lead, or lost its place meanwhile.
+    fn propose(&self, command: Command) -> impl Future<Output = Result<Outcome>> + Send {
+        async {
+            match self.replica().propose(command).await {
+                Proposed::Done(outcome) => Ok(outcome),
+                Proposed::NotLeader => Err(Refusal::NotLeader),
+                Proposed::Unknown => Err(Refusal::Unknown),
+            }
+        }
+    }
 }
 
 /// A call that the leader of a group answers; `S` is what its handlers share.
@@ -51,29 +78,6 @@
     })
 }
 
-/// Proposes a command and waits for its outcome.
-///
-/// # Errors
-/// This process does not lead, or lost its place meanwhile.
-pub async fn propose(replica: &Replica, command: Command) -> Result<Outcome> {
-    match replica.propose(command).await {
-        Proposed::Done(outcome) => Ok(outcome),
-        Proposed::NotLeader => Err(Refusal::NotLeader),
-        Proposed::Unknown => Err(Refusal::Unknown),
-    }
-}
-
-/// Waits until reads here are not stale.
-///
-/// # Errors
-/// This process does not lead.
-pub async fn barrier(replica: &Replica) -> Result<()> {
-    if replica.read_barrier().await {
-        return Ok(());
-    }
-    Err(Refusal::NotLeader)
-}
-
 /// Reads a call, has it answered, and writes the reply.
 struct Endpoint<C, S> {
     shared: Arc<S>,
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -9,11 +9,11 @@
 use clem_boot::Clock;
 use clem_control::{
     replica::Replica,
-    serving::{self, Grouped, Refusal, Result},
+    serving::{Grouped, Refusal, Result},
 };
 use clem_edge::Dialect;
 use clem_policy::dispatch::{Ended, Ticket, Verdict};
-use clem_state::{Command, Outcome, depot, document};
+use clem_state::{depot, document};
 use clem_types::Time;
 use clem_wire::ControlClient;
 use tokio::sync::{oneshot, watch};
@@ -72,22 +72,6 @@
         }
     }
 
-    /// Waits until reads here are not stale.
-    ///
-    /// # Errors
-    /// This process does not lead.
-    pub async fn barrier(&self) -> Result<()> {
-        serving::barrier(&self.replica).await
-    }
-
-    /// Proposes a command and waits for its outcome.
-    ///
-    /// # Errors
-    /// This process does not lead, or lost its place meanwhile.
-    pub async fn propose(&self, command: Command) -> Result<Outcome> {
-        serving::propose(&self.replica, command).await
-    }
-
     /// Works on the leader's soft state, built anew when this process has just begun to lead, and
     /// hands out the answers that are ready then.
     ///
