--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -46,21 +46,17 @@
     ///
     /// Until it is done or given up, proposals are refused.
     pub fn transfer(&mut self, now: Time, to: Option<MemberId>) -> Result<()> {
-        if !self.is_leader() {
-            // The leader may well be able to do what this member can't judge.
-            return Err(Refused::NotLeader {
-                leader: self.leader,
-            });
-        }
-        let leader = self.leader;
         let successor = to.or_else(|| self.best_successor());
+        let voter = successor.filter(|id| *id != self.id && self.members().is_voter(*id));
         let until = now + self.settings.election;
-        let Some(to) = successor.filter(|id| *id != self.id && self.members().is_voter(*id)) else {
-            return Err(Refused::ChangeRefused);
-        };
+        let leader = self.leader;
+        // Said first: the leader may be able to do what this member can't judge.
         let Role::Leader(lead) = &mut self.role else {
             return Err(Refused::NotLeader { leader });
         };
+        let Some(to) = voter else {
+            return Err(Refused::ChangeRefused);
+        };
         lead.transfer = Some(Transfer { to, until });
         self.finish_transfer(now);
         Ok(())
--- a/crates/policy/src/dispatch/comeback.rs
+++ b/crates/policy/src/dispatch/comeback.rs
@@ -43,18 +43,12 @@
     /// Counts a caller; says whether it has most likely been refused before, as it has less time
     /// left than callers of this route usually bring.
     pub fn note(&mut self, route: &str, patience: Duration) -> bool {
-        if !self.routes.contains_key(route) {
-            if self.routes.len() >= ROUTES_MAX {
-                self.routes.clear();
-            }
-            self.routes.insert(route.to_owned(), Habit::default());
+        if self.routes.len() >= ROUTES_MAX && !self.routes.contains_key(route) {
+            self.routes.clear();
         }
-        let Some(habit) = self.routes.get_mut(route) else {
-            return false;
-        };
+        let habit = self.routes.entry(route.to_owned()).or_default();
         habit.count(patience);
-        let usual = habit.usual();
-        patience.as_secs_f64() < usual.as_secs_f64() * RETURNED_BELOW
+        patience < habit.usual().mul_f64(RETURNED_BELOW)
     }
 }
 
--- a/crates/policy/src/dispatch/rate.rs
+++ b/crates/policy/src/dispatch/rate.rs
@@ -35,7 +35,7 @@
 /// taken for its part of the rate: a leader that has just begun has seen few holders.
 const EVIDENCE_S: f64 = 4.0;
 /// Requests below which a holder is forgotten.
-const SHARE_MIN: f64 = 0.01;
+const TAKEN_MIN: f64 = 0.01;
 /// The span over which the shares of holders are averaged.
 pub(super) const SHARE_SPAN: Duration = Duration::from_secs(8);
 
@@ -109,7 +109,7 @@
             at: now,
         };
         let own = taken.count;
-        self.taken.retain(|_, taken| taken.now(now) > SHARE_MIN);
+        self.taken.retain(|_, taken| taken.now(now) > TAKEN_MIN);
         let all: f64 = self.taken.values().map(|taken| taken.now(now)).sum();
         Share {
             part: own / all.max(self.limit.rate * EVIDENCE_S).max(own),
--- a/crates/policy/tests/comeback.rs
+++ b/crates/policy/tests/comeback.rs
@@ -2,16 +2,16 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by its panic")]
 
+mod loads;
+
 use std::{collections::BTreeMap, time::Duration};
 
-use clem_policy::dispatch::{
-    Dispatcher, Ended, Habits, Slots, Ticket, Urgency, Verdict, Want, comeback,
-};
+use clem_policy::dispatch::{Dispatcher, Ended, Habits, Slots, Ticket, Verdict, Want, comeback};
 use clem_types::Time;
+use loads::SERVICE;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const SERVICE: &str = "engines";
 /// 80 slots that are held for half a second each: 160 requests a second.
 const TARGETS: usize = 10;
 const SLOTS: u32 = 8;
@@ -47,17 +47,10 @@
 
 fn want(ticket: u64, last: bool) -> Want {
     Want {
-        ticket: Ticket(ticket),
-        holder: "front".to_owned(),
-        service: SERVICE.to_owned(),
-        customer: None,
-        rank: 0,
-        urgency: Urgency::Online,
         last,
         on_time: Duration::from_millis(OBJECTIVE_MS - 60),
         patience: Duration::from_millis(OBJECTIVE_MS * 3 - 60),
-        data_centre: "a".to_owned(),
-        avoid: Vec::new(),
+        ..loads::want(ticket)
     }
 }
 
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -1,13 +1,14 @@
 //! Loads that the dispatcher answers, and what callers get.
 
+mod loads;
+
 use std::time::Duration;
 
 use clem_policy::dispatch::{
     Dispatcher, Ended, Held, RateLimit, Slots, Ticket, Urgency, Verdict, Want,
 };
 use clem_types::Time;
-
-const SERVICE: &str = "engines";
+use loads::{SERVICE, want};
 
 fn at(ms: u64) -> Time {
     Time::from_millis(ms)
@@ -32,22 +33,6 @@
     }
 }
 
-fn want(ticket: u64) -> Want {
-    Want {
-        ticket: Ticket(ticket),
-        holder: "front".to_owned(),
-        service: SERVICE.to_owned(),
-        customer: None,
-        rank: 0,
-        urgency: Urgency::Online,
-        last: false,
-        on_time: ms(240),
-        patience: ms(800),
-        data_centre: "a".to_owned(),
-        avoid: Vec::new(),
-    }
-}
-
 fn item(ticket: u64, due: u64) -> Want {
     Want {
         holder: "keeper".to_owned(),
--- /dev/null
+++ b/crates/policy/tests/loads/mod.rs
@@ -0,0 +1,24 @@
+//! What the played loads of the dispatcher have in common.
+
+use std::time::Duration;
+
+use clem_policy::dispatch::{Ticket, Urgency, Want};
+
+pub(crate) const SERVICE: &str = "engines";
+
+/// An online request that may wait 240 ms to be on time, and 800 ms at all.
+pub(crate) fn want(ticket: u64) -> Want {
+    Want {
+        ticket: Ticket(ticket),
+        holder: "front".to_owned(),
+        service: SERVICE.to_owned(),
+        customer: None,
+        rank: 0,
+        urgency: Urgency::Online,
+        last: false,
+        on_time: Duration::from_millis(240),
+        patience: Duration::from_millis(800),
+        data_centre: "a".to_owned(),
+        avoid: Vec::new(),
+    }
+}
