Log how far rules have spread, and polls that were begun anew

What callers saw: requests handled by rules that had been replaced more than 2.5 s before. The lines could not tell apart whether the volume, replies begun anew, or slow receivers cost the time.

Added: 'rules sent', 'rules in force everywhere', 'rules not in force everywhere yet', 'call to the leader retried'; reply and parse times in 'rules in force'.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use clem_types::Time;
 use clem_wire::fleet::{FOLLOW_MAX_HOLD, Follow, FollowReply};
 
 use tokio::sync::watch;
@@ -21,6 +22,7 @@
     let mut lost = None;
     loop {
         let call = call(&node);
+        let sent = node.now();
         match node.hub.call(&call, TIMEOUT).await {
             Ok(reply) => {
                 let now = node.now();
@@ -29,7 +31,7 @@
                     let away = now.since(since).as_millis();
                     log::info!(away_ms = away as u64; "hub reachable again");
                 }
-                apply_reply(&node, reply);
+                apply_reply(&node, sent, reply);
             }
             Err(error) => {
                 if lost.is_none() {
@@ -58,7 +60,8 @@
     }
 }
 
-fn apply_reply(node: &Node, reply: FollowReply) {
+/// Applies the reply to a poll that was sent at `sent`.
+fn apply_reply(node: &Node, sent: Time, reply: FollowReply) {
     let now = node.now();
     let mut changed = false;
     node.view().heard = Some(now);
@@ -67,8 +70,15 @@
         match node.dialect.read_rules(&document.document) {
             Ok(rules) => {
                 let version = rules.version.0;
+                let previous = node.view().version().0;
+                let read = node.now().since(now);
                 if node.view().install_rules(rules) {
-                    log::info!(version; "rules in force");
+                    log::info!(
+                        version, previous, bytes = document.document.len(),
+                        reply_ms = now.since(sent).as_millis() as u64,
+                        read_ms = read.as_millis() as u64;
+                        "rules in force"
+                    );
                     changed = true;
                 }
             }
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -17,6 +17,8 @@
     FleetList, FleetListVersion, Follow, FollowReply, ProcessRole, RetireReply, RulesDocument,
 };
 
+use crate::{RulesSpread, SpreadReport};
+
 /// How long a process counts as alive after its last report.
 const PROCESS_TIMEOUT: Duration = Duration::from_millis(4000);
 /// How long a leader collects batch keepers after the first one reports, before it picks the
@@ -56,6 +58,7 @@
     members: Vec<SocketAddr>,
     allowance: f64,
     first_keeper: Option<Time>,
+    spread: RulesSpread,
 }
 
 /// A process that reports to the leader.
@@ -67,6 +70,8 @@
     pub role: ProcessRole,
     /// Address for calls from other processes; `None` if it serves none.
     pub address: Option<SocketAddr>,
+    /// Version of its rules.
+    rules: Version,
     heard: Time,
 }
 
@@ -86,6 +91,7 @@
             members: Vec::new(),
             allowance: start.allowance,
             first_keeper: None,
+            spread: RulesSpread::default(),
         }
     }
 
@@ -105,6 +111,7 @@
         if document.version <= self.rules.version {
             return;
         }
+        self.spread.start(now, document.version);
         self.rules = document;
         let mut rates = HashMap::new();
         for customer in &rules.customers {
@@ -159,6 +166,7 @@
             vm: follow.vm.clone(),
             role: follow.role,
             address: follow.address,
+            rules: follow.rules,
             heard: now,
         };
         if self
@@ -188,6 +196,14 @@
         }
     }
 
+    /// A report on the newest rules, once they are in force on all processes, and at intervals until
+    /// then.
+    pub fn check_spread(&mut self, now: Time) -> Option<SpreadReport> {
+        let processes = self.processes.values();
+        self.spread
+            .check(now, processes.map(|p| (p.vm.as_str(), p.rules)))
+    }
+
     /// The founding members of the batch group, once enough batch keepers have reported; `None`
     /// before that and once it is founded.
     pub fn founders(&self, now: Time, tolerance: usize) -> Option<Vec<SocketAddr>> {
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -7,8 +7,10 @@
 mod operator;
 mod program;
 mod serve;
+mod spread;
 mod tasks;
 
 pub use hub::Hub;
 pub use lead::{LeaderInit, LeaderState, Process};
 pub use program::{HubSettings, consensus_settings, run};
+pub use spread::{RulesSpread, SpreadReport};
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -39,6 +39,13 @@
             updates.mark_unchanged();
             let members = hub.members();
             if let Some(reply) = hub.with_leader(|leader, _| leader.updates(&self, members))? {
+                if let Some(rules) = &reply.rules {
+                    log::info!(
+                        vm = self.vm.as_str(), version = rules.version.0, known = self.rules.0,
+                        bytes = rules.document.len();
+                        "rules sent"
+                    );
+                }
                 return Ok(reply);
             }
             tokio::select! {
--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -6,7 +6,7 @@
 use clem_direct::read_targets;
 use clem_state::{Command, batch_group::BatchGroupChange};
 
-use crate::Hub;
+use crate::{Hub, SpreadReport};
 
 /// How often the list is read; a draining target is listed as such for seconds before it stops.
 const LIST_INTERVAL: Duration = Duration::from_millis(900);
@@ -89,10 +89,14 @@
 }
 
 async fn leader_tick(hub: &Hub) -> Result<()> {
-    let founders = hub.with_leader(|leader, now| {
+    let (founders, spread) = hub.with_leader(|leader, now| {
         leader.tick(now);
-        leader.founders(now, hub.tolerance)
+        let founders = leader.founders(now, hub.tolerance);
+        (founders, leader.check_spread(now))
     })?;
+    if let Some(report) = spread {
+        log_spread(&report);
+    }
     let Some(founders) = founders else {
         return Ok(());
     };
@@ -100,6 +104,29 @@
     change_batch_group(hub, BatchGroupChange::Found(founders)).await
 }
 
+fn log_spread(report: &SpreadReport) {
+    match report {
+        SpreadReport::Complete {
+            version,
+            took,
+            processes,
+        } => log::info!(
+            version = version.0, took_ms = took.as_millis() as u64, processes;
+            "rules in force everywhere"
+        ),
+        SpreadReport::Lagging {
+            version,
+            took,
+            missing,
+            vms,
+        } => log::warn!(
+            version = version.0, took_ms = took.as_millis() as u64, missing,
+            vms = vms.join(" ").as_str();
+            "rules not in force everywhere yet"
+        ),
+    }
+}
+
 /// Commits a change of the batch group's state.
 pub(crate) async fn change_batch_group(hub: &Hub, change: BatchGroupChange) -> Result<()> {
     hub.propose(Command::BatchGroup(change)).await?;
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -59,13 +59,16 @@
     where
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
     {
-        let end = Instant::now() + timeout;
+        let start = Instant::now();
+        let end = start + timeout;
         let mut arrived = false;
+        let mut tries = 0;
         loop {
             let members = self.leader().count();
             for _ in 0..=members {
                 let left = end.saturating_duration_since(Instant::now());
                 if left.is_zero() {
+                    log_retries::<C>(start, tries, false);
                     return Err(timeout_error(arrived));
                 }
                 let Some(address) = self.leader().presumed() else {
@@ -73,9 +76,11 @@
                 };
                 let try_timeout = self.try_timeout::<C>(timeout);
                 let sent = Instant::now();
+                tries += 1;
                 match self.send(address, call, left.min(try_timeout)).await {
                     Ok(LeaderReply::Done(reply)) => {
                         self.leader().note_leader(address);
+                        log_retries::<C>(start, tries, true);
                         return Ok(reply);
                     }
                     Ok(LeaderReply::NotLeader { leader }) => {
@@ -90,6 +95,7 @@
                         arrived |= !error.is_not_run();
                         if left < try_timeout && Instant::now() >= end {
                             // The process is not avoided: it had less time than usual to reply.
+                            log_retries::<C>(start, tries, false);
                             return Err(timeout_error(arrived));
                         }
                         self.note_error(sent, address);
@@ -179,6 +185,17 @@
     }
 }
 
+/// Logs a call that took more than one try.
+fn log_retries<C: Call>(start: Instant, tries: u32, replied: bool) {
+    if tries < 2 {
+        return;
+    }
+    log::info!(
+        call = C::PATH, tries, replied, took_ms = start.elapsed().as_millis() as u64;
+        "call to the leader retried"
+    );
+}
+
 fn timeout_error(arrived: bool) -> CallError {
     if arrived {
         return CallError::MayHaveArrived("no control process answered in time".to_owned());
