--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -18,8 +18,10 @@
 pub struct HubSettings {
     /// The name of the vm.
     pub vm: String,
-    /// Address for calls from members, fronts and batch keepers.
+    /// Address at which members, fronts and batch keepers reach this process.
     pub address: SocketAddr,
+    /// Address on which it accepts their calls; differs from `address` behind a proxy.
+    pub listen: SocketAddr,
     /// Address for operators' calls.
     pub operator: SocketAddr,
     /// Initial members.
@@ -66,7 +68,7 @@
 ) -> eyre::Result<()> {
     let clock = Clock::start();
     let has_disk = settings.data_dir.is_some();
-    let internal = listen(settings.address)?;
+    let internal = listen(settings.listen)?;
     let operator = listen(settings.operator)?;
     let replica = Replica::open(ReplicaSettings {
         data_dir: settings.data_dir,
