A transfer that makes progress is not given up and begun anew

What callers saw: requests handled by rules that had been replaced more than 2.5 s before. Cause, second part: a call to the leader was given up when its whole reply had not arrived in 0.7 s more than it may be held, and asked again from its first byte. Class: a fixed timeout over a transfer whose size grows with the deployment, without regard to progress.

Fix: a try ends when nothing arrives for that time; a long body may take as long as at 1 MB/s. A member that stops in the middle of its reply is still left after the same time (test).

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -15,6 +15,8 @@
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The slowest link on which a long call is not given up, in bytes per second.
+const UPLOAD_RATE_MIN: f64 = 1_000_000.0;
 /// How long an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -80,6 +82,37 @@
         }
     }
 
+    /// Posts raw bytes and reads the complete response body, however long that takes within
+    /// `timeout`, unless nothing arrives for `stall`.
+    ///
+    /// A transfer that makes progress over a slow link must not be given up and begun anew: if all
+    /// followers of a process do so at once, the link is full and no transfer ever ends.
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub(crate) async fn post_unless_stalled(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+        stall: Duration,
+        timeout: Duration,
+    ) -> Result<Bytes> {
+        let upload = Duration::from_secs_f64(body.len() as f64 / UPLOAD_RATE_MIN);
+        let exchange = async {
+            let Ok(opened) =
+                tokio::time::timeout(stall + upload, self.open(address, path, body)).await
+            else {
+                return Err(CallError::MayHaveArrived("no reply in time".to_owned()));
+            };
+            read_unless_stalled(opened?.into_body(), stall).await
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::MayHaveArrived("no reply in time".to_owned())),
+        }
+    }
+
     /// Posts raw bytes and returns the response once its headers have arrived; used for dispatches,
     /// whose answers are streamed.
     ///
@@ -112,6 +145,27 @@
     }
 }
 
+async fn read_unless_stalled(mut body: Incoming, stall: Duration) -> Result<Bytes> {
+    let failed = |reason: &str| CallError::MayHaveArrived(reason.to_owned());
+    let mut read = BytesMut::new();
+    loop {
+        let Ok(frame) = tokio::time::timeout(stall, body.frame()).await else {
+            return Err(failed("the reply stalled"));
+        };
+        let Some(frame) = frame else {
+            return Ok(read.freeze());
+        };
+        let frame = frame.map_err(|error| failed(&error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if read.len() + data.len() > MAX_MESSAGE_BYTES {
+            return Err(failed("the reply is too long"));
+        }
+        read.extend_from_slice(&data);
+    }
+}
+
 /// Maximum size of an error response that is read, in bytes.
 const MAX_REFUSAL_BYTES: usize = 4096;
 
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -10,7 +10,7 @@
 
 /// Pause after all processes of the group have been tried.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
-/// How long to wait for a reply, in addition to the time that the call may be held, before the next
+/// How long nothing may arrive, in addition to the time that the call may be held, before the next
 /// process is tried.
 const TRY_TIMEOUT: Duration = Duration::from_millis(700);
 /// A call that fails sooner than this has reached a process that is starting or stopping, not one
@@ -77,7 +77,7 @@
                 let try_timeout = self.try_timeout::<C>(timeout);
                 let sent = Instant::now();
                 tries += 1;
-                match self.send(address, call, left.min(try_timeout)).await {
+                match self.send(address, call, try_timeout, left).await {
                     Ok(LeaderReply::Done(reply)) => {
                         self.leader().note_leader(address);
                         log_retries::<C>(start, tries, true);
@@ -93,8 +93,9 @@
                     Err(error @ CallError::Refused { .. }) => return Err(error),
                     Err(error) => {
                         arrived |= !error.is_not_run();
-                        if left < try_timeout && Instant::now() >= end {
-                            // The process is not avoided: it had less time than usual to reply.
+                        if Instant::now() >= end {
+                            // The process is not avoided: it had less time than usual to reply, or
+                            // was still replying.
                             log_retries::<C>(start, tries, false);
                             return Err(timeout_error(arrived));
                         }
@@ -122,7 +123,7 @@
                 return Err(timeout_error(false));
             };
             let sent = Instant::now();
-            match self.send(address, call, left).await {
+            match self.send(address, call, left, left).await {
                 Ok(LeaderReply::Done(reply)) => {
                     self.leader().note_leader(address);
                     return Ok(reply);
@@ -143,7 +144,7 @@
         Err(timeout_error(false))
     }
 
-    /// How long to wait for one process; a single member gets the whole timeout, since there is no
+    /// How long one process may send nothing; a single member gets the whole timeout, since there is no
     /// other to try.
     fn try_timeout<C: Call>(&self, timeout: Duration) -> Duration {
         if self.leader().count() == 1 {
@@ -156,6 +157,7 @@
         &self,
         address: SocketAddr,
         call: &C,
+        stall: Duration,
         timeout: Duration,
     ) -> Result<LeaderReply<C::Reply>>
     where
@@ -165,7 +167,7 @@
             crate::codec::encode(call).map_err(|error| CallError::NotSent(error.to_string()))?;
         let reply = self
             .client
-            .post(address, C::PATH, body.into(), timeout)
+            .post_unless_stalled(address, C::PATH, body.into(), stall, timeout)
             .await?;
         crate::codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
     }
