Rules that are stored already are not replicated again

What callers saw: requests handled by rules that had been replaced more than 2.5 s before; the operator waited up to 4.5 s for the acknowledgement of rules that were sent right after a large change. Why this is right: stored rules are committed, and a version that is not higher changes nothing, so any member that has stored it may acknowledge. The leader takes proposals of rules one at a time, so that a resend finds the first one stored. A leader's own state can't miss rules by this: it is built only once the log is applied, and dropped with the leadership.

--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -14,7 +14,7 @@
 use clem_edge::Dialect;
 use clem_policy::dispatch::{GrantOutcome, Ticket, Verdict};
 use clem_state::{batch_group, document};
-use clem_types::Time;
+use clem_types::{Time, Version};
 use clem_wire::LeaderClient;
 use tokio::sync::{oneshot, watch};
 
@@ -42,6 +42,8 @@
     leader: Mutex<Option<LeaderState>>,
     waiters: Mutex<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     updates: watch::Sender<u64>,
+    /// Held while rules are proposed, so that a resend finds them stored.
+    pub(crate) put_turn: tokio::sync::Mutex<()>,
 }
 
 /// Arguments of [`Hub::new`].
@@ -70,6 +72,7 @@
             leader: Mutex::new(None),
             waiters: Mutex::default(),
             updates: watch::Sender::new(0),
+            put_turn: tokio::sync::Mutex::new(()),
         }
     }
 
@@ -154,6 +157,11 @@
         let _ = self.with_leader(|leader, now| leader.dispatcher.withdraw(now, ticket));
     }
 
+    /// The version of the rules that this process knows to be stored by the group.
+    pub(crate) fn stored_rules(&self) -> Version {
+        self.replica.read(document::version)
+    }
+
     /// Subscribes to possible updates for followers.
     pub(crate) fn updates(&self) -> watch::Receiver<u64> {
         self.updates.subscribe()
--- a/crates/hub/src/operator.rs
+++ b/crates/hub/src/operator.rs
@@ -109,6 +109,11 @@
             return hub.dialect.rules_rejected(&findings);
         }
     };
+    let stored = hub.stored_rules();
+    if rules.version <= stored {
+        log::info!(version = rules.version.0, kept = stored.0; "rules already stored");
+        return hub.dialect.operator_done();
+    }
     let packed = match RulesDocument::new(rules.version, &document) {
         Ok(packed) => packed,
         Err(error) => {
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -114,6 +114,12 @@
 
     async fn serve(self, hub: Arc<Hub>) -> Result<Version> {
         let version = self.rules.version;
+        let _turn = hub.put_turn.lock().await;
+        let stored = hub.stored_rules();
+        if version <= stored {
+            log::info!(version = version.0, kept = stored.0; "rules already stored");
+            return Ok(stored);
+        }
         let outcome = hub.propose(Command::Document(self.rules)).await?;
         let Outcome::Document(kept) = outcome else {
             return Err(ServeError::Unknown);
