Rules are fetched beside the polls, from any member of the hub

What callers saw: requests handled by rules that had been replaced more than 2.5 s before, and up to half of them refused meanwhile. Fix: the reply to a poll announces the version; the document is fetched from a member of the hub in a random order, by a task of its own, given up only when a member stalls. Short rules (4 kB packed) still travel with the poll. Followers of the former build, which don't say what was announced to them, get the unpacked document with the poll.

--- /dev/null
+++ b/crates/direct/src/fetch.rs
@@ -0,0 +1,83 @@
+//! Fetches announced rules from any member of the hub, beside the polls of
+//! [`follow`](crate::follow()): polls carry what can't wait, and large rules would delay it.
+//!
+//! See `docs/design/platform.md`, "Rules on their way".
+
+use std::{net::SocketAddr, time::Duration};
+
+use clem_types::Version;
+use clem_wire::{
+    LeaderReply,
+    fleet::{FetchRules, RulesDocument},
+};
+
+use crate::{Node, follow::apply_rules};
+
+/// How long a member may send nothing before another one is asked.
+const STALL: Duration = Duration::from_millis(500);
+/// Timeout of one transfer, however slow the link.
+const TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause after all members have been asked.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+
+/// Fetches each version that the hub announces, until the process exits.
+pub(crate) async fn fetch_announced(node: &Node) {
+    let mut announced = node.announced();
+    let mut fetcher = Fetcher::default();
+    // Rules that can't be put in force here are not fetched again.
+    let mut unusable = Version(0);
+    loop {
+        let newer = |version: &Version| *version > node.view().version().max(unusable);
+        let wanted = match announced.wait_for(newer).await {
+            Ok(version) => *version,
+            // The sender is part of the node, which outlives this call.
+            Err(_) => return,
+        };
+        let sent = node.now();
+        let rules = fetcher.fetch(node, wanted).await;
+        if apply_rules(node, sent, &rules) {
+            node.note_change();
+            continue;
+        }
+        if node.view().version() < rules.version {
+            unusable = rules.version;
+        }
+    }
+}
+
+/// Asks the hub's members for rules.
+#[derive(Debug, Default)]
+struct Fetcher {
+    /// Members that failed during the last fetch; they are asked last.
+    failed: Vec<SocketAddr>,
+}
+
+impl Fetcher {
+    /// Fetches rules that are at least as new as `wanted`, from members in a random order, so that
+    /// no member's link has to carry them all.
+    async fn fetch(&mut self, node: &Node, wanted: Version) -> RulesDocument {
+        let call = FetchRules { wanted };
+        loop {
+            let mut members = node.hub.addresses();
+            node.shuffle(&mut members);
+            members.sort_by_key(|member| self.failed.contains(member));
+            self.failed.clear();
+            for member in members {
+                match node.hub.call_member(member, &call, STALL, TIMEOUT).await {
+                    Ok(LeaderReply::Done(rules)) => return rules,
+                    Ok(LeaderReply::NotLeader { .. } | LeaderReply::Unknown) => {
+                        log::debug!(member:% = member, wanted = wanted.0; "member lacks the rules");
+                    }
+                    Err(error) => {
+                        log::info!(
+                            member:% = member, wanted = wanted.0, error:% = error;
+                            "rules not fetched from a member"
+                        );
+                        self.failed.push(member);
+                    }
+                }
+            }
+            tokio::time::sleep(node.with_jitter(ROUND_PAUSE)).await;
+        }
+    }
+}
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 
-use crate::Node;
+use crate::{Node, fetch::fetch_announced};
 
 /// Timeout of one poll, across all members of the hub.
 const TIMEOUT: Duration = Duration::from_millis(8000);
@@ -16,12 +16,16 @@
 /// Delay before the next poll when no member of the hub responded.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Polls the hub until the process exits. `seeds` delivers hub members added to the settings later,
-/// in case all known members are gone.
+/// Follows the hub until the process exits. `seeds` delivers hub members added to the settings
+/// later, in case all known members are gone.
 pub async fn follow(node: Arc<Node>, seeds: watch::Receiver<Vec<SocketAddr>>) {
+    tokio::join!(poll(&node, seeds), fetch_announced(&node));
+}
+
+async fn poll(node: &Node, seeds: watch::Receiver<Vec<SocketAddr>>) {
     let mut lost = None;
     loop {
-        let call = call(&node);
+        let call = call(node);
         let sent = node.now();
         match node.hub.call(&call, TIMEOUT).await {
             Ok(reply) => {
@@ -31,7 +35,7 @@
                     let away = now.since(since).as_millis();
                     log::info!(away_ms = away as u64; "hub reachable again");
                 }
-                apply_reply(&node, sent, reply);
+                apply_reply(node, sent, reply);
             }
             Err(error) => {
                 if lost.is_none() {
@@ -46,7 +50,7 @@
 }
 
 /// Puts received rules in force and returns whether they are newer; they were asked for at `sent`.
-fn apply_rules(node: &Node, sent: Time, rules: &RulesDocument) -> bool {
+pub(crate) fn apply_rules(node: &Node, sent: Time, rules: &RulesDocument) -> bool {
     let received = node.now();
     let version = rules.version.0;
     let text = match rules.text() {
@@ -84,6 +88,7 @@
         address: node.address,
         role: node.role,
         rules: view.version(),
+        announced: Some(node.newest_announced()),
         seen: view.seen,
         held: node.held(),
         members: view.members.clone(),
@@ -97,7 +102,9 @@
     let mut changed = false;
     node.view().heard = Some(now);
     node.note_recalls(reply.recalls);
+    node.note_announced(reply.newest);
     if let Some(document) = reply.rules {
+        node.note_announced(document.version);
         changed = apply_rules(node, sent, &document);
     }
     if let Some(list) = reply.fleet {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod events;
 mod exchange;
+mod fetch;
 mod follow;
 mod list;
 mod node;
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -10,9 +10,9 @@
 use clem_boot::Clock;
 use clem_edge::Dialect;
 use clem_policy::dispatch::{Fallback, GrantOutcome, HeldGrant, Ticket, retry_after};
-use clem_types::Time;
+use clem_types::{Time, Version};
 use clem_wire::{Client, FleetSecret, LeaderClient, fleet::ProcessRole};
-use rand::{Rng, SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::sync::{Notify, watch};
 
 use crate::{pool::Pool, view::View};
@@ -68,6 +68,7 @@
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
     rng: Mutex<StdRng>,
     changes: watch::Sender<u64>,
+    announced: watch::Sender<Version>,
     recalls: Mutex<Vec<Ticket>>,
     leader_heard: Mutex<Time>,
     /// Notified when the hub recalls slots.
@@ -99,6 +100,7 @@
             ends: Mutex::default(),
             rng: Mutex::new(rng),
             changes: watch::Sender::new(0),
+            announced: watch::Sender::new(Version(0)),
             recalls: Mutex::default(),
             leader_heard: Mutex::new(Time::ZERO),
             recalled: Notify::new(),
@@ -120,6 +122,30 @@
         self.changes.subscribe()
     }
 
+    /// Subscribes to the newest version of the rules that the hub has announced.
+    pub(crate) fn announced(&self) -> watch::Receiver<Version> {
+        self.announced.subscribe()
+    }
+
+    /// The newest version of the rules that the hub has announced.
+    pub(crate) fn newest_announced(&self) -> Version {
+        *self.announced.borrow()
+    }
+
+    /// Records that the hub announced a version of the rules.
+    pub(crate) fn note_announced(&self, version: Version) {
+        self.announced.send_if_modified(|newest| {
+            let newer = version > *newest;
+            *newest = version.max(*newest);
+            newer
+        });
+    }
+
+    /// Puts items in a random order.
+    pub(crate) fn shuffle<T>(&self, items: &mut [T]) {
+        items.shuffle(&mut *lock(&self.rng));
+    }
+
     /// A random number in `0.0..1.0`.
     pub fn random(&self) -> f64 {
         lock(&self.rng).random()
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -14,7 +14,8 @@
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, Time, Version};
 use clem_wire::fleet::{
-    FleetList, FleetListVersion, Follow, FollowReply, ProcessRole, RetireReply, RulesDocument,
+    FleetList, FleetListVersion, Follow, FollowReply, POLL_RULES_BYTES, ProcessRole, RetireReply,
+    RulesDocument,
 };
 
 use crate::{RulesSpread, SpreadReport};
@@ -249,7 +250,9 @@
             change: self.change,
             targets: self.targets_version,
         };
-        let rules = (self.rules.version > follow.rules).then(|| self.rules.clone());
+        let newest = self.rules.version;
+        let known = follow.announced.unwrap_or_default().max(follow.rules);
+        let rules = (newest > known).then(|| self.poll_rules(follow)).flatten();
         let knows_targets = (follow.seen.epoch, follow.seen.targets) == (seen.epoch, seen.targets);
         let fleet = (follow.seen != seen).then(|| FleetList {
             seen,
@@ -261,16 +264,35 @@
             fronts: self.fronts(),
         });
         let recalls = self.dispatcher.take_recalls(&follow.holder);
-        if rules.is_none() && fleet.is_none() && recalls.is_empty() {
+        if newest <= known && fleet.is_none() && recalls.is_empty() {
             return None;
         }
         Some(FollowReply {
+            newest,
             rules,
             fleet,
             recalls,
         })
     }
 
+    /// The newest rules, if they belong in the reply to a poll of this follower.
+    fn poll_rules(&self, follow: &Follow) -> Option<RulesDocument> {
+        if follow.announced.is_some() {
+            return (self.rules.document.len() <= POLL_RULES_BYTES).then(|| self.rules.clone());
+        }
+        // A follower of an earlier release can neither fetch nor unpack rules.
+        match self.rules.text() {
+            Ok(document) => Some(RulesDocument {
+                version: self.rules.version,
+                document,
+            }),
+            Err(error) => {
+                log::error!(version = self.rules.version.0, error:% = error; "rules damaged");
+                None
+            }
+        }
+    }
+
     fn batch(&self) -> impl Iterator<Item = &Process> {
         self.processes
             .values()
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -7,8 +7,8 @@
 use clem_state::{Command, Outcome, batch_group::BatchGroupChange, document};
 use clem_types::Version;
 use clem_wire::fleet::{
-    FOLLOW_MAX_HOLD, Follow, FollowReply, GetRules, Ping, PutRules, Release, RequestSlot, Retire,
-    RetireReply, RulesDocument, SLOT_MAX_HOLD,
+    FOLLOW_MAX_HOLD, FetchRules, Follow, FollowReply, GetRules, Ping, PutRules, Release,
+    RequestSlot, Retire, RetireReply, RulesDocument, SLOT_MAX_HOLD,
 };
 use salvo::Router;
 
@@ -22,6 +22,7 @@
         route::<Ping, _>(hub),
         route::<Release, _>(hub),
         route::<PutRules, _>(hub),
+        route::<FetchRules, _>(hub),
         route::<GetRules, _>(hub),
         route::<Retire, _>(hub),
     ]
@@ -43,7 +44,7 @@
                     log::info!(
                         vm = self.vm.as_str(), version = rules.version.0, known = self.rules.0,
                         bytes = rules.document.len();
-                        "rules sent"
+                        "rules sent with a poll"
                     );
                 }
                 return Ok(reply);
@@ -131,6 +132,20 @@
     }
 }
 
+impl Serve<Hub> for FetchRules {
+    async fn serve(self, hub: Arc<Hub>) -> Result<RulesDocument> {
+        if hub.stored_rules() < self.wanted {
+            return Err(ServeError::NotLeader);
+        }
+        let rules = hub.replica.read(document::document);
+        log::info!(
+            version = rules.version.0, wanted = self.wanted.0, bytes = rules.document.len();
+            "rules sent"
+        );
+        Ok(rules)
+    }
+}
+
 impl Serve<Hub> for GetRules {
     async fn serve(self, hub: Arc<Hub>) -> Result<RulesDocument> {
         hub.barrier().await?;
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -40,6 +40,7 @@
         address: None,
         role: ProcessRole::Front,
         rules: Version(0),
+        announced: Some(Version(0)),
         seen,
         held: Vec::new(),
         members: None,
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -18,6 +18,9 @@
 /// Maximum size of a rules document as the operator writes it, in bytes.
 pub const MAX_RULES_BYTES: usize = 4 * 1024 * 1024;
 
+/// Rules up to this size, as they are sent, are part of the reply to a poll; in bytes.
+pub const POLL_RULES_BYTES: usize = 4 * 1024;
+
 /// The role of a process of the direct path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProcessRole {
@@ -41,6 +44,10 @@
     pub role: ProcessRole,
     /// The version of its rules.
     pub rules: Version,
+    /// The newest version of the rules that it was told of and fetches by itself; `None` from an
+    /// earlier release, which gets rules with the reply only.
+    #[serde(default)]
+    pub announced: Option<Version>,
     /// The version of its list of targets and processes.
     pub seen: FleetListVersion,
     /// The slots that it holds, from which a new leader restores its state.
@@ -72,7 +79,10 @@
 /// The changes since the versions in the [`Follow`]; empty if there were none in time.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct FollowReply {
-    /// The rules, if they are newer.
+    /// The version of the newest rules, to be fetched if they are not in this reply.
+    #[serde(default)]
+    pub newest: Version,
+    /// The rules, if they are newer and short.
     pub rules: Option<RulesDocument>,
     /// The list, if it has changed.
     pub fleet: Option<FleetList>,
@@ -181,6 +191,19 @@
     type Reply = Version;
 }
 
+/// Reads stored rules from any member, which need not be the leader. A member that has none as new
+/// as `wanted` replies as one that doesn't lead.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FetchRules {
+    /// The version that was announced.
+    pub wanted: Version,
+}
+
+impl Call for FetchRules {
+    const PATH: &'static str = "/internal/fleet/fetch-rules";
+    type Reply = RulesDocument;
+}
+
 /// Reads the active rules document.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct GetRules {}
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -62,6 +62,11 @@
         self.current
     }
 
+    /// The addresses of the known processes.
+    pub fn members(&self) -> &[SocketAddr] {
+        &self.members
+    }
+
     /// Number of known processes.
     pub fn count(&self) -> usize {
         self.members.len()
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -49,6 +49,29 @@
         self.leader().add_members(addresses);
     }
 
+    /// The addresses of the group's processes.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.leader().members().to_vec()
+    }
+
+    /// Sends a call to one process, whether it leads or not, and reads its reply, however long that
+    /// takes within `timeout`, unless nothing arrives for `stall`.
+    ///
+    /// # Errors
+    /// The process didn't reply in time.
+    pub async fn call_member<C: Call>(
+        &self,
+        address: SocketAddr,
+        call: &C,
+        stall: Duration,
+        timeout: Duration,
+    ) -> Result<LeaderReply<C::Reply>>
+    where
+        LeaderReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        self.send(address, call, stall, timeout).await
+    }
+
     /// Sends a call to the leader and waits at most `timeout` for its reply.
     ///
     /// # Errors
