An item under which targets crashed is still run

Report of the users: during a burst of crashes several servers died while they ran the same sound item; afterwards the item was never placed again. Cause, on the direct path: after three runs in a row that broke before their first event an item was taken for one that crashes its targets; its task then only slept until the item was too old. Class: sound work given up after a fixed number of crashes that others caused. Fix: no limit; from the third such run on the next one is delayed, 0.3 s doubling to 2 s, so that an item costs few targets in any case. Elsewhere: the product's own path has the same fault in its replicated state.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -20,9 +20,11 @@
 const FAILED_DELAY: Duration = Duration::from_millis(300);
 /// Longest pause in a stream before it counts as stalled; engines emit many events per second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Consecutive runs that broke before their first event, after which the item is assumed to crash
-/// its targets and is not run again.
-const CRASHES_MAX: u32 = 3;
+/// Consecutive runs that may break before their first event until the next ones are delayed.
+const CRASHES_QUICK: u32 = 2;
+/// Longest delay before the next run; the first delay is [`FAILED_DELAY`], and each later one twice
+/// the one before.
+const CRASH_DELAY_MAX: Duration = Duration::from_secs(2);
 
 /// The state of an item being run.
 pub(crate) struct ItemRun {
@@ -113,9 +115,9 @@
     }
 
     async fn run_once(&mut self) -> RunEnd {
-        if self.crashes >= CRASHES_MAX {
-            tokio::time::sleep(FAILED_DELAY).await;
-            return RunEnd::Retry;
+        let delay = crash_delay(self.crashes);
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
         }
         let mut slot = match self.place().await {
             SlotOutcome::Slot(slot) => slot,
@@ -338,6 +340,17 @@
     }
 }
 
+/// How long to wait before an item is run again whose last `crashes` runs broke before their first
+/// event. Targets that crash one after the other must not cost a sound item its result, so it is
+/// run until it is given up for its age.
+fn crash_delay(crashes: u32) -> Duration {
+    let Some(doublings) = crashes.checked_sub(CRASHES_QUICK + 1) else {
+        return Duration::ZERO;
+    };
+    let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
+    FAILED_DELAY.saturating_mul(factor).min(CRASH_DELAY_MAX)
+}
+
 /// Returns once a job is closed on this process.
 async fn wait_closed(keeper: &Keeper, closed: &mut watch::Receiver<u64>, job: JobNumber) {
     while keeper.is_open(job) {
--- a/crates/state/tests/batches.rs
+++ b/crates/state/tests/batches.rs
@@ -325,6 +325,24 @@
     assert_eq!(poison::list(&harness.store).unwrap().entries.len(), 2);
 }
 
+#[test]
+fn a_sound_item_in_flight_in_a_burst_of_crashes_is_still_owed() {
+    let mut harness = Harness::default();
+    let batch = harness.submit(1, "totara", None, items(1));
+    let body = item(0).body;
+    for number in 1..=5 {
+        let leased = harness.lease(1, 1);
+        assert_eq!(leased.len(), 1, "not leased before crash {number}");
+        crash(&mut harness, number, &[&body]);
+        let lost = AttemptEnd::Lost { crashed: true };
+        harness.finish(1, leased[0].lease, lost);
+    }
+    let leased = harness.lease(1, 1);
+    assert_eq!(leased.len(), 1);
+    harness.finish(1, leased[0].lease, done("x"));
+    assert_eq!(harness.view(batch, "totara").unwrap().counts.done, 1);
+}
+
 #[test]
 fn a_cancelled_batch_stops() {
     let mut harness = Harness::default();
