A target that says that it is leaving gets no later request from that vm

The users' new rule: a target that leaves says so in a header of all its answers, and what a client sends later than the drain time after a vm has passed on such an answer must not reach that target from that vm, in touch or not. Until now only the platform's list, which lags, and only a vm that hears of it, stopped new work.

Node::send refuses a closed target whatever granted the slot, so retries, resumed streams, batch items and late grants are covered in one place. The hub hears of it with the next release of slots and with each poll, and lists the target as draining to all; a list that still says ready does not undo it.

Not done: the product's own path (agents), a test of a slot granted after the bound.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -58,6 +58,10 @@
         forward: &Forward<'_>,
     ) -> Outcome {
         let address = slot.target.address;
+        if self.is_closed(&slot.target.id) {
+            slot.set_ended(GrantOutcome::NotRun);
+            return Outcome::NotSent("the target is leaving".to_owned());
+        }
         loop {
             let kept = self.pool.take(self.now(), address);
             let fresh = kept.is_none();
@@ -119,6 +123,9 @@
     ) -> Outcome {
         let (head, body) = response.into_parts();
         let read = self.dialect.read_head(&head, id);
+        if read.leaves && !read.replaced {
+            self.note_leaving(&slot.target);
+        }
         if !read.matches {
             slot.set_ended(GrantOutcome::Broken);
             return Outcome::Lost("the answer belongs to another request".to_owned());
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -90,6 +90,7 @@
         rules: view.version(),
         announced: Some(node.newest_announced()),
         seen: view.seen,
+        leaving: node.leaving(),
         held: node.held(),
         members: view.members.clone(),
         wait_ms: WAIT.as_millis() as u32,
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -8,8 +8,10 @@
 };
 
 use clem_boot::Clock;
-use clem_edge::Dialect;
-use clem_policy::dispatch::{Fallback, GrantOutcome, HeldGrant, Ticket, retry_after};
+use clem_edge::{Dialect, TargetVm};
+use clem_policy::dispatch::{
+    Fallback, GrantOutcome, HeldGrant, LeavingTargets, Ticket, retry_after,
+};
 use clem_types::{Time, Version};
 use clem_wire::{Client, FleetSecret, LeaderClient, fleet::ProcessRole};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
@@ -31,6 +33,8 @@
     pub hub: Vec<SocketAddr>,
     /// Address of the platform's target list.
     pub list: SocketAddr,
+    /// How long a target may get requests after it has said that it is leaving.
+    pub drain: Duration,
     /// The secret that processes of the fleet use to authenticate to each other.
     pub secret: FleetSecret,
     /// Translates the platform's protocol.
@@ -64,6 +68,9 @@
     pub(crate) ends_ready: Notify,
     view: Mutex<View>,
     fallback: Mutex<Fallback>,
+    leaving: Mutex<LeavingTargets>,
+    leaving_news: Mutex<Vec<String>>,
+    drain: Duration,
     held: Mutex<HashMap<Ticket, HeldGrant>>,
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
     rng: Mutex<StdRng>,
@@ -96,6 +103,9 @@
             ends_ready: Notify::new(),
             view: Mutex::default(),
             fallback: Mutex::default(),
+            leaving: Mutex::default(),
+            leaving_news: Mutex::default(),
+            drain: settings.drain,
             held: Mutex::default(),
             ends: Mutex::default(),
             rng: Mutex::new(rng),
@@ -234,6 +244,64 @@
         self.ends_ready.notify_one();
     }
 
+    /// Records that a target said in an answer that it is leaving, and tells the hub.
+    pub(crate) fn note_leaving(&self, target: &TargetVm) {
+        let now = self.now();
+        {
+            let view = self.view();
+            let mut leaving = lock(&self.leaving);
+            leaving.retain(now, |id| view.targets.contains_key(id));
+            if !leaving.note(now, &target.id) {
+                return;
+            }
+        }
+        log::info!(
+            target = target.id.as_str(), service = target.service.as_str(),
+            until_ms = self.drain.as_millis() as u64;
+            "target says that it is leaving"
+        );
+        lock(&self.leaving_news).push(target.id.clone());
+        self.ends_ready.notify_one();
+    }
+
+    /// Whether a target said so long ago that it is leaving that it must get no request.
+    pub(crate) fn is_closed(&self, target: &str) -> bool {
+        lock(&self.leaving).is_closed(self.now(), target, self.drain)
+    }
+
+    /// Whether a target said that it is leaving.
+    pub(crate) fn is_leaving(&self, target: &str) -> bool {
+        lock(&self.leaving).contains(target)
+    }
+
+    /// The ids of the targets that said that they are leaving.
+    pub(crate) fn leaving(&self) -> Vec<String> {
+        lock(&self.leaving).ids().cloned().collect()
+    }
+
+    /// Removes and returns the ids that the hub was not told of yet.
+    pub(crate) fn take_leaving_news(&self) -> Vec<String> {
+        std::mem::take(&mut *lock(&self.leaving_news))
+    }
+
+    /// The leaving targets of a service that a new request must not use: all of them if another
+    /// target can serve it, otherwise those that are closed.
+    pub(crate) fn leaving_to_avoid(&self, service: &str) -> Vec<String> {
+        let leaving = self.leaving();
+        if leaving.is_empty() {
+            return leaving;
+        }
+        let others = self
+            .view()
+            .ready(service)
+            .any(|target| !leaving.contains(&target.id));
+        let mut avoid = leaving;
+        if !others {
+            avoid.retain(|target| self.is_closed(target));
+        }
+        avoid
+    }
+
     pub(crate) fn take_ends(&self) -> Vec<(Ticket, GrantOutcome)> {
         std::mem::take(&mut *lock(&self.ends))
     }
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -22,6 +22,8 @@
 /// How long the leader may be silent towards this process before it is pinged, and the timeout of
 /// that ping.
 const LEADER_SILENCE: Duration = Duration::from_millis(120);
+/// How often a slot is asked for while the granted targets turn out to be leaving.
+const PLACE_TRIES: u32 = 3;
 /// Time after which to retry while no target is available.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(400);
 
@@ -89,6 +91,47 @@
         self: &Arc<Self>,
         mut want: SlotRequest,
         limit: Option<RateLimit>,
+    ) -> SlotOutcome {
+        let avoid = want.avoid.clone();
+        for _ in 0..PLACE_TRIES {
+            want.avoid.clone_from(&avoid);
+            want.avoid.extend(self.leaving_to_avoid(&want.service));
+            if self.is_without_target(&want) {
+                return SlotOutcome::Busy {
+                    retry: NO_TARGET_RETRY,
+                    wait: Duration::ZERO,
+                };
+            }
+            let outcome = self.place_once(want.clone(), limit).await;
+            // The target may have said that it is leaving while the request was queued.
+            match &outcome {
+                SlotOutcome::Slot(slot) if self.must_avoid(&slot.target) => {}
+                SlotOutcome::Slot(_) | SlotOutcome::OverRate(_) | SlotOutcome::Busy { .. } => {
+                    return outcome;
+                }
+            }
+        }
+        SlotOutcome::Busy {
+            retry: NO_TARGET_RETRY,
+            wait: Duration::ZERO,
+        }
+    }
+
+    /// Whether all targets that are known for a request are closed.
+    fn is_without_target(&self, want: &SlotRequest) -> bool {
+        let view = self.view();
+        let mut ready = view.ready(&want.service).peekable();
+        ready.peek().is_some() && ready.all(|target| self.is_closed(&target.id))
+    }
+
+    fn must_avoid(&self, target: &TargetVm) -> bool {
+        self.is_leaving(&target.id) && self.leaving_to_avoid(&target.service).contains(&target.id)
+    }
+
+    async fn place_once(
+        self: &Arc<Self>,
+        mut want: SlotRequest,
+        limit: Option<RateLimit>,
     ) -> SlotOutcome {
         want.ticket = self.new_ticket();
         want.holder.clone_from(&self.holder);
@@ -241,14 +284,16 @@
         node.ends_ready.notified().await;
         tokio::time::sleep(RELEASE_DELAY).await;
         let ends = node.take_ends();
-        if ends.is_empty() {
+        let leaving = node.take_leaving_news();
+        if ends.is_empty() && leaving.is_empty() {
             continue;
         }
         let call = Release {
             holder: node.holder.clone(),
+            leaving,
             ends,
         };
-        // The next report of held slots makes up for a lost message.
+        // The next poll makes up for a lost message: it reports all held slots and leaving targets.
         if let Err(error) = node.hub.ask_leader(&call, RELEASE_TIMEOUT).await {
             log::debug!(error:% = error, slots = call.ends.len(); "slots not released yet");
         }
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -52,6 +52,8 @@
     pub not_run: bool,
     /// Whether another instance now has the address.
     pub replaced: bool,
+    /// Whether the target says that it is leaving.
+    pub leaves: bool,
     /// Whether the target will close the connection.
     pub closes: bool,
 }
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -10,7 +10,7 @@
 };
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
-use clem_policy::dispatch::{Dispatcher, RateLimit, TargetSlots};
+use clem_policy::dispatch::{Dispatcher, LeavingTargets, RateLimit, TargetSlots};
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, Time, Version};
 use clem_wire::fleet::{
@@ -52,7 +52,11 @@
     change: u64,
     /// Version of the target list.
     targets_version: u64,
+    /// The platform's target list as it was read.
+    listed: Option<Vec<TargetVm>>,
+    /// The list as the processes get it: targets that said that they are leaving are draining.
     targets: Option<Vec<TargetVm>>,
+    leaving: LeavingTargets,
     services: BTreeSet<String>,
     processes: BTreeMap<String, Process>,
     /// The members of the batch group, as its leader last reported them.
@@ -86,7 +90,9 @@
             batch_group: start.batch_group,
             change: 1,
             targets_version: 0,
+            listed: None,
             targets: None,
+            leaving: LeavingTargets::default(),
             services: BTreeSet::new(),
             processes: BTreeMap::new(),
             members: Vec::new(),
@@ -133,9 +139,46 @@
 
     /// Installs the platform's target list and returns whether it changed.
     pub fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) -> bool {
-        if self.targets.as_ref() == Some(&targets) {
+        if self.listed.as_ref() == Some(&targets) {
             return false;
         }
+        self.leaving
+            .retain(now, |id| targets.iter().any(|target| target.id == id));
+        self.listed = Some(targets);
+        self.apply_targets(now);
+        true
+    }
+
+    /// Records targets that said to a process that they are leaving.
+    pub fn note_leaving(&mut self, now: Time, source: &str, ids: &[String]) {
+        let mut news = false;
+        for id in ids {
+            if self.leaving.note(now, id) {
+                log::info!(target = id.as_str(), source; "target reported as leaving");
+                news = true;
+            }
+        }
+        if news {
+            self.apply_targets(now);
+        }
+    }
+
+    /// Applies the list and the leaving targets to the dispatcher and to the list for processes.
+    fn apply_targets(&mut self, now: Time) {
+        let Some(mut targets) = self.listed.clone() else {
+            return;
+        };
+        let staying: BTreeSet<String> = targets
+            .iter()
+            .filter(|t| t.state == TargetState::Ready && !self.leaving.contains(&t.id))
+            .map(|t| t.service.clone())
+            .collect();
+        for target in &mut targets {
+            // Without another target of its service it is used for as long as it answers.
+            if self.leaving.contains(&target.id) && staying.contains(&target.service) {
+                target.state = TargetState::Draining;
+            }
+        }
         let mut by_service: BTreeMap<&str, Vec<TargetSlots>> = BTreeMap::new();
         for service in &self.services {
             by_service.insert(service, Vec::new());
@@ -158,7 +201,6 @@
         self.targets = Some(targets);
         self.targets_version += 1;
         self.change += 1;
-        true
     }
 
     /// Records a report of a process.
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -33,7 +33,10 @@
         let mut updates = hub.updates();
         let mut leadership = hub.replica.watch_leadership();
         leadership.mark_unchanged();
-        hub.with_leader(|leader, now| leader.record_report(now, &self))?;
+        hub.with_leader(|leader, now| {
+            leader.note_leaving(now, &self.vm, &self.leaving);
+            leader.record_report(now, &self);
+        })?;
         let wait = Duration::from_millis(self.wait_ms.into()).min(FOLLOW_MAX_HOLD);
         let deadline = tokio::time::Instant::now() + wait;
         loop {
@@ -103,6 +106,7 @@
 impl Serve<Hub> for Release {
     async fn serve(self, hub: Arc<Hub>) -> Result<()> {
         hub.with_leader(|leader, now| {
+            leader.note_leaving(now, &self.holder, &self.leaving);
             for (ticket, ended) in self.ends {
                 leader.dispatcher.withdraw_or_release(now, ticket, ended);
             }
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -42,6 +42,7 @@
         rules: Version(0),
         announced: Some(Version(0)),
         seen,
+        leaving: Vec::new(),
         held: Vec::new(),
         members: None,
         wait_ms: 400,
@@ -98,3 +99,36 @@
     let heard = list(&mut leader, &follow(1, other)).and_then(|list| list.targets);
     assert_eq!(heard.map(|targets| targets.len()), Some(TARGETS));
 }
+
+fn states(leader: &mut LeaderState) -> Vec<TargetState> {
+    let list = list(leader, &follow(1, FleetListVersion::default()));
+    let targets = list.and_then(|list| list.targets).unwrap_or_default();
+    targets.iter().map(|target| target.state).collect()
+}
+
+#[test]
+fn a_list_that_still_says_ready_does_not_bring_a_leaving_target_back() {
+    let mut leader = leader();
+    let mut targets = targets();
+    targets.truncate(2);
+    leader.set_targets(Time::ZERO, targets.clone());
+    leader.note_leaving(Time::ZERO, "front-1", &[targets[0].id.clone()]);
+    let left = vec![TargetState::Draining, TargetState::Ready];
+    assert_eq!(states(&mut leader), left);
+    leader.set_targets(Time::from_millis(900), Vec::new());
+    leader.set_targets(Time::from_millis(1800), targets.clone());
+    assert_eq!(states(&mut leader), left);
+    targets[1].started = 7;
+    leader.set_targets(Time::from_millis(2700), targets);
+    assert_eq!(states(&mut leader), left);
+}
+
+#[test]
+fn the_last_target_of_a_service_stays_listed_though_it_leaves() {
+    let mut leader = leader();
+    let mut targets = targets();
+    targets.truncate(1);
+    leader.set_targets(Time::ZERO, targets.clone());
+    leader.note_leaving(Time::ZERO, "front-1", &[targets[0].id.clone()]);
+    assert_eq!(states(&mut leader), vec![TargetState::Ready]);
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -13,6 +13,7 @@
 //! The scheduler does no I/O and reads no clock. See `docs/design/platform.md`, "Who runs next".
 
 mod fallback;
+mod leaving;
 mod pool;
 mod rate;
 mod retry_after;
@@ -27,6 +28,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use fallback::Fallback;
+pub use leaving::LeavingTargets;
 pub use pool::{Pool, PoolView};
 pub use rate::{RateBucket, RateLimit, RateShare};
 pub use retry_after::{RouteTimeouts, retry_after};
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -50,6 +50,9 @@
     pub announced: Option<Version>,
     /// The version of its list of targets and processes.
     pub seen: FleetListVersion,
+    /// The ids of the targets that said to it that they are leaving.
+    #[serde(default)]
+    pub leaving: Vec<String>,
     /// The slots that it holds, from which a new leader restores its state.
     pub held: Vec<HeldGrant>,
     /// The members of the group that stores batches, if this process leads that group.
@@ -164,11 +167,14 @@
     type Reply = ();
 }
 
-/// Releases slots.
+/// Releases slots, and reports targets that said that they are leaving.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Release {
     /// The name of the process that held them.
     pub holder: String,
+    /// The ids of targets that said just now that they are leaving.
+    #[serde(default)]
+    pub leaving: Vec<String>,
     /// The slots, with how their requests ended.
     pub ends: Vec<(Ticket, GrantOutcome)>,
 }
