Asking members for rules backs off; one function sends a call to a member

A process whose announced rules no member has would have asked all of them twenty times a second; the pause now doubles up to a second. LeaderClient::call_member takes the place of a private copy of itself.

--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -17,8 +17,10 @@
 const STALL: Duration = Duration::from_millis(500);
 /// Timeout of one transfer, however slow the link.
 const TIMEOUT: Duration = Duration::from_secs(60);
-/// Pause after all members have been asked.
+/// Pause after all members have been asked; each later one is twice the one before.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after all members have been asked.
+const ROUND_PAUSE_MAX: Duration = Duration::from_secs(1);
 
 /// Fetches each version that the hub announces, until the process exits.
 pub(crate) async fn fetch_announced(node: &Node) {
@@ -57,6 +59,7 @@
     /// no member's link has to carry them all.
     async fn fetch(&mut self, node: &Node, wanted: Version) -> RulesDocument {
         let call = FetchRules { wanted };
+        let mut pause = ROUND_PAUSE;
         loop {
             let mut members = node.hub.addresses();
             node.shuffle(&mut members);
@@ -77,7 +80,8 @@
                     }
                 }
             }
-            tokio::time::sleep(node.with_jitter(ROUND_PAUSE)).await;
+            tokio::time::sleep(node.with_jitter(pause)).await;
+            pause = (pause * 2).min(ROUND_PAUSE_MAX);
         }
     }
 }
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -54,24 +54,6 @@
         self.leader().members().to_vec()
     }
 
-    /// Sends a call to one process, whether it leads or not, and reads its reply, however long that
-    /// takes within `timeout`, unless nothing arrives for `stall`.
-    ///
-    /// # Errors
-    /// The process didn't reply in time.
-    pub async fn call_member<C: Call>(
-        &self,
-        address: SocketAddr,
-        call: &C,
-        stall: Duration,
-        timeout: Duration,
-    ) -> Result<LeaderReply<C::Reply>>
-    where
-        LeaderReply<C::Reply>: serde::de::DeserializeOwned,
-    {
-        self.send(address, call, stall, timeout).await
-    }
-
     /// Sends a call to the leader and waits at most `timeout` for its reply.
     ///
     /// # Errors
@@ -100,7 +82,7 @@
                 let try_timeout = self.try_timeout::<C>(timeout);
                 let sent = Instant::now();
                 tries += 1;
-                match self.send(address, call, try_timeout, left).await {
+                match self.call_member(address, call, try_timeout, left).await {
                     Ok(LeaderReply::Done(reply)) => {
                         self.leader().note_leader(address);
                         log_retries::<C>(start, tries, true);
@@ -146,7 +128,7 @@
                 return Err(timeout_error(false));
             };
             let sent = Instant::now();
-            match self.send(address, call, left, left).await {
+            match self.call_member(address, call, left, left).await {
                 Ok(LeaderReply::Done(reply)) => {
                     self.leader().note_leader(address);
                     return Ok(reply);
@@ -176,7 +158,12 @@
         C::MAX_HOLD + TRY_TIMEOUT
     }
 
-    async fn send<C: Call>(
+    /// Sends a call to one process, whether it leads or not, and reads its reply, however long that
+    /// takes within `timeout`, unless nothing arrives for `stall`.
+    ///
+    /// # Errors
+    /// The process didn't reply in time.
+    pub async fn call_member<C: Call>(
         &self,
         address: SocketAddr,
         call: &C,
