--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use clem_direct::{EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
-use clem_edge::{Forward, ItemSpec, ItemStatus};
+use clem_edge::{Forward, Framing, ItemSpec, ItemStatus};
 use clem_policy::dispatch::{GrantOutcome, SlotRequest, Ticket, Urgency};
 use clem_state::jobs::{EndedItem, JobNumber};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
@@ -42,6 +42,8 @@
     avoid: Vec<String>,
     /// The target of the last run, for the log.
     target: String,
+    /// The framing of the last response, for the log.
+    framing: Option<Framing>,
 }
 
 /// How one run ended.
@@ -69,6 +71,7 @@
             crashes: 0,
             avoid: Vec::new(),
             target: String::new(),
+            framing: None,
         }
     }
 
@@ -210,7 +213,9 @@
         reply: Reply,
         recall: oneshot::Receiver<()>,
     ) -> RunEnd {
+        let framing = reply.framing;
         let (head, mut body, connection) = reply.into_parts();
+        self.framing = Some(framing);
         let target = slot.target.id.clone();
         match head.status {
             status if status.is_success() => {}
@@ -324,7 +329,8 @@
             .saturating_sub(self.ready.due.0);
         log::info!(
             item = self.spec.id.as_str(), batch = self.ready.job.name.id.as_str(), state:% = state,
-            reason, late_ms = late, failed = self.failed, target = self.target.as_str();
+            reason, late_ms = late, failed = self.failed, target = self.target.as_str(),
+            framing = self.framing.map(Framing::as_str), seen = self.last_event;
             "item ended"
         );
         let text = match state {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clem_edge::{Forward, TargetHead};
+use clem_edge::{Forward, Framing, TargetHead};
 use clem_policy::dispatch::GrantOutcome;
 use http::{HeaderMap, Method, Request, response};
 use http_body_util::Full;
@@ -43,6 +43,8 @@
 pub struct Reply {
     /// Status and headers.
     pub head: response::Parts,
+    /// How the end of the body is marked.
+    pub framing: Framing,
     /// The body stream.
     pub body: Incoming,
     /// The connection, returned to the pool once the body has been read completely.
@@ -140,6 +142,7 @@
             return Outcome::Refused(read);
         }
         Outcome::Answered(Box::new(Reply {
+            framing: Framing::of(&head.headers, &body),
             head,
             body,
             connection: (!read.closes).then_some(connection),
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use http::{HeaderMap, header};
+use http_body::Body;
 use serde::{Deserialize, Serialize};
 
 /// A target in the platform's list.
@@ -57,3 +59,37 @@
     /// Whether the target will close the connection.
     pub closes: bool,
 }
+
+/// How a response marks the end of its body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// By a length in its head.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// By closing the connection, which a target that crashes does as well: a body that ends without
+    /// an error may be incomplete.
+    Close,
+}
+
+impl Framing {
+    /// The framing of a response with these headers, whose body has not been read yet.
+    pub fn of(headers: &HeaderMap, body: &impl Body) -> Self {
+        if body.is_end_stream() || body.size_hint().exact().is_some() {
+            return Self::Length;
+        }
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return Self::Chunked;
+        }
+        Self::Close
+    }
+
+    /// The name in log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+        }
+    }
+}
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use clem_direct::{Outcome, Reply, Slot, SlotOutcome};
-use clem_edge::{Cause, Forward, Refusal};
+use clem_edge::{Cause, Forward, Framing, Refusal};
 use clem_policy::dispatch::GrantOutcome;
 use http::Response;
 
@@ -35,6 +35,8 @@
     pub(crate) avoid: Vec<String>,
     /// Id of the last event sent to the caller.
     pub(crate) last_event: Option<u64>,
+    /// Number of body bytes sent to the caller.
+    pub(crate) sent_bytes: usize,
     /// How the last slot was acquired, for the log.
     pub(crate) placement: PlacementInfo,
 }
@@ -50,6 +52,8 @@
     pub(crate) expected: Duration,
     /// Whether the slot was acquired without the hub's leader.
     pub(crate) without_leader: bool,
+    /// How the target marks the end of its response; `None` before it responds.
+    pub(crate) framing: Option<Framing>,
 }
 
 /// No target responded; holds the refusal for the caller.
@@ -72,6 +76,7 @@
         runs: 0,
         avoid: Vec::new(),
         last_event,
+        sent_bytes: 0,
         placement: PlacementInfo::default(),
     };
     let outcome = state.next_response().await;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use clem_direct::{EventBuffer, Reply, Slot};
+use clem_edge::Framing;
 use clem_policy::dispatch::GrantOutcome;
 use http::{Response, header};
 use http_body_util::BodyExt;
@@ -59,11 +60,13 @@
         && state.request.route.resumable
         && reply.head.status.is_success();
     loop {
+        let framing = reply.framing;
         let (head, body, connection) = reply.into_parts();
+        state.placement.framing = Some(framing);
         let end = if resumes {
             relay_events(&mut state, body, &chunks).await
         } else {
-            relay_bytes(&state, body, &chunks).await
+            relay_bytes(&mut state, body, &chunks).await
         };
         match end {
             End::Whole => {
@@ -108,7 +111,7 @@
 
 /// Relays a response unchanged.
 async fn relay_bytes(
-    state: &RequestState,
+    state: &mut RequestState,
     mut body: Incoming,
     chunks: &mpsc::Sender<Result<Bytes, Truncated>>,
 ) -> End {
@@ -118,6 +121,7 @@
             Ok(None) => return End::Whole,
             Err(end) => return end,
         };
+        state.sent_bytes += frame.len();
         if chunks.send(Ok(frame)).await.is_err() {
             return End::Gone;
         }
@@ -143,6 +147,7 @@
             if let Some(id) = event.id {
                 state.last_event = Some(id);
             }
+            state.sent_bytes += event.bytes.len();
             if chunks.send(Ok(event.bytes)).await.is_err() {
                 return End::Gone;
             }
@@ -187,6 +192,7 @@
     log::info!(
         request = state.request.id.as_str(), route = state.request.route.name.as_str(),
         customer = state.customer(), outcome, status, target = state.placement.target.as_str(),
+        framing = state.placement.framing.map(Framing::as_str), bytes = state.sent_bytes, last_event = state.last_event,
         waited_ms = millis(state.placement.waited), alone = state.placement.without_leader,
         runs = state.runs, took_ms = millis(took), running = state.front.running();
         "request ended"
