Pass on a response that ends with its connection as one

Cause: a response without length and chunks ends when its connection does. The relay took any end without an error for the end of the answer and, as no length was known, framed what it had with chunks and a last chunk. A target that crashes closes its connections without a reset, so the part looked whole. Class: the end of a transport taken for the end of a message.

Evidence: request ended of the failing test: framing close, outcome answered, bytes 63 of 126. Ruled out by it: a framed stream cut between events, and an error lost between the relay task and the connection; the latter could happen if the task ended early and is made impossible: the end of a response is a message of its own, and a channel that closes without it is a truncated response.

Now such a response goes to the caller as it came: no length, no chunks, closed at its end, and the connection is reset when the target's connection broke instead. A resumed part that ends with its connection never puts a last chunk under a response begun with chunks.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -12,6 +12,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::caller::CallerLink;
+
 /// The body of a response.
 pub(crate) type ResponseBody = BoxBody<Bytes, Truncated>;
 
@@ -39,21 +41,34 @@
     Full::new(bytes).map_err(Truncated::from).boxed()
 }
 
+/// A part of a response that is relayed as it arrives.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// The next bytes.
+    Data(Bytes),
+    /// The end of the response. A channel that closes without it is a truncated response.
+    End,
+}
+
 /// A body that is relayed as it arrives.
 pub(crate) struct RelayedBody {
-    chunks: mpsc::Receiver<Result<Bytes, Truncated>>,
+    parts: mpsc::Receiver<Part>,
     /// Bytes still expected; `None` if the target sent no length.
     left: Option<u64>,
+    /// The connection to reset if the response is truncated; `None` if its framing shows that.
+    reset: Option<CallerLink>,
 }
 
 impl RelayedBody {
     pub(crate) fn new(
-        chunks: mpsc::Receiver<Result<Bytes, Truncated>>,
+        parts: mpsc::Receiver<Part>,
         length: Option<u64>,
+        reset: Option<CallerLink>,
     ) -> Self {
         Self {
-            chunks,
+            parts,
             left: length,
+            reset,
         }
     }
 }
@@ -66,13 +81,24 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        let Poll::Ready(chunk) = self.chunks.poll_recv(cx) else {
+        let Poll::Ready(part) = self.parts.poll_recv(cx) else {
             return Poll::Pending;
         };
-        if let (Some(left), Some(Ok(bytes))) = (&mut self.left, &chunk) {
-            *left = left.saturating_sub(bytes.len() as u64);
-        }
-        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+        Poll::Ready(match part {
+            Some(Part::Data(bytes)) => {
+                if let Some(left) = &mut self.left {
+                    *left = left.saturating_sub(bytes.len() as u64);
+                }
+                Some(Ok(Frame::data(bytes)))
+            }
+            Some(Part::End) => None,
+            None => {
+                if let Some(link) = &self.reset {
+                    link.reset_on_drop();
+                }
+                Some(Err(Truncated))
+            }
+        })
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -13,6 +13,7 @@
     attempt::{self, millis},
     batch,
     body::{ResponseBody, full_body},
+    caller::CallerLink,
     front::Front,
     request::CallerRequest,
 };
@@ -30,8 +31,9 @@
 pub(crate) async fn handle(
     front: &Arc<Front>,
     request: Request<Incoming>,
+    link: CallerLink,
 ) -> Response<ResponseBody> {
-    let mut response = match answer(front, request).await {
+    let mut response = match answer(front, request, link).await {
         Ok(response) => response,
         Err(refusal) => front.node.dialect.refusal(&refusal).map(full_body),
     };
@@ -45,6 +47,7 @@
 async fn answer(
     front: &Arc<Front>,
     request: Request<Incoming>,
+    link: CallerLink,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let arrived = front.node.now();
     let (head, body) = request.into_parts();
@@ -104,6 +107,7 @@
         .is_some_and(|timeout| front.record_request(&route.name, timeout));
     let request = CallerRequest {
         id,
+        link,
         is_retry,
         route: Arc::new(route.clone()),
         customer: customer.cloned().map(Arc::new),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod batch;
 mod body;
+mod caller;
 mod front;
 mod handle;
 mod program;
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -14,7 +14,12 @@
     sync::watch,
 };
 
-use crate::{front::Front, handle::handle, ready};
+use crate::{
+    caller::{CallerLink, CallerStream},
+    front::Front,
+    handle::handle,
+    ready,
+};
 
 /// How long a stopping process still accepts connections, so that the load balancer can notice that
 /// it is not ready.
@@ -113,15 +118,20 @@
     let head = rules.as_ref().map_or(0, |rules| rules.limits.head_bytes);
     let front = Arc::clone(front);
     tokio::spawn(async move {
+        let link = CallerLink::default();
         let service = service_fn(|request| {
             let front = Arc::clone(&front);
-            async move { Ok::<_, Infallible>(handle(&front, request).await) }
+            let link = link.clone();
+            async move { Ok::<_, Infallible>(handle(&front, request, link).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle + IDLE_MARGIN)
             .max_buf_size(head.max(HEAD_BYTES_MIN))
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(
+                TokioIo::new(CallerStream::new(stream, link.clone())),
+                service,
+            );
         if let Err(error) = watcher.watch(connection).await {
             log::debug!(error:% = error; "caller's connection ended");
         }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -3,19 +3,23 @@
 //! A resumable stream that breaks is resumed at another target. The caller receives complete events
 //! only, so the next target can continue after the last one. Any other response that breaks is
 //! truncated, so that the caller doesn't mistake a partial body for the complete one.
+//!
+//! Only a length or a last chunk shows that a target's response is complete. One that has neither and
+//! ends with its connection is passed on in the same way, so that the caller knows as much as this
+//! process does. See `docs/design/platform.md`, "Ends of responses".
 
 use bytes::Bytes;
 use clem_direct::{EventBuffer, Reply, Slot};
 use clem_edge::Framing;
 use clem_policy::dispatch::GrantOutcome;
-use http::{Response, header};
+use http::{HeaderValue, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
 use crate::{
     attempt::{RequestState, millis},
-    body::{RelayedBody, ResponseBody, Truncated},
+    body::{Part, RelayedBody, ResponseBody},
 };
 
 /// Number of chunks buffered for a slow caller.
@@ -25,6 +29,8 @@
 enum End {
     /// The response is complete.
     Whole,
+    /// The target closed the connection of a response without length and chunks.
+    Closed,
     /// The connection broke or the stream ended inside an event.
     Broken,
     /// The caller disconnected.
@@ -33,6 +39,14 @@
     OutOfTime,
 }
 
+/// What the relay task needs besides the target's response.
+struct Relay {
+    state: RequestState,
+    parts: mpsc::Sender<Part>,
+    /// How the end of the response to the caller is marked.
+    framing: Framing,
+}
+
 /// Starts to relay a response.
 pub(crate) fn start(state: RequestState, slot: Slot, reply: Reply) -> Response<ResponseBody> {
     let headers = state
@@ -45,146 +59,177 @@
     let mut response = Response::new(());
     *response.status_mut() = reply.head.status;
     *response.headers_mut() = headers;
-    let (chunks, waiting) = mpsc::channel(CHUNKS);
-    tokio::spawn(relay(state, slot, reply, chunks));
-    response.map(|()| RelayedBody::new(waiting, length).boxed())
+    let reset = match reply.framing {
+        Framing::Close => {
+            end_with_connection(&mut response);
+            Some(state.request.link.clone())
+        }
+        Framing::Length | Framing::Chunked => None,
+    };
+    let (parts, waiting) = mpsc::channel(CHUNKS);
+    let relay = Relay {
+        state,
+        parts,
+        framing: reply.framing,
+    };
+    tokio::spawn(relay.run(slot, reply));
+    response.map(|()| RelayedBody::new(waiting, length, reset).boxed())
 }
 
-async fn relay(
-    mut state: RequestState,
-    mut slot: Slot,
-    mut reply: Reply,
-    chunks: mpsc::Sender<Result<Bytes, Truncated>>,
-) {
-    let resumes = state.request.is_stream()
-        && state.request.route.resumable
-        && reply.head.status.is_success();
-    loop {
-        let framing = reply.framing;
-        let (head, body, connection) = reply.into_parts();
-        state.placement.framing = Some(framing);
-        let end = if resumes {
-            relay_events(&mut state, body, &chunks).await
-        } else {
-            relay_bytes(&mut state, body, &chunks).await
-        };
-        match end {
-            End::Whole => {
-                state.front.node.recycle(&mut slot, connection);
-                drop(slot);
-                log_end(&state, "answered", head.status.as_u16());
-                return;
-            }
-            End::Gone => {
-                slot.set_ended(GrantOutcome::Answered);
-                log_end(&state, "caller gone", head.status.as_u16());
-                return;
+/// Makes the end of the connection mark the end of the body. An HTTP/1.1 response without a length
+/// would be sent in chunks.
+fn end_with_connection(response: &mut Response<()>) {
+    *response.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
+impl Relay {
+    async fn run(mut self, mut slot: Slot, mut reply: Reply) {
+        let resumes = self.state.request.is_stream()
+            && self.state.request.route.resumable
+            && reply.head.status.is_success();
+        loop {
+            let framing = reply.framing;
+            let (head, body, connection) = reply.into_parts();
+            self.state.placement.framing = Some(framing);
+            let end = if resumes {
+                self.relay_events(body, framing).await
+            } else {
+                self.relay_bytes(body, framing).await
+            };
+            match end {
+                End::Whole => {
+                    self.state.front.node.recycle(&mut slot, connection);
+                    drop(slot);
+                    self.finish("answered", head.status).await;
+                    return;
+                }
+                End::Closed if self.framing == Framing::Close => {
+                    slot.set_ended(GrantOutcome::Answered);
+                    drop(slot);
+                    self.finish("closed", head.status).await;
+                    return;
+                }
+                End::Gone => {
+                    slot.set_ended(GrantOutcome::Answered);
+                    log_end(&self.state, "caller gone", head.status.as_u16());
+                    return;
+                }
+                End::OutOfTime => {
+                    slot.set_ended(GrantOutcome::Silent);
+                    break;
+                }
+                End::Closed | End::Broken => slot.set_ended(GrantOutcome::Broken),
             }
-            End::OutOfTime => {
-                slot.set_ended(GrantOutcome::Silent);
+            self.state.avoid.push(slot.target.id.clone());
+            drop(slot);
+            if !resumes || self.state.runs >= self.state.request.route.attempts {
                 break;
             }
-            End::Broken => slot.set_ended(GrantOutcome::Broken),
-        }
-        state.avoid.push(slot.target.id.clone());
-        drop(slot);
-        if !resumes || state.runs >= state.request.route.attempts {
-            break;
-        }
-        match state.next_response().await {
-            Ok((next, answer)) if answer.head.status.is_success() => {
-                log::info!(
-                    request = state.request.id.as_str(), target = next.target.id.as_str(),
-                    after = state.last_event;
-                    "stream resumed"
-                );
-                slot = next;
-                reply = answer;
+            match self.state.next_response().await {
+                Ok((next, answer)) if answer.head.status.is_success() => {
+                    log::info!(
+                        request = self.state.request.id.as_str(), target = next.target.id.as_str(),
+                        after = self.state.last_event;
+                        "stream resumed"
+                    );
+                    slot = next;
+                    reply = answer;
+                }
+                Ok(_) | Err(_) => break,
             }
-            Ok(_) | Err(_) => break,
         }
+        log_end(&self.state, "cut off", 0);
     }
-    log_end(&state, "cut off", 0);
-    // The caller may have disconnected.
-    let _ = chunks.send(Err(Truncated)).await;
-}
 
-/// Relays a response unchanged.
-async fn relay_bytes(
-    state: &mut RequestState,
-    mut body: Incoming,
-    chunks: &mpsc::Sender<Result<Bytes, Truncated>>,
-) -> End {
-    loop {
-        let frame = match next_frame(state, &mut body, chunks).await {
-            Ok(Some(frame)) => frame,
-            Ok(None) => return End::Whole,
-            Err(end) => return end,
-        };
-        state.sent_bytes += frame.len();
-        if chunks.send(Ok(frame)).await.is_err() {
-            return End::Gone;
-        }
+    /// Ends the response to the caller.
+    async fn finish(self, outcome: &str, status: StatusCode) {
+        log_end(&self.state, outcome, status.as_u16());
+        // The caller may have disconnected.
+        let _ = self.parts.send(Part::End).await;
     }
-}
 
-/// Relays complete events and remembers the id of the last one.
-async fn relay_events(
-    state: &mut RequestState,
-    mut body: Incoming,
-    chunks: &mpsc::Sender<Result<Bytes, Truncated>>,
-) -> End {
-    let mut events = EventBuffer::default();
-    loop {
-        let frame = match next_frame(state, &mut body, chunks).await {
-            Ok(Some(frame)) => frame,
-            Ok(None) if events.is_empty() => return End::Whole,
-            Ok(None) => return End::Broken,
-            Err(end) => return end,
-        };
-        events.push(&frame);
-        while let Some(event) = events.next_event() {
-            if let Some(id) = event.id {
-                state.last_event = Some(id);
-            }
-            state.sent_bytes += event.bytes.len();
-            if chunks.send(Ok(event.bytes)).await.is_err() {
+    /// Relays a response unchanged.
+    async fn relay_bytes(&mut self, mut body: Incoming, framing: Framing) -> End {
+        loop {
+            let frame = match self.next_frame(&mut body).await {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return end_of(framing),
+                Err(end) => return end,
+            };
+            if !self.send(frame).await {
                 return End::Gone;
             }
         }
     }
-}
 
-/// Reads the next chunk of a response; `None` at its end.
-async fn next_frame(
-    state: &RequestState,
-    body: &mut Incoming,
-    chunks: &mpsc::Sender<Result<Bytes, Truncated>>,
-) -> Result<Option<Bytes>, End> {
-    loop {
-        let left = state.request.left(state.front.node.now());
-        let frame = tokio::select! {
-            frame = body.frame() => frame,
-            () = chunks.closed() => return Err(End::Gone),
-            () = tokio::time::sleep(left) => return Err(End::OutOfTime),
-        };
-        match frame {
-            None => return Ok(None),
-            Some(Err(error)) => {
-                log::debug!(request = state.request.id.as_str(), error:% = error; "response interrupted");
-                return Err(End::Broken);
+    /// Relays complete events and remembers the id of the last one.
+    async fn relay_events(&mut self, mut body: Incoming, framing: Framing) -> End {
+        let mut events = EventBuffer::default();
+        loop {
+            let frame = match self.next_frame(&mut body).await {
+                Ok(Some(frame)) => frame,
+                Ok(None) if events.is_empty() => return end_of(framing),
+                Ok(None) => return End::Broken,
+                Err(end) => return end,
+            };
+            events.push(&frame);
+            while let Some(event) = events.next_event() {
+                if let Some(id) = event.id {
+                    self.state.last_event = Some(id);
+                }
+                if !self.send(event.bytes).await {
+                    return End::Gone;
+                }
             }
-            Some(Ok(frame)) => {
-                // Trailers are hop-by-hop here and are not forwarded.
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                };
-                return Ok(Some(data));
+        }
+    }
+
+    /// Sends bytes to the caller; returns false if the caller has disconnected.
+    async fn send(&mut self, bytes: Bytes) -> bool {
+        self.state.sent_bytes += bytes.len();
+        self.parts.send(Part::Data(bytes)).await.is_ok()
+    }
+
+    /// Reads the next chunk of a response; `None` at its end.
+    async fn next_frame(&self, body: &mut Incoming) -> Result<Option<Bytes>, End> {
+        loop {
+            let left = self.state.request.left(self.state.front.node.now());
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.parts.closed() => return Err(End::Gone),
+                () = tokio::time::sleep(left) => return Err(End::OutOfTime),
+            };
+            match frame {
+                None => return Ok(None),
+                Some(Err(error)) => {
+                    log::debug!(
+                        request = self.state.request.id.as_str(), error:% = error;
+                        "response interrupted"
+                    );
+                    return Err(End::Broken);
+                }
+                Some(Ok(frame)) => {
+                    // Trailers are hop-by-hop here and are not forwarded.
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    return Ok(Some(data));
+                }
             }
         }
     }
 }
 
+/// How a response ended that was read without an error.
+fn end_of(framing: Framing) -> End {
+    match framing {
+        Framing::Length | Framing::Chunked => End::Whole,
+        Framing::Close => End::Closed,
+    }
+}
+
 fn log_end(state: &RequestState, outcome: &str, status: u16) {
     let took = state.front.node.now().since(state.request.arrived);
     metrics::histogram!("clem_front_seconds").record(took.as_secs_f64());
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -7,6 +7,8 @@
 use clem_policy::dispatch::{RateLimit, SlotRequest, Ticket, Urgency};
 use clem_types::Time;
 
+use crate::caller::CallerLink;
+
 /// Part of the latency objective reserved for the way to the target and its first output; the rest
 /// may be spent waiting for a slot.
 const RESERVED_TIME: Duration = Duration::from_millis(60);
@@ -24,6 +26,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) customer: Option<Arc<Customer>>,
     pub(crate) outgoing: OutgoingRequest,
+    /// The connection that it came on.
+    pub(crate) link: CallerLink,
     /// Whether the caller has probably been refused before.
     pub(crate) is_retry: bool,
     pub(crate) arrived: Time,
