An item is not complete because its response ended with the connection

Now the item is resumed after its last event at another target. It is complete when a run ends with a last chunk, or when a run that had nothing to add ended with its connection and its target still accepts connections: a target that crashed does not, and a service that never marks its ends still gets its items done (items_of_a_service_that_never_frames_its_answers_are_completed).

Test, red before: an_item_is_not_completed_by_a_partial_answer_that_ended_with_its_connection (3 of 6 events).

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -234,6 +234,7 @@
             }
         }
         let mut events = EventBuffer::default();
+        let seen = self.last_event;
         tokio::pin!(recall);
         loop {
             let frame = tokio::select! {
@@ -259,6 +260,9 @@
                         }
                     }
                 }
+                Ok(None) if events.is_empty() && framing == Framing::Close => {
+                    return self.read_closed(slot, seen).await;
+                }
                 Ok(None) if events.is_empty() => {
                     self.keeper.node.recycle(&mut slot, connection);
                     return RunEnd::Completed;
@@ -278,6 +282,31 @@
         }
     }
 
+    /// Decides on a response without length and chunks that ended between two events. Targets that
+    /// crash end theirs in the same way, so the item is complete only if a run that resumed after
+    /// `seen` has nothing to add and its target did not crash.
+    async fn read_closed(&mut self, mut slot: Slot, seen: Option<u64>) -> RunEnd {
+        let added = self.last_event != seen;
+        if self.last_event.is_none() {
+            self.crashes += 1;
+        }
+        let alive = !added && seen.is_some() && {
+            let node = Arc::clone(&self.keeper.node);
+            node.accepts_connection(&slot.target).await
+        };
+        if alive {
+            slot.set_ended(GrantOutcome::Answered);
+            return RunEnd::Completed;
+        }
+        slot.set_ended(if added {
+            GrantOutcome::Answered
+        } else {
+            GrantOutcome::Broken
+        });
+        let target = slot.target.id.clone();
+        self.retry(&target, "closed", "")
+    }
+
     /// Appends an event and returns whether it is the expected next one.
     fn take_event(&mut self, id: Option<u64>, data: Option<&str>) -> bool {
         let Some(data) = data else { return true };
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clem_edge::{Forward, Framing, TargetHead};
+use clem_edge::{Forward, Framing, TargetHead, TargetVm};
 use clem_policy::dispatch::GrantOutcome;
 use http::{HeaderMap, Method, Request, response};
 use http_body_util::Full;
@@ -149,6 +149,23 @@
         }))
     }
 
+    /// Whether a target accepts a connection, which shows that its process has not crashed.
+    pub async fn accepts_connection(&self, target: &TargetVm) -> bool {
+        match connect(target.address).await {
+            Ok(connection) => {
+                self.pool.put(self.now(), target.address, connection);
+                true
+            }
+            Err(error) => {
+                log::info!(
+                    target = target.id.as_str(), error = error.as_str();
+                    "target does not accept a connection"
+                );
+                false
+            }
+        }
+    }
+
     /// Returns a connection to the pool after the response body was read completely.
     pub fn recycle(&self, slot: &mut Slot, connection: Option<ReusableConnection>) {
         slot.set_ended(GrantOutcome::Answered);
