--- a/crates/agent/tests/online.rs
+++ b/crates/agent/tests/online.rs
@@ -8,6 +8,10 @@
 use clem_types::{Attempt, Incarnation, Tokens};
 use clem_wire::dispatch::{Event, FailedReason, FenceReply, NotRunReason};
 use support::{Harness, text};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 /// Slows the target down, so that a test can act while a request runs.
 const SLOW: [&str; 2] = ["--step-us", "20000"];
@@ -318,6 +322,38 @@
     Ok(())
 }
 
+/// Accepts connections until a request arrives, then sends a part of an answer without length and
+/// chunks and ends, as a service that crashes does.
+async fn crash_in_an_answer(socket: TcpListener) -> std::io::Result<()> {
+    loop {
+        let (mut stream, _) = socket.accept().await?;
+        let mut request = [0; 4096];
+        if stream.read(&mut request).await? == 0 {
+            continue;
+        }
+        drop(socket);
+        return stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"n\":").await;
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_a_crash_ended_with_its_connection_is_not_complete() -> Result<()> {
+    let mut harness = Harness::start("service", &[], &[]).await?;
+    harness.target.kill()?;
+    let socket = TcpListener::bind(harness.target_address).await?;
+    let service = tokio::spawn(crash_in_an_answer(socket));
+    harness.control.change(|state| state.synced = None);
+    harness.wait_until_up().await?;
+    let events = harness.run(&harness.service(1, "a call")).await?;
+    service.await??;
+    assert_eq!(
+        failed(&events),
+        Some(FailedReason::TargetLost),
+        "{events:?}"
+    );
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_planned_stop_finishes_what_runs() -> Result<()> {
     let mut harness = Harness::start("engine", &SLOW, &[]).await?;
