The agent does not take a crash for the end of an answer

A service's answer without length and chunks ended with the connection of a service that crashed; the agent relayed its end event, the entry gave the part a length, and the result of an at-most-once call was recorded. Streams of engines were safe, as they end with their last event.

Now such an answer is complete only if the target still accepts connections afterwards; the agent runs beside it. Otherwise the job waits for the health check, as for any broken connection. Not covered: a service that cuts such an answer without crashing; the entry still sends what it has with a length.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use clem_edge::Framing;
 use clem_types::{AdapterId, FenceNumber, ModelId, ModelVersion};
 use clem_wire::{
     dispatch::TargetCall,
@@ -195,6 +196,15 @@
         Ok(EngineReply::Refused(format!("{status}: {text}")))
     }
 
+    /// Whether a response that was read without an error is complete. One without length and chunks
+    /// ends with its connection, which a target that crashes closes as well.
+    pub(crate) async fn is_complete(&self, framing: Framing) -> bool {
+        match framing {
+            Framing::Length | Framing::Chunked => true,
+            Framing::Close => self.accepts_connections().await,
+        }
+    }
+
     /// Whether the target accepts TCP connections.
     pub(crate) async fn accepts_connections(&self) -> bool {
         let connect = tokio::net::TcpStream::connect(self.address);
--- a/crates/agent/src/item.rs
+++ b/crates/agent/src/item.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clem_edge::Framing;
 use clem_policy::JobId;
 use clem_rules::Backend;
 use clem_types::Tokens;
@@ -201,7 +202,7 @@
         Backend::Model { .. } if response.status() == StatusCode::OK => {
             read_stream(agent, id, stream, answer, response).await
         }
-        Backend::Model { .. } | Backend::Service(_) => read_whole(response).await,
+        Backend::Model { .. } | Backend::Service(_) => read_whole(agent, response).await,
     }
 }
 
@@ -231,12 +232,16 @@
     RunOutcome::Broken
 }
 
-async fn read_whole(response: Response<Incoming>) -> RunOutcome {
+async fn read_whole(agent: &Agent, response: Response<Incoming>) -> RunOutcome {
     let status = response.status();
+    let framing = Framing::of(response.headers(), response.body());
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     let Ok(body) = body.collect().await else {
         return RunOutcome::Broken;
     };
+    if !agent.engine.is_complete(framing).await {
+        return RunOutcome::Broken;
+    }
     let body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
     if status == StatusCode::NOT_FOUND && body.contains("model_not_loaded") {
         return RunOutcome::Ended(AttemptEnd::Returned);
--- a/crates/agent/src/online.rs
+++ b/crates/agent/src/online.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clem_edge::Framing;
 use clem_policy::JobId;
 use clem_rules::Backend;
 use clem_types::{Attempt, RequestId};
@@ -276,10 +277,14 @@
 ) -> Result<Outcome, Outcome> {
     let status = response.status();
     let head = head(&response);
+    let framing = Framing::of(response.headers(), response.body());
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     let Ok(body) = body.collect().await else {
         return Ok(Outcome::Broken);
     };
+    if !agent.engine.is_complete(framing).await {
+        return Ok(Outcome::Broken);
+    }
     let mut body = body.to_bytes();
     if status == StatusCode::NOT_FOUND && contains_text(&body, "model_not_loaded") {
         return Ok(Outcome::Ended(not_run(agent, NotRunReason::NotServed)));
@@ -306,6 +311,7 @@
     response: Response<Incoming>,
 ) -> Result<Outcome, Outcome> {
     frames.send(head(&response)).await?;
+    let framing = Framing::of(response.headers(), response.body());
     let mut parts = response.into_body().into_data_stream();
     while let Some(part) = parts.next().await {
         let Ok(mut part) = part else {
@@ -319,6 +325,9 @@
             frames.send(Event::Data(piece)).await?;
         }
     }
+    if !agent.engine.is_complete(framing).await {
+        return Ok(Outcome::Broken);
+    }
     Ok(Outcome::Ended(end_event(agent)))
 }
 
