--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -45,6 +45,8 @@
     parts: mpsc::Sender<Part>,
     /// How the end of the response to the caller is marked.
     framing: Framing,
+    /// Number of data frames received from the current target.
+    frames: u32,
 }
 
 /// Starts to relay a response.
@@ -71,6 +73,7 @@
         state,
         parts,
         framing: reply.framing,
+        frames: 0,
     };
     tokio::spawn(relay.run(slot, reply));
     response.map(|()| RelayedBody::new(waiting, length, reset).boxed())
@@ -93,6 +96,7 @@
             let framing = reply.framing;
             let (head, body, connection) = reply.into_parts();
             self.state.placement.framing = Some(framing);
+            self.frames = 0;
             let end = if resumes {
                 self.relay_events(body, framing).await
             } else {
@@ -193,7 +197,7 @@
     }
 
     /// Reads the next chunk of a response; `None` at its end.
-    async fn next_frame(&self, body: &mut Incoming) -> Result<Option<Bytes>, End> {
+    async fn next_frame(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, End> {
         loop {
             let left = self.state.request.left(self.state.front.node.now());
             let frame = tokio::select! {
@@ -204,8 +208,10 @@
             match frame {
                 None => return Ok(None),
                 Some(Err(error)) => {
-                    log::debug!(
-                        request = self.state.request.id.as_str(), error:% = error;
+                    log::warn!(
+                        request = self.state.request.id.as_str(), error:% = error,
+                        target = self.state.placement.target.as_str(), frames = self.frames,
+                        parts = self.state.request.shared_parts();
                         "response interrupted"
                     );
                     return Err(End::Broken);
@@ -215,6 +221,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.frames += 1;
                     return Ok(Some(data));
                 }
             }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -73,6 +73,18 @@
         })
     }
 
+    /// The ids of the prompt's segments that other requests may have too, for the log; the last one
+    /// belongs to the request or its session.
+    pub(crate) fn shared_parts(&self) -> String {
+        let parts = &self.info.parts;
+        let shared = parts.len().saturating_sub(1);
+        let ids: Vec<&str> = parts[..shared]
+            .iter()
+            .map(|part| part.id.as_str())
+            .collect();
+        ids.join(",")
+    }
+
     /// Whether the response is an event stream.
     pub(crate) fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
