--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -2,10 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clem_direct::{EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
-use clem_edge::{Forward, Framing, ItemSpec, ItemStatus};
+use clem_direct::{EventBuffer, Liveness, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
+use clem_edge::{Forward, Framing, ItemSpec, ItemStatus, common_parts};
 use clem_policy::dispatch::{GrantOutcome, SlotRequest, Ticket, Urgency};
 use clem_state::jobs::{EndedItem, JobNumber};
+use clem_types::PartId;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
 use tokio::sync::{oneshot, watch};
@@ -16,6 +17,8 @@
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Delay before asking again when no slot was free.
 const BUSY_DELAY: Duration = Duration::from_millis(150);
+/// Delay before asking again for an item with parts that crash targets.
+const HARMFUL_DELAY: Duration = Duration::from_secs(2);
 /// Delay before the next run after a failed one.
 const FAILED_DELAY: Duration = Duration::from_millis(300);
 /// Longest pause in a stream before it counts as stalled; engines emit many events per second.
@@ -40,6 +43,8 @@
     /// Number of consecutive runs that broke before the first event.
     crashes: u32,
     avoid: Vec<String>,
+    /// What the item has in common with other requests.
+    parts: Vec<PartId>,
     /// The target of the last run, for the log.
     target: String,
     /// The framing of the last response, for the log.
@@ -61,7 +66,7 @@
 
 impl ItemRun {
     pub(crate) fn new(keeper: Arc<Keeper>, ready: ReadyItem, spec: ItemSpec) -> Self {
-        Self {
+        let mut run = Self {
             keeper,
             ready,
             spec,
@@ -70,9 +75,16 @@
             failed: 0,
             crashes: 0,
             avoid: Vec::new(),
+            parts: Vec::new(),
             target: String::new(),
             framing: None,
-        }
+        };
+        let request = run.outgoing();
+        let prompt = run.keeper.node.dialect.prompt_parts(&request.headers);
+        let customer = run.ready.job.name.customer.as_bytes();
+        let fields = [customer, request.path.as_bytes(), &request.body];
+        run.parts = common_parts(&prompt, &fields);
+        run
     }
 
     /// Runs the item until it has a result or its job is closed.
@@ -129,6 +141,11 @@
                 self.avoid.clear();
                 return RunEnd::Retry;
             }
+            SlotOutcome::Harmful => {
+                self.log_failure("", "harmful", "");
+                tokio::time::sleep(HARMFUL_DELAY).await;
+                return RunEnd::Retry;
+            }
         };
         let recall = self.keeper.await_recall(slot.ticket());
         let node = Arc::clone(&self.keeper.node);
@@ -151,6 +168,7 @@
             Ok(Outcome::NotSent(reason)) => self.retry(&target, "not sent", &reason),
             Ok(Outcome::Refused(_)) => self.retry(&target, "not run", ""),
             Ok(Outcome::Lost(reason)) => {
+                node.end_early(slot, 0, GrantOutcome::Broken);
                 self.crashes += 1;
                 self.retry(&target, "lost", &reason)
             }
@@ -181,6 +199,7 @@
             queue_timeout: QUEUE_TIMEOUT,
             data_centre: String::new(),
             avoid: self.avoid.clone(),
+            parts: self.parts.clone(),
         };
         self.keeper.node.place(want, None).await
     }
@@ -220,12 +239,12 @@
         match head.status {
             status if status.is_success() => {}
             StatusCode::INTERNAL_SERVER_ERROR => {
-                slot.set_ended(GrantOutcome::Answered);
+                slot.set_ended(GrantOutcome::Failed);
                 self.log_failure(&target, "failed", "500");
                 return RunEnd::Failed;
             }
             StatusCode::UNPROCESSABLE_ENTITY => {
-                slot.set_ended(GrantOutcome::Answered);
+                slot.set_ended(GrantOutcome::Failed);
                 return RunEnd::Impossible;
             }
             status => {
@@ -235,12 +254,14 @@
         }
         let mut events = EventBuffer::default();
         let seen = self.last_event;
+        let mut frames = 0;
+        let node = Arc::clone(&self.keeper.node);
         tokio::pin!(recall);
         loop {
             let frame = tokio::select! {
                 frame = tokio::time::timeout(STALL_TIMEOUT, body.frame()) => frame,
                 Ok(()) = &mut recall => {
-                    slot.set_ended(GrantOutcome::Answered);
+                    node.end_unread(slot, frames);
                     log::info!(
                         item = self.spec.id.as_str(), target = target.as_str(), seen = self.last_event;
                         "slot recalled"
@@ -253,6 +274,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    frames += 1;
                     events.push(&data);
                     while let Some(event) = events.next_event() {
                         if !self.take_event(event.id, event.data.as_deref()) {
@@ -261,14 +283,18 @@
                     }
                 }
                 Ok(None) if events.is_empty() && framing == Framing::Close => {
-                    return self.read_closed(slot, seen).await;
+                    return self.read_closed(slot, seen, frames).await;
                 }
                 Ok(None) if events.is_empty() => {
-                    self.keeper.node.recycle(&mut slot, connection);
+                    node.recycle(&mut slot, head.status, connection);
                     return RunEnd::Completed;
                 }
-                Ok(None) => return self.retry(&target, "cut", ""),
+                Ok(None) => {
+                    node.end_early(slot, frames, GrantOutcome::Broken);
+                    return self.retry(&target, "cut", "");
+                }
                 Ok(Some(Err(error))) => {
+                    node.end_early(slot, frames, GrantOutcome::Broken);
                     if self.last_event.is_none() {
                         self.crashes += 1;
                     }
@@ -285,25 +311,23 @@
     /// Decides on a response without length and chunks that ended between two events. Targets that
     /// crash end theirs in the same way, so the item is complete only if a run that resumed after
     /// `seen` has nothing to add and its target did not crash.
-    async fn read_closed(&mut self, mut slot: Slot, seen: Option<u64>) -> RunEnd {
+    async fn read_closed(&mut self, mut slot: Slot, seen: Option<u64>, frames: u32) -> RunEnd {
+        let node = Arc::clone(&self.keeper.node);
         let added = self.last_event != seen;
-        if self.last_event.is_none() {
-            self.crashes += 1;
-        }
-        let alive = !added && seen.is_some() && {
-            let node = Arc::clone(&self.keeper.node);
-            node.accepts_connection(&slot.target).await
-        };
-        if alive {
+        if !added && seen.is_some() && node.probe(&slot.target).await == Liveness::Running {
             slot.set_ended(GrantOutcome::Answered);
             return RunEnd::Completed;
         }
-        slot.set_ended(if added {
+        if self.last_event.is_none() {
+            self.crashes += 1;
+        }
+        let target = slot.target.id.clone();
+        let ended = if added {
             GrantOutcome::Answered
         } else {
             GrantOutcome::Broken
-        });
-        let target = slot.target.id.clone();
+        };
+        node.end_early(slot, frames, ended);
         self.retry(&target, "closed", "")
     }
 
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use clem_edge::{Forward, Framing, TargetHead, TargetVm};
 use clem_policy::dispatch::GrantOutcome;
-use http::{HeaderMap, Method, Request, response};
+use http::{HeaderMap, Method, Request, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::{
     Node, Slot,
-    pool::{Connection, connect},
+    pool::{ConnectError, Connection, connect},
 };
 
 /// A request to forward to a target.
@@ -27,6 +27,21 @@
     pub body: Bytes,
 }
 
+/// Frames of a response up to which it counts as hardly begun: a target that crashes when it begins
+/// to answer may still send one.
+const BEGUN_FRAMES: u32 = 1;
+
+/// Whether the process of a target runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// It accepts connections.
+    Running,
+    /// It refuses connections.
+    Ended,
+    /// It can't be reached.
+    Unknown,
+}
+
 /// The result of one attempt.
 pub enum Outcome {
     /// The target responded; the response body is still to be read.
@@ -73,7 +88,7 @@
                     Ok(connection) => connection,
                     Err(error) => {
                         slot.set_ended(GrantOutcome::Unreachable);
-                        return Outcome::NotSent(error);
+                        return Outcome::NotSent(error.to_string());
                     }
                 },
             };
@@ -149,26 +164,60 @@
         }))
     }
 
-    /// Whether a target accepts a connection, which shows that its process has not crashed.
-    pub async fn accepts_connection(&self, target: &TargetVm) -> bool {
+    /// Whether the process of a target still runs, as far as a new connection tells.
+    pub async fn probe(&self, target: &TargetVm) -> Liveness {
         match connect(target.address).await {
             Ok(connection) => {
                 self.pool.put(self.now(), target.address, connection);
-                true
+                Liveness::Running
             }
-            Err(error) => {
-                log::info!(
-                    target = target.id.as_str(), error = error.as_str();
-                    "target does not accept a connection"
-                );
-                false
+            Err(ConnectError::Refused) => {
+                log::warn!(target = target.id.as_str(); "target crashed");
+                Liveness::Ended
             }
+            Err(ConnectError::Failed(error)) => {
+                log::info!(target = target.id.as_str(), error = error.as_str(); "target not reached");
+                Liveness::Unknown
+            }
+        }
+    }
+
+    /// Releases the slot of a response that ended early. If it had hardly begun, its request may be
+    /// what crashed the target; `otherwise` is how it ended if the target didn't crash.
+    pub fn end_early(self: &Arc<Self>, mut slot: Slot, frames: u32, otherwise: GrantOutcome) {
+        slot.set_ended(otherwise);
+        if frames > BEGUN_FRAMES {
+            return;
         }
+        let node = Arc::clone(self);
+        tokio::spawn(async move {
+            if node.probe(&slot.target).await == Liveness::Ended {
+                slot.set_ended(GrantOutcome::Crashed);
+            }
+        });
+    }
+
+    /// Releases the slot of a response that is not read further.
+    pub fn end_unread(&self, mut slot: Slot, frames: u32) {
+        slot.set_ended(if frames > BEGUN_FRAMES {
+            GrantOutcome::Answered
+        } else {
+            GrantOutcome::Lost
+        });
     }
 
     /// Returns a connection to the pool after the response body was read completely.
-    pub fn recycle(&self, slot: &mut Slot, connection: Option<ReusableConnection>) {
-        slot.set_ended(GrantOutcome::Answered);
+    pub fn recycle(
+        &self,
+        slot: &mut Slot,
+        status: StatusCode,
+        connection: Option<ReusableConnection>,
+    ) {
+        slot.set_ended(if status.is_success() {
+            GrantOutcome::Answered
+        } else {
+            GrantOutcome::Failed
+        });
         if let Some(ReusableConnection(connection)) = connection {
             self.pool.put(self.now(), slot.target.address, connection);
         }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -91,6 +91,7 @@
         announced: Some(node.newest_announced()),
         seen: view.seen,
         leaving: node.leaving(),
+        blocked: view.blocked.clone(),
         held: node.held(),
         members: view.members.clone(),
         wait_ms: WAIT.as_millis() as u32,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,7 +13,7 @@
 mod view;
 
 pub use events::{Event, EventBuffer};
-pub use exchange::{Outcome, OutgoingRequest, Reply, ReusableConnection};
+pub use exchange::{Liveness, Outcome, OutgoingRequest, Reply, ReusableConnection};
 pub use follow::follow;
 pub use list::{poll_without_hub, read_targets};
 pub use node::{Node, NodeSettings};
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    fmt, io,
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -72,22 +73,48 @@
     }
 }
 
+/// Why a connection could not be opened; nothing was sent.
+#[derive(Debug)]
+pub(crate) enum ConnectError {
+    /// No process listens on the address.
+    Refused,
+    /// It was not established in time, or for another reason.
+    Failed(String),
+}
+
+impl fmt::Display for ConnectError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused => f.write_str("connection refused"),
+            Self::Failed(reason) => f.write_str(reason),
+        }
+    }
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused,
+            _ => Self::Failed(error.to_string()),
+        }
+    }
+}
+
+type Result<T> = std::result::Result<T, ConnectError>;
+
 /// Opens a connection.
 ///
 /// # Errors
 /// The connection could not be established; nothing was sent.
-pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, String> {
+pub(crate) async fn connect(address: SocketAddr) -> Result<Connection> {
     metrics::counter!("clem_target_connects").increment(1);
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = connected
-        .map_err(|_| "no connection in time".to_owned())?
-        .map_err(|error| error.to_string())?;
-    stream
-        .set_nodelay(true)
-        .map_err(|error| error.to_string())?;
+    let late = |_| ConnectError::Failed("no connection in time".to_owned());
+    let stream = connected.map_err(late)??;
+    stream.set_nodelay(true)?;
     let (sender, connection) = handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| ConnectError::Failed(error.to_string()))?;
     tokio::spawn(async move {
         // An error here also fails the request that uses the connection.
         let _ = connection.await;
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -51,6 +51,8 @@
         /// How long the request would have waited for a slot.
         wait: Duration,
     },
+    /// The request has parts that crash targets.
+    Harmful,
 }
 
 impl Slot {
@@ -106,9 +108,10 @@
             // The target may have said that it is leaving while the request was queued.
             match &outcome {
                 SlotOutcome::Slot(slot) if self.must_avoid(&slot.target) => {}
-                SlotOutcome::Slot(_) | SlotOutcome::OverRate(_) | SlotOutcome::Busy { .. } => {
-                    return outcome;
-                }
+                SlotOutcome::Slot(_)
+                | SlotOutcome::OverRate(_)
+                | SlotOutcome::Busy { .. }
+                | SlotOutcome::Harmful => return outcome,
             }
         }
         SlotOutcome::Busy {
@@ -181,6 +184,7 @@
                 SlotOutcome::OverRate(retry)
             }
             Verdict::Busy { retry, wait } => SlotOutcome::Busy { retry, wait },
+            Verdict::Harmful => SlotOutcome::Harmful,
             // A new leader may not have read the target list yet.
             Verdict::NoTarget => self.place_locally(&want, limit),
         }
@@ -222,6 +226,7 @@
             service: want.service.clone(),
             target: target.id.clone(),
             batch: matches!(want.urgency, Urgency::Batch { .. }),
+            parts: want.parts.clone(),
         });
         SlotOutcome::Slot(Slot {
             node: Arc::clone(self),
@@ -238,6 +243,9 @@
         limit: Option<RateLimit>,
     ) -> SlotOutcome {
         let now = self.now();
+        if self.view().blocked.iter().any(|b| b.blocks(&want.parts)) {
+            return SlotOutcome::Harmful;
+        }
         if matches!(want.urgency, Urgency::Batch { .. }) {
             return SlotOutcome::Busy {
                 retry: NO_TARGET_RETRY,
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
+use clem_policy::dispatch::BlockedParts;
 use clem_types::{Time, Version};
 use clem_wire::fleet::{FleetList, FleetListVersion};
 
@@ -25,6 +26,8 @@
     pub members: Option<Vec<SocketAddr>>,
     /// Number of fronts that report to the hub's leader.
     pub fronts: u32,
+    /// Parts of requests that crash targets.
+    pub blocked: Vec<BlockedParts>,
     /// When the target list was last updated; `None` if never.
     pub listed: Option<Time>,
     /// When the hub's leader last responded; `None` if never.
@@ -57,6 +60,7 @@
         self.batch = list.batch;
         self.retiring = list.retiring;
         self.fronts = list.fronts;
+        self.blocked = list.blocked;
     }
 
     pub(crate) fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -6,8 +6,8 @@
 use http::{HeaderMap, Response, request, response};
 
 use crate::{
-    BatchSpec, ListPage, OperatorCall, Refusal, RequestInfo, RequestKind, Result, ResultsPage,
-    Ruleset, TargetHead,
+    BatchSpec, ListPage, OperatorCall, PromptPart, Refusal, RequestInfo, RequestKind, Result,
+    ResultsPage, Ruleset, TargetHead,
 };
 
 /// What is added to a request that is forwarded to a target.
@@ -65,6 +65,9 @@
     /// All problems of the batch, each with its path.
     fn read_batch(&self, id: &str, body: &[u8]) -> Result<BatchSpec>;
 
+    /// The segments of the prompt in the headers of an item.
+    fn prompt_parts(&self, headers: &HeaderMap) -> Vec<PromptPart>;
+
     /// The response to an accepted batch.
     fn batch_accepted(&self) -> Response<Bytes>;
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,7 +18,7 @@
 pub use finding::{Finding, Findings, Result};
 pub use headers::end_to_end;
 pub use refusal::{Cause, Refusal};
-pub use request::{OperatorCall, PromptPart, RequestInfo, RequestKind};
+pub use request::{OperatorCall, PromptPart, RequestInfo, RequestKind, common_parts};
 pub use rules::{
     Backend, BatchRules, CallerLimits, Customer, Engine, KeyDigest, Route, RouteKind, Ruleset,
     Service,
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -17,6 +17,8 @@
     OverLimit,
     /// There is no free slot or no target; the request has not run and will not run.
     Busy,
+    /// The request has parts that crash targets; it has not run and will not run.
+    Harmful,
     /// This process lacks rules or can't reach the leader; no target has run the request.
     NotReady,
     /// The response was lost or corrupted; the request may have run.
@@ -58,6 +60,7 @@
             Self::TooLong => "too_long",
             Self::OverLimit => "over_limit",
             Self::Busy => "busy",
+            Self::Harmful => "harmful",
             Self::NotReady => "not_ready",
             Self::Broken => "broken",
             Self::OutOfTime => "out_of_time",
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clem_types::PartId;
 
 /// Metadata from a caller's request headers, apart from method, path and forwarded headers.
 #[derive(Debug, Clone, Default)]
@@ -34,6 +35,17 @@
     pub tokens: u32,
 }
 
+/// What a request has in common with others, by which requests that crash targets are recognised: the
+/// segments of its prompt but the last, which belongs to the request or its session, and the whole of
+/// it, `fields`, as callers send it again.
+pub fn common_parts(prompt: &[PromptPart], fields: &[&[u8]]) -> Vec<PartId> {
+    let mut parts = vec![PartId::of(fields)];
+    if let Some((_, shared)) = prompt.split_last() {
+        parts.extend(shared.iter().map(|part| PartId::of(&[part.id.as_bytes()])));
+    }
+    parts
+}
+
 /// The operation that a caller's request asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RequestKind {
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -118,6 +118,7 @@
                 }
                 Some(Outcome::Lost(reason)) => {
                     self.log_attempt(&target, "lost", &reason);
+                    self.front.node.end_early(slot, 0, GrantOutcome::Broken);
                     self.runs += 1;
                     if !retryable || self.runs >= self.request.route.attempts {
                         return Err(failed(Cause::Broken));
@@ -163,6 +164,14 @@
             SlotOutcome::OverRate(retry) => Err(Failed {
                 refusal: Refusal::after(Cause::OverLimit, node.with_jitter(retry)),
             }),
+            SlotOutcome::Harmful if self.runs > 0 => Err(failed(Cause::Broken)),
+            SlotOutcome::Harmful => {
+                log::warn!(
+                    request = self.request.id.as_str(), parts = self.request.shared_parts();
+                    "request refused for its parts"
+                );
+                Err(failed(Cause::Harmful))
+            }
             SlotOutcome::Busy { retry, wait } => {
                 self.placement.expected = wait;
                 let left = self.request.left(node.now());
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use clem_direct::OutgoingRequest;
-use clem_edge::{Cause, Customer, Refusal, RequestKind, RouteKind, Ruleset};
+use clem_edge::{Cause, Customer, Refusal, RequestKind, RouteKind, Ruleset, common_parts};
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -105,8 +105,12 @@
     let is_retry = info
         .timeout
         .is_some_and(|timeout| front.record_request(&route.name, timeout));
+    let name = customer.map_or("", |customer| customer.name.as_str());
+    let fields = [name.as_bytes(), path.as_bytes(), &body];
+    let parts = common_parts(&info.parts, &fields);
     let request = CallerRequest {
         id,
+        parts,
         link,
         is_retry,
         route: Arc::new(route.clone()),
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -8,6 +8,8 @@
 //! ends with its connection is passed on in the same way, so that the caller knows as much as this
 //! process does. See `docs/design/platform.md`, "Ends of responses".
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use clem_direct::{EventBuffer, Reply, Slot};
 use clem_edge::Framing;
@@ -92,6 +94,7 @@
         let resumes = self.state.request.is_stream()
             && self.state.request.route.resumable
             && reply.head.status.is_success();
+        let node = Arc::clone(&self.state.front.node);
         loop {
             let framing = reply.framing;
             let (head, body, connection) = reply.into_parts();
@@ -104,19 +107,18 @@
             };
             match end {
                 End::Whole => {
-                    self.state.front.node.recycle(&mut slot, connection);
+                    node.recycle(&mut slot, head.status, connection);
                     drop(slot);
                     self.finish("answered", head.status).await;
                     return;
                 }
                 End::Closed if self.framing == Framing::Close => {
-                    slot.set_ended(GrantOutcome::Answered);
-                    drop(slot);
+                    node.end_early(slot, self.frames, GrantOutcome::Answered);
                     self.finish("closed", head.status).await;
                     return;
                 }
                 End::Gone => {
-                    slot.set_ended(GrantOutcome::Answered);
+                    node.end_unread(slot, self.frames);
                     log_end(&self.state, "caller gone", head.status.as_u16());
                     return;
                 }
@@ -124,10 +126,11 @@
                     slot.set_ended(GrantOutcome::Silent);
                     break;
                 }
-                End::Closed | End::Broken => slot.set_ended(GrantOutcome::Broken),
+                End::Closed | End::Broken => {
+                    self.state.avoid.push(slot.target.id.clone());
+                    node.end_early(slot, self.frames, GrantOutcome::Broken);
+                }
             }
-            self.state.avoid.push(slot.target.id.clone());
-            drop(slot);
             if !resumes || self.state.runs >= self.state.request.route.attempts {
                 break;
             }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -5,7 +5,7 @@
 use clem_direct::OutgoingRequest;
 use clem_edge::{Customer, RequestInfo, Route, RouteKind};
 use clem_policy::dispatch::{RateLimit, SlotRequest, Ticket, Urgency};
-use clem_types::Time;
+use clem_types::{PartId, Time};
 
 use crate::caller::CallerLink;
 
@@ -28,6 +28,8 @@
     pub(crate) outgoing: OutgoingRequest,
     /// The connection that it came on.
     pub(crate) link: CallerLink,
+    /// What it has in common with other requests.
+    pub(crate) parts: Vec<PartId>,
     /// Whether the caller has probably been refused before.
     pub(crate) is_retry: bool,
     pub(crate) arrived: Time,
@@ -61,6 +63,7 @@
             queue_timeout,
             data_centre: String::new(),
             avoid: avoid.to_vec(),
+            parts: self.parts.clone(),
         }
     }
 
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -10,9 +10,9 @@
 };
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
-use clem_policy::dispatch::{Dispatcher, LeavingTargets, RateLimit, TargetSlots};
+use clem_policy::dispatch::{Dispatcher, LeavingTargets, PartNews, RateLimit, TargetSlots};
 use clem_state::batch_group::BatchGroup;
-use clem_types::{Epoch, Time, Version};
+use clem_types::{Epoch, PartId, Time, Version};
 use clem_wire::fleet::{
     FleetList, FleetListVersion, Follow, FollowReply, POLL_RULES_BYTES, ProcessRole, RetireReply,
     RulesDocument,
@@ -226,6 +226,32 @@
             self.members.clone_from(members);
         }
         self.dispatcher.report(now, &follow.holder, &follow.held);
+        if follow.seen.epoch != self.epoch {
+            self.dispatcher.restore_blocked(now, &follow.blocked);
+        }
+    }
+
+    /// Logs what has come under suspicion to crash targets, and lists new blocks for followers.
+    pub fn publish_parts(&mut self) {
+        for news in self.dispatcher.take_part_news() {
+            match news {
+                PartNews::Suspected { part, crashes } => {
+                    log::warn!(part:% = part, crashes; "part suspected of crashing targets");
+                }
+                PartNews::Blocked {
+                    parts,
+                    crashes,
+                    trials,
+                } => {
+                    log::warn!(parts = join(&parts), crashes, trials; "parts blocked");
+                    self.change += 1;
+                }
+                PartNews::Unblocked { parts } => {
+                    log::info!(parts = join(&parts); "part unblocked");
+                    self.change += 1;
+                }
+            }
+        }
     }
 
     /// Expires silent processes and overdue requests.
@@ -304,6 +330,7 @@
             batch: self.batch().filter_map(|p| p.address).collect(),
             retiring: self.retiring().filter_map(|p| p.address).collect(),
             fronts: self.fronts(),
+            blocked: self.dispatcher.blocked_parts(),
         });
         let recalls = self.dispatcher.take_recalls(&follow.holder);
         if newest <= known && fleet.is_none() && recalls.is_empty() {
@@ -354,3 +381,9 @@
         u32::try_from(fronts.count()).unwrap_or(u32::MAX)
     }
 }
+
+/// A list of parts, for log lines.
+fn join(parts: &[PartId]) -> String {
+    let texts: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    texts.join(",")
+}
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -43,6 +43,7 @@
         announced: Some(Version(0)),
         seen,
         leaving: Vec::new(),
+        blocked: Vec::new(),
         held: Vec::new(),
         members: None,
         wait_ms: 400,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -12,6 +12,7 @@
 //!
 //! The scheduler does no I/O and reads no clock. See `docs/design/platform.md`, "Who runs next".
 
+mod crashes;
 mod fallback;
 mod leaving;
 mod pool;
@@ -24,9 +25,10 @@
     time::Duration,
 };
 
-use clem_types::Time;
+use clem_types::{PartId, Time};
 use serde::{Deserialize, Serialize};
 
+pub use crashes::{Admission, BlockedParts, CrashParts, PartNews};
 pub use fallback::Fallback;
 pub use leaving::LeavingTargets;
 pub use pool::{Pool, PoolView};
@@ -44,6 +46,9 @@
 /// reply with the grant may still have been in flight when the report was made.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 
+/// Retry delay while another request with a suspected part runs.
+const SUSPECT_RETRY: Duration = Duration::from_millis(300);
+
 /// Id of a slot request and of its grant, drawn at random by the process that asks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -88,6 +93,9 @@
     pub data_centre: String,
     /// Targets that earlier attempts at this request failed on.
     pub avoid: Vec<String>,
+    /// What the request has in common with others.
+    #[serde(default)]
+    pub parts: Vec<PartId>,
 }
 
 /// Decision on a slot request.
@@ -114,6 +122,8 @@
     },
     /// The service has no listed target.
     NoTarget,
+    /// The request has parts that crash each target that runs them.
+    Harmful,
 }
 
 /// A grant as its holder reports it.
@@ -127,6 +137,9 @@
     pub target: String,
     /// Whether a batch item runs in the slot.
     pub batch: bool,
+    /// What the request has in common with others.
+    #[serde(default)]
+    pub parts: Vec<PartId>,
 }
 
 /// A slot in use.
@@ -138,6 +151,7 @@
     batch: bool,
     since: Time,
     recalled: bool,
+    parts: Vec<PartId>,
 }
 
 /// Queues and slots of all services, and the customers' rate limits.
@@ -149,6 +163,7 @@
     last_heard: HashMap<String, Time>,
     decided: Vec<(Ticket, Verdict)>,
     recalls: HashMap<String, Vec<Ticket>>,
+    crash_parts: CrashParts,
 }
 
 impl Dispatcher {
@@ -178,9 +193,14 @@
     /// immediately or after the request was queued.
     pub fn request_slot(&mut self, now: Time, want: SlotRequest) {
         self.last_heard.insert(want.holder.clone(), now);
+        if let Some(verdict) = self.reject_parts(now, &want) {
+            self.decided.push((want.ticket, verdict));
+            return;
+        }
         if let Some(bucket) = want.customer.as_ref().and_then(|c| self.buckets.get_mut(c))
             && let Err(retry) = bucket.take(now)
         {
+            self.crash_parts.end(want.ticket);
             self.decided
                 .push((want.ticket, Verdict::OverRate { retry }));
             return;
@@ -204,6 +224,7 @@
             let Some(want) = pool.remove(ticket) else {
                 continue;
             };
+            self.crash_parts.end(ticket);
             if let Some(bucket) = want.customer.and_then(|c| self.buckets.get_mut(&c)) {
                 bucket.refund();
             }
@@ -223,9 +244,66 @@
         if let Some(pool) = self.pools.get_mut(&grant.service) {
             pool.release(now, &grant.target, grant.batch, grant.since, ended);
         }
+        match ended {
+            GrantOutcome::Answered => self.crash_parts.note_sound(grant.since, &grant.parts),
+            GrantOutcome::Crashed => {
+                self.crash_parts
+                    .note_crash(now, ticket, &grant.target, &grant.parts);
+            }
+            GrantOutcome::Failed
+            | GrantOutcome::Full
+            | GrantOutcome::NotRun
+            | GrantOutcome::Unreachable
+            | GrantOutcome::Broken
+            | GrantOutcome::Silent
+            | GrantOutcome::Replaced
+            | GrantOutcome::Lost => {}
+        }
+        self.crash_parts.end(ticket);
+        if ended == GrantOutcome::Crashed {
+            self.reject_waiting(now);
+        }
         self.schedule(now);
     }
 
+    /// The parts that crash targets, for other processes.
+    pub fn blocked_parts(&self) -> Vec<BlockedParts> {
+        self.crash_parts.blocked()
+    }
+
+    /// Takes over what another process knows to be blocked, after a change of leader.
+    pub fn restore_blocked(&mut self, now: Time, known: &[BlockedParts]) {
+        self.crash_parts.restore(now, known);
+    }
+
+    /// Removes and returns the changes of what is suspected to crash targets.
+    pub fn take_part_news(&mut self) -> Vec<PartNews> {
+        self.crash_parts.take_news()
+    }
+
+    /// The verdict on a request whose parts crash targets, or may do so.
+    fn reject_parts(&mut self, now: Time, want: &SlotRequest) -> Option<Verdict> {
+        match self.crash_parts.admit(now, want.ticket, &want.parts) {
+            Admission::Free => None,
+            Admission::Later => Some(Verdict::Busy {
+                retry: SUSPECT_RETRY,
+                wait: Duration::ZERO,
+            }),
+            Admission::Blocked => Some(Verdict::Harmful),
+        }
+    }
+
+    /// Refuses queued requests whose parts have come under suspicion since they were queued.
+    fn reject_waiting(&mut self, now: Time) {
+        let mut pools = std::mem::take(&mut self.pools);
+        for pool in pools.values_mut() {
+            for (want, verdict) in pool.reject(|want| self.reject_parts(now, want)) {
+                self.refuse(now, &want, verdict);
+            }
+        }
+        self.pools = pools;
+    }
+
     /// Reconciles the grants of a holder with the complete list that it reports, after lost
     /// messages and after a change of leader.
     pub fn report(&mut self, now: Time, holder: &str, held: &[HeldGrant]) {
@@ -255,6 +333,7 @@
                     batch: grant.batch,
                     since: now,
                     recalled: false,
+                    parts: grant.parts.clone(),
                 },
             );
         }
@@ -317,6 +396,7 @@
 
     fn refuse(&mut self, now: Time, want: &SlotRequest, verdict: Verdict) {
         debug_assert!(now >= Time::ZERO, "time starts at zero");
+        self.crash_parts.end(want.ticket);
         if let Some(bucket) = want.customer.as_ref().and_then(|c| self.buckets.get_mut(c)) {
             bucket.refund();
         }
@@ -339,6 +419,7 @@
                     batch: matches!(want.urgency, Urgency::Batch { .. }),
                     since: now,
                     recalled: false,
+                    parts: want.parts,
                 };
                 self.grants.insert(want.ticket, grant);
                 self.decided
--- /dev/null
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -0,0 +1,382 @@
+//! Finds the part of requests that crashes targets, and keeps requests with it away from them.
+//!
+//! The expected load is a few requests a second that share one part, each of which crashes the target
+//! that begins to answer it, among many sound requests that share their other parts. Other targets
+//! crash at the same time for other reasons.
+//!
+//! - Each crash names the requests whose answers had not begun. Their parts are suspects; a part is
+//!   cleared by a whole answer to a request that was sent after the crash.
+//! - From [`SUSPECT_CRASHES`] on, requests with the part run one at a time, so that each further crash
+//!   costs one request and tells one thing.
+//! - From [`BLOCK_CRASHES`] on they are refused, if they have all parts that the requests of all these
+//!   crashes had in common: a part that came with the bad one only is not held against others.
+//! - A blocked request is tried again seldom, and a few times at most while such requests come.
+//!
+//! See `docs/design/platform.md`, "Requests that crash targets".
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    time::Duration,
+};
+
+use clem_types::{PartId, Time};
+use serde::{Deserialize, Serialize};
+
+use super::Ticket;
+
+/// Crashes from which on requests with a part run one at a time.
+const SUSPECT_CRASHES: usize = 2;
+/// Crashes from which on requests with a part are refused.
+const BLOCK_CRASHES: usize = 4;
+/// How long a crash counts.
+const CRASH_KEEP: Duration = Duration::from_secs(600);
+/// Reports within this time after the first one are of the same crash of a target.
+const CRASH_SPAN: Duration = Duration::from_secs(1);
+/// Maximum number of crashes that are remembered; beyond it the oldest is dropped.
+const CRASHES_MAX: usize = 256;
+/// Maximum number of requests that are remembered for a crash.
+const REQUESTS_MAX: usize = 64;
+/// Maximum number of blocks; beyond it the one that was met longest ago is dropped.
+const BLOCKS_MAX: usize = 64;
+/// Maximum number of parts of a request that are looked at.
+const PARTS_MAX: usize = 16;
+/// Time from a block to its first trial; each later trial waits twice as long as the one before.
+const TRIAL_DELAY: Duration = Duration::from_secs(30);
+/// Time from a trial that told nothing to the next one.
+const TRIAL_RETRY: Duration = Duration::from_secs(5);
+/// Trials that may crash targets while blocked requests still come.
+const TRIALS_MAX: u32 = 2;
+/// Time without a blocked request after which its block is dropped.
+const BLOCK_KEEP: Duration = Duration::from_secs(600);
+
+/// Whether a request may be sent, as far as its parts tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent.
+    Free,
+    /// Another request with a suspected part runs; it may be sent later.
+    Later,
+    /// It has the parts that crash targets.
+    Blocked,
+}
+
+/// Parts that crash targets when a request has all of them, as processes tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BlockedParts {
+    /// The parts.
+    pub parts: Vec<PartId>,
+    /// Number of trials that crashed a target.
+    pub trials: u32,
+}
+
+impl BlockedParts {
+    /// Whether a request with these parts is blocked.
+    pub fn blocks(&self, parts: &[PartId]) -> bool {
+        !self.parts.is_empty() && self.parts.iter().all(|part| parts.contains(part))
+    }
+}
+
+/// A change of what is suspected, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartNews {
+    /// Requests with this part run one at a time from here on.
+    Suspected {
+        /// The part.
+        part: PartId,
+        /// Number of crashes.
+        crashes: usize,
+    },
+    /// Requests that have all of these parts are refused from here on.
+    Blocked {
+        /// The parts.
+        parts: Vec<PartId>,
+        /// Number of crashes.
+        crashes: usize,
+        /// Number of trials that crashed a target.
+        trials: u32,
+    },
+    /// A blocked part was answered, or no request with it came for long.
+    Unblocked {
+        /// The parts that were blocked.
+        parts: Vec<PartId>,
+    },
+}
+
+/// A target that ended while requests waited for their answers to begin.
+#[derive(Debug)]
+struct Crash {
+    target: String,
+    at: Time,
+    /// The parts of each request.
+    requests: Vec<Vec<PartId>>,
+}
+
+/// Parts that are blocked.
+#[derive(Debug)]
+struct Block {
+    blocked: BlockedParts,
+    /// When the last crash under them was reported.
+    crashed: Time,
+    /// When the last request with them came.
+    seen: Time,
+    /// When the next trial may run.
+    trial_at: Time,
+    /// The trial that runs.
+    trial: Option<Ticket>,
+}
+
+/// Finds the parts of requests that crash targets.
+#[derive(Debug, Default)]
+pub struct CrashParts {
+    crashes: VecDeque<Crash>,
+    /// For parts that were in flight at a crash, the latest start of a request with a whole answer.
+    cleared: HashMap<PartId, Time>,
+    blocks: Vec<Block>,
+    /// Requests with suspected parts that were admitted, with those parts.
+    probes: BTreeMap<Ticket, Vec<PartId>>,
+    news: Vec<PartNews>,
+}
+
+impl CrashParts {
+    /// Decides on a request before it is queued. A request that is admitted must be reported with
+    /// [`end`](Self::end).
+    pub fn admit(&mut self, now: Time, ticket: Ticket, parts: &[PartId]) -> Admission {
+        if self.crashes.is_empty() && self.blocks.is_empty() || self.probes.contains_key(&ticket) {
+            return Admission::Free;
+        }
+        self.forget(now);
+        let probes = &self.probes;
+        let is_probed = |part: &PartId| probes.values().any(|probed| probed.contains(part));
+        if let Some(block) = self.blocks.iter_mut().find(|b| b.blocked.blocks(parts)) {
+            block.seen = now;
+            let probed = block.blocked.parts.iter().any(is_probed);
+            if probed || now < block.trial_at || block.blocked.trials >= TRIALS_MAX {
+                return Admission::Blocked;
+            }
+            block.trial_at = now + TRIAL_RETRY;
+            block.trial = Some(ticket);
+            self.probes.insert(ticket, block.blocked.parts.clone());
+            return Admission::Free;
+        }
+        let suspects: Vec<PartId> = parts
+            .iter()
+            .take(PARTS_MAX)
+            .filter(|part| self.count(**part) >= SUSPECT_CRASHES)
+            .copied()
+            .collect();
+        if suspects.iter().any(is_probed) {
+            return Admission::Later;
+        }
+        if !suspects.is_empty() {
+            self.probes.insert(ticket, suspects);
+        }
+        Admission::Free
+    }
+
+    /// Ends a request that was admitted, whatever became of it.
+    pub fn end(&mut self, ticket: Ticket) {
+        if self.probes.remove(&ticket).is_none() {
+            return;
+        }
+        for block in &mut self.blocks {
+            block.trial.take_if(|trial| *trial == ticket);
+        }
+    }
+
+    /// Records that a target crashed before the answer to a request had begun.
+    pub fn note_crash(&mut self, now: Time, ticket: Ticket, target: &str, parts: &[PartId]) {
+        self.fail_trial(now, ticket);
+        let parts: Vec<PartId> = parts.iter().take(PARTS_MAX).copied().collect();
+        let known = self
+            .crashes
+            .iter_mut()
+            .rev()
+            .find(|crash| crash.target == target && now.since(crash.at) < CRASH_SPAN);
+        let news = match known {
+            Some(crash) if crash.requests.len() >= REQUESTS_MAX => return,
+            Some(crash) => {
+                let before: Vec<PartId> = crash.requests.concat();
+                crash.requests.push(parts.clone());
+                parts.into_iter().filter(|p| !before.contains(p)).collect()
+            }
+            None => {
+                if self.crashes.len() >= CRASHES_MAX {
+                    self.crashes.pop_front();
+                }
+                self.crashes.push_back(Crash {
+                    target: target.to_owned(),
+                    at: now,
+                    requests: vec![parts.clone()],
+                });
+                parts
+            }
+        };
+        self.judge(now, &news);
+    }
+
+    /// Records the whole answer to a request that was sent at `since`.
+    pub fn note_sound(&mut self, since: Time, parts: &[PartId]) {
+        if self.crashes.is_empty() && self.blocks.is_empty() {
+            return;
+        }
+        for part in parts.iter().take(PARTS_MAX) {
+            let in_crash = |crash: &Crash| crash.requests.iter().any(|r| r.contains(part));
+            if self.crashes.iter().any(in_crash) {
+                let cleared = self.cleared.entry(*part).or_insert(since);
+                *cleared = since.max(*cleared);
+            }
+            for block in &mut self.blocks {
+                if since <= block.crashed || !block.blocked.parts.contains(part) {
+                    continue;
+                }
+                let before = block.blocked.parts.clone();
+                block.blocked.parts.retain(|blocked| blocked != part);
+                self.news.push(PartNews::Unblocked { parts: before });
+            }
+        }
+        self.blocks.retain(|block| !block.blocked.parts.is_empty());
+    }
+
+    /// The blocked parts, for other processes.
+    pub fn blocked(&self) -> Vec<BlockedParts> {
+        self.blocks.iter().map(|b| b.blocked.clone()).collect()
+    }
+
+    /// Takes over what another process knows to be blocked, after a change of leader.
+    pub fn restore(&mut self, now: Time, known: &[BlockedParts]) {
+        for blocked in known.iter().take(BLOCKS_MAX) {
+            self.block(now, blocked.clone(), 0);
+        }
+    }
+
+    /// Removes and returns the changes since the last call.
+    pub fn take_news(&mut self) -> Vec<PartNews> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Suspects or blocks parts that were in flight at one more crash.
+    fn judge(&mut self, now: Time, parts: &[PartId]) {
+        for part in parts {
+            let crashes = self.count(*part);
+            if crashes == SUSPECT_CRASHES {
+                let part = *part;
+                self.news.push(PartNews::Suspected { part, crashes });
+            }
+            if crashes < BLOCK_CRASHES {
+                continue;
+            }
+            let group = self.common(*part);
+            let known = self.blocks.iter_mut().find(|b| b.blocked.parts == group);
+            let Some(block) = known else {
+                let blocked = BlockedParts {
+                    parts: group,
+                    trials: 0,
+                };
+                self.block(now, blocked, crashes);
+                continue;
+            };
+            block.crashed = now;
+        }
+    }
+
+    /// Counts a trial that crashed a target.
+    fn fail_trial(&mut self, now: Time, ticket: Ticket) {
+        for block in &mut self.blocks {
+            if block.trial != Some(ticket) {
+                continue;
+            }
+            block.blocked.trials += 1;
+            let doublings = block.blocked.trials.min(TRIALS_MAX);
+            block.trial_at = now + TRIAL_DELAY * 2_u32.pow(doublings);
+            self.news.push(PartNews::Blocked {
+                parts: block.blocked.parts.clone(),
+                crashes: 1,
+                trials: block.blocked.trials,
+            });
+        }
+    }
+
+    fn block(&mut self, now: Time, blocked: BlockedParts, crashes: usize) {
+        let covered = self
+            .blocks
+            .iter()
+            .any(|block| block.blocked.blocks(&blocked.parts));
+        if covered || blocked.parts.is_empty() {
+            return;
+        }
+        // Fewer parts block more requests.
+        self.blocks
+            .retain(|block| !blocked.blocks(&block.blocked.parts));
+        if self.blocks.len() >= BLOCKS_MAX {
+            let oldest = self.blocks.iter().enumerate().min_by_key(|(_, b)| b.seen);
+            if let Some(index) = oldest.map(|(index, _)| index) {
+                self.blocks.remove(index);
+            }
+        }
+        self.news.push(PartNews::Blocked {
+            parts: blocked.parts.clone(),
+            crashes,
+            trials: blocked.trials,
+        });
+        self.blocks.push(Block {
+            blocked,
+            crashed: now,
+            seen: now,
+            trial_at: now + TRIAL_DELAY,
+            trial: None,
+        });
+    }
+
+    /// Number of crashes with a part in flight that was not cleared since.
+    fn count(&self, part: PartId) -> usize {
+        self.counted(part).count()
+    }
+
+    fn counted(&self, part: PartId) -> impl Iterator<Item = &Crash> {
+        let cleared = self.cleared.get(&part).copied();
+        self.crashes.iter().filter(move |crash| {
+            cleared.is_none_or(|cleared| crash.at > cleared)
+                && crash.requests.iter().any(|parts| parts.contains(&part))
+        })
+    }
+
+    /// The parts that all requests had that had `part` in flight at a crash, without cleared ones.
+    fn common(&self, part: PartId) -> Vec<PartId> {
+        let mut common: Option<Vec<PartId>> = None;
+        for crash in self.counted(part) {
+            for request in crash.requests.iter().filter(|r| r.contains(&part)) {
+                match &mut common {
+                    Some(common) => common.retain(|other| request.contains(other)),
+                    None => common = Some(request.clone()),
+                }
+            }
+        }
+        let crashes = self.count(part);
+        let mut common = common.unwrap_or_default();
+        common.retain(|other| self.count(*other) >= crashes);
+        common.sort_unstable();
+        common.dedup();
+        common
+    }
+
+    /// Drops what is too old to count.
+    fn forget(&mut self, now: Time) {
+        while self
+            .crashes
+            .front()
+            .is_some_and(|crash| now.since(crash.at) >= CRASH_KEEP)
+        {
+            self.crashes.pop_front();
+        }
+        if self.crashes.is_empty() {
+            self.cleared.clear();
+        }
+        for block in self
+            .blocks
+            .extract_if(.., |block| now.since(block.seen) >= BLOCK_KEEP)
+        {
+            let parts = block.blocked.parts;
+            self.news.push(PartNews::Unblocked { parts });
+        }
+    }
+}
--- a/crates/policy/src/dispatch/fallback.rs
+++ b/crates/policy/src/dispatch/fallback.rs
@@ -65,12 +65,13 @@
     pub fn note(&mut self, now: Time, target: &str, ended: GrantOutcome) {
         match ended {
             GrantOutcome::Unreachable
+            | GrantOutcome::Crashed
             | GrantOutcome::Silent
             | GrantOutcome::Replaced
             | GrantOutcome::Full => {
                 self.failed.insert(target.to_owned(), now + COOLDOWN);
             }
-            GrantOutcome::Answered => {
+            GrantOutcome::Answered | GrantOutcome::Failed => {
                 self.failed.remove(target);
             }
             GrantOutcome::Broken | GrantOutcome::NotRun | GrantOutcome::Lost => {}
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -168,6 +168,22 @@
         Some(self.waiting.remove(index).want)
     }
 
+    /// Removes and returns the queued requests on which `verdict` decides.
+    pub(super) fn reject(
+        &mut self,
+        mut verdict: impl FnMut(&SlotRequest) -> Option<Verdict>,
+    ) -> Vec<(SlotRequest, Verdict)> {
+        let mut rejected = Vec::new();
+        let mut index = 0;
+        while index < self.waiting.len() {
+            match verdict(&self.waiting[index].want) {
+                Some(verdict) => rejected.push((self.waiting.remove(index).want, verdict)),
+                None => index += 1,
+            }
+        }
+        rejected
+    }
+
     /// Removes and returns the queued requests of a holder that timed out.
     pub(super) fn remove_holder(&mut self, holder: &str) -> Vec<SlotRequest> {
         let is_gone = |waiting: &mut Waiting| waiting.want.holder == holder;
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -29,8 +29,12 @@
 /// Reason why a slot was released, which also tells the target's health.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GrantOutcome {
-    /// The target answered.
+    /// The target answered the whole request.
     Answered,
+    /// The target answered with an error.
+    Failed,
+    /// The target ended before its answer had begun: it accepts no connections since.
+    Crashed,
     /// The target rejected the request for lack of capacity; it did not run.
     Full,
     /// The request was not sent.
@@ -123,7 +127,7 @@
         };
         *count = count.saturating_sub(1);
         match ended {
-            GrantOutcome::Answered => {
+            GrantOutcome::Answered | GrantOutcome::Failed => {
                 self.failures = 0;
                 self.probing = false;
             }
@@ -131,7 +135,10 @@
             GrantOutcome::Full => {
                 self.cooldown_until = self.cooldown_until.max(now + COOLDOWN_MIN / 10);
             }
-            GrantOutcome::Unreachable | GrantOutcome::Silent | GrantOutcome::Replaced => {
+            GrantOutcome::Unreachable
+            | GrantOutcome::Crashed
+            | GrantOutcome::Silent
+            | GrantOutcome::Replaced => {
                 self.failures = self.failures.max(BROKEN_MAX - 1) + 1;
                 self.start_cooldown(now);
             }
--- /dev/null
+++ b/crates/policy/tests/crashes.rs
@@ -0,0 +1,413 @@
+//! Requests that crash targets, among sound ones, through the dispatcher in virtual time.
+
+mod loads;
+
+use std::collections::{BTreeMap, HashMap};
+
+use clem_policy::dispatch::{
+    BlockedParts, CrashParts, Dispatcher, GrantOutcome, SlotRequest, TargetSlots, Ticket, Verdict,
+};
+use clem_types::{PartId, Time};
+use loads::{SERVICE, want};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// Targets of the service.
+const TARGETS: usize = 18;
+/// Step of virtual time, in milliseconds.
+const STEP: u64 = 10;
+/// From a request to the first output, in milliseconds; bad requests crash their target then.
+const BEGIN: u64 = 60;
+/// From a request to its whole answer, in milliseconds.
+const WHOLE: u64 = 650;
+/// How long a target that crashed is down, in milliseconds.
+const DOWN: u64 = 2500;
+/// Bad requests that may reach targets in all: five crashes, and three later.
+const REACHED_MAX: usize = 8;
+/// Different first parts of prompts.
+const FIRSTS: u64 = 8;
+/// Different second parts of prompts.
+const OWNS: u64 = 300;
+
+fn first(number: u64) -> PartId {
+    PartId::of(&[b"first", &number.to_le_bytes()])
+}
+
+fn own(number: u64) -> PartId {
+    PartId::of(&[b"own", &number.to_le_bytes()])
+}
+
+struct Running {
+    target: String,
+    since: u64,
+    bad: bool,
+}
+
+/// A fleet that runs requests and crashes.
+struct Fleet {
+    dispatcher: Dispatcher,
+    rng: StdRng,
+    now: u64,
+    tickets: u64,
+    /// Whether each request that waits for a verdict is bad.
+    asked: HashMap<Ticket, bool>,
+    running: BTreeMap<Ticket, Running>,
+    /// When each target that crashed is up again.
+    down: HashMap<String, u64>,
+    bad_reached: usize,
+    sound_asked: usize,
+    sound_served: usize,
+    sound_rejected: usize,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        println!("SEED crash_parts {seed}");
+        let mut fleet = Self {
+            dispatcher: Dispatcher::default(),
+            rng: StdRng::seed_from_u64(seed),
+            now: 0,
+            tickets: 0,
+            asked: HashMap::new(),
+            running: BTreeMap::new(),
+            down: HashMap::new(),
+            bad_reached: 0,
+            sound_asked: 0,
+            sound_served: 0,
+            sound_rejected: 0,
+        };
+        fleet.list_targets();
+        fleet
+    }
+
+    fn at(&self) -> Time {
+        Time::from_millis(self.now)
+    }
+
+    fn list_targets(&mut self) {
+        let mut list = Vec::new();
+        for number in 0..TARGETS {
+            list.push(TargetSlots {
+                target: format!("t{number}"),
+                data_centre: "a".to_owned(),
+                slots: 8,
+            });
+        }
+        let at = self.at();
+        self.dispatcher.set_targets(at, SERVICE, &list);
+    }
+
+    /// A new leader knows what its followers report.
+    fn change_leader(&mut self) {
+        let blocked = self.dispatcher.blocked_parts();
+        self.dispatcher = Dispatcher::default();
+        self.list_targets();
+        let at = self.at();
+        self.dispatcher.restore_blocked(at, &blocked);
+    }
+
+    fn ask(&mut self, parts: Vec<PartId>, bad: bool) {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        if !bad {
+            self.sound_asked += 1;
+        }
+        let request = SlotRequest {
+            parts,
+            ..want(ticket.0)
+        };
+        self.asked.insert(ticket, bad);
+        let at = self.at();
+        self.dispatcher.request_slot(at, request);
+    }
+
+    /// A sound request, whose parts are drawn at random.
+    fn ask_sound(&mut self) {
+        let parts = vec![
+            first(self.rng.random_range(0..FIRSTS)),
+            own(self.rng.random_range(0..OWNS)),
+        ];
+        self.ask(parts, false);
+    }
+
+    /// Whether an event that comes `per_s` times a second happens in this step.
+    fn happens(&mut self, per_s: f64) -> bool {
+        self.rng.random_bool(per_s * STEP as f64 / 1000.0)
+    }
+
+    fn crash(&mut self, target: &str) {
+        self.down.insert(target.to_owned(), self.now + DOWN);
+        let at = self.at();
+        let hit: Vec<Ticket> = self
+            .running
+            .iter()
+            .filter(|(_, running)| running.target == target)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in hit {
+            let Some(running) = self.running.remove(&ticket) else {
+                continue;
+            };
+            let begun = self.now > running.since + BEGIN;
+            let ended = if begun {
+                GrantOutcome::Broken
+            } else {
+                GrantOutcome::Crashed
+            };
+            self.dispatcher.release(at, ticket, ended);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let at = self.at();
+        self.dispatcher.tick(at);
+        for (ticket, verdict) in self.dispatcher.take_decided() {
+            let Some(bad) = self.asked.remove(&ticket) else {
+                continue;
+            };
+            match verdict {
+                Verdict::Granted { target, .. } => {
+                    if self.down.get(&target).is_some_and(|up| self.now < *up) {
+                        self.dispatcher
+                            .release(at, ticket, GrantOutcome::Unreachable);
+                        continue;
+                    }
+                    self.bad_reached += usize::from(bad);
+                    let since = self.now;
+                    self.running.insert(ticket, Running { target, since, bad });
+                }
+                Verdict::Harmful if bad => {}
+                Verdict::Harmful => self.sound_rejected += 1,
+                Verdict::Busy { .. } | Verdict::OverRate { .. } | Verdict::NoTarget => {}
+            }
+        }
+        let due: Vec<Ticket> = self
+            .running
+            .iter()
+            .filter(|(_, running)| {
+                let span = if running.bad { BEGIN } else { WHOLE };
+                self.now >= running.since + span
+            })
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in due {
+            let Some(running) = self.running.get(&ticket) else {
+                continue;
+            };
+            if running.bad {
+                let target = running.target.clone();
+                self.crash(&target);
+                continue;
+            }
+            self.running.remove(&ticket);
+            self.sound_served += 1;
+            self.dispatcher.release(at, ticket, GrantOutcome::Answered);
+        }
+    }
+
+    /// Runs for some seconds with sound requests, and `more` in each step.
+    fn run(&mut self, seconds: u64, mut more: impl FnMut(&mut Self)) {
+        for _ in 0..seconds * 1000 / STEP {
+            if self.happens(50.0) {
+                self.ask_sound();
+            }
+            more(self);
+            self.step();
+        }
+    }
+
+    fn assert_kept(&self, case: &str) {
+        assert!(
+            self.bad_reached <= REACHED_MAX,
+            "{case}: {} bad requests reached targets",
+            self.bad_reached
+        );
+        let served = self.sound_served as f64 / self.sound_asked as f64;
+        assert!(served >= 0.8, "{case}: {served} of the sound were served");
+    }
+}
+
+const SEEDS: std::ops::Range<u64> = 0..20;
+
+#[test]
+fn a_bad_second_part_reaches_few_targets() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed);
+        let bad = PartId::of(&[b"bad"]);
+        fleet.run(90, |fleet| {
+            if fleet.happens(6.0) {
+                let any = first(fleet.rng.random_range(0..FIRSTS));
+                fleet.ask(vec![any, bad], true);
+            }
+        });
+        fleet.assert_kept(&format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn a_bad_first_part_reaches_few_targets_and_the_second_parts_stay_free() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed);
+        let bad = PartId::of(&[b"bad"]);
+        fleet.run(90, |fleet| {
+            if fleet.happens(6.0) {
+                let any = own(fleet.rng.random_range(0..OWNS));
+                fleet.ask(vec![bad, any], true);
+            }
+        });
+        fleet.assert_kept(&format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn a_sound_part_that_came_with_the_bad_one_only_stays_free() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed);
+        let [rare, bad] = [b"rare", b"bad!"].map(|name| PartId::of(&[name]));
+        fleet.run(10, |fleet| {
+            if fleet.happens(6.0) {
+                fleet.ask(vec![rare, bad], true);
+            }
+        });
+        let (asked, served) = (fleet.sound_asked, fleet.sound_served);
+        fleet.run(20, |fleet| {
+            if fleet.happens(6.0) {
+                fleet.ask(vec![rare, bad], true);
+            }
+            if fleet.happens(2.0) {
+                let any = own(fleet.rng.random_range(0..OWNS));
+                fleet.ask(vec![rare, any], false);
+            }
+        });
+        assert_eq!(fleet.sound_rejected, 0, "seed {seed}");
+        assert!(fleet.sound_served - served > (fleet.sound_asked - asked) * 8 / 10);
+        fleet.assert_kept(&format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn two_bad_parts_at_once_are_both_found() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed);
+        let bad = [b"one", b"two"].map(|name| PartId::of(&[name]));
+        fleet.run(60, |fleet| {
+            for part in bad {
+                if fleet.happens(4.0) {
+                    let any = first(fleet.rng.random_range(0..FIRSTS));
+                    fleet.ask(vec![any, part], true);
+                }
+            }
+        });
+        assert!(
+            fleet.bad_reached <= 2 * REACHED_MAX,
+            "{}",
+            fleet.bad_reached
+        );
+    }
+}
+
+#[test]
+fn a_part_that_sound_requests_had_before_is_found() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed);
+        let part = own(7);
+        fleet.run(20, |fleet| {
+            if fleet.happens(6.0) {
+                let any = first(fleet.rng.random_range(0..FIRSTS));
+                fleet.ask(vec![any, part], false);
+            }
+        });
+        fleet.run(60, |fleet| {
+            if fleet.happens(6.0) {
+                let any = first(fleet.rng.random_range(0..FIRSTS));
+                fleet.ask(vec![any, part], true);
+            }
+        });
+        fleet.assert_kept(&format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn a_bad_part_that_comes_seldom_is_found() {
+    let mut fleet = Fleet::new(1);
+    let bad = PartId::of(&[b"bad"]);
+    for round in 0..40 {
+        fleet.ask(vec![first(round % FIRSTS), bad], true);
+        fleet.run(15, |_| ());
+    }
+    fleet.assert_kept("one in 15 s");
+}
+
+#[test]
+fn crashes_for_other_reasons_keep_no_sound_request_away_for_long() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed);
+        fleet.run(60, |fleet| {
+            if fleet.happens(1.0) {
+                let target = format!("t{}", fleet.rng.random_range(0..TARGETS));
+                fleet.crash(&target);
+            }
+        });
+        let rejected = fleet.sound_rejected as f64 / fleet.sound_asked as f64;
+        assert!(rejected <= 0.005, "seed {seed}: {rejected} were rejected");
+    }
+}
+
+#[test]
+fn a_new_leader_keeps_what_its_followers_know() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed);
+        let bad = PartId::of(&[b"bad"]);
+        for _ in 0..4 {
+            fleet.run(5, |fleet| {
+                if fleet.happens(6.0) {
+                    let any = first(fleet.rng.random_range(0..FIRSTS));
+                    fleet.ask(vec![any, bad], true);
+                }
+            });
+            fleet.change_leader();
+        }
+        fleet.assert_kept(&format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn a_part_that_no_longer_crashes_targets_is_freed_by_a_trial() {
+    let mut fleet = Fleet::new(3);
+    let part = PartId::of(&[b"mended"]);
+    let ask = |bad: bool| {
+        move |fleet: &mut Fleet| {
+            if fleet.happens(6.0) {
+                let any = first(fleet.rng.random_range(0..FIRSTS));
+                fleet.ask(vec![any, part], bad);
+            }
+        }
+    };
+    fleet.run(10, ask(true));
+    fleet.run(40, ask(false));
+    let (asked, served) = (fleet.sound_asked, fleet.sound_served);
+    fleet.run(20, ask(false));
+    assert!(fleet.sound_served - served > (fleet.sound_asked - asked) * 9 / 10);
+    assert_eq!(fleet.dispatcher.blocked_parts(), []);
+}
+
+#[test]
+fn a_table_filled_by_one_caller_stays_bounded() {
+    let mut parts = CrashParts::default();
+    for number in 0..10_000_u64 {
+        let many: Vec<PartId> = (0..100).map(|n| own(number * 100 + n)).collect();
+        let target = format!("t{}", number / 4);
+        parts.note_crash(Time::from_millis(number), Ticket(number), &target, &many);
+    }
+    parts.restore(
+        Time::from_millis(10_000),
+        &vec![
+            BlockedParts {
+                parts: vec![own(1)],
+                trials: 0
+            };
+            1000
+        ],
+    );
+    assert!(parts.blocked().len() <= 64);
+}
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -142,7 +142,9 @@
                     assert!(retry >= ms(50));
                     assert!(waited <= 75, "refused only after {waited} ms");
                 }
-                Verdict::OverRate { .. } | Verdict::NoTarget => panic!("{verdict:?}"),
+                Verdict::OverRate { .. } | Verdict::NoTarget | Verdict::Harmful => {
+                    panic!("{verdict:?}")
+                }
             }
         }
     }
@@ -238,6 +240,7 @@
         service: SERVICE.to_owned(),
         target: "t0".to_owned(),
         batch: false,
+        parts: Vec::new(),
     };
     fresh.report(at(0), "front", &[held]);
     fresh.request_slot(at(1), want(3));
--- a/crates/policy/tests/loads/mod.rs
+++ b/crates/policy/tests/loads/mod.rs
@@ -20,5 +20,6 @@
         queue_timeout: Duration::from_millis(800),
         data_centre: "a".to_owned(),
         avoid: Vec::new(),
+        parts: Vec::new(),
     }
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -18,6 +18,7 @@
 mod key;
 mod name;
 mod number;
+mod part;
 mod rate;
 mod time;
 
@@ -31,6 +32,7 @@
     Attempt, BatchId, Epoch, FenceNumber, Incarnation, ItemIndex, ModelVersion, RequestId, Tokens,
     Version,
 };
+pub use part::PartId;
 pub use rate::Rate;
 pub use time::{Time, UnixMillis};
 
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use clem_edge::TargetVm;
-use clem_policy::dispatch::{GrantOutcome, HeldGrant, SlotRequest, Ticket, Verdict};
+use clem_policy::dispatch::{BlockedParts, GrantOutcome, HeldGrant, SlotRequest, Ticket, Verdict};
 use clem_types::{Epoch, Version};
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +53,9 @@
     /// The ids of the targets that said to it that they are leaving.
     #[serde(default)]
     pub leaving: Vec<String>,
+    /// What it knows to crash targets, from which a new leader restores its state.
+    #[serde(default)]
+    pub blocked: Vec<BlockedParts>,
     /// The slots that it holds, from which a new leader restores its state.
     pub held: Vec<HeldGrant>,
     /// The members of the group that stores batches, if this process leads that group.
@@ -141,6 +144,9 @@
     pub retiring: Vec<SocketAddr>,
     /// Number of fronts that send heartbeats.
     pub fronts: u32,
+    /// Parts of requests that crash targets.
+    #[serde(default)]
+    pub blocked: Vec<BlockedParts>,
 }
 
 /// Requests a slot on a target.
