An event of a target that never ends is a broken stream

Bytes that are no answer may come without end.

Now an event may have 256 KiB, an item's text 4 MiB, and the search goes on where it stopped. New: an_event_that_never_ends_is_too_long. Heads, header lines and chunk sizes without end were bounded already, by the library.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -21,6 +21,8 @@
 const HARMFUL_DELAY: Duration = Duration::from_secs(2);
 /// Delay before the next run after a failed one.
 const FAILED_DELAY: Duration = Duration::from_millis(300);
+/// Maximum size of an item's result; targets in trouble may send events without end.
+const TEXT_BYTES_MAX: usize = 4 * 1024 * 1024;
 /// Longest pause in a stream before it counts as stalled; engines emit many events per second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Consecutive runs that may break before their first event until the next ones are delayed.
@@ -281,6 +283,11 @@
                             return self.retry(&target, "out of order", "");
                         }
                     }
+                    if events.is_too_long() || self.text.len() > TEXT_BYTES_MAX {
+                        self.reset();
+                        self.crashes += 1;
+                        return self.retry(&target, "too long", "");
+                    }
                 }
                 Ok(None) if events.is_empty() && framing == Framing::Close => {
                     return self.read_closed(slot, seen, frames).await;
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -13,10 +13,15 @@
     pub data: Option<String>,
 }
 
+/// Maximum size of an event, in bytes; targets in trouble may send one that never ends.
+const EVENT_BYTES_MAX: usize = 256 * 1024;
+
 /// Buffers the bytes of a stream until they form complete events.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     rest: BytesMut,
+    /// Offset of the line at which the search for the end of the next event goes on.
+    searched: usize,
 }
 
 impl EventBuffer {
@@ -28,6 +33,13 @@
     /// Discards a partial event, for when the stream is resumed from another target.
     pub fn clear(&mut self) {
         self.rest.clear();
+        self.searched = 0;
+    }
+
+    /// Whether the partial event that is buffered is longer than any event may be. To be asked after
+    /// [`next_event`](Self::next_event) has returned all complete ones.
+    pub fn is_too_long(&self) -> bool {
+        self.rest.len() > EVENT_BYTES_MAX
     }
 
     /// Whether no partial event is buffered.
@@ -37,7 +49,14 @@
 
     /// Removes and returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.rest)?;
+        let end = match event_end(&self.rest, self.searched) {
+            Ok(end) => end,
+            Err(searched) => {
+                self.searched = searched;
+                return None;
+            }
+        };
+        self.searched = 0;
         let bytes = self.rest.split_to(end).freeze();
         let text = String::from_utf8_lossy(&bytes);
         let mut id = None;
@@ -63,21 +82,20 @@
     }
 }
 
-/// Returns the offset just past the first complete event.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
+/// Returns the offset just past the first complete event, searched for from the line at `start`.
+///
+/// # Errors
+/// There is no complete event; the value is where to go on when there are more bytes.
+fn event_end(bytes: &[u8], mut start: usize) -> Result<usize, usize> {
     while let Some(found) = bytes[start..].iter().position(|byte| *byte == b'\n') {
         let line_end = start + found + 1;
-        let blank = match bytes.get(line_end) {
-            Some(b'\n') => Some(line_end + 1),
-            Some(b'\r') if bytes.get(line_end + 1) == Some(&b'\n') => Some(line_end + 2),
-            Some(_) => None,
-            None => return None,
-        };
-        if blank.is_some() {
-            return blank;
+        match (bytes.get(line_end), bytes.get(line_end + 1)) {
+            (Some(b'\n'), _) => return Ok(line_end + 1),
+            (Some(b'\r'), Some(b'\n')) => return Ok(line_end + 2),
+            // The next bytes may end the event.
+            (None, _) | (Some(b'\r'), None) => return Err(start + found),
+            (Some(_), _) => start = line_end,
         }
-        start = line_end;
     }
-    None
+    Err(bytes.len())
 }
--- a/crates/direct/tests/events.rs
+++ b/crates/direct/tests/events.rs
@@ -25,3 +25,16 @@
         assert!(!events.is_empty(), "an event that was begun is left");
     }
 }
+
+#[test]
+fn an_event_that_never_ends_is_too_long() {
+    let mut events = EventBuffer::default();
+    let piece = [b'a'; 64 * 1024];
+    let mut pushed = 0;
+    while !events.is_too_long() {
+        events.push(&piece);
+        assert!(events.next_event().is_none());
+        pushed += piece.len();
+        assert!(pushed <= 1024 * 1024, "{pushed} bytes are buffered");
+    }
+}
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -190,6 +190,14 @@
                     return End::Gone;
                 }
             }
+            if events.is_too_long() {
+                log::warn!(
+                    request = self.state.request.id.as_str(),
+                    target = self.state.placement.target.as_str();
+                    "event too long"
+                );
+                return End::Broken;
+            }
         }
     }
 
