A response that never pauses ends at its caller's deadline

The deadline was a timer that began anew with each frame, and a frame that is there comes before a timer that was just set: a target that sent events without end was relayed past its caller's deadline. The deadline is now checked before each frame.

Test: endless_bytes_of_a_target_end_with_the_callers_deadline_and_fill_no_memory, red before at Events on resumed. It plays heads, header lines, events, chunk sizes and bytes after the end of a response, each without end. items_with_endless_answers_fill_no_memory was green before.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -211,6 +211,10 @@
     async fn next_frame(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, End> {
         loop {
             let left = self.state.request.left(self.state.front.node.now());
+            // A new timer never comes first while there is always another frame.
+            if left.is_zero() {
+                return Err(End::OutOfTime);
+            }
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.parts.closed() => return Err(End::Gone),
