--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -129,6 +129,9 @@
 #[derive(Debug, Default)]
 pub struct CrashParts {
     crashes: VecDeque<Crash>,
+    /// Number of requests of `crashes` that have each part, so that a request without suspects costs
+    /// no search.
+    in_flight: HashMap<PartId, usize>,
     /// For parts that were in flight at a crash, the latest start of a request with a whole answer.
     cleared: HashMap<PartId, Time>,
     blocks: Vec<Block>,
@@ -197,20 +200,25 @@
             Some(crash) => {
                 let before: Vec<PartId> = crash.requests.concat();
                 crash.requests.push(parts.clone());
-                parts.into_iter().filter(|p| !before.contains(p)).collect()
+                let mut news = parts.clone();
+                news.retain(|part| !before.contains(part));
+                news
             }
             None => {
                 if self.crashes.len() >= CRASHES_MAX {
-                    self.crashes.pop_front();
+                    self.drop_oldest();
                 }
                 self.crashes.push_back(Crash {
                     target: target.to_owned(),
                     at: now,
                     requests: vec![parts.clone()],
                 });
-                parts
+                parts.clone()
             }
         };
+        for part in parts {
+            *self.in_flight.entry(part).or_default() += 1;
+        }
         self.judge(now, &news);
     }
 
@@ -220,8 +228,7 @@
             return;
         }
         for part in parts.iter().take(PARTS_MAX) {
-            let in_crash = |crash: &Crash| crash.requests.iter().any(|r| r.contains(part));
-            if self.crashes.iter().any(in_crash) {
+            if self.in_flight.contains_key(part) {
                 let cleared = self.cleared.entry(*part).or_insert(since);
                 *cleared = since.max(*cleared);
             }
@@ -329,6 +336,9 @@
 
     /// Number of crashes with a part in flight that was not cleared since.
     fn count(&self, part: PartId) -> usize {
+        if !self.in_flight.contains_key(&part) {
+            return 0;
+        }
         self.counted(part).count()
     }
 
@@ -361,22 +371,31 @@
 
     /// Drops what is too old to count.
     fn forget(&mut self, now: Time) {
-        while self
-            .crashes
-            .front()
-            .is_some_and(|crash| now.since(crash.at) >= CRASH_KEEP)
-        {
-            self.crashes.pop_front();
+        let is_old = |crash: &Crash| now.since(crash.at) >= CRASH_KEEP;
+        while self.crashes.front().is_some_and(is_old) {
+            self.drop_oldest();
         }
-        if self.crashes.is_empty() {
-            self.cleared.clear();
-        }
-        for block in self
-            .blocks
-            .extract_if(.., |block| now.since(block.seen) >= BLOCK_KEEP)
-        {
+        let is_unmet = |block: &mut Block| now.since(block.seen) >= BLOCK_KEEP;
+        for block in self.blocks.extract_if(.., is_unmet) {
             let parts = block.blocked.parts;
             self.news.push(PartNews::Unblocked { parts });
         }
     }
+
+    /// Drops the oldest crash, and what is known of parts that are in no other one.
+    fn drop_oldest(&mut self) {
+        let Some(oldest) = self.crashes.pop_front() else {
+            return;
+        };
+        for part in oldest.requests.into_iter().flatten() {
+            let Some(count) = self.in_flight.get_mut(&part) else {
+                continue;
+            };
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.remove(&part);
+                self.cleared.remove(&part);
+            }
+        }
+    }
 }
