--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -86,7 +86,8 @@
         /// Number of crashes.
         crashes: usize,
     },
-    /// Requests that have all of these parts are refused from here on.
+    /// Requests that have all of these parts are refused from here on, or still after a trial, or
+    /// after another part was found to be sound.
     Blocked {
         /// The parts.
         parts: Vec<PartId>,
@@ -95,7 +96,7 @@
         /// Number of trials that crashed a target.
         trials: u32,
     },
-    /// A blocked part was answered, or no request with it came for long.
+    /// Requests with these parts are no longer refused: one was answered, or none came for long.
     Unblocked {
         /// The parts that were blocked.
         parts: Vec<PartId>,
@@ -227,21 +228,27 @@
         if self.crashes.is_empty() && self.blocks.is_empty() {
             return;
         }
-        for part in parts.iter().take(PARTS_MAX) {
+        let parts = &parts[..parts.len().min(PARTS_MAX)];
+        for part in parts {
             if self.in_flight.contains_key(part) {
                 let cleared = self.cleared.entry(*part).or_insert(since);
                 *cleared = since.max(*cleared);
             }
-            for block in &mut self.blocks {
-                if since <= block.crashed || !block.blocked.parts.contains(part) {
-                    continue;
-                }
-                let before = block.blocked.parts.clone();
-                block.blocked.parts.retain(|blocked| blocked != part);
+        }
+        for mut block in std::mem::take(&mut self.blocks) {
+            let before = block.blocked.parts.clone();
+            if since > block.crashed {
+                block.blocked.parts.retain(|part| !parts.contains(part));
+            }
+            if block.blocked.parts.is_empty() {
                 self.news.push(PartNews::Unblocked { parts: before });
+                continue;
+            }
+            if block.blocked.parts != before {
+                self.tell_block(&block.blocked);
             }
+            self.blocks.push(block);
         }
-        self.blocks.retain(|block| !block.blocked.parts.is_empty());
     }
 
     /// The blocked parts, for other processes.
@@ -252,7 +259,7 @@
     /// Takes over what another process knows to be blocked, after a change of leader.
     pub fn restore(&mut self, now: Time, known: &[BlockedParts]) {
         for blocked in known.iter().take(BLOCKS_MAX) {
-            self.block(now, blocked.clone(), 0);
+            self.block(now, blocked.clone());
         }
     }
 
@@ -279,7 +286,7 @@
                     parts: group,
                     trials: 0,
                 };
-                self.block(now, blocked, crashes);
+                self.block(now, blocked);
                 continue;
             };
             block.crashed = now;
@@ -288,22 +295,27 @@
 
     /// Counts a trial that crashed a target.
     fn fail_trial(&mut self, now: Time, ticket: Ticket) {
-        for block in &mut self.blocks {
-            if block.trial != Some(ticket) {
-                continue;
-            }
-            block.blocked.trials += 1;
-            let doublings = block.blocked.trials.min(TRIALS_MAX);
-            block.trial_at = now + TRIAL_DELAY * 2_u32.pow(doublings);
-            self.news.push(PartNews::Blocked {
-                parts: block.blocked.parts.clone(),
-                crashes: 1,
-                trials: block.blocked.trials,
-            });
-        }
+        let is_trial = |block: &&mut Block| block.trial == Some(ticket);
+        let Some(block) = self.blocks.iter_mut().find(is_trial) else {
+            return;
+        };
+        block.blocked.trials += 1;
+        let doublings = block.blocked.trials.min(TRIALS_MAX);
+        block.trial_at = now + TRIAL_DELAY * 2_u32.pow(doublings);
+        let blocked = block.blocked.clone();
+        self.tell_block(&blocked);
     }
 
-    fn block(&mut self, now: Time, blocked: BlockedParts, crashes: usize) {
+    fn tell_block(&mut self, blocked: &BlockedParts) {
+        let counts = blocked.parts.iter().map(|part| self.count(*part));
+        self.news.push(PartNews::Blocked {
+            crashes: counts.max().unwrap_or_default(),
+            parts: blocked.parts.clone(),
+            trials: blocked.trials,
+        });
+    }
+
+    fn block(&mut self, now: Time, blocked: BlockedParts) {
         let covered = self
             .blocks
             .iter()
@@ -320,11 +332,7 @@
                 self.blocks.remove(index);
             }
         }
-        self.news.push(PartNews::Blocked {
-            parts: blocked.parts.clone(),
-            crashes,
-            trials: blocked.trials,
-        });
+        self.tell_block(&blocked);
         self.blocks.push(Block {
             blocked,
             crashed: now,
