An item is confirmed complete by another target than the one that ended its stream

A target that cuts its responses with a clean close may cut the run that is to confirm them as well; it accepts connections meanwhile. The confirming run must be another target's. Test, red before: an_item_is_not_completed_by_a_target_that_cuts_it_twice.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -40,6 +40,8 @@
     text: String,
     /// Id of the last event received.
     last_event: Option<u64>,
+    /// The target that sent the last event.
+    source: String,
     /// Number of runs in which the target reported a failure.
     failed: u32,
     /// Number of consecutive runs that broke before the first event.
@@ -74,6 +76,7 @@
             spec,
             text: String::new(),
             last_event: None,
+            source: String::new(),
             failed: 0,
             crashes: 0,
             avoid: Vec::new(),
@@ -316,12 +319,13 @@
     }
 
     /// Decides on a response without length and chunks that ended between two events. Targets that
-    /// crash end theirs in the same way, so the item is complete only if a run that resumed after
-    /// `seen` has nothing to add and its target did not crash.
+    /// crash or cut their responses end them in the same way, so the item is complete only if a run
+    /// that resumed after `seen` at another target has nothing to add, and that target did not crash.
     async fn read_closed(&mut self, mut slot: Slot, seen: Option<u64>, frames: u32) -> RunEnd {
         let node = Arc::clone(&self.keeper.node);
         let added = self.last_event != seen;
-        if !added && seen.is_some() && node.probe(&slot.target).await == Liveness::Running {
+        let confirms = !added && seen.is_some() && slot.target.id != self.source;
+        if confirms && node.probe(&slot.target).await == Liveness::Running {
             slot.set_ended(GrantOutcome::Answered);
             return RunEnd::Completed;
         }
@@ -351,6 +355,7 @@
             self.text.push('\n');
         }
         self.text.push_str(data);
+        self.source.clone_from(&self.target);
         self.last_event = Some(id.unwrap_or_else(|| self.last_event.map_or(0, |seen| seen + 1)));
         self.crashes = 0;
         true
