Two targets must agree on the end of an item that none of them marks

One target's word is not enough, whichever sent the last event: now two must have ended their runs with the connection after that event and still run.

Test, red before: an_item_is_not_completed_by_one_target_that_cuts_the_rest (three of six events).

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -21,6 +21,8 @@
 const HARMFUL_DELAY: Duration = Duration::from_secs(2);
 /// Delay before the next run after a failed one.
 const FAILED_DELAY: Duration = Duration::from_millis(300);
+/// Targets that must agree on the end of a response that none of them marks.
+const CONFIRMATIONS: usize = 2;
 /// Maximum size of an item's result; targets in trouble may send events without end.
 const TEXT_BYTES_MAX: usize = 4 * 1024 * 1024;
 /// Longest pause in a stream before it counts as stalled; engines emit many events per second.
@@ -40,8 +42,9 @@
     text: String,
     /// Id of the last event received.
     last_event: Option<u64>,
-    /// The target that sent the last event.
-    source: String,
+    /// Targets that had nothing to add after the last event, and didn't crash, in runs that ended with
+    /// their connection; the one that sent that event included.
+    confirmed: Vec<String>,
     /// Number of runs in which the target reported a failure.
     failed: u32,
     /// Number of consecutive runs that broke before the first event.
@@ -76,7 +79,7 @@
             spec,
             text: String::new(),
             last_event: None,
-            source: String::new(),
+            confirmed: Vec::new(),
             failed: 0,
             crashes: 0,
             avoid: Vec::new(),
@@ -318,21 +321,25 @@
         }
     }
 
-    /// Decides on a response without length and chunks that ended between two events. Targets that
-    /// crash or cut their responses end them in the same way, so the item is complete only if a run
-    /// that resumed after `seen` at another target has nothing to add, and that target did not crash.
+    /// Decides on a response without length and chunks that ended between two events after `frames`
+    /// frames. Targets that crash or cut their responses end them in the same way, so the item is
+    /// complete only if [`CONFIRMATIONS`] targets had nothing to add and did not crash.
     async fn read_closed(&mut self, mut slot: Slot, seen: Option<u64>, frames: u32) -> RunEnd {
         let node = Arc::clone(&self.keeper.node);
+        let target = slot.target.id.clone();
         let added = self.last_event != seen;
-        let confirms = !added && seen.is_some() && slot.target.id != self.source;
-        if confirms && node.probe(&slot.target).await == Liveness::Running {
+        let alive =
+            self.last_event.is_some() && node.probe(&slot.target).await == Liveness::Running;
+        if alive && !self.confirmed.contains(&target) {
+            self.confirmed.push(target.clone());
+        }
+        if self.confirmed.len() >= CONFIRMATIONS {
             slot.set_ended(GrantOutcome::Answered);
             return RunEnd::Completed;
         }
         if self.last_event.is_none() {
             self.crashes += 1;
         }
-        let target = slot.target.id.clone();
         let ended = if added {
             GrantOutcome::Answered
         } else {
@@ -355,7 +362,7 @@
             self.text.push('\n');
         }
         self.text.push_str(data);
-        self.source.clone_from(&self.target);
+        self.confirmed.clear();
         self.last_event = Some(id.unwrap_or_else(|| self.last_event.map_or(0, |seen| seen + 1)));
         self.crashes = 0;
         true
