Log which crashes of targets are counted, and which are not

The ids of whole requests now differ from those of prompt parts, so that the lines tell them apart; no decision uses that yet.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -176,7 +176,7 @@
             Ok(Outcome::NotSent(reason)) => self.retry(&target, "not sent", &reason),
             Ok(Outcome::Refused(_)) => self.retry(&target, "not run", ""),
             Ok(Outcome::Lost(reason)) => {
-                node.end_early(slot, 0, GrantOutcome::Broken);
+                node.end_early(slot, &id, 0, GrantOutcome::Broken);
                 self.crashes += 1;
                 self.retry(&target, "lost", &reason)
             }
@@ -303,11 +303,11 @@
                     return RunEnd::Completed;
                 }
                 Ok(None) => {
-                    node.end_early(slot, frames, GrantOutcome::Broken);
+                    node.end_early(slot, &self.spec.id, frames, GrantOutcome::Broken);
                     return self.retry(&target, "cut", "");
                 }
                 Ok(Some(Err(error))) => {
-                    node.end_early(slot, frames, GrantOutcome::Broken);
+                    node.end_early(slot, &self.spec.id, frames, GrantOutcome::Broken);
                     if self.last_event.is_none() {
                         self.crashes += 1;
                     }
@@ -328,8 +328,8 @@
         let node = Arc::clone(&self.keeper.node);
         let target = slot.target.id.clone();
         let added = self.last_event != seen;
-        let alive =
-            self.last_event.is_some() && node.probe(&slot.target).await == Liveness::Running;
+        let alive = self.last_event.is_some()
+            && node.probe(&slot.target, &self.spec.id).await == Liveness::Running;
         if alive && !self.confirmed.contains(&target) {
             self.confirmed.push(target.clone());
         }
@@ -345,7 +345,7 @@
         } else {
             GrantOutcome::Broken
         };
-        node.end_early(slot, frames, ended);
+        node.end_early(slot, &self.spec.id, frames, ended);
         self.retry(&target, "closed", "")
     }
 
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -165,18 +165,23 @@
     }
 
     /// Whether the process of a target still runs, as far as a new connection tells.
-    pub async fn probe(&self, target: &TargetVm) -> Liveness {
+    /// `id` is the request whose response ended early.
+    pub async fn probe(&self, target: &TargetVm, id: &str) -> Liveness {
         match connect(target.address).await {
             Ok(connection) => {
                 self.pool.put(self.now(), target.address, connection);
+                log::info!(target = target.id.as_str(), request = id; "target still accepts connections");
                 Liveness::Running
             }
             Err(ConnectError::Refused) => {
-                log::warn!(target = target.id.as_str(); "target crashed");
+                log::warn!(target = target.id.as_str(), request = id; "target crashed");
                 Liveness::Ended
             }
             Err(ConnectError::Failed(error)) => {
-                log::info!(target = target.id.as_str(), error = error.as_str(); "target not reached");
+                log::info!(
+                    target = target.id.as_str(), request = id, error = error.as_str();
+                    "target not reached"
+                );
                 Liveness::Unknown
             }
         }
@@ -184,14 +189,21 @@
 
     /// Releases the slot of a response that ended early. If it had hardly begun, its request may be
     /// what crashed the target; `otherwise` is how it ended if the target didn't crash.
-    pub fn end_early(self: &Arc<Self>, mut slot: Slot, frames: u32, otherwise: GrantOutcome) {
+    pub fn end_early(
+        self: &Arc<Self>,
+        mut slot: Slot,
+        id: &str,
+        frames: u32,
+        otherwise: GrantOutcome,
+    ) {
         slot.set_ended(otherwise);
         if frames > BEGUN_FRAMES {
             return;
         }
         let node = Arc::clone(self);
+        let id = id.to_owned();
         tokio::spawn(async move {
-            if node.probe(&slot.target).await == Liveness::Ended {
+            if node.probe(&slot.target, &id).await == Liveness::Ended {
                 slot.set_ended(GrantOutcome::Crashed);
             }
         });
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -39,7 +39,7 @@
 /// segments of its prompt but the last, which belongs to the request or its session, and the whole of
 /// it, `fields`, as callers send it again.
 pub fn common_parts(prompt: &[PromptPart], fields: &[&[u8]]) -> Vec<PartId> {
-    let mut parts = vec![PartId::of(fields)];
+    let mut parts = vec![PartId::of_whole(fields)];
     if let Some((_, shared)) = prompt.split_last() {
         parts.extend(shared.iter().map(|part| PartId::of(&[part.id.as_bytes()])));
     }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -118,7 +118,9 @@
                 }
                 Some(Outcome::Lost(reason)) => {
                     self.log_attempt(&target, "lost", &reason);
-                    self.front.node.end_early(slot, 0, GrantOutcome::Broken);
+                    self.front
+                        .node
+                        .end_early(slot, &self.request.id, 0, GrantOutcome::Broken);
                     self.runs += 1;
                     if !retryable || self.runs >= self.request.route.attempts {
                         return Err(failed(Cause::Broken));
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -113,7 +113,8 @@
                     return;
                 }
                 End::Closed if self.framing == Framing::Close => {
-                    node.end_early(slot, self.frames, GrantOutcome::Answered);
+                    let id = &self.state.request.id;
+                    node.end_early(slot, id, self.frames, GrantOutcome::Answered);
                     self.finish("closed", head.status).await;
                     return;
                 }
@@ -128,7 +129,8 @@
                 }
                 End::Closed | End::Broken => {
                     self.state.avoid.push(slot.target.id.clone());
-                    node.end_early(slot, self.frames, GrantOutcome::Broken);
+                    let id = &self.state.request.id;
+                    node.end_early(slot, id, self.frames, GrantOutcome::Broken);
                 }
             }
             if !resumes || self.state.runs >= self.state.request.route.attempts {
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -235,8 +235,28 @@
     pub fn publish_parts(&mut self) {
         for news in self.dispatcher.take_part_news() {
             match news {
+                PartNews::Crashed {
+                    target,
+                    ticket,
+                    parts,
+                } => {
+                    let counts: Vec<String> = parts
+                        .iter()
+                        .map(|(part, crashes)| format!("{part}:{crashes}"))
+                        .collect();
+                    log::info!(
+                        target = target.as_str(), ticket = ticket.0, crashes = counts.join(",");
+                        "crash counted"
+                    );
+                }
+                PartNews::Uncounted { ticket } => {
+                    log::warn!(ticket = ticket.0; "crash under an unknown slot");
+                }
                 PartNews::Suspected { part, crashes } => {
-                    log::warn!(part:% = part, crashes; "part suspected of crashing targets");
+                    log::warn!(
+                        part:% = part, whole_request = part.is_whole(), crashes;
+                        "part suspected of crashing targets"
+                    );
                 }
                 PartNews::Blocked {
                     parts,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -236,6 +236,9 @@
     /// Releases a granted slot; does nothing for an unknown ticket.
     pub fn release(&mut self, now: Time, ticket: Ticket, ended: GrantOutcome) {
         let Some(grant) = self.grants.remove(&ticket) else {
+            if ended == GrantOutcome::Crashed {
+                self.crash_parts.note_uncounted(ticket);
+            }
             return;
         };
         if let Some(recalls) = self.recalls.get_mut(&grant.holder) {
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -79,6 +79,20 @@
 /// A change of what is suspected, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PartNews {
+    /// A target crashed under a request.
+    Crashed {
+        /// The target.
+        target: String,
+        /// The slot of the request.
+        ticket: Ticket,
+        /// The parts of the request, and the number of crashes under each.
+        parts: Vec<(PartId, usize)>,
+    },
+    /// A target crashed under a request whose slot is not known here; the crash is not counted.
+    Uncounted {
+        /// The slot of the request.
+        ticket: Ticket,
+    },
     /// Requests with this part run one at a time from here on.
     Suspected {
         /// The part.
@@ -217,12 +231,23 @@
                 parts.clone()
             }
         };
-        for part in parts {
-            *self.in_flight.entry(part).or_default() += 1;
+        for part in &parts {
+            *self.in_flight.entry(*part).or_default() += 1;
         }
+        let counts = parts.iter().map(|part| (*part, self.count(*part)));
+        self.news.push(PartNews::Crashed {
+            target: target.to_owned(),
+            ticket,
+            parts: counts.collect(),
+        });
         self.judge(now, &news);
     }
 
+    /// Records that a target crashed under a request whose slot is not known.
+    pub fn note_uncounted(&mut self, ticket: Ticket) {
+        self.news.push(PartNews::Uncounted { ticket });
+    }
+
     /// Records the whole answer to a request that was sent at `since`.
     pub fn note_sound(&mut self, since: Time, parts: &[PartId]) {
         if self.crashes.is_empty() && self.blocks.is_empty() {
--- a/crates/types/src/part.rs
+++ b/crates/types/src/part.rs
@@ -6,7 +6,11 @@
 
 use crate::{ParseError, Result};
 
-/// Identifies a part of a request that other requests may have too, such as a segment of a prompt.
+/// Bit that is set in the ids of whole requests, and in no others.
+const WHOLE_BIT: u64 = 1 << 63;
+
+/// Identifies what requests may have in common: a segment of a prompt, or a whole request that is sent
+/// again.
 ///
 /// It is a hash, as callers choose the names of parts. Its text form is 16 hexadecimal digits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -16,14 +20,17 @@
 impl PartId {
     /// Hashes the fields that identify a part, in this order.
     pub fn of(fields: &[&[u8]]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for field in fields {
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field);
-        }
-        let mut first = [0; 8];
-        hasher.finalize_xof().fill(&mut first);
-        Self(u64::from_le_bytes(first))
+        Self(hash(fields) & !WHOLE_BIT)
+    }
+
+    /// Hashes the fields that identify a whole request, in this order.
+    pub fn of_whole(fields: &[&[u8]]) -> Self {
+        Self(hash(fields) | WHOLE_BIT)
+    }
+
+    /// Whether this is the id of a whole request.
+    pub fn is_whole(self) -> bool {
+        self.0 & WHOLE_BIT != 0
     }
 }
 
@@ -42,3 +49,14 @@
             .map_err(|_| ParseError::new("part id", "it is not up to 16 hexadecimal digits"))
     }
 }
+
+fn hash(fields: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for field in fields {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    let mut first = [0; 8];
+    hasher.finalize_xof().fill(&mut first);
+    u64::from_le_bytes(first)
+}
