A whole request that crashes targets is refused from the third crash on

Cause: the block from the fourth crash on and two trials were the three runs that the rule allows after three crashes, so that one more run broke it: copies of the request that ran at once, and trials that were broken off without a crash that was seen, which were repeated every 5 s. A whole request can't be mistaken for another one, so it now runs once at a time from its first crash, is refused from the third, and gets one trial; a trial that is broken off or not answered counts. Ruled out: the same for parts of prompts, which sound requests share.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -253,12 +253,13 @@
                 self.crash_parts
                     .note_crash(now, ticket, &grant.target, &grant.parts);
             }
+            GrantOutcome::Broken | GrantOutcome::Silent => {
+                self.crash_parts.fail_trial(now, ticket);
+            }
             GrantOutcome::Failed
             | GrantOutcome::Full
             | GrantOutcome::NotRun
             | GrantOutcome::Unreachable
-            | GrantOutcome::Broken
-            | GrantOutcome::Silent
             | GrantOutcome::Replaced
             | GrantOutcome::Lost => {}
         }
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -1,8 +1,8 @@
 //! Finds the part of requests that crashes targets, and keeps requests with it away from them.
 //!
 //! The expected load is a few requests a second that share one part, each of which crashes the target
-//! that begins to answer it, among many sound requests that share their other parts. Other targets
-//! crash at the same time for other reasons.
+//! that begins to answer it, among many sound requests that share their other parts; or one request
+//! that comes again unchanged. Other targets crash at the same time for other reasons.
 //!
 //! - Each crash names the requests whose answers had not begun. Their parts are suspects; a part is
 //!   cleared by a whole answer to a request that was sent after the crash.
@@ -11,6 +11,7 @@
 //! - From [`BLOCK_CRASHES`] on they are refused, if they have all parts that the requests of all these
 //!   crashes had in common: a part that came with the bad one only is not held against others.
 //! - A blocked request is tried again seldom, and a few times at most while such requests come.
+//! - A whole request is told apart from others by its id alone, so fewer crashes suffice for it.
 //!
 //! See `docs/design/platform.md`, "Requests that crash targets".
 
@@ -28,6 +29,10 @@
 const SUSPECT_CRASHES: usize = 2;
 /// Crashes from which on requests with a part are refused.
 const BLOCK_CRASHES: usize = 4;
+/// Crashes from which on a whole request runs once at a time.
+const SUSPECT_CRASHES_WHOLE: usize = 1;
+/// Crashes from which on a whole request is refused.
+const BLOCK_CRASHES_WHOLE: usize = 3;
 /// How long a crash counts.
 const CRASH_KEEP: Duration = Duration::from_secs(600);
 /// Reports within this time after the first one are of the same crash of a target.
@@ -46,6 +51,8 @@
 const TRIAL_RETRY: Duration = Duration::from_secs(5);
 /// Trials that may crash targets while blocked requests still come.
 const TRIALS_MAX: u32 = 2;
+/// The same for a whole request.
+const TRIALS_MAX_WHOLE: u32 = 1;
 /// Time without a blocked request after which its block is dropped.
 const BLOCK_KEEP: Duration = Duration::from_secs(600);
 
@@ -65,7 +72,7 @@
 pub struct BlockedParts {
     /// The parts.
     pub parts: Vec<PartId>,
-    /// Number of trials that crashed a target.
+    /// Number of trials that crashed a target, or that it did not answer.
     pub trials: u32,
 }
 
@@ -74,6 +81,30 @@
     pub fn blocks(&self, parts: &[PartId]) -> bool {
         !self.parts.is_empty() && self.parts.iter().all(|part| parts.contains(part))
     }
+
+    /// Whether no trial may run any more while such requests come.
+    fn is_final(&self) -> bool {
+        let whole = self.parts.iter().any(|part| part.is_whole());
+        self.trials >= if whole { TRIALS_MAX_WHOLE } else { TRIALS_MAX }
+    }
+}
+
+/// Crashes from which on requests with a part run one at a time.
+fn suspect_crashes(part: PartId) -> usize {
+    if part.is_whole() {
+        SUSPECT_CRASHES_WHOLE
+    } else {
+        SUSPECT_CRASHES
+    }
+}
+
+/// Crashes from which on requests with a part are refused.
+fn block_crashes(part: PartId) -> usize {
+    if part.is_whole() {
+        BLOCK_CRASHES_WHOLE
+    } else {
+        BLOCK_CRASHES
+    }
 }
 
 /// A change of what is suspected, for the log.
@@ -107,7 +138,7 @@
         parts: Vec<PartId>,
         /// Number of crashes.
         crashes: usize,
-        /// Number of trials that crashed a target.
+        /// Number of trials that crashed a target, or that it did not answer.
         trials: u32,
     },
     /// Requests with these parts are no longer refused: one was answered, or none came for long.
@@ -168,7 +199,7 @@
         if let Some(block) = self.blocks.iter_mut().find(|b| b.blocked.blocks(parts)) {
             block.seen = now;
             let probed = block.blocked.parts.iter().any(is_probed);
-            if probed || now < block.trial_at || block.blocked.trials >= TRIALS_MAX {
+            if probed || now < block.trial_at || block.blocked.is_final() {
                 return Admission::Blocked;
             }
             block.trial_at = now + TRIAL_RETRY;
@@ -179,7 +210,7 @@
         let suspects: Vec<PartId> = parts
             .iter()
             .take(PARTS_MAX)
-            .filter(|part| self.count(**part) >= SUSPECT_CRASHES)
+            .filter(|part| self.count(**part) >= suspect_crashes(**part))
             .copied()
             .collect();
         if suspects.iter().any(is_probed) {
@@ -297,14 +328,18 @@
     fn judge(&mut self, now: Time, parts: &[PartId]) {
         for part in parts {
             let crashes = self.count(*part);
-            if crashes == SUSPECT_CRASHES {
+            if crashes == suspect_crashes(*part) {
                 let part = *part;
                 self.news.push(PartNews::Suspected { part, crashes });
             }
-            if crashes < BLOCK_CRASHES {
+            if crashes < block_crashes(*part) {
                 continue;
             }
-            let group = self.common(*part);
+            let group = if part.is_whole() {
+                vec![*part]
+            } else {
+                self.common(*part)
+            };
             let known = self.blocks.iter_mut().find(|b| b.blocked.parts == group);
             let Some(block) = known else {
                 let blocked = BlockedParts {
@@ -318,8 +353,8 @@
         }
     }
 
-    /// Counts a trial that crashed a target.
-    fn fail_trial(&mut self, now: Time, ticket: Ticket) {
+    /// Counts a trial that its target did not answer.
+    pub fn fail_trial(&mut self, now: Time, ticket: Ticket) {
         let is_trial = |block: &&mut Block| block.trial == Some(ticket);
         let Some(block) = self.blocks.iter_mut().find(is_trial) else {
             return;
