--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -335,11 +335,7 @@
             if crashes < block_crashes(*part) {
                 continue;
             }
-            let group = if part.is_whole() {
-                vec![*part]
-            } else {
-                self.common(*part)
-            };
+            let group = self.common(*part);
             let known = self.blocks.iter_mut().find(|b| b.blocked.parts == group);
             let Some(block) = known else {
                 let blocked = BlockedParts {
