Each process tells a new leader of the crashes that it saw

Cause: only the hub's leader counted crashes, by the slots that it had granted. A new leader started to count at zero, and a crash under a slot taken without a leader was never counted: class of evidence that dies with an office, or never reaches it. Each process now keeps the crashes that it saw and tells each leader once of those that it was not told of; a report counts once by its slot's ticket. Crashes that make a part suspected go to all processes with the list, and decide there while no leader answers. Ruled out: telling counts and taking the largest (loses crashes that two processes saw); telling all of them with each poll (up to 32 reports each 0.4 s).

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -31,11 +31,14 @@
             Ok(reply) => {
                 let now = node.now();
                 node.note_leader();
+                let crashes = &call.crashes;
                 if let Some(since) = lost.take() {
                     let away = now.since(since).as_millis();
                     log::info!(away_ms = away as u64; "hub reachable again");
                 }
                 apply_reply(node, sent, reply);
+                let epoch = node.view().seen.epoch;
+                node.crashes().note_told(now, epoch, crashes);
             }
             Err(error) => {
                 if lost.is_none() {
@@ -82,6 +85,7 @@
 
 fn call(node: &Node) -> Follow {
     let view = node.view();
+    let crashes = node.crashes().untold(node.now(), view.seen.epoch);
     Follow {
         holder: node.holder.clone(),
         vm: node.vm.clone(),
@@ -92,6 +96,7 @@
         seen: view.seen,
         leaving: node.leaving(),
         blocked: view.blocked.clone(),
+        crashes,
         held: node.held(),
         members: view.members.clone(),
         wait_ms: WAIT.as_millis() as u32,
@@ -118,6 +123,8 @@
             batch = list.batch.len();
             "fleet changed"
         );
+        node.crashes()
+            .note_reports(now, list.seen.epoch, &list.crashes);
         node.view().set_list(now, list);
         changed = true;
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/design/platform.md`.
 
+mod crash_log;
 mod events;
 mod exchange;
 mod fetch;
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -17,7 +17,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::sync::{Notify, watch};
 
-use crate::{pool::Pool, view::View};
+use crate::{crash_log::CrashLog, pool::Pool, view::View};
 
 /// Settings of a [`Node`].
 pub struct NodeSettings {
@@ -41,6 +41,14 @@
     pub dialect: Arc<dyn Dialect>,
 }
 
+/// A slot that this process holds.
+#[derive(Debug)]
+pub(crate) struct HeldSlot {
+    pub(crate) grant: HeldGrant,
+    /// When it was granted.
+    pub(crate) since: Time,
+}
+
 /// Shared state of one process of the direct path. The runtime has one thread, so the mutexes are
 /// never contended.
 pub struct Node {
@@ -71,7 +79,8 @@
     leaving: Mutex<LeavingTargets>,
     leaving_news: Mutex<Vec<String>>,
     drain: Duration,
-    held: Mutex<HashMap<Ticket, HeldGrant>>,
+    held: Mutex<HashMap<Ticket, HeldSlot>>,
+    crashes: Mutex<CrashLog>,
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
     rng: Mutex<StdRng>,
     changes: watch::Sender<u64>,
@@ -107,6 +116,7 @@
             leaving_news: Mutex::default(),
             drain: settings.drain,
             held: Mutex::default(),
+            crashes: Mutex::default(),
             ends: Mutex::default(),
             rng: Mutex::new(rng),
             changes: watch::Sender::new(0),
@@ -220,25 +230,34 @@
         Ticket(lock(&self.rng).random())
     }
 
-    pub(crate) fn hold(&self, held: HeldGrant) {
-        lock(&self.held).insert(held.ticket, held);
+    pub(crate) fn hold(&self, grant: HeldGrant) {
+        let since = self.now();
+        lock(&self.held).insert(grant.ticket, HeldSlot { grant, since });
     }
 
     pub(crate) fn held(&self) -> Vec<HeldGrant> {
-        lock(&self.held).values().cloned().collect()
+        let held = lock(&self.held);
+        held.values().map(|held| held.grant.clone()).collect()
+    }
+
+    /// What this process knows of crashes of targets.
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashLog> {
+        lock(&self.crashes)
     }
 
     /// Number of slots that this process holds at a target.
     pub(crate) fn held_at(&self, target: &str) -> usize {
         lock(&self.held)
             .values()
-            .filter(|h| h.target == target)
+            .filter(|held| held.grant.target == target)
             .count()
     }
 
     pub(crate) fn release_slot(&self, ticket: Ticket, ended: GrantOutcome) {
         if let Some(held) = lock(&self.held).remove(&ticket) {
-            self.fallback().note(self.now(), &held.target, ended);
+            let now = self.now();
+            self.fallback().note(now, &held.grant.target, ended);
+            self.crashes().note_end(now, &held, ended);
         }
         lock(&self.ends).push((ticket, ended));
         self.ends_ready.notify_one();
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -4,7 +4,8 @@
 
 use clem_edge::TargetVm;
 use clem_policy::dispatch::{
-    GrantOutcome, HeldGrant, RateLimit, SlotRequest, Ticket, Urgency, Verdict,
+    Admission, GrantOutcome, HeldGrant, RateLimit, SUSPECT_RETRY, SlotRequest, Ticket, Urgency,
+    Verdict,
 };
 use clem_wire::{
     CallError,
@@ -282,7 +283,15 @@
                 wait: want.on_time,
             };
         }
-        self.grant(want, &target.id, true)
+        let admission = self.crashes().admit(now, want.ticket, &want.parts);
+        match admission {
+            Admission::Free => self.grant(want, &target.id, true),
+            Admission::Later => SlotOutcome::Busy {
+                retry: SUSPECT_RETRY,
+                wait: Duration::ZERO,
+            },
+            Admission::Blocked => SlotOutcome::Harmful,
+        }
     }
 }
 
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -110,7 +110,7 @@
         let stamp = leader.stamp();
         let result = work(leader, now);
         self.deliver_verdicts(leader, now);
-        leader.publish_parts();
+        leader.publish_parts(now);
         if leader.stamp() != stamp || leader.has_recalls() {
             self.updates.send_modify(|count| *count += 1);
         }
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -10,7 +10,9 @@
 };
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
-use clem_policy::dispatch::{Dispatcher, LeavingTargets, PartNews, RateLimit, TargetSlots};
+use clem_policy::dispatch::{
+    CrashReport, Dispatcher, LeavingTargets, PartNews, RateLimit, TargetSlots,
+};
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, PartId, Time, Version};
 use clem_wire::fleet::{
@@ -64,6 +66,8 @@
     allowance: f64,
     first_keeper: Option<Time>,
     spread: RulesSpread,
+    /// The crashes that make parts suspected, as the processes get them.
+    crashes: Vec<CrashReport>,
 }
 
 /// A process that reports to the leader.
@@ -99,6 +103,7 @@
             allowance: start.allowance,
             first_keeper: None,
             spread: RulesSpread::default(),
+            crashes: Vec::new(),
         }
     }
 
@@ -205,6 +210,7 @@
 
     /// Records a report of a process.
     pub fn record_report(&mut self, now: Time, follow: &Follow) {
+        self.dispatcher.note_crashes(now, &follow.crashes);
         let process = Process {
             vm: follow.vm.clone(),
             role: follow.role,
@@ -232,7 +238,7 @@
     }
 
     /// Logs what has come under suspicion to crash targets, and lists new blocks for followers.
-    pub fn publish_parts(&mut self) {
+    pub fn publish_parts(&mut self, now: Time) {
         for news in self.dispatcher.take_part_news() {
             match news {
                 PartNews::Crashed {
@@ -257,6 +263,8 @@
                         part:% = part, whole_request = part.is_whole(), crashes;
                         "part suspected of crashing targets"
                     );
+                    self.crashes = self.dispatcher.crash_reports(now);
+                    self.change += 1;
                 }
                 PartNews::Blocked {
                     parts,
@@ -351,6 +359,7 @@
             retiring: self.retiring().filter_map(|p| p.address).collect(),
             fronts: self.fronts(),
             blocked: self.dispatcher.blocked_parts(),
+            crashes: self.crashes.clone(),
         });
         let recalls = self.dispatcher.take_recalls(&follow.holder);
         if newest <= known && fleet.is_none() && recalls.is_empty() {
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -44,6 +44,7 @@
         seen,
         leaving: Vec::new(),
         blocked: Vec::new(),
+        crashes: Vec::new(),
         held: Vec::new(),
         members: None,
         wait_ms: 400,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -28,7 +28,7 @@
 use clem_types::{PartId, Time};
 use serde::{Deserialize, Serialize};
 
-pub use crashes::{Admission, BlockedParts, CrashParts, PartNews};
+pub use crashes::{Admission, BlockedParts, CrashParts, CrashReport, PartNews, SUSPECT_CRASHES};
 pub use fallback::Fallback;
 pub use leaving::LeavingTargets;
 pub use pool::{Pool, PoolView};
@@ -47,7 +47,7 @@
 const REPORT_LAG: Duration = Duration::from_millis(600);
 
 /// Retry delay while another request with a suspected part runs.
-const SUSPECT_RETRY: Duration = Duration::from_millis(300);
+pub const SUSPECT_RETRY: Duration = Duration::from_millis(300);
 
 /// Id of a slot request and of its grant, drawn at random by the process that asks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -250,8 +250,13 @@
         match ended {
             GrantOutcome::Answered => self.crash_parts.note_sound(grant.since, &grant.parts),
             GrantOutcome::Crashed => {
-                self.crash_parts
-                    .note_crash(now, ticket, &grant.target, &grant.parts);
+                let report = CrashReport {
+                    ticket,
+                    target: grant.target,
+                    parts: grant.parts,
+                    age_ms: 0,
+                };
+                self.crash_parts.note_crash(now, &report);
             }
             GrantOutcome::Broken | GrantOutcome::Silent => {
                 self.crash_parts.fail_trial(now, ticket);
@@ -280,6 +285,23 @@
         self.crash_parts.restore(now, known);
     }
 
+    /// The crashes that make a part suspected, for other processes.
+    pub fn crash_reports(&self, now: Time) -> Vec<CrashReport> {
+        self.crash_parts.reports(now, SUSPECT_CRASHES)
+    }
+
+    /// Takes over crashes that another process knows of; those that are known already don't count
+    /// again.
+    pub fn note_crashes(&mut self, now: Time, reports: &[CrashReport]) {
+        if reports.is_empty() {
+            return;
+        }
+        for report in reports {
+            self.crash_parts.note_crash(now, report);
+        }
+        self.reject_waiting(now);
+    }
+
     /// Removes and returns the changes of what is suspected to crash targets.
     pub fn take_part_news(&mut self) -> Vec<PartNews> {
         self.crash_parts.take_news()
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -16,7 +16,7 @@
 //! See `docs/design/platform.md`, "Requests that crash targets".
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -26,7 +26,7 @@
 use super::Ticket;
 
 /// Crashes from which on requests with a part run one at a time.
-const SUSPECT_CRASHES: usize = 2;
+pub const SUSPECT_CRASHES: usize = 2;
 /// Crashes from which on requests with a part are refused.
 const BLOCK_CRASHES: usize = 4;
 /// Crashes from which on a whole request runs once at a time.
@@ -41,6 +41,8 @@
 const CRASHES_MAX: usize = 256;
 /// Maximum number of requests that are remembered for a crash.
 const REQUESTS_MAX: usize = 64;
+/// Maximum number of crashed requests that a process tells another one of.
+const REPORTS_MAX: usize = 32;
 /// Maximum number of blocks; beyond it the one that was met longest ago is dropped.
 const BLOCKS_MAX: usize = 64;
 /// Maximum number of parts of a request that are looked at.
@@ -107,6 +109,19 @@
     }
 }
 
+/// A target that crashed under a request, as processes tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The slot of the request, by which a report that comes again is recognised.
+    pub ticket: Ticket,
+    /// The target.
+    pub target: String,
+    /// The parts of the request.
+    pub parts: Vec<PartId>,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// A change of what is suspected, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PartNews {
@@ -153,8 +168,20 @@
 struct Crash {
     target: String,
     at: Time,
-    /// The parts of each request.
-    requests: Vec<Vec<PartId>>,
+    requests: Vec<CrashedRequest>,
+}
+
+impl Crash {
+    fn has_part(&self, part: PartId) -> bool {
+        self.requests.iter().any(|r| r.parts.contains(&part))
+    }
+}
+
+/// A request whose answer had not begun when its target ended.
+#[derive(Debug)]
+struct CrashedRequest {
+    ticket: Ticket,
+    parts: Vec<PartId>,
 }
 
 /// Parts that are blocked.
@@ -232,22 +259,31 @@
         }
     }
 
-    /// Records that a target crashed before the answer to a request had begun.
-    pub fn note_crash(&mut self, now: Time, ticket: Ticket, target: &str, parts: &[PartId]) {
+    /// Records that a target crashed before the answer to a request had begun; does nothing for a report
+    /// that came before.
+    pub fn note_crash(&mut self, now: Time, report: &CrashReport) {
+        let ticket = report.ticket;
+        let is_known = |crash: &Crash| crash.requests.iter().any(|r| r.ticket == ticket);
+        if self.crashes.iter().any(is_known) {
+            return;
+        }
         self.fail_trial(now, ticket);
-        let parts: Vec<PartId> = parts.iter().take(PARTS_MAX).copied().collect();
-        let known = self
-            .crashes
-            .iter_mut()
-            .rev()
-            .find(|crash| crash.target == target && now.since(crash.at) < CRASH_SPAN);
+        let at = now - Duration::from_millis(report.age_ms.into());
+        let parts: Vec<PartId> = report.parts.iter().take(PARTS_MAX).copied().collect();
+        let request = CrashedRequest {
+            ticket,
+            parts: parts.clone(),
+        };
+        let known = self.crashes.iter_mut().rev().find(|crash| {
+            let apart = crash.at.since(at).max(at.since(crash.at));
+            crash.target == report.target && apart < CRASH_SPAN
+        });
         let news = match known {
             Some(crash) if crash.requests.len() >= REQUESTS_MAX => return,
             Some(crash) => {
-                let before: Vec<PartId> = crash.requests.concat();
-                crash.requests.push(parts.clone());
                 let mut news = parts.clone();
-                news.retain(|part| !before.contains(part));
+                news.retain(|part| !crash.has_part(*part));
+                crash.requests.push(request);
                 news
             }
             None => {
@@ -255,9 +291,9 @@
                     self.drop_oldest();
                 }
                 self.crashes.push_back(Crash {
-                    target: target.to_owned(),
-                    at: now,
-                    requests: vec![parts.clone()],
+                    target: report.target.clone(),
+                    at,
+                    requests: vec![request],
                 });
                 parts.clone()
             }
@@ -267,13 +303,42 @@
         }
         let counts = parts.iter().map(|part| (*part, self.count(*part)));
         self.news.push(PartNews::Crashed {
-            target: target.to_owned(),
+            target: report.target.clone(),
             ticket,
             parts: counts.collect(),
         });
         self.judge(now, &news);
     }
 
+    /// The crashes under requests with a part that has `least` or more of them, the newest first, for
+    /// other processes.
+    pub fn reports(&self, now: Time, least: usize) -> Vec<CrashReport> {
+        let counts = self.counts();
+        let mut reports = Vec::new();
+        for crash in self.crashes.iter().rev() {
+            let age = now.since(crash.at);
+            if age >= CRASH_KEEP {
+                continue;
+            }
+            for request in &crash.requests {
+                let mut counted = request.parts.iter().filter_map(|part| counts.get(part));
+                if !counted.any(|count| *count >= least) {
+                    continue;
+                }
+                if reports.len() >= REPORTS_MAX {
+                    return reports;
+                }
+                reports.push(CrashReport {
+                    ticket: request.ticket,
+                    target: crash.target.clone(),
+                    parts: request.parts.clone(),
+                    age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+                });
+            }
+        }
+        reports
+    }
+
     /// Records that a target crashed under a request whose slot is not known.
     pub fn note_uncounted(&mut self, ticket: Ticket) {
         self.news.push(PartNews::Uncounted { ticket });
@@ -328,7 +393,7 @@
     fn judge(&mut self, now: Time, parts: &[PartId]) {
         for part in parts {
             let crashes = self.count(*part);
-            if crashes == suspect_crashes(*part) {
+            if crashes == SUSPECT_CRASHES {
                 let part = *part;
                 self.news.push(PartNews::Suspected { part, crashes });
             }
@@ -406,11 +471,29 @@
         self.counted(part).count()
     }
 
+    /// Number of crashes with each part in flight that was not cleared since.
+    fn counts(&self) -> HashMap<PartId, usize> {
+        let mut counts = HashMap::new();
+        for crash in &self.crashes {
+            let parts: BTreeSet<PartId> = crash
+                .requests
+                .iter()
+                .flat_map(|request| request.parts.iter().copied())
+                .collect();
+            for part in parts {
+                if self.cleared.get(&part).is_some_and(|at| crash.at <= *at) {
+                    continue;
+                }
+                *counts.entry(part).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     fn counted(&self, part: PartId) -> impl Iterator<Item = &Crash> {
         let cleared = self.cleared.get(&part).copied();
         self.crashes.iter().filter(move |crash| {
-            cleared.is_none_or(|cleared| crash.at > cleared)
-                && crash.requests.iter().any(|parts| parts.contains(&part))
+            cleared.is_none_or(|cleared| crash.at > cleared) && crash.has_part(part)
         })
     }
 
@@ -418,10 +501,13 @@
     fn common(&self, part: PartId) -> Vec<PartId> {
         let mut common: Option<Vec<PartId>> = None;
         for crash in self.counted(part) {
-            for request in crash.requests.iter().filter(|r| r.contains(&part)) {
+            for request in &crash.requests {
+                if !request.parts.contains(&part) {
+                    continue;
+                }
                 match &mut common {
-                    Some(common) => common.retain(|other| request.contains(other)),
-                    None => common = Some(request.clone()),
+                    Some(common) => common.retain(|other| request.parts.contains(other)),
+                    None => common = Some(request.parts.clone()),
                 }
             }
         }
@@ -451,7 +537,7 @@
         let Some(oldest) = self.crashes.pop_front() else {
             return;
         };
-        for part in oldest.requests.into_iter().flatten() {
+        for part in oldest.requests.into_iter().flat_map(|r| r.parts) {
             let Some(count) = self.in_flight.get_mut(&part) else {
                 continue;
             };
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use clem_policy::dispatch::{
-    BlockedParts, CrashParts, Dispatcher, GrantOutcome, SlotRequest, TargetSlots, Ticket, Verdict,
+    BlockedParts, CrashParts, CrashReport, Dispatcher, GrantOutcome, SlotRequest, TargetSlots,
+    Ticket, Verdict,
 };
 use clem_types::{PartId, Time};
 use loads::{SERVICE, want};
@@ -396,8 +397,13 @@
     let mut parts = CrashParts::default();
     for number in 0..10_000_u64 {
         let many: Vec<PartId> = (0..100).map(|n| own(number * 100 + n)).collect();
-        let target = format!("t{}", number / 4);
-        parts.note_crash(Time::from_millis(number), Ticket(number), &target, &many);
+        let report = CrashReport {
+            ticket: Ticket(number),
+            target: format!("t{}", number / 4),
+            parts: many,
+            age_ms: 0,
+        };
+        parts.note_crash(Time::from_millis(number), &report);
     }
     parts.restore(
         Time::from_millis(10_000),
--- a/crates/policy/tests/repeats.rs
+++ b/crates/policy/tests/repeats.rs
@@ -6,7 +6,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use clem_policy::dispatch::{
-    Dispatcher, GrantOutcome, HeldGrant, SlotRequest, TargetSlots, Ticket, Verdict,
+    CrashParts, CrashReport, Dispatcher, GrantOutcome, HeldGrant, SlotRequest, TargetSlots, Ticket,
+    Verdict,
 };
 use clem_types::{PartId, Time};
 use loads::{SERVICE, want};
@@ -37,6 +38,8 @@
 /// A small service and its callers.
 struct Fleet {
     dispatcher: Dispatcher,
+    /// What the holder of the slots has seen itself.
+    holder: CrashParts,
     rng: StdRng,
     now: u64,
     tickets: u64,
@@ -54,6 +57,7 @@
         println!("SEED repeats {seed}");
         let mut fleet = Self {
             dispatcher: Dispatcher::default(),
+            holder: CrashParts::default(),
             rng: StdRng::seed_from_u64(seed),
             now: 0,
             tickets: 0,
@@ -102,11 +106,13 @@
 
     /// A new leader knows what its followers report.
     fn change_leader(&mut self) {
+        let at = self.at();
         let blocked = self.dispatcher.blocked_parts();
+        let crashes = self.holder.reports(at, 1);
         self.dispatcher = Dispatcher::default();
         self.list_targets();
-        let at = self.at();
         self.dispatcher.restore_blocked(at, &blocked);
+        self.dispatcher.note_crashes(at, &crashes);
         let held = self.held();
         self.dispatcher.report(at, "holder", &held);
     }
@@ -139,7 +145,16 @@
             .map(|(ticket, _)| *ticket)
             .collect();
         for ticket in hit {
-            self.running.remove(&ticket);
+            let Some(running) = self.running.remove(&ticket) else {
+                continue;
+            };
+            let report = CrashReport {
+                ticket,
+                target: running.target,
+                parts: running.parts,
+                age_ms: 0,
+            };
+            self.holder.note_crash(at, &report);
             self.dispatcher.release(at, ticket, GrantOutcome::Crashed);
         }
     }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use clem_edge::TargetVm;
-use clem_policy::dispatch::{BlockedParts, GrantOutcome, HeldGrant, SlotRequest, Ticket, Verdict};
+use clem_policy::dispatch::{
+    BlockedParts, CrashReport, GrantOutcome, HeldGrant, SlotRequest, Ticket, Verdict,
+};
 use clem_types::{Epoch, Version};
 use serde::{Deserialize, Serialize};
 
@@ -56,6 +58,9 @@
     /// What it knows to crash targets, from which a new leader restores its state.
     #[serde(default)]
     pub blocked: Vec<BlockedParts>,
+    /// Crashes of targets that the leader of `seen` was not told of by this process.
+    #[serde(default)]
+    pub crashes: Vec<CrashReport>,
     /// The slots that it holds, from which a new leader restores its state.
     pub held: Vec<HeldGrant>,
     /// The members of the group that stores batches, if this process leads that group.
@@ -147,6 +152,9 @@
     /// Parts of requests that crash targets.
     #[serde(default)]
     pub blocked: Vec<BlockedParts>,
+    /// Crashes of targets that make parts of requests suspected.
+    #[serde(default)]
+    pub crashes: Vec<CrashReport>,
 }
 
 /// Requests a slot on a target.
