A target that is back at once under another id has crashed

Cause: only a refused connection made a broken response a crash. A target that accepts connections again before the front asks looked as if it had run all the time, whatever it lost; class of an incarnation that is taken for the one before. Such a response now ends as cut. The cut counts as a crash, from when it happened, once another incarnation answers at the address (421) or the list drops the target without having shown it as draining. Ruled out: a request to the target's health check after each broken response (takes a slot, is priced, and may reach the new incarnation without telling the old one); counting each cut (connections are also reset by the network).

--- a/crates/direct/src/crash_log.rs
+++ b/crates/direct/src/crash_log.rs
@@ -40,6 +40,12 @@
                 };
                 self.parts.note_crash(now, &report);
             }
+            GrantOutcome::Cut => {
+                self.parts.fail_trial(now, grant.ticket);
+                self.parts
+                    .note_cut(now, grant.ticket, &grant.target, &grant.parts);
+            }
+            GrantOutcome::Replaced => self.parts.note_gone(now, &grant.target),
             GrantOutcome::Broken | GrantOutcome::Silent => {
                 self.parts.fail_trial(now, grant.ticket);
             }
@@ -47,7 +53,6 @@
             | GrantOutcome::Full
             | GrantOutcome::NotRun
             | GrantOutcome::Unreachable
-            | GrantOutcome::Replaced
             | GrantOutcome::Lost => {}
         }
         self.parts.end(grant.ticket);
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -203,8 +203,12 @@
         let node = Arc::clone(self);
         let id = id.to_owned();
         tokio::spawn(async move {
-            if node.probe(&slot.target, &id).await == Liveness::Ended {
-                slot.set_ended(GrantOutcome::Crashed);
+            match node.probe(&slot.target, &id).await {
+                Liveness::Ended => slot.set_ended(GrantOutcome::Crashed),
+                Liveness::Running | Liveness::Unknown if otherwise == GrantOutcome::Broken => {
+                    slot.set_ended(GrantOutcome::Cut);
+                }
+                Liveness::Running | Liveness::Unknown => {}
             }
         });
     }
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -149,7 +149,15 @@
         }
         self.leaving
             .retain(now, |id| targets.iter().any(|target| target.id == id));
-        self.listed = Some(targets);
+        let before = self.listed.replace(targets).unwrap_or_default();
+        for target in &before {
+            let listed = self.listed.iter().flatten().any(|t| t.id == target.id);
+            let planned = target.state != TargetState::Ready || self.leaving.contains(&target.id);
+            if listed || planned {
+                continue;
+            }
+            self.dispatcher.note_gone(now, &target.id);
+        }
         self.apply_targets(now);
         true
     }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -258,6 +258,12 @@
                 };
                 self.crash_parts.note_crash(now, &report);
             }
+            GrantOutcome::Cut => {
+                self.crash_parts.fail_trial(now, ticket);
+                self.crash_parts
+                    .note_cut(now, ticket, &grant.target, &grant.parts);
+            }
+            GrantOutcome::Replaced => self.crash_parts.note_gone(now, &grant.target),
             GrantOutcome::Broken | GrantOutcome::Silent => {
                 self.crash_parts.fail_trial(now, ticket);
             }
@@ -265,11 +271,10 @@
             | GrantOutcome::Full
             | GrantOutcome::NotRun
             | GrantOutcome::Unreachable
-            | GrantOutcome::Replaced
             | GrantOutcome::Lost => {}
         }
         self.crash_parts.end(ticket);
-        if ended == GrantOutcome::Crashed {
+        if matches!(ended, GrantOutcome::Crashed | GrantOutcome::Replaced) {
             self.reject_waiting(now);
         }
         self.schedule(now);
@@ -285,6 +290,12 @@
         self.crash_parts.restore(now, known);
     }
 
+    /// Records that a target is gone without having been drained.
+    pub fn note_gone(&mut self, now: Time, target: &str) {
+        self.crash_parts.note_gone(now, target);
+        self.reject_waiting(now);
+    }
+
     /// The crashes that make a part suspected, for other processes.
     pub fn crash_reports(&self, now: Time) -> Vec<CrashReport> {
         self.crash_parts.reports(now, SUSPECT_CRASHES)
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -43,6 +43,10 @@
 const REQUESTS_MAX: usize = 64;
 /// Maximum number of crashed requests that a process tells another one of.
 const REPORTS_MAX: usize = 32;
+/// How long a cut counts as a possible crash of its target: longer than a list is out of date.
+const CUT_KEEP: Duration = Duration::from_secs(10);
+/// Maximum number of cuts that are remembered; beyond it the oldest is dropped.
+const CUTS_MAX: usize = 256;
 /// Maximum number of blocks; beyond it the one that was met longest ago is dropped.
 const BLOCKS_MAX: usize = 64;
 /// Maximum number of parts of a request that are looked at.
@@ -184,6 +188,15 @@
     parts: Vec<PartId>,
 }
 
+/// A request whose connection broke before its answer had begun, while its target seemed to run.
+#[derive(Debug)]
+struct Cut {
+    ticket: Ticket,
+    target: String,
+    parts: Vec<PartId>,
+    at: Time,
+}
+
 /// Parts that are blocked.
 #[derive(Debug)]
 struct Block {
@@ -202,6 +215,7 @@
 #[derive(Debug, Default)]
 pub struct CrashParts {
     crashes: VecDeque<Crash>,
+    cuts: VecDeque<Cut>,
     /// Number of requests of `crashes` that have each part, so that a request without suspects costs
     /// no search.
     in_flight: HashMap<PartId, usize>,
@@ -310,6 +324,40 @@
         self.judge(now, &news);
     }
 
+    /// Records that the connection of a request broke before its answer had begun, while its target
+    /// still accepted connections. Whether the target crashed, and was back at once, shows later.
+    pub fn note_cut(&mut self, now: Time, ticket: Ticket, target: &str, parts: &[PartId]) {
+        if self.cuts.len() >= CUTS_MAX {
+            self.cuts.pop_front();
+        }
+        self.cuts.push_back(Cut {
+            ticket,
+            target: target.to_owned(),
+            parts: parts.iter().take(PARTS_MAX).copied().collect(),
+            at: now,
+        });
+    }
+
+    /// Records that a target is gone, or that another one has its address: what was cut off there
+    /// shortly before was cut off by a crash.
+    pub fn note_gone(&mut self, now: Time, target: &str) {
+        self.cuts.retain(|cut| now.since(cut.at) < CUT_KEEP);
+        let (gone, kept): (VecDeque<Cut>, VecDeque<Cut>) = std::mem::take(&mut self.cuts)
+            .into_iter()
+            .partition(|cut| cut.target == target);
+        self.cuts = kept;
+        for cut in gone {
+            let age = now.since(cut.at).as_millis();
+            let report = CrashReport {
+                ticket: cut.ticket,
+                target: cut.target,
+                parts: cut.parts,
+                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            };
+            self.note_crash(now, &report);
+        }
+    }
+
     /// The crashes under requests with a part that has `least` or more of them, the newest first, for
     /// other processes.
     pub fn reports(&self, now: Time, least: usize) -> Vec<CrashReport> {
--- a/crates/policy/src/dispatch/fallback.rs
+++ b/crates/policy/src/dispatch/fallback.rs
@@ -74,7 +74,10 @@
             GrantOutcome::Answered | GrantOutcome::Failed => {
                 self.failed.remove(target);
             }
-            GrantOutcome::Broken | GrantOutcome::NotRun | GrantOutcome::Lost => {}
+            GrantOutcome::Broken
+            | GrantOutcome::Cut
+            | GrantOutcome::NotRun
+            | GrantOutcome::Lost => {}
         }
     }
 
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -43,6 +43,8 @@
     Unreachable,
     /// The connection broke, or the answer was malformed.
     Broken,
+    /// The connection broke before the answer had begun, but the target may be running, or be back.
+    Cut,
     /// The target did not answer in time.
     Silent,
     /// A different target now listens on the address.
@@ -142,7 +144,7 @@
                 self.failures = self.failures.max(BROKEN_MAX - 1) + 1;
                 self.start_cooldown(now);
             }
-            GrantOutcome::Broken => {
+            GrantOutcome::Broken | GrantOutcome::Cut => {
                 self.failures += 1;
                 if self.failures >= BROKEN_MAX {
                     self.start_cooldown(now);
