The fleet keeps to the limits that targets name (LIMIT)

Callers saw nothing wrong; targets in need got several times what they said they take. Cause: nothing read the limit in their answers (class: what a target says of itself is not heard; leaving was the first of the kind). The hub's leader grants each slot, so each grant at a limited target now takes from one budget of the fleet; processes report answers that differ from what the leader has published, and tell a new leader what they know with each slot request. Ruled out: a share for each front, which strands what quiet fronts don't use.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -143,6 +143,9 @@
         if read.leaves && !read.replaced {
             self.note_leaving(&slot.target);
         }
+        if read.matches && !read.replaced {
+            self.note_limit(slot.ticket(), &slot.target, read.limit);
+        }
         if !read.matches {
             slot.set_ended(GrantOutcome::Broken);
             return Outcome::Lost("the answer belongs to another request".to_owned());
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -97,6 +97,7 @@
         leaving: node.leaving(),
         blocked: view.blocked.clone(),
         crashes,
+        limits: node.limits().limits(),
         held: node.held(),
         members: view.members.clone(),
         wait_ms: WAIT.as_millis() as u32,
@@ -125,7 +126,11 @@
         );
         node.crashes()
             .note_reports(now, list.seen.epoch, &list.crashes);
+        node.limits().note_published(&list.limits);
         node.view().set_list(now, list);
+        let view = node.view();
+        node.limits()
+            .retain(now, |id| view.targets.contains_key(id));
         changed = true;
     }
     if changed {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod fetch;
 mod follow;
+mod limits;
 mod list;
 mod node;
 mod pool;
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -8,16 +8,16 @@
 };
 
 use clem_boot::Clock;
-use clem_edge::{Dialect, TargetVm};
+use clem_edge::{Dialect, NamedLimit, TargetVm};
 use clem_policy::dispatch::{
-    Fallback, GrantOutcome, HeldGrant, LeavingTargets, Ticket, retry_after,
+    Fallback, GrantOutcome, HeldGrant, LeavingTargets, LimitReport, Ticket, retry_after,
 };
 use clem_types::{Time, Version};
 use clem_wire::{Client, FleetSecret, LeaderClient, fleet::ProcessRole};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::sync::{Notify, watch};
 
-use crate::{crash_log::CrashLog, pool::Pool, view::View};
+use crate::{crash_log::CrashLog, limits::Limits, pool::Pool, view::View};
 
 /// Settings of a [`Node`].
 pub struct NodeSettings {
@@ -81,6 +81,7 @@
     drain: Duration,
     held: Mutex<HashMap<Ticket, HeldSlot>>,
     crashes: Mutex<CrashLog>,
+    limits: Mutex<Limits>,
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
     rng: Mutex<StdRng>,
     changes: watch::Sender<u64>,
@@ -117,6 +118,7 @@
             drain: settings.drain,
             held: Mutex::default(),
             crashes: Mutex::default(),
+            limits: Mutex::default(),
             ends: Mutex::default(),
             rng: Mutex::new(rng),
             changes: watch::Sender::new(0),
@@ -205,6 +207,7 @@
         let now = self.now();
         *lock(&self.leader_heard) = now;
         if self.fallback().note_heard(now) {
+            self.limits().drop_shares();
             log::info!("placing through the leader again");
         }
     }
@@ -263,6 +266,43 @@
         self.ends_ready.notify_one();
     }
 
+    /// The limits that targets named.
+    pub(crate) fn limits(&self) -> MutexGuard<'_, Limits> {
+        lock(&self.limits)
+    }
+
+    /// Records what the answer to the request in a slot says of its target's limit, and tells the hub
+    /// if that is news.
+    pub(crate) fn note_limit(&self, ticket: Ticket, target: &TargetVm, limit: NamedLimit) {
+        let rate = match limit {
+            NamedLimit::Unlimited => None,
+            NamedLimit::Rate(rate) => Some(rate),
+            NamedLimit::Unreadable => {
+                if self.limits().is_first_unreadable(&target.id) {
+                    log::warn!(target = target.id.as_str(); "target limit unreadable");
+                }
+                return;
+            }
+        };
+        let now = self.now();
+        let sent = lock(&self.held).get(&ticket).map_or(now, |h| h.since);
+        let published = self.view().limits.get(&target.id).copied();
+        let report = LimitReport {
+            ticket,
+            target: target.id.clone(),
+            rate,
+        };
+        if !self.limits().note(now, sent, report, published) {
+            return;
+        }
+        log::info!(
+            target = target.id.as_str(), service = target.service.as_str(),
+            limit = rate.map(|r| r.to_string()), known = published.map(|r| r.to_string());
+            "target named another limit"
+        );
+        self.ends_ready.notify_one();
+    }
+
     /// Records that a target said in an answer that it is leaving, and tells the hub.
     pub(crate) fn note_leaving(&self, target: &TargetVm) {
         let now = self.now();
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -150,6 +150,7 @@
         };
         let call = RequestSlot {
             want,
+            limits: self.limits().limits(),
             ends: self.take_ends(),
         };
         let timeout = call.want.queue_timeout + REPLY_SLACK;
@@ -157,7 +158,7 @@
             answered = self.hub.ask_leader(&call, timeout) => answered,
             error = self.watch_leader() => Err(error),
         };
-        let RequestSlot { want, ends } = call;
+        let RequestSlot { want, ends, .. } = call;
         let verdict = match answered {
             Ok(verdict) => verdict,
             Err(error) => {
@@ -264,6 +265,9 @@
             if want.avoid.contains(&target.id) || self.fallback().is_avoided(now, &target.id) {
                 continue;
             }
+            if !self.limits().is_open(now, &target.id, fronts) {
+                continue;
+            }
             // The load from other fronts is not known here, so only the slots that this process
             // holds count; the random part breaks ties.
             let load = self.held_at(&target.id) as f64 + self.random() / 2.0;
@@ -285,7 +289,10 @@
         }
         let admission = self.crashes().admit(now, want.ticket, &want.parts);
         match admission {
-            Admission::Free => self.grant(want, &target.id, true),
+            Admission::Free => {
+                self.limits().take(now, &target.id);
+                self.grant(want, &target.id, true)
+            }
             Admission::Later => SlotOutcome::Busy {
                 retry: SUSPECT_RETRY,
                 wait: Duration::ZERO,
@@ -302,12 +309,14 @@
         tokio::time::sleep(RELEASE_DELAY).await;
         let ends = node.take_ends();
         let leaving = node.take_leaving_news();
-        if ends.is_empty() && leaving.is_empty() {
+        let limits = node.limits().take_news();
+        if ends.is_empty() && leaving.is_empty() && limits.is_empty() {
             continue;
         }
         let call = Release {
             holder: node.holder.clone(),
             leaving,
+            limits,
             ends,
         };
         // The next poll makes up for a lost message: it reports all held slots and leaving targets.
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -4,7 +4,7 @@
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::BlockedParts;
-use clem_types::{Time, Version};
+use clem_types::{Rate, Time, Version};
 use clem_wire::fleet::{FleetList, FleetListVersion};
 
 /// State last received from the hub; the rules version never decreases.
@@ -28,6 +28,8 @@
     pub fronts: u32,
     /// Parts of requests that crash targets.
     pub blocked: Vec<BlockedParts>,
+    /// The limited targets, as the leader has published them.
+    pub limits: BTreeMap<String, Rate>,
     /// When the target list was last updated; `None` if never.
     pub listed: Option<Time>,
     /// When the hub's leader last responded; `None` if never.
@@ -61,6 +63,8 @@
         self.retiring = list.retiring;
         self.fronts = list.fronts;
         self.blocked = list.blocked;
+        let limits = list.limits.into_iter();
+        self.limits = limits.map(|l| (l.target, l.rate)).collect();
     }
 
     pub(crate) fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) {
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use clem_types::Rate;
 use http::{HeaderMap, header};
 use http_body::Body;
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,19 @@
     pub leaves: bool,
     /// Whether the target will close the connection.
     pub closes: bool,
+    /// How many requests the target takes.
+    pub limit: NamedLimit,
+}
+
+/// What a response says of how many requests its target takes from all vms together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// Nothing: the target takes as many as it has slots for.
+    Unlimited,
+    /// This many; a rate of 0 stands for none.
+    Rate(Rate),
+    /// Something that can't be read.
+    Unreadable,
 }
 
 /// How a response marks the end of its body.
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -11,7 +11,8 @@
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{
-    CrashReport, Dispatcher, LeavingTargets, PartNews, RateLimit, TargetSlots,
+    CrashReport, Dispatcher, LeavingTargets, LimitReport, PartNews, RateLimit, TargetLimit,
+    TargetSlots,
 };
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, PartId, Time, Version};
@@ -68,6 +69,8 @@
     spread: RulesSpread,
     /// The crashes that make parts suspected, as the processes get them.
     crashes: Vec<CrashReport>,
+    /// Whether limits of targets have changed since the last tick, which publishes them.
+    limits_changed: bool,
 }
 
 /// A process that reports to the leader.
@@ -104,6 +107,7 @@
             first_keeper: None,
             spread: RulesSpread::default(),
             crashes: Vec::new(),
+            limits_changed: false,
         }
     }
 
@@ -149,6 +153,8 @@
         }
         self.leaving
             .retain(now, |id| targets.iter().any(|target| target.id == id));
+        self.dispatcher
+            .retain_limits(now, |id| targets.iter().any(|target| target.id == id));
         let before = self.listed.replace(targets).unwrap_or_default();
         for target in &before {
             let listed = self.listed.iter().flatten().any(|t| t.id == target.id);
@@ -176,6 +182,31 @@
         }
     }
 
+    /// Records answers of targets that named another limit than was published.
+    pub fn note_limits(&mut self, now: Time, source: &str, reports: &[LimitReport]) {
+        for report in reports {
+            if !self.dispatcher.note_limit(now, report) {
+                continue;
+            }
+            log::info!(
+                target = report.target.as_str(), source, limit = report.rate.map(|r| r.to_string());
+                "target limit changed"
+            );
+            self.limits_changed = true;
+        }
+    }
+
+    /// Takes over limits that a process knows, after a change of leader.
+    pub fn restore_limits(&mut self, now: Time, source: &str, limits: &[TargetLimit]) {
+        for limit in self.dispatcher.restore_limits(now, limits) {
+            log::info!(
+                target = limit.target.as_str(), source, limit:% = limit.rate;
+                "target limit taken over"
+            );
+            self.limits_changed = true;
+        }
+    }
+
     /// Applies the list and the leaving targets to the dispatcher and to the list for processes.
     fn apply_targets(&mut self, now: Time) {
         let Some(mut targets) = self.listed.clone() else {
@@ -219,6 +250,7 @@
     /// Records a report of a process.
     pub fn record_report(&mut self, now: Time, follow: &Follow) {
         self.dispatcher.note_crashes(now, &follow.crashes);
+        self.restore_limits(now, &follow.vm, &follow.limits);
         let process = Process {
             vm: follow.vm.clone(),
             role: follow.role,
@@ -293,6 +325,9 @@
     /// Expires silent processes and overdue requests.
     pub fn tick(&mut self, now: Time) {
         self.dispatcher.tick(now);
+        if std::mem::take(&mut self.limits_changed) {
+            self.change += 1;
+        }
         let before = self.processes.len();
         self.processes
             .retain(|_, process| now.since(process.heard) < PROCESS_TIMEOUT);
@@ -368,6 +403,7 @@
             fronts: self.fronts(),
             blocked: self.dispatcher.blocked_parts(),
             crashes: self.crashes.clone(),
+            limits: self.dispatcher.limits(),
         });
         let recalls = self.dispatcher.take_recalls(&follow.holder);
         if newest <= known && fleet.is_none() && recalls.is_empty() {
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -81,6 +81,7 @@
             for (ticket, ended) in &self.ends {
                 leader.dispatcher.withdraw_or_release(now, *ticket, *ended);
             }
+            leader.restore_limits(now, &self.want.holder, &self.limits);
             let receiver = hub.register_waiter(ticket);
             leader.dispatcher.request_slot(now, self.want);
             receiver
@@ -107,6 +108,7 @@
     async fn serve(self, hub: Arc<Hub>) -> Result<()> {
         hub.with_leader(|leader, now| {
             leader.note_leaving(now, &self.holder, &self.leaving);
+            leader.note_limits(now, &self.holder, &self.limits);
             for (ticket, ended) in self.ends {
                 leader.dispatcher.withdraw_or_release(now, ticket, ended);
             }
--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -68,7 +68,7 @@
             log::info!(
                 service = service.as_str(), targets = view.targets, slots = view.slots,
                 free = view.free, online = view.online, batch = view.batch,
-                waiting = view.waiting;
+                waiting = view.waiting, limited = view.limited;
                 "slots"
             );
         }
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -45,6 +45,7 @@
         leaving: Vec::new(),
         blocked: Vec::new(),
         crashes: Vec::new(),
+        limits: Vec::new(),
         held: Vec::new(),
         members: None,
         wait_ms: 400,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -15,6 +15,7 @@
 mod crashes;
 mod fallback;
 mod leaving;
+mod limit;
 mod pool;
 mod rate;
 mod retry_after;
@@ -31,6 +32,7 @@
 pub use crashes::{Admission, BlockedParts, CrashParts, CrashReport, PartNews, SUSPECT_CRASHES};
 pub use fallback::Fallback;
 pub use leaving::LeavingTargets;
+pub use limit::{Budget, LimitReport, LimitedTargets, TargetLimit};
 pub use pool::{Pool, PoolView};
 pub use rate::{RateBucket, RateLimit, RateShare};
 pub use retry_after::{RouteTimeouts, retry_after};
@@ -164,6 +166,7 @@
     decided: Vec<(Ticket, Verdict)>,
     recalls: HashMap<String, Vec<Ticket>>,
     crash_parts: CrashParts,
+    limited: LimitedTargets,
 }
 
 impl Dispatcher {
@@ -171,6 +174,57 @@
     pub fn set_targets(&mut self, now: Time, service: &str, targets: &[TargetSlots]) {
         let pool = self.pools.entry(service.to_owned()).or_default();
         pool.set_targets(now, targets);
+        for slots in targets {
+            if let Some(rate) = self.limited.get(&slots.target) {
+                pool.set_limit(now, &slots.target, Some(rate));
+            }
+        }
+        self.schedule(now);
+    }
+
+    /// Records an answer that named another limit than is known; returns whether the limit changes.
+    pub fn note_limit(&mut self, now: Time, report: &LimitReport) -> bool {
+        let sent = self.grants.get(&report.ticket).map_or(now, |g| g.since);
+        if !self.limited.note(sent, &report.target, report.rate) {
+            return false;
+        }
+        self.apply_limit(now, &report.target);
+        true
+    }
+
+    /// Takes over limits that another process knows, and returns those that are news.
+    pub fn restore_limits<'a>(
+        &mut self,
+        now: Time,
+        limits: &'a [TargetLimit],
+    ) -> Vec<&'a TargetLimit> {
+        let mut news = Vec::new();
+        for limit in limits {
+            if self.limited.restore(limit) {
+                self.apply_limit(now, &limit.target);
+                news.push(limit);
+            }
+        }
+        news
+    }
+
+    /// The targets that are limited, for other processes.
+    pub fn limits(&self) -> Vec<TargetLimit> {
+        self.limited.limits()
+    }
+
+    /// Forgets the limits of targets that are gone from the list.
+    pub fn retain_limits(&mut self, now: Time, is_listed: impl Fn(&str) -> bool) {
+        self.limited.retain(now, is_listed);
+    }
+
+    fn apply_limit(&mut self, now: Time, target: &str) {
+        let rate = self.limited.get(target);
+        for pool in self.pools.values_mut() {
+            if pool.set_limit(now, target, rate) {
+                break;
+            }
+        }
         self.schedule(now);
     }
 
@@ -462,8 +516,10 @@
                 self.decided
                     .push((want.ticket, Verdict::Granted { target, share }));
             }
-            let short = pool.online_waiting();
-            recall(service, short, &mut self.grants, &mut self.recalls);
+            let short = pool.online_short(now);
+            let is_useful = |target: &str| pool.has_budget(now, target);
+            let recalls = &mut self.recalls;
+            recall(service, short, is_useful, &mut self.grants, recalls);
         }
         for (want, verdict) in refused {
             self.refuse(now, &want, verdict);
@@ -471,10 +527,12 @@
     }
 }
 
-/// Preempts the most recent batch grants of a service until `short` slots are being released.
+/// Preempts the most recent batch grants of a service at useful targets until `short` slots are being
+/// released.
 fn recall(
     service: &str,
     short: usize,
+    is_useful: impl Fn(&str) -> bool,
     grants: &mut BTreeMap<Ticket, Grant>,
     recalls: &mut HashMap<String, Vec<Ticket>>,
 ) {
@@ -488,7 +546,7 @@
         .count();
     let mut candidates: Vec<(Time, Ticket)> = grants
         .iter()
-        .filter(|(_, grant)| of_batch(grant) && !grant.recalled)
+        .filter(|(_, grant)| of_batch(grant) && !grant.recalled && is_useful(&grant.target))
         .map(|(ticket, grant)| (grant.since, *ticket))
         .collect();
     candidates.sort_unstable();
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use clem_types::Time;
+use clem_types::{Rate, Time};
 
 use super::{GrantOutcome, SlotRequest, TargetSlots, Ticket, Urgency, Verdict, target::Target};
 
@@ -54,6 +54,16 @@
     pub batch: u32,
     /// Length of the queue, online and batch.
     pub waiting: usize,
+    /// Number of listed targets that have named a limit.
+    pub limited: usize,
+}
+
+/// What several limited targets take together.
+#[derive(Debug, Default)]
+struct CommonBudget {
+    /// Number of requests that they take now.
+    available: u32,
+    per_s: f64,
 }
 
 /// A queued request.
@@ -99,7 +109,13 @@
         if matches!(want.urgency, Urgency::Batch { .. }) {
             return None;
         }
-        let wait = self.expected_wait(now, want)?;
+        let slot_wait = self.expected_wait(now, want);
+        let wait = slot_wait
+            .unwrap_or_default()
+            .max(self.budget_wait(now, want));
+        if wait.is_zero() {
+            return None;
+        }
         let limit = if want.final_try {
             want.queue_timeout
         } else {
@@ -112,18 +128,14 @@
         Some(Verdict::Busy { retry, wait })
     }
 
-    /// Expected queueing time of an online request; `None` if a slot is free at once.
+    /// Expected time until a slot is free for an online request; `None` if one is free at once.
     fn expected_wait(&self, now: Time, want: &SlotRequest) -> Option<Duration> {
         let up: Vec<&Target> = self.targets.values().filter(|t| t.is_up(now)).collect();
         let slots: u32 = up.iter().map(|t| t.slots.slots).sum();
         let free: u32 = up.iter().map(|t| t.free(now)).sum();
-        let batch: u32 = up.iter().map(|t| t.batch).sum();
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|w| matches!(w.want.urgency, Urgency::Online))
-            .filter(|w| (w.want.final_try, w.want.rank) <= (want.final_try, want.rank));
-        let ahead = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
+        let preemptible = up.iter().filter(|t| t.has_budget(now, false));
+        let batch: u32 = preemptible.map(|t| t.batch).sum();
+        let ahead = self.ahead(want);
         // A batch item is preempted within milliseconds.
         let missing = ahead.checked_sub(free + batch)?;
         let mut ends: Vec<Duration> = self
@@ -142,6 +154,37 @@
         Some(ends[missing % ends.len()] + mean * rounds)
     }
 
+    /// Number of queued online requests that come before this one.
+    fn ahead(&self, want: &SlotRequest) -> u32 {
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|w| matches!(w.want.urgency, Urgency::Online))
+            .filter(|w| (w.want.final_try, w.want.rank) <= (want.final_try, want.rank));
+        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Expected time until the limits of the targets let this request through; zero unless all
+    /// targets that are up are limited.
+    fn budget_wait(&self, now: Time, want: &SlotRequest) -> Duration {
+        let Some(budget) = self.common_budget(now) else {
+            return Duration::ZERO;
+        };
+        let missing = (self.ahead(want) + 1).saturating_sub(budget.available);
+        Duration::from_secs_f64(f64::from(missing) / budget.per_s)
+    }
+
+    /// What all targets that are up take together, if each of them is limited.
+    fn common_budget(&self, now: Time) -> Option<CommonBudget> {
+        let mut common = CommonBudget::default();
+        for target in self.targets.values().filter(|t| t.is_up(now)) {
+            let budget = target.budget.as_ref()?;
+            common.available += budget.available(now);
+            common.per_s += budget.per_second();
+        }
+        (common.per_s > 0.0).then_some(common)
+    }
+
     /// Expected remaining service time of a request that started at `since`.
     fn remaining(&self, now: Time, since: Time) -> Duration {
         let mean = self.service_time.unwrap_or(SERVICE_START);
@@ -234,6 +277,9 @@
             let want = self.waiting.remove(index).want;
             if let Some(known) = self.targets.get_mut(&target) {
                 known.occupy(now, batch);
+                if let Some(budget) = &mut known.budget {
+                    budget.take(now);
+                }
             }
             if !batch {
                 self.running.push(now);
@@ -252,11 +298,15 @@
 
     /// Chooses the target with the fewest slots in use, with a bonus for the holder's data centre.
     fn choose(&self, now: Time, want: &SlotRequest) -> Option<String> {
+        let batch = matches!(want.urgency, Urgency::Batch { .. });
         let mut best: Option<(u32, &Target)> = None;
         for target in self.targets.values() {
             if target.free(now) == 0 || want.avoid.contains(&target.slots.target) {
                 continue;
             }
+            if !target.has_budget(now, batch) {
+                continue;
+            }
             let near = target.slots.data_centre == want.data_centre;
             let load = target.used() * 2 + if near { 0 } else { NEAR_BONUS * 2 + 1 };
             if best.is_none_or(|(least, _)| load < least) {
@@ -266,10 +316,30 @@
         best.map(|(_, target)| target.slots.target.clone())
     }
 
-    /// Number of queued online requests, which is how many slots are short.
-    pub(super) fn online_waiting(&self) -> usize {
+    /// Number of slots that are short for queued online requests. Slots at targets whose limits are
+    /// used up would not help them.
+    pub(super) fn online_short(&self, now: Time) -> usize {
         let online = |w: &&Waiting| matches!(w.want.urgency, Urgency::Online);
-        self.waiting.iter().filter(online).count()
+        let waiting = self.waiting.iter().filter(online).count();
+        match self.common_budget(now) {
+            Some(budget) => waiting.min(budget.available as usize),
+            None => waiting,
+        }
+    }
+
+    /// Whether an online request could use a slot of this target if one were free.
+    pub(super) fn has_budget(&self, now: Time, target: &str) -> bool {
+        let target = self.targets.get(target);
+        target.is_some_and(|target| target.has_budget(now, false))
+    }
+
+    /// Installs the limit that a target named; returns false for an unknown target.
+    pub(super) fn set_limit(&mut self, now: Time, target: &str, rate: Option<Rate>) -> bool {
+        let Some(target) = self.targets.get_mut(target) else {
+            return false;
+        };
+        target.set_limit(now, rate);
+        true
     }
 
     pub(super) fn release(
@@ -328,6 +398,7 @@
             online: self.targets.values().map(|t| t.online).sum(),
             batch: self.targets.values().map(|t| t.batch).sum(),
             waiting: self.waiting.len(),
+            limited: listed().filter(|t| t.budget.is_some()).count(),
         }
     }
 }
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use clem_types::Time;
+use clem_types::{Rate, Time};
 use serde::{Deserialize, Serialize};
 
+use super::Budget;
+
 /// First cooldown of a failed target; each further failure doubles it.
 const COOLDOWN_MIN: Duration = Duration::from_millis(500);
 /// Longest cooldown of a failed target.
@@ -67,6 +69,8 @@
     probing: bool,
     /// When the probe request was sent.
     probed: Option<Time>,
+    /// Requests that it may get, if it has named a limit.
+    pub(super) budget: Option<Budget>,
 }
 
 impl Target {
@@ -80,6 +84,7 @@
             cooldown_until: Time::ZERO,
             probing: false,
             probed: None,
+            budget: None,
         }
     }
 
@@ -98,7 +103,33 @@
         } else {
             self.slots.slots
         };
-        limit.saturating_sub(self.used())
+        let free = limit.saturating_sub(self.used());
+        match &self.budget {
+            Some(budget) => free.min(budget.available(now)),
+            None => free,
+        }
+    }
+
+    /// Whether its limit, if it has one, lets it get a request of this class now.
+    pub(super) fn has_budget(&self, now: Time, batch: bool) -> bool {
+        let Some(budget) = &self.budget else {
+            return true;
+        };
+        let available = if batch {
+            budget.available_to_batch(now)
+        } else {
+            budget.available(now)
+        };
+        available > 0
+    }
+
+    /// Installs the limit that the target named last.
+    pub(super) fn set_limit(&mut self, now: Time, rate: Option<Rate>) {
+        match (&mut self.budget, rate) {
+            (Some(budget), Some(rate)) => budget.set_rate(now, rate),
+            (None, Some(rate)) => self.budget = Some(Budget::new(now, rate, 1)),
+            (_, None) => self.budget = None,
+        }
     }
 
     /// Whether the target counts as capacity: listed and not in a cooldown.
@@ -128,6 +159,11 @@
             &mut self.online
         };
         *count = count.saturating_sub(1);
+        if ended == GrantOutcome::NotRun
+            && let Some(budget) = &mut self.budget
+        {
+            budget.refund(now);
+        }
         match ended {
             GrantOutcome::Answered | GrantOutcome::Failed => {
                 self.failures = 0;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use clem_edge::TargetVm;
 use clem_policy::dispatch::{
-    BlockedParts, CrashReport, GrantOutcome, HeldGrant, SlotRequest, Ticket, Verdict,
+    BlockedParts, CrashReport, GrantOutcome, HeldGrant, LimitReport, SlotRequest, TargetLimit,
+    Ticket, Verdict,
 };
 use clem_types::{Epoch, Version};
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,9 @@
     /// Crashes of targets that the leader of `seen` was not told of by this process.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
+    /// The limited targets that it knows.
+    #[serde(default)]
+    pub limits: Vec<TargetLimit>,
     /// The slots that it holds, from which a new leader restores its state.
     pub held: Vec<HeldGrant>,
     /// The members of the group that stores batches, if this process leads that group.
@@ -155,6 +159,9 @@
     /// Crashes of targets that make parts of requests suspected.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
+    /// The limited targets.
+    #[serde(default)]
+    pub limits: Vec<TargetLimit>,
 }
 
 /// Requests a slot on a target.
@@ -162,6 +169,9 @@
 pub struct RequestSlot {
     /// The requirements on the slot.
     pub want: SlotRequest,
+    /// The limited targets that the process knows, in case that the leader is new.
+    #[serde(default)]
+    pub limits: Vec<TargetLimit>,
     /// Slots to release, with how their requests ended.
     pub ends: Vec<(Ticket, GrantOutcome)>,
 }
@@ -189,6 +199,9 @@
     /// The ids of targets that said just now that they are leaving.
     #[serde(default)]
     pub leaving: Vec<String>,
+    /// Answers of targets that named another limit than the leader has published.
+    #[serde(default)]
+    pub limits: Vec<LimitReport>,
     /// The slots, with how their requests ended.
     pub ends: Vec<(Ticket, GrantOutcome)>,
 }
