--- a/crates/policy/tests/limited.rs
+++ b/crates/policy/tests/limited.rs
@@ -16,7 +16,7 @@
 const STEP: u64 = 20;
 /// Length of the window in which requests are counted, in milliseconds.
 const WINDOW: u64 = 4000;
-/// From a request to its answer, in milliseconds.
+/// From a request to its answer, in milliseconds, unless a test says otherwise.
 const SERVICE_TIME: u64 = 100;
 
 /// Requests that may reach a target in a window, by the platform's rules.
@@ -34,10 +34,15 @@
     now: u64,
     tickets: u64,
     targets: usize,
+    service_time: u64,
     running: BTreeMap<Ticket, u64>,
     /// Times at which requests reached each target.
     reached: BTreeMap<String, Vec<u64>>,
     refused: Vec<Duration>,
+    /// When each request asked for its slot.
+    asked: BTreeMap<Ticket, Time>,
+    /// How long each granted request waited.
+    waits: Vec<Duration>,
 }
 
 impl Fleet {
@@ -47,9 +52,12 @@
             now: 0,
             tickets: 0,
             targets,
+            service_time: SERVICE_TIME,
             running: BTreeMap::new(),
             reached: BTreeMap::new(),
             refused: Vec::new(),
+            asked: BTreeMap::new(),
+            waits: Vec::new(),
         };
         fleet.list_targets();
         fleet
@@ -114,6 +122,7 @@
             ..request
         };
         let at = self.at();
+        self.asked.insert(request.ticket, at);
         self.dispatcher.request_slot(at, request);
     }
 
@@ -133,7 +142,9 @@
         for (ticket, verdict) in self.dispatcher.take_decided() {
             match verdict {
                 Verdict::Granted { target, .. } => {
-                    self.running.insert(ticket, self.now + SERVICE_TIME);
+                    self.running.insert(ticket, self.now + self.service_time);
+                    let asked = self.asked.remove(&ticket).unwrap_or(at);
+                    self.waits.push(at.since(asked));
                     self.reached.entry(target).or_default().push(self.now);
                 }
                 Verdict::Busy { retry, .. } => self.refused.push(retry),
@@ -304,3 +315,19 @@
     budget.refund(now);
     assert_eq!(budget.available(now), 1);
 }
+
+#[test]
+fn requests_that_limits_make_late_are_refused_at_once() {
+    let mut fleet = Fleet::new(18);
+    fleet.service_time = 800;
+    for number in 0..13 {
+        fleet.name_limit(&format!("t{number}"), Some("2/s"));
+    }
+    // The free targets run 50 a second, the others 26.
+    fleet.run(20, 130, 0);
+    let granted = fleet.waits.len();
+    let on_time = want(0).on_time;
+    let late = fleet.waits.iter().filter(|wait| **wait > on_time).count();
+    assert!(granted >= 1200, "only {granted} were granted");
+    assert_eq!(late, 0, "late requests, of {granted} granted");
+}
