The expected wait counts what limited targets take

Callers waited for slots that a limit keeps closed, and were late. Cause: the expected wait took the end of any running request for a free slot. It now counts the ends at free targets and what the budgets gain; without a limited target nothing changes.

--- a/crates/policy/src/dispatch/limit.rs
+++ b/crates/policy/src/dispatch/limit.rs
@@ -85,6 +85,13 @@
         self.available(now).saturating_sub(BATCH_RESERVE)
     }
 
+    /// Time until one more request than those available may be sent, and then `place` others.
+    pub fn time_until(&self, now: Time, place: u32) -> Duration {
+        let level = self.level(now);
+        let missing = f64::from(place + 1) + level.max(0.0).floor() - level;
+        Duration::from_secs_f64(missing / self.per_s)
+    }
+
     /// Requests a second.
     pub fn per_second(&self) -> f64 {
         self.per_s
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -21,6 +21,8 @@
 /// Maximum expected queueing time as a fraction of the time that the request may wait; the rest
 /// absorbs requests that run longer than expected.
 const WAIT_SHARE: f64 = 0.8;
+/// Maximum number of queued requests that are looked at one by one to predict a wait.
+const AHEAD_MAX: u32 = 64;
 /// Lower bound of retry delays.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 /// Upper bound of retry delays.
@@ -31,8 +33,8 @@
 pub struct Pool {
     targets: BTreeMap<String, Target>,
     waiting: Vec<Waiting>,
-    /// Start times of the running online requests.
-    running: Vec<Time>,
+    /// The running online requests.
+    running: Vec<Running>,
     /// Moving average of the online requests' service time; `None` before the first answer.
     service_time: Option<Duration>,
     /// Number of requests queued so far, which numbers them in order of arrival.
@@ -66,6 +68,13 @@
     per_s: f64,
 }
 
+/// An online request in a slot.
+#[derive(Debug)]
+struct Running {
+    target: String,
+    since: Time,
+}
+
 /// A queued request.
 #[derive(Debug)]
 struct Waiting {
@@ -109,13 +118,7 @@
         if matches!(want.urgency, Urgency::Batch { .. }) {
             return None;
         }
-        let slot_wait = self.expected_wait(now, want);
-        let wait = slot_wait
-            .unwrap_or_default()
-            .max(self.budget_wait(now, want));
-        if wait.is_zero() {
-            return None;
-        }
+        let wait = self.expected_wait(now, want)?;
         let limit = if want.final_try {
             want.queue_timeout
         } else {
@@ -128,7 +131,7 @@
         Some(Verdict::Busy { retry, wait })
     }
 
-    /// Expected time until a slot is free for an online request; `None` if one is free at once.
+    /// Expected queueing time of an online request; `None` if a slot is free at once.
     fn expected_wait(&self, now: Time, want: &SlotRequest) -> Option<Duration> {
         let up: Vec<&Target> = self.targets.values().filter(|t| t.is_up(now)).collect();
         let slots: u32 = up.iter().map(|t| t.slots.slots).sum();
@@ -138,10 +141,13 @@
         let ahead = self.ahead(want);
         // A batch item is preempted within milliseconds.
         let missing = ahead.checked_sub(free + batch)?;
+        if up.iter().any(|t| t.budget.is_some()) {
+            return Some(self.limited_wait(now, &up, missing));
+        }
         let mut ends: Vec<Duration> = self
             .running
             .iter()
-            .map(|at| self.remaining(now, *at))
+            .map(|running| self.remaining(now, running.since))
             .collect();
         ends.sort_unstable();
         let mean = self.service_time.unwrap_or(SERVICE_START);
@@ -154,6 +160,30 @@
         Some(ends[missing % ends.len()] + mean * rounds)
     }
 
+    /// Expected queueing time behind `missing` other requests if some targets are limited: requests get
+    /// the slots that become free at the other targets, and what the budgets gain.
+    fn limited_wait(&self, now: Time, up: &[&Target], missing: u32) -> Duration {
+        let missing = missing.min(AHEAD_MAX);
+        let mean = self.service_time.unwrap_or(SERVICE_START);
+        let mut chances = Vec::new();
+        for target in up {
+            if let Some(budget) = &target.budget {
+                chances.extend((0..=missing).map(|place| budget.time_until(now, place)));
+            }
+        }
+        for running in &self.running {
+            let target = self.targets.get(&running.target);
+            if target.is_none_or(|target| target.budget.is_some()) {
+                continue;
+            }
+            let first = self.remaining(now, running.since);
+            chances.extend((0..=missing).map(|round| first + mean * round));
+        }
+        chances.sort_unstable();
+        let chance = chances.get(missing as usize);
+        chance.copied().unwrap_or(mean)
+    }
+
     /// Number of queued online requests that come before this one.
     fn ahead(&self, want: &SlotRequest) -> u32 {
         let ahead = self
@@ -164,16 +194,6 @@
         u32::try_from(ahead.count()).unwrap_or(u32::MAX)
     }
 
-    /// Expected time until the limits of the targets let this request through; zero unless all
-    /// targets that are up are limited.
-    fn budget_wait(&self, now: Time, want: &SlotRequest) -> Duration {
-        let Some(budget) = self.common_budget(now) else {
-            return Duration::ZERO;
-        };
-        let missing = (self.ahead(want) + 1).saturating_sub(budget.available);
-        Duration::from_secs_f64(f64::from(missing) / budget.per_s)
-    }
-
     /// What all targets that are up take together, if each of them is limited.
     fn common_budget(&self, now: Time) -> Option<CommonBudget> {
         let mut common = CommonBudget::default();
@@ -282,7 +302,10 @@
                 }
             }
             if !batch {
-                self.running.push(now);
+                self.running.push(Running {
+                    target: target.clone(),
+                    since: now,
+                });
             }
             granted.push((want, target));
         }
@@ -351,7 +374,8 @@
         ended: GrantOutcome,
     ) {
         if !batch {
-            if let Some(index) = self.running.iter().position(|at| *at == since) {
+            let is_it = |r: &Running| r.since == since && r.target == target;
+            if let Some(index) = self.running.iter().position(is_it) {
                 self.running.swap_remove(index);
             }
             if ended == GrantOutcome::Answered {
@@ -373,7 +397,10 @@
     /// Counts a grant of a former leader; its target may be unknown here.
     pub(super) fn occupy(&mut self, now: Time, target: &str, batch: bool) {
         if !batch {
-            self.running.push(now);
+            self.running.push(Running {
+                target: target.to_owned(),
+                since: now,
+            });
         }
         if let Some(known) = self.targets.get_mut(target) {
             known.occupy(now, batch);
--- a/crates/policy/tests/limited.rs
+++ b/crates/policy/tests/limited.rs
@@ -320,6 +320,9 @@
 fn requests_that_limits_make_late_are_refused_at_once() {
     let mut fleet = Fleet::new(18);
     fleet.service_time = 800;
+    // The dispatcher learns how long requests take.
+    fleet.run(5, 100, 0);
+    fleet.waits.clear();
     for number in 0..13 {
         fleet.name_limit(&format!("t{number}"), Some("2/s"));
     }
