Limits that ended are forgotten with the leader's list; cheaper prediction

A process kept a limit that another one had seen end, and would have told it to a new leader. The predicted wait sorted each running request once for each request that waits (up to 65 times); it now stops at the round that is needed.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -126,9 +126,9 @@
         );
         node.crashes()
             .note_reports(now, list.seen.epoch, &list.crashes);
-        node.limits().note_published(&list.limits);
-        node.view().set_list(now, list);
-        let view = node.view();
+        let mut view = node.view();
+        node.limits().note_published(&view.limits, &list.limits);
+        view.set_list(now, list);
         node.limits()
             .retain(now, |id| view.targets.contains_key(id));
         changed = true;
--- a/crates/direct/src/limits.rs
+++ b/crates/direct/src/limits.rs
@@ -56,8 +56,17 @@
         self.unreadable.len() < UNREADABLE_MAX && self.unreadable.insert(target.to_owned())
     }
 
-    /// Takes over what the leader has published.
-    pub(crate) fn note_published(&mut self, limits: &[TargetLimit]) {
+    /// Takes over what the leader has published, after `before`.
+    pub(crate) fn note_published(
+        &mut self,
+        before: &BTreeMap<String, Rate>,
+        limits: &[TargetLimit],
+    ) {
+        for target in before.keys() {
+            if !limits.iter().any(|limit| limit.target == *target) {
+                self.known.lift(target);
+            }
+        }
         for limit in limits {
             self.known.restore(limit);
         }
--- a/crates/policy/src/dispatch/limit.rs
+++ b/crates/policy/src/dispatch/limit.rs
@@ -160,6 +160,13 @@
             && self.add(Time::ZERO, &limit.target, Some(limit.rate))
     }
 
+    /// Records that another process knows that a limit has ended.
+    pub fn lift(&mut self, target: &str) {
+        if let Some(known) = self.known.get_mut(target) {
+            known.rate = None;
+        }
+    }
+
     /// The limit of a target.
     pub fn get(&self, target: &str) -> Option<Rate> {
         self.known.get(target)?.rate
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -165,23 +165,31 @@
     fn limited_wait(&self, now: Time, up: &[&Target], missing: u32) -> Duration {
         let missing = missing.min(AHEAD_MAX);
         let mean = self.service_time.unwrap_or(SERVICE_START);
-        let mut chances = Vec::new();
-        for target in up {
-            if let Some(budget) = &target.budget {
-                chances.extend((0..=missing).map(|place| budget.time_until(now, place)));
-            }
-        }
-        for running in &self.running {
-            let target = self.targets.get(&running.target);
-            if target.is_none_or(|target| target.budget.is_some()) {
-                continue;
-            }
-            let first = self.remaining(now, running.since);
-            chances.extend((0..=missing).map(|round| first + mean * round));
+        let ends: Vec<Duration> = self
+            .running
+            .iter()
+            .filter(|running| self.is_unlimited(&running.target))
+            .map(|running| self.remaining(now, running.since))
+            .collect();
+        let slots = u32::try_from(ends.len()).unwrap_or(u32::MAX);
+        let rounds = missing / slots.max(1);
+        let mut chances: Vec<Duration> = ends
+            .iter()
+            .flat_map(|end| (0..=rounds).map(|round| *end + mean * round))
+            .collect();
+        chances.sort_unstable();
+        let latest = chances.get(missing as usize).copied();
+        for budget in up.iter().filter_map(|target| target.budget.as_ref()) {
+            let gains = (0..=missing).map(|place| budget.time_until(now, place));
+            chances.extend(gains.take_while(|gain| latest.is_none_or(|latest| *gain < latest)));
         }
         chances.sort_unstable();
-        let chance = chances.get(missing as usize);
-        chance.copied().unwrap_or(mean)
+        chances.get(missing as usize).copied().unwrap_or(mean)
+    }
+
+    fn is_unlimited(&self, target: &str) -> bool {
+        let target = self.targets.get(target);
+        target.is_some_and(|target| target.budget.is_none())
     }
 
     /// Number of queued online requests that come before this one.
