--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -7,7 +7,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client as HttpClient, connect::HttpConnector},
+    client::legacy::{
+        Client as HttpClient,
+        connect::{CaptureConnection, HttpConnector, HttpInfo, capture_connection},
+    },
     rt::{TokioExecutor, TokioTimer},
 };
 
@@ -68,8 +71,10 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes> {
+        let mut request = self.request(address, path, body)?;
+        let connection = capture_connection(&mut request);
         let exchange = async {
-            let response = self.open(address, path, body).await?;
+            let response = self.send(request).await?;
             let limited = Limited::new(response.into_body(), MAX_MESSAGE_BYTES);
             match limited.collect().await {
                 Ok(body) => Ok(body.to_bytes()),
@@ -78,7 +83,7 @@
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(CallError::MayHaveArrived("no reply in time".to_owned())),
+            Err(_) => Err(no_reply(&connection)),
         }
     }
 
@@ -99,17 +104,17 @@
         timeout: Duration,
     ) -> Result<Bytes> {
         let upload = Duration::from_secs_f64(body.len() as f64 / UPLOAD_RATE_MIN);
+        let mut request = self.request(address, path, body)?;
+        let connection = capture_connection(&mut request);
         let exchange = async {
-            let Ok(opened) =
-                tokio::time::timeout(stall + upload, self.open(address, path, body)).await
-            else {
-                return Err(CallError::MayHaveArrived("no reply in time".to_owned()));
+            let Ok(opened) = tokio::time::timeout(stall + upload, self.send(request)).await else {
+                return Err(no_reply(&connection));
             };
             read_unless_stalled(opened?.into_body(), stall).await
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(CallError::MayHaveArrived("no reply in time".to_owned())),
+            Err(_) => Err(no_reply(&connection)),
         }
     }
 
@@ -124,13 +129,25 @@
         path: &str,
         body: Bytes,
     ) -> Result<Response<Incoming>> {
-        let request = Request::builder()
+        self.send(self.request(address, path, body)?).await
+    }
+
+    fn request(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>> {
+        Request::builder()
             .method(Method::POST)
             .uri(format!("http://{address}{path}"))
             .header(CONTENT_TYPE, "application/msgpack")
             .header(SECRET_HEADER, self.secret.reveal())
             .body(Full::new(body))
-            .map_err(|error| CallError::NotSent(error.to_string()))?;
+            .map_err(|error| CallError::NotSent(error.to_string()))
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         let response = match self.http.request(request).await {
             Ok(response) => response,
             Err(error) if error.is_connect() => return Err(CallError::NotSent(error.to_string())),
@@ -145,6 +162,23 @@
     }
 }
 
+/// The error of a call that timed out; it names the connection, so that logs tell a silent connection
+/// from a silent process.
+fn no_reply(connection: &CaptureConnection) -> CallError {
+    let mut extras = http::Extensions::new();
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.get_extras(&mut extras);
+    }
+    let cause = match extras.get::<HttpInfo>() {
+        Some(info) => format!(
+            "no reply in time on the connection from {}",
+            info.local_addr()
+        ),
+        None => "no connection in time".to_owned(),
+    };
+    CallError::MayHaveArrived(cause)
+}
+
 async fn read_unless_stalled(mut body: Incoming, stall: Duration) -> Result<Bytes> {
     let failed = |reason: &str| CallError::MayHaveArrived(reason.to_owned());
     let mut read = BytesMut::new();
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -95,14 +95,17 @@
         }
     }
 
-    /// Notes that a process did not reply in time; it is avoided for a while.
-    pub fn note_timeout(&mut self, now: Instant, address: SocketAddr) {
+    /// Notes that a process did not reply in time to a call sent at `sent`; it is avoided for a while.
+    /// Returns whether it was not avoided before.
+    pub fn note_timeout(&mut self, now: Instant, _sent: Instant, address: SocketAddr) -> bool {
+        let fresh = !self.is_unresponsive(now, address);
         self.unresponsive
             .retain(|(other, until)| *other != address && now < *until);
         self.unresponsive.push((address, now + UNRESPONSIVE_SPAN));
         if self.current == Some(address) {
             self.current = self.next_after(now, address);
         }
+        fresh
     }
 
     fn is_unresponsive(&self, now: Instant, address: SocketAddr) -> bool {
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -104,7 +104,7 @@
                             log_retries::<C>(start, tries, false);
                             return Err(timeout_error(arrived));
                         }
-                        self.note_error(sent, address);
+                        self.note_error::<C>(sent, address, &error);
                     }
                 }
             }
@@ -141,7 +141,7 @@
                     return Err(timeout_error(true));
                 }
                 Err(error) => {
-                    self.note_error(sent, address);
+                    self.note_error::<C>(sent, address, &error);
                     return Err(error);
                 }
             }
@@ -183,12 +183,19 @@
     }
 
     /// Notes a failed call that was sent at `sent`.
-    fn note_error(&self, sent: Instant, address: SocketAddr) {
+    fn note_error<C: Call>(&self, sent: Instant, address: SocketAddr, error: &CallError) {
         let now = Instant::now();
-        if now.duration_since(sent) < QUICK_FAILURE {
+        let waited = now.duration_since(sent);
+        if waited < QUICK_FAILURE {
             self.leader().note_quick_failure(now, address);
-        } else {
-            self.leader().note_timeout(now, address);
+            return;
+        }
+        if self.leader().note_timeout(now, sent, address) {
+            log::info!(
+                call = C::PATH, address:% = address, waited_ms = waited.as_millis() as u64,
+                error:% = error;
+                "process did not reply, avoided for a while"
+            );
         }
     }
 
--- a/crates/wire/tests/leader.rs
+++ b/crates/wire/tests/leader.rs
@@ -21,9 +21,9 @@
 fn concurrent_timeouts_move_on_once() {
     let now = Instant::now();
     let mut tracker = tracker();
-    tracker.note_timeout(now, address(1));
-    tracker.note_timeout(now, address(1));
-    tracker.note_timeout(now, address(1));
+    tracker.note_timeout(now, now, address(1));
+    tracker.note_timeout(now, now, address(1));
+    tracker.note_timeout(now, now, address(1));
     assert_eq!(tracker.presumed(), Some(address(2)));
 }
 
@@ -31,7 +31,7 @@
 fn a_process_that_timed_out_is_avoided_even_if_named_as_leader() {
     let now = Instant::now();
     let mut tracker = tracker();
-    tracker.note_timeout(now, address(1));
+    tracker.note_timeout(now, now, address(1));
     tracker.note_follower(now, address(2), Some(address(1)));
     assert_eq!(tracker.presumed(), Some(address(3)));
     let later = now + Duration::from_secs(5);
@@ -45,7 +45,7 @@
     let mut tracker = tracker();
     tracker.note_follower(now, address(1), Some(address(9)));
     assert_eq!(tracker.presumed(), Some(address(9)));
-    tracker.note_timeout(now, address(9));
+    tracker.note_timeout(now, now, address(9));
     assert_eq!(tracker.presumed(), Some(address(1)));
 }
 
@@ -72,3 +72,13 @@
     tracker.note_follower(now, address(2), Some(address(1)));
     assert_eq!(tracker.presumed(), Some(address(1)));
 }
+
+#[test]
+fn a_leader_that_others_still_name_after_an_election_would_have_ended_is_asked_again() {
+    let sent = Instant::now();
+    let mut tracker = tracker();
+    let late = sent + Duration::from_millis(1100);
+    tracker.note_timeout(late, sent, address(1));
+    tracker.note_follower(late, address(2), Some(address(1)));
+    assert_eq!(tracker.presumed(), Some(address(1)));
+}
