A call without a reply drops all idle connections to its process

Cause: connections that are open can go silent together, without an error. Each call took the next idle one from the pool of the HTTP client, waited a whole timeout on it and left the others, as many as the last burst had opened. A poll got a reply after each of them had cost its time. Now each process has a pool of its own at each other process, which is replaced when a call gets no reply; calls in flight on its other connections go on. The same client serves the exchanges of members and the calls of entries and agents; a dispatch of an entry is not timed here, but the fence that follows it is.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -6,43 +6,32 @@
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{
-        Client as HttpClient,
-        connect::{CaptureConnection, HttpConnector, HttpInfo, capture_connection},
-    },
-    rt::{TokioExecutor, TokioTimer},
-};
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpInfo, capture_connection};
 
-use crate::{Call, CallError, FleetSecret, MAX_MESSAGE_BYTES, SECRET_HEADER, codec};
+use crate::{
+    Call, CallError, FleetSecret, MAX_MESSAGE_BYTES, SECRET_HEADER, codec,
+    pools::{Pool, Pools},
+};
 
-/// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The slowest link on which a long call is not given up, in bytes per second.
 const UPLOAD_RATE_MIN: f64 = 1_000_000.0;
-/// How long an idle connection stays in the pool.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 type Result<T> = std::result::Result<T, CallError>;
 
 /// Sends calls to other processes of the fleet, over pooled connections.
 #[derive(Debug, Clone)]
 pub struct Client {
-    http: HttpClient<HttpConnector, Full<Bytes>>,
+    pools: Pools,
     secret: FleetSecret,
 }
 
 impl Client {
     /// Creates a client that authenticates with `secret`.
     pub fn new(secret: FleetSecret) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let http = HttpClient::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .build(connector);
-        Self { http, secret }
+        Self {
+            pools: Pools::default(),
+            secret,
+        }
     }
 
     /// Sends a call and waits at most `timeout` for its reply.
@@ -73,8 +62,9 @@
     ) -> Result<Bytes> {
         let mut request = self.request(address, path, body)?;
         let connection = capture_connection(&mut request);
+        let pool = self.pools.pool(address);
         let exchange = async {
-            let response = self.send(request).await?;
+            let response = send(&pool, request).await?;
             let limited = Limited::new(response.into_body(), MAX_MESSAGE_BYTES);
             match limited.collect().await {
                 Ok(body) => Ok(body.to_bytes()),
@@ -83,7 +73,7 @@
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(no_reply(&connection)),
+            Err(_) => Err(self.no_reply(address, &pool, &connection)),
         }
     }
 
@@ -106,15 +96,20 @@
         let upload = Duration::from_secs_f64(body.len() as f64 / UPLOAD_RATE_MIN);
         let mut request = self.request(address, path, body)?;
         let connection = capture_connection(&mut request);
+        let pool = self.pools.pool(address);
         let exchange = async {
-            let Ok(opened) = tokio::time::timeout(stall + upload, self.send(request)).await else {
-                return Err(no_reply(&connection));
+            let Ok(opened) = tokio::time::timeout(stall + upload, send(&pool, request)).await
+            else {
+                return Err(self.no_reply(address, &pool, &connection));
             };
-            read_unless_stalled(opened?.into_body(), stall).await
+            match read_unless_stalled(opened?.into_body(), stall).await? {
+                Some(reply) => Ok(reply),
+                None => Err(self.no_reply(address, &pool, &connection)),
+            }
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(no_reply(&connection)),
+            Err(_) => Err(self.no_reply(address, &pool, &connection)),
         }
     }
 
@@ -129,7 +124,8 @@
         path: &str,
         body: Bytes,
     ) -> Result<Response<Incoming>> {
-        self.send(self.request(address, path, body)?).await
+        let pool = self.pools.pool(address);
+        send(&pool, self.request(address, path, body)?).await
     }
 
     fn request(
@@ -147,47 +143,54 @@
             .map_err(|error| CallError::NotSent(error.to_string()))
     }
 
-    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-        let response = match self.http.request(request).await {
-            Ok(response) => response,
-            Err(error) if error.is_connect() => return Err(CallError::NotSent(error.to_string())),
-            Err(error) => return Err(CallError::MayHaveArrived(error.to_string())),
-        };
-        if response.status() == StatusCode::OK {
-            return Ok(response);
+    /// Drops the pool of a call that timed out, and returns the call's error. The error names the
+    /// connection, so that logs tell a silent connection from a silent process.
+    fn no_reply(
+        &self,
+        address: SocketAddr,
+        pool: &Pool,
+        connection: &CaptureConnection,
+    ) -> CallError {
+        self.pools.drop_pool(address, pool);
+        let mut extras = http::Extensions::new();
+        if let Some(connected) = connection.connection_metadata().as_ref() {
+            connected.get_extras(&mut extras);
         }
-        let status = response.status().as_u16();
-        let message = refusal_text(response).await;
-        Err(CallError::Refused { status, message })
+        let cause = match extras.get::<HttpInfo>() {
+            Some(info) => format!(
+                "no reply in time on the connection from {}",
+                info.local_addr()
+            ),
+            None => "no connection in time".to_owned(),
+        };
+        CallError::MayHaveArrived(cause)
     }
 }
 
-/// The error of a call that timed out; it names the connection, so that logs tell a silent connection
-/// from a silent process.
-fn no_reply(connection: &CaptureConnection) -> CallError {
-    let mut extras = http::Extensions::new();
-    if let Some(connected) = connection.connection_metadata().as_ref() {
-        connected.get_extras(&mut extras);
-    }
-    let cause = match extras.get::<HttpInfo>() {
-        Some(info) => format!(
-            "no reply in time on the connection from {}",
-            info.local_addr()
-        ),
-        None => "no connection in time".to_owned(),
+async fn send(pool: &Pool, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    let response = match pool.http.request(request).await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return Err(CallError::NotSent(error.to_string())),
+        Err(error) => return Err(CallError::MayHaveArrived(error.to_string())),
     };
-    CallError::MayHaveArrived(cause)
+    if response.status() == StatusCode::OK {
+        return Ok(response);
+    }
+    let status = response.status().as_u16();
+    let message = refusal_text(response).await;
+    Err(CallError::Refused { status, message })
 }
 
-async fn read_unless_stalled(mut body: Incoming, stall: Duration) -> Result<Bytes> {
+/// Reads a response body; `None` if nothing arrived for `stall`.
+async fn read_unless_stalled(mut body: Incoming, stall: Duration) -> Result<Option<Bytes>> {
     let failed = |reason: &str| CallError::MayHaveArrived(reason.to_owned());
     let mut read = BytesMut::new();
     loop {
         let Ok(frame) = tokio::time::timeout(stall, body.frame()).await else {
-            return Err(failed("the reply stalled"));
+            return Ok(None);
         };
         let Some(frame) = frame else {
-            return Ok(read.freeze());
+            return Ok(Some(read.freeze()));
         };
         let frame = frame.map_err(|error| failed(&error.to_string()))?;
         let Ok(data) = frame.into_data() else {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -31,6 +31,7 @@
 mod client;
 mod leader;
 mod leader_client;
+mod pools;
 mod secret;
 mod server;
 
