A leader that others still name is asked again once they would have noticed its loss

A timeout says that the process was silent when the call was sent; once the group would have noticed that, a member that still names the process knows that it lives. So the time counts from the sending, and the groups of the direct path notice a lost leader within 1 s (elections begin after 0.5 to 0.75 s). Other groups keep 1.5 s, now from the sending. Test: a_leader_that_others_still_name_..., red before with the constant time; it names the election timeout now. Ruled out: no avoidance at all, as calls would go back and forth between a frozen leader and members that still name it.

--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -13,7 +13,10 @@
     Fallback, GrantOutcome, HeldGrant, LeavingTargets, LimitReport, Ticket, retry_after,
 };
 use clem_types::{Time, Version};
-use clem_wire::{Client, FleetSecret, LeaderClient, fleet::ProcessRole};
+use clem_wire::{
+    Client, FleetSecret, LeaderClient,
+    fleet::{LEADER_LOSS_NOTICED, ProcessRole},
+};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::sync::{Notify, watch};
 
@@ -97,6 +100,9 @@
     pub fn new(settings: NodeSettings) -> Self {
         let mut rng = StdRng::from_os_rng();
         let client = Client::new(settings.secret);
+        let group = |client, members| {
+            LeaderClient::new(client, members).with_election_timeout(LEADER_LOSS_NOTICED)
+        };
         let holder = format!("{}.{:08x}", settings.vm, rng.random::<u32>());
         Self {
             clock: Clock::start(),
@@ -107,8 +113,8 @@
             address: settings.address,
             list: settings.list,
             dialect: settings.dialect,
-            hub: LeaderClient::new(client.clone(), settings.hub),
-            jobs: LeaderClient::new(client, Vec::new()),
+            hub: group(client.clone(), settings.hub),
+            jobs: group(client, Vec::new()),
             pool: Pool::default(),
             ends_ready: Notify::new(),
             view: Mutex::default(),
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -5,7 +5,10 @@
 use clem_boot::{Clock, acceptor, listen, stop_signal};
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_edge::Dialect;
-use clem_wire::{Client, FleetSecret, Guard, LeaderClient};
+use clem_wire::{
+    Client, FleetSecret, Guard, LeaderClient,
+    fleet::{ELECTION_JITTER, ELECTION_TIMEOUT, LEADER_LOSS_NOTICED},
+};
 use salvo::{Router, Server};
 use tokio::sync::watch;
 
@@ -50,8 +53,8 @@
 pub fn consensus_settings(tolerance: usize) -> clem_log::Settings {
     clem_log::Settings {
         heartbeat: Duration::from_millis(150),
-        election: Duration::from_millis(500),
-        jitter: Duration::from_millis(250),
+        election: ELECTION_TIMEOUT,
+        jitter: ELECTION_JITTER,
         lease: Duration::from_millis(380),
         voters: 2 * tolerance + 1,
         ..clem_log::Settings::default()
@@ -82,11 +85,12 @@
     })?;
     let mut peers = vec![settings.address];
     peers.extend(settings.peers.iter().filter(|a| **a != settings.address));
+    let client = LeaderClient::new(Client::new(settings.secret.clone()), peers);
     let hub = Arc::new(Hub::new(HubParts {
         replica: replica.clone(),
         clock,
         dialect: settings.dialect,
-        peers: LeaderClient::new(Client::new(settings.secret.clone()), peers),
+        peers: client.with_election_timeout(LEADER_LOSS_NOTICED),
         has_disk,
         list: settings.list,
         tolerance: settings.tolerance,
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -15,6 +15,12 @@
 
 /// Maximum time that the leader holds a [`Follow`].
 pub const FOLLOW_MAX_HOLD: Duration = Duration::from_millis(400);
+/// Minimum election timeout of the groups of the direct path.
+pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum random extension of [`ELECTION_TIMEOUT`].
+pub const ELECTION_JITTER: Duration = Duration::from_millis(250);
+/// How soon the members of these groups notice that their leader is frozen or partitioned.
+pub const LEADER_LOSS_NOTICED: Duration = Duration::from_millis(1000);
 /// Maximum time that the leader holds a [`RequestSlot`].
 pub const SLOT_MAX_HOLD: Duration = Duration::from_millis(1500);
 
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -5,15 +5,14 @@
     time::{Duration, Instant},
 };
 
-/// How long a process that timed out is not presumed to be the leader, even if another process
-/// names it: the others may not have noticed yet that it is frozen or partitioned.
-const UNRESPONSIVE_SPAN: Duration = Duration::from_millis(1500);
+/// Default of [`LeaderTracker::with_election_timeout`].
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Tracks which process of a group is presumed to be its leader; shared by all concurrent calls.
 ///
 /// When several calls to the same process fail together, only the first failure moves on to the
 /// next process: the others say nothing about that one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeaderTracker {
     /// The addresses of the group's processes.
     members: Vec<SocketAddr>,
@@ -21,6 +20,7 @@
     current: Option<SocketAddr>,
     /// Processes that timed out, and until when they are avoided.
     unresponsive: Vec<(SocketAddr, Instant)>,
+    election_timeout: Duration,
 }
 
 impl LeaderTracker {
@@ -30,9 +30,20 @@
             current: members.first().copied(),
             members,
             unresponsive: Vec::new(),
+            election_timeout: ELECTION_TIMEOUT,
         }
     }
 
+    /// Sets how soon the members of the group notice that their leader is frozen or partitioned.
+    ///
+    /// A process that timed out is not presumed to lead for as long after its call was sent, even if
+    /// another one names it. A process that is still named later is alive.
+    #[must_use]
+    pub fn with_election_timeout(mut self, timeout: Duration) -> Self {
+        self.election_timeout = timeout;
+        self
+    }
+
     /// Replaces the list of processes; an empty list changes nothing.
     pub fn set_members(&mut self, members: &[SocketAddr]) {
         if members.is_empty() || self.members == members {
@@ -97,11 +108,17 @@
 
     /// Notes that a process did not reply in time to a call sent at `sent`; it is avoided for a while.
     /// Returns whether it was not avoided before.
-    pub fn note_timeout(&mut self, now: Instant, _sent: Instant, address: SocketAddr) -> bool {
+    pub fn note_timeout(&mut self, now: Instant, sent: Instant, address: SocketAddr) -> bool {
         let fresh = !self.is_unresponsive(now, address);
+        let mut avoided = sent + self.election_timeout;
+        for (other, until) in &self.unresponsive {
+            if *other == address {
+                avoided = avoided.max(*until);
+            }
+        }
         self.unresponsive
             .retain(|(other, until)| *other != address && now < *until);
-        self.unresponsive.push((address, now + UNRESPONSIVE_SPAN));
+        self.unresponsive.push((address, avoided));
         if self.current == Some(address) {
             self.current = self.next_after(now, address);
         }
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -39,6 +39,18 @@
         }
     }
 
+    /// Sets how soon the members of the group notice that their leader is frozen or partitioned; see
+    /// [`LeaderTracker::with_election_timeout`].
+    #[must_use]
+    pub fn with_election_timeout(self, timeout: Duration) -> Self {
+        let leader = self.leader.into_inner();
+        let leader = leader.unwrap_or_else(PoisonError::into_inner);
+        Self {
+            client: self.client,
+            leader: Mutex::new(leader.with_election_timeout(timeout)),
+        }
+    }
+
     /// Replaces the addresses after a membership change; an empty list changes nothing.
     pub fn set_addresses(&self, addresses: &[SocketAddr]) {
         self.leader().set_members(addresses);
--- a/crates/wire/tests/leader.rs
+++ b/crates/wire/tests/leader.rs
@@ -76,7 +76,7 @@
 #[test]
 fn a_leader_that_others_still_name_after_an_election_would_have_ended_is_asked_again() {
     let sent = Instant::now();
-    let mut tracker = tracker();
+    let mut tracker = tracker().with_election_timeout(Duration::from_secs(1));
     let late = sent + Duration::from_millis(1100);
     tracker.note_timeout(late, sent, address(1));
     tracker.note_follower(late, address(2), Some(address(1)));
