A reset connection is no sign of a silent leader

A poll is held for up to 400 ms. Errors now tell a timeout from a connection that broke, and only the former makes a process avoided, or a connection that could not be opened in time.

--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -38,6 +38,8 @@
     NotSent(String),
     /// The call failed after it was sent; the server may have executed it.
     MayHaveArrived(String),
+    /// Nothing arrived in time; the server may have executed the call.
+    TimedOut(String),
     /// The server rejected the call without executing it.
     Refused {
         /// The HTTP status of the response.
@@ -54,7 +56,7 @@
     pub fn is_not_run(&self) -> bool {
         match self {
             Self::NotSent(_) | Self::Refused { .. } => true,
-            Self::MayHaveArrived(_) | Self::Malformed(_) => false,
+            Self::MayHaveArrived(_) | Self::TimedOut(_) | Self::Malformed(_) => false,
         }
     }
 }
@@ -63,7 +65,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(cause) => write!(f, "not sent: {cause}"),
-            Self::MayHaveArrived(cause) => write!(f, "sent, but not answered: {cause}"),
+            Self::MayHaveArrived(cause) | Self::TimedOut(cause) => {
+                write!(f, "sent, but not answered: {cause}")
+            }
             Self::Refused { status, message } => {
                 write!(f, "refused with HTTP status {status}: {message}")
             }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -163,7 +163,7 @@
             ),
             None => "no connection in time".to_owned(),
         };
-        CallError::MayHaveArrived(cause)
+        CallError::TimedOut(cause)
     }
 }
 
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -98,9 +98,9 @@
         self.current = named.or_else(|| self.next_after(now, address));
     }
 
-    /// Notes a call that failed quickly, as when a process is restarting; the process is not
-    /// avoided, since it may lead soon.
-    pub fn note_quick_failure(&mut self, now: Instant, address: SocketAddr) {
+    /// Notes a call whose connection was refused or reset, as when a process is restarting; the process
+    /// is not avoided, since it may lead soon.
+    pub fn note_broken_connection(&mut self, now: Instant, address: SocketAddr) {
         if self.current == Some(address) {
             self.current = self.next_after(now, address);
         }
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -13,8 +13,8 @@
 /// How long nothing may arrive, in addition to the time that the call may be held, before the next
 /// process is tried.
 const TRY_TIMEOUT: Duration = Duration::from_millis(700);
-/// A call that fails sooner than this has reached a process that is starting or stopping, not one
-/// that is frozen or partitioned.
+/// A connection that fails sooner than this was refused by a process that is starting or stopping,
+/// not lost on the way to one that is frozen or partitioned.
 const QUICK_FAILURE: Duration = Duration::from_millis(100);
 /// Number of processes that [`LeaderClient::ask_leader`] tries.
 const LEADER_TRIES: usize = 3;
@@ -198,8 +198,17 @@
     fn note_error<C: Call>(&self, sent: Instant, address: SocketAddr, error: &CallError) {
         let now = Instant::now();
         let waited = now.duration_since(sent);
-        if waited < QUICK_FAILURE {
-            self.leader().note_quick_failure(now, address);
+        let timed_out = match error {
+            CallError::TimedOut(_) => true,
+            // A connection to a process that is gone is refused at once, to one that is cut off late.
+            CallError::NotSent(_) => waited >= QUICK_FAILURE,
+            // The process, or its path, has ended the connection; a held poll may have waited long.
+            CallError::MayHaveArrived(_) | CallError::Refused { .. } | CallError::Malformed(_) => {
+                false
+            }
+        };
+        if !timed_out {
+            self.leader().note_broken_connection(now, address);
             return;
         }
         if self.leader().note_timeout(now, sent, address) {
--- a/crates/wire/tests/leader.rs
+++ b/crates/wire/tests/leader.rs
@@ -67,7 +67,7 @@
 fn a_process_that_failed_quickly_is_not_avoided() {
     let now = Instant::now();
     let mut tracker = tracker();
-    tracker.note_quick_failure(now, address(1));
+    tracker.note_broken_connection(now, address(1));
     assert_eq!(tracker.presumed(), Some(address(2)));
     tracker.note_follower(now, address(2), Some(address(1)));
     assert_eq!(tracker.presumed(), Some(address(1)));
