Members of the hub are asked for newer rules while the leader sends no news

After 0.7 s without a reply one other member is asked every 0.2 s for rules that are newer than its own. A process without rules still waits for the leader: a member may lag by far, and keys withdrawn long ago would be good again. Ruled out: asking the presumed leader as well, which cost one more call on a silent connection (2 in place of 1).

--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -8,7 +8,7 @@
 use clem_types::Version;
 use clem_wire::{
     LeaderReply,
-    fleet::{FetchRules, RulesDocument},
+    fleet::{FOLLOW_MAX_HOLD, FetchRules, RulesDocument},
 };
 
 use crate::{Node, follow::apply_rules};
@@ -47,6 +47,45 @@
     }
 }
 
+/// How long the leader may send nothing before other members are asked for newer rules: a poll and
+/// some slack.
+const LEADER_QUIET: Duration = FOLLOW_MAX_HOLD.saturating_add(Duration::from_millis(300));
+/// How often a member is asked meanwhile.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Asks the hub's members for newer rules, one after the other, while the leader sends no news, until
+/// the process exits. What a member holds is committed, but may be old, so a process without rules
+/// waits for the leader.
+pub(crate) async fn ask_members(node: &Node) {
+    loop {
+        tokio::time::sleep(node.with_jitter(ASK_INTERVAL)).await;
+        let heard = node.view().heard;
+        if heard.is_none_or(|heard| node.now().since(heard) < LEADER_QUIET) {
+            continue;
+        }
+        // The poll waits for the leader already.
+        let mut members = node.hub.others();
+        node.shuffle(&mut members);
+        let Some(member) = members.first() else {
+            continue;
+        };
+        let call = FetchRules {
+            wanted: node.view().version().next(),
+        };
+        let sent = node.now();
+        match node.hub.call_member(*member, &call, STALL, TIMEOUT).await {
+            Ok(LeaderReply::Done(rules)) => {
+                log::info!(member:% = member, version = rules.version.0; "newer rules at a member");
+                if apply_rules(node, sent, &rules) {
+                    node.note_change();
+                }
+            }
+            Ok(LeaderReply::NotLeader { .. } | LeaderReply::Unknown) => {}
+            Err(error) => log::debug!(member:% = member, error:% = error; "member not asked"),
+        }
+    }
+}
+
 /// Asks the hub's members for rules.
 #[derive(Debug, Default)]
 struct Fetcher {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -7,7 +7,10 @@
 
 use tokio::sync::watch;
 
-use crate::{Node, fetch::fetch_announced};
+use crate::{
+    Node,
+    fetch::{ask_members, fetch_announced},
+};
 
 /// Timeout of one poll, across all members of the hub.
 const TIMEOUT: Duration = Duration::from_millis(8000);
@@ -19,7 +22,11 @@
 /// Follows the hub until the process exits. `seeds` delivers hub members added to the settings
 /// later, in case all known members are gone.
 pub async fn follow(node: Arc<Node>, seeds: watch::Receiver<Vec<SocketAddr>>) {
-    tokio::join!(poll(&node, seeds), fetch_announced(&node));
+    tokio::join!(
+        poll(&node, seeds),
+        fetch_announced(&node),
+        ask_members(&node)
+    );
 }
 
 async fn poll(node: &Node, seeds: watch::Receiver<Vec<SocketAddr>>) {
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -66,6 +66,14 @@
         self.leader().members().to_vec()
     }
 
+    /// The addresses of the group's processes other than the presumed leader.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let leader = self.leader();
+        let mut others = leader.members().to_vec();
+        others.retain(|address| Some(*address) != leader.presumed());
+        others
+    }
+
     /// Sends a call to the leader and waits at most `timeout` for its reply.
     ///
     /// # Errors
