Software versions of targets are read and logged

Lines on requests name the version that answered and what the caller resumes, lines on resumed streams both versions.

--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -24,6 +24,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event that the caller received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// The caller's id of the attempt that brought the first event, when it resumes a stream.
+    pub resumes: Option<String>,
 }
 
 /// A segment of a prompt.
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use clem_types::Rate;
+use clem_types::{Rate, SoftwareVersion};
 use http::{HeaderMap, header};
 use http_body::Body;
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,9 @@
     pub slots: u32,
     /// Whether it accepts new work.
     pub state: TargetState,
+    /// Version of its software; `None` if the platform doesn't say.
+    #[serde(default)]
+    pub version: Option<SoftwareVersion>,
     /// Start time in Unix milliseconds; 0 if the platform doesn't say.
     pub started: u64,
 }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -5,6 +5,7 @@
 use clem_direct::{Outcome, Reply, Slot, SlotOutcome};
 use clem_edge::{Cause, Forward, Framing, Refusal};
 use clem_policy::dispatch::GrantOutcome;
+use clem_types::SoftwareVersion;
 use http::Response;
 
 use crate::{
@@ -52,6 +53,8 @@
     pub(crate) expected: Duration,
     /// Whether the slot was acquired without the hub's leader.
     pub(crate) without_leader: bool,
+    /// Version of the target's software.
+    pub(crate) version: Option<SoftwareVersion>,
     /// How the target marks the end of its response; `None` before it responds.
     pub(crate) framing: Option<Framing>,
 }
@@ -160,6 +163,7 @@
         match placed {
             SlotOutcome::Slot(slot) => {
                 self.placement.target.clone_from(&slot.target.id);
+                self.placement.version.clone_from(&slot.target.version);
                 self.placement.without_leader = slot.without_leader;
                 Ok(slot)
             }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -136,11 +136,14 @@
             if !resumes || self.state.runs >= self.state.request.route.attempts {
                 break;
             }
+            let begun = self.state.placement.version.clone();
             match self.state.next_response().await {
                 Ok((next, answer)) if answer.head.status.is_success() => {
+                    let version = &next.target.version;
                     log::info!(
                         request = self.state.request.id.as_str(), target = next.target.id.as_str(),
-                        after = self.state.last_event;
+                        after = self.state.last_event, version = version.as_ref().map(|v| v.as_str()),
+                        begun = begun.as_ref().map(|v| v.as_str());
                         "stream resumed"
                     );
                     slot = next;
@@ -261,6 +264,8 @@
     log::info!(
         request = state.request.id.as_str(), route = state.request.route.name.as_str(),
         customer = state.customer(), outcome, status, target = state.placement.target.as_str(),
+        version = state.placement.version.as_ref().map(|version| version.as_str()),
+        resumes = state.request.info.resumes.as_deref(),
         framing = state.placement.framing.map(Framing::as_str), bytes = state.sent_bytes, last_event = state.last_event,
         waited_ms = millis(state.placement.waited), alone = state.placement.without_leader,
         runs = state.runs, took_ms = millis(took), running = state.front.running();
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -28,6 +28,7 @@
         data_centre: "a".to_owned(),
         slots: 8,
         state: TargetState::Ready,
+        version: None,
         started: 0,
     };
     (0..TARGETS).map(target).collect()
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -26,7 +26,7 @@
 pub use key::Key;
 pub use name::{
     AdapterId, CommandId, CustomerId, DataCentre, HolderId, KeyId, ModelId, PlacementId, RouteId,
-    ServiceId, TargetId,
+    ServiceId, SoftwareVersion, TargetId,
 };
 pub use number::{
     Attempt, BatchId, Epoch, FenceNumber, Incarnation, ItemIndex, ModelVersion, RequestId, Tokens,
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -110,6 +110,11 @@
     /// The id of a placement rule: how many replicas of a model version run in a data centre.
     PlacementId, "place id", MAX_NAME_BYTES, "_"
 );
+name!(
+    /// The version of a target's software, as the platform lists it. Versions have no order: two are
+    /// equal or not.
+    SoftwareVersion, "software version", MAX_ID_BYTES, "_.:+~@/"
+);
 name!(
     /// The name of a data centre (zone), as operators assign it.
     DataCentre, "data centre", MAX_NAME_BYTES, "_"
