A stream goes on only at the software version that began it

Cause: a resumed stream was placed like any other request, inside one answer, over a caller's attempts, and as an item of a batch; nothing read or remembered versions. Class: a fact of an attempt that another process needs milliseconds later and that only the process that served it knew. The hub's leader grants every slot, so it remembers for 30 s at which service and version each attempt got its last one (Streams in clem-policy, bounded for each customer), and grants a resumed stream slots at that version only. Fronts keep their own and tell a new leader, and decide by them while there is none. A stream that has brought an event stays at its version inside one answer; an item begins anew if its version has no target, or no slot four times. If a caller names no known attempt, its stream goes on only if the service has had one version for two timeouts of the route; otherwise it is refused at once, as not run. Names are hashed with the customer. The order of queues counts what stands before a stream at its version. Weighed: asking the process that served the attempt (its vm may be gone, and fronts serve no calls); a version in the events' ids (they are the targets').

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -4,7 +4,9 @@
 
 use clem_direct::{EventBuffer, Liveness, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
 use clem_edge::{Forward, Framing, ItemSpec, ItemStatus, common_parts};
-use clem_policy::dispatch::{GrantOutcome, SlotRequest, Ticket, Urgency};
+use clem_policy::dispatch::{
+    GrantOutcome, Origin, Resumes, SlotRequest, StreamRequest, Ticket, Urgency,
+};
 use clem_state::jobs::{EndedItem, JobNumber};
 use clem_types::PartId;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
@@ -17,6 +19,9 @@
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Delay before asking again when no slot was free.
 const BUSY_DELAY: Duration = Duration::from_millis(150);
+/// How often an item that has begun is refused a slot at its version before it begins anew at another
+/// one.
+const WAITS_MAX: u32 = 4;
 /// Delay before asking again for an item with parts that crash targets.
 const HARMFUL_DELAY: Duration = Duration::from_secs(2);
 /// Delay before the next run after a failed one.
@@ -42,6 +47,10 @@
     text: String,
     /// Id of the last event received.
     last_event: Option<u64>,
+    /// Where the events received so far began.
+    began: Option<Origin>,
+    /// Consecutive refusals of a slot while the item waited for the version that began it.
+    waits: u32,
     /// Targets that had nothing to add after the last event, and didn't crash, in runs that ended with
     /// their connection; the one that sent that event included.
     confirmed: Vec<String>,
@@ -79,6 +88,8 @@
             spec,
             text: String::new(),
             last_event: None,
+            began: None,
+            waits: 0,
             confirmed: Vec::new(),
             failed: 0,
             crashes: 0,
@@ -143,10 +154,23 @@
             tokio::time::sleep(delay).await;
         }
         let mut slot = match self.place().await {
-            SlotOutcome::Slot(slot) => slot,
+            SlotOutcome::Slot(slot) => {
+                self.waits = 0;
+                slot
+            }
             SlotOutcome::OverRate(_) | SlotOutcome::Busy { .. } => {
                 tokio::time::sleep(BUSY_DELAY).await;
                 self.avoid.clear();
+                self.waits += 1;
+                if self.began.is_some() && self.waits >= WAITS_MAX {
+                    self.log_failure("", "begun anew", "no slot at its version");
+                    self.reset();
+                }
+                return RunEnd::Retry;
+            }
+            SlotOutcome::Unresumable => {
+                self.log_failure("", "begun anew", "no target of its version");
+                self.reset();
                 return RunEnd::Retry;
             }
             SlotOutcome::Harmful => {
@@ -208,6 +232,10 @@
             data_centre: String::new(),
             avoid: self.avoid.clone(),
             parts: self.parts.clone(),
+            stream: self.began.clone().map(|origin| StreamRequest {
+                key: None,
+                resumes: Some(Resumes::At(origin)),
+            }),
         };
         self.keeper.node.place(want, None).await
     }
@@ -262,6 +290,10 @@
         }
         let mut events = EventBuffer::default();
         let seen = self.last_event;
+        let origin = Origin {
+            service: slot.target.service.clone(),
+            version: slot.target.version.clone(),
+        };
         let mut frames = 0;
         let node = Arc::clone(&self.keeper.node);
         tokio::pin!(recall);
@@ -285,6 +317,9 @@
                     frames += 1;
                     events.push(&data);
                     while let Some(event) = events.next_event() {
+                        if event.data.is_some() {
+                            self.began.get_or_insert_with(|| origin.clone());
+                        }
                         if !self.take_event(event.id, event.data.as_deref()) {
                             return self.retry(&target, "out of order", "");
                         }
@@ -372,6 +407,8 @@
     fn reset(&mut self) {
         self.text.clear();
         self.last_event = None;
+        self.began = None;
+        self.waits = 0;
     }
 
     fn retry(&mut self, target: &str, outcome: &str, reason: &str) -> RunEnd {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -46,6 +46,8 @@
                 apply_reply(node, sent, reply);
                 let epoch = node.view().seen.epoch;
                 node.crashes().note_told(now, epoch, crashes);
+                node.streams()
+                    .note_told(now, call.seen.epoch, epoch, &call.streams);
             }
             Err(error) => {
                 if lost.is_none() {
@@ -93,6 +95,7 @@
 fn call(node: &Node) -> Follow {
     let view = node.view();
     let crashes = node.crashes().untold(node.now(), view.seen.epoch);
+    let streams = node.streams().untold(node.now(), view.seen.epoch);
     Follow {
         holder: node.holder.clone(),
         vm: node.vm.clone(),
@@ -105,6 +108,7 @@
         blocked: view.blocked.clone(),
         crashes,
         limits: node.limits().limits(),
+        streams,
         held: node.held(),
         members: view.members.clone(),
         wait_ms: WAIT.as_millis() as u32,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 mod node;
 mod pool;
 mod slot;
+mod stream_log;
 mod view;
 
 pub use events::{Event, EventBuffer};
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -10,9 +10,10 @@
 use clem_boot::Clock;
 use clem_edge::{Dialect, NamedLimit, TargetVm};
 use clem_policy::dispatch::{
-    Fallback, GrantOutcome, HeldGrant, LeavingTargets, LimitReport, Ticket, retry_after,
+    Fallback, GrantOutcome, HeldGrant, LeavingTargets, LimitReport, Origin, StreamKey, Ticket,
+    retry_after,
 };
-use clem_types::{Time, Version};
+use clem_types::{SoftwareVersion, Time, Version};
 use clem_wire::{
     Client, FleetSecret, LeaderClient,
     fleet::{LEADER_LOSS_NOTICED, ProcessRole},
@@ -20,7 +21,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::sync::{Notify, watch};
 
-use crate::{crash_log::CrashLog, limits::Limits, pool::Pool, view::View};
+use crate::{crash_log::CrashLog, limits::Limits, pool::Pool, stream_log::StreamLog, view::View};
 
 /// Settings of a [`Node`].
 pub struct NodeSettings {
@@ -85,6 +86,7 @@
     held: Mutex<HashMap<Ticket, HeldSlot>>,
     crashes: Mutex<CrashLog>,
     limits: Mutex<Limits>,
+    streams: Mutex<StreamLog>,
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
     rng: Mutex<StdRng>,
     changes: watch::Sender<u64>,
@@ -125,6 +127,7 @@
             held: Mutex::default(),
             crashes: Mutex::default(),
             limits: Mutex::default(),
+            streams: Mutex::default(),
             ends: Mutex::default(),
             rng: Mutex::new(rng),
             changes: watch::Sender::new(0),
@@ -272,6 +275,25 @@
         self.ends_ready.notify_one();
     }
 
+    /// Where the streams of this process began.
+    pub(crate) fn streams(&self) -> MutexGuard<'_, StreamLog> {
+        lock(&self.streams)
+    }
+
+    /// Where a caller's attempt began, if this process got its slot.
+    pub fn origin(&self, key: StreamKey) -> Option<Origin> {
+        self.streams().streams().origin(key).cloned()
+    }
+
+    /// The version of the software that all targets of a service have had for `span` or longer.
+    pub fn settled_version(
+        &self,
+        service: &str,
+        span: Duration,
+    ) -> Option<Option<SoftwareVersion>> {
+        self.view().settled_version(self.now(), service, span)
+    }
+
     /// The limits that targets named.
     pub(crate) fn limits(&self) -> MutexGuard<'_, Limits> {
         lock(&self.limits)
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -4,8 +4,8 @@
 
 use clem_edge::TargetVm;
 use clem_policy::dispatch::{
-    Admission, GrantOutcome, HeldGrant, RateLimit, SUSPECT_RETRY, SlotRequest, Ticket, Urgency,
-    Verdict,
+    Admission, GrantOutcome, HeldGrant, Origin, RateLimit, SUSPECT_RETRY, SlotRequest, Ticket,
+    Urgency, Verdict,
 };
 use clem_wire::{
     CallError,
@@ -54,6 +54,8 @@
     },
     /// The request has parts that crash targets.
     Harmful,
+    /// The stream can't go on: where it began is not known, or no target has that version.
+    Unresumable,
 }
 
 impl Slot {
@@ -112,7 +114,8 @@
                 SlotOutcome::Slot(_)
                 | SlotOutcome::OverRate(_)
                 | SlotOutcome::Busy { .. }
-                | SlotOutcome::Harmful => return outcome,
+                | SlotOutcome::Harmful
+                | SlotOutcome::Unresumable => return outcome,
             }
         }
         SlotOutcome::Busy {
@@ -142,7 +145,7 @@
         want.data_centre.clone_from(&self.data_centre);
         let without_leader = self.fallback().is_active();
         if without_leader {
-            return self.place_locally(&want, limit);
+            return self.place_locally(want, limit);
         }
         let mut pending = PendingTicket {
             node: self,
@@ -167,7 +170,7 @@
                 if self.fallback().note_silent() {
                     log::warn!(error:% = error, ends = ends.len(); "placing without a leader");
                 }
-                return self.place_locally(&want, limit);
+                return self.place_locally(want, limit);
             }
         };
         pending.ticket = None;
@@ -187,8 +190,9 @@
             }
             Verdict::Busy { retry, wait } => SlotOutcome::Busy { retry, wait },
             Verdict::Harmful => SlotOutcome::Harmful,
+            Verdict::Unresumable => SlotOutcome::Unresumable,
             // A new leader may not have read the target list yet.
-            Verdict::NoTarget => self.place_locally(&want, limit),
+            Verdict::NoTarget => self.place_locally(want, limit),
         }
     }
 
@@ -223,9 +227,19 @@
                 wait: Duration::ZERO,
             };
         };
+        let key = want.stream.as_ref().and_then(|stream| stream.key);
+        if let Some(key) = key {
+            let origin = Origin {
+                service: target.service.clone(),
+                version: target.version.clone(),
+            };
+            let customer = want.customer.as_deref().unwrap_or_default();
+            self.streams()
+                .note(self.now(), customer, key, origin, without_leader);
+        }
         self.hold(HeldGrant {
             ticket: want.ticket,
-            service: want.service.clone(),
+            service: target.service.clone(),
             target: target.id.clone(),
             batch: matches!(want.urgency, Urgency::Batch { .. }),
             parts: want.parts.clone(),
@@ -241,10 +255,14 @@
 
     fn place_locally(
         self: &Arc<Self>,
-        want: &SlotRequest,
+        mut want: SlotRequest,
         limit: Option<RateLimit>,
     ) -> SlotOutcome {
         let now = self.now();
+        if !self.streams().streams().tie(&mut want) {
+            return SlotOutcome::Unresumable;
+        }
+        let want = &want;
         if self.view().blocked.iter().any(|b| b.blocks(&want.parts)) {
             return SlotOutcome::Harmful;
         }
@@ -261,7 +279,16 @@
             return SlotOutcome::OverRate(retry);
         }
         let mut best: Option<(f64, TargetVm)> = None;
+        let mut accepted = want.origin().is_none();
+        let is_versioned = self.view().is_versioned(&want.service);
         for target in self.view().ready(&want.service) {
+            let accepts = |origin: &Origin| {
+                origin.version == target.version && (origin.version.is_some() || !is_versioned)
+            };
+            if !want.origin().is_none_or(accepts) {
+                continue;
+            }
+            accepted = true;
             if want.avoid.contains(&target.id) || self.fallback().is_avoided(now, &target.id) {
                 continue;
             }
@@ -275,6 +302,9 @@
                 best = Some((load, target.clone()));
             }
         }
+        if !accepted {
+            return SlotOutcome::Unresumable;
+        }
         let Some((load, target)) = best else {
             return SlotOutcome::Busy {
                 retry: NO_TARGET_RETRY,
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,10 +1,10 @@
 //! State received from the hub: rules, targets and processes.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::BlockedParts;
-use clem_types::{Rate, Time, Version};
+use clem_types::{Rate, SoftwareVersion, Time, Version};
 use clem_wire::fleet::{FleetList, FleetListVersion};
 
 /// State last received from the hub; the rules version never decreases.
@@ -34,6 +34,8 @@
     pub listed: Option<Time>,
     /// When the hub's leader last responded; `None` if never.
     pub heard: Option<Time>,
+    /// The services whose targets all have one version of their software, and since when.
+    settled: BTreeMap<String, (Option<SoftwareVersion>, Time)>,
 }
 
 impl View {
@@ -68,6 +70,7 @@
     }
 
     pub(crate) fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) {
+        self.note_versions(now, &targets);
         let pairs = targets
             .into_iter()
             .map(|target| (target.id.clone(), target));
@@ -75,6 +78,45 @@
         self.listed = Some(now);
     }
 
+    /// Notes since when each service has had one version. A service without targets has not changed.
+    fn note_versions(&mut self, now: Time, targets: &[TargetVm]) {
+        let mut found: BTreeMap<&str, Vec<&Option<SoftwareVersion>>> = BTreeMap::new();
+        for target in targets {
+            let versions = found.entry(&target.service).or_default();
+            if !versions.contains(&&target.version) {
+                versions.push(&target.version);
+            }
+        }
+        for (service, versions) in found {
+            let [version] = versions[..] else {
+                self.settled.remove(service);
+                continue;
+            };
+            let known = self.settled.get(service);
+            if known.is_none_or(|(known, _)| known != version) {
+                let settled = (version.clone(), now);
+                self.settled.insert(service.to_owned(), settled);
+            }
+        }
+    }
+
+    /// The version that all targets of a service have had for `span` or longer.
+    pub(crate) fn settled_version(
+        &self,
+        now: Time,
+        service: &str,
+        span: Duration,
+    ) -> Option<Option<SoftwareVersion>> {
+        let (version, since) = self.settled.get(service)?;
+        (now.since(*since) >= span).then(|| version.clone())
+    }
+
+    /// Whether the platform names the version of any target of a service.
+    pub(crate) fn is_versioned(&self, service: &str) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| target.service == service && target.version.is_some())
+    }
+
     /// The targets of a service that accept new work.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetVm> + 'a {
         let targets = self.targets.values();
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -19,6 +19,8 @@
     Busy,
     /// The request has parts that crash targets; it has not run and will not run.
     Harmful,
+    /// The stream can't go on where it began; the request has not run and will not run.
+    Unresumable,
     /// This process lacks rules or can't reach the leader; no target has run the request.
     NotReady,
     /// The response was lost or corrupted; the request may have run.
@@ -61,6 +63,7 @@
             Self::OverLimit => "over_limit",
             Self::Busy => "busy",
             Self::Harmful => "harmful",
+            Self::Unresumable => "unresumable",
             Self::NotReady => "not_ready",
             Self::Broken => "broken",
             Self::OutOfTime => "out_of_time",
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use clem_direct::{Outcome, Reply, Slot, SlotOutcome};
 use clem_edge::{Cause, Forward, Framing, Refusal};
-use clem_policy::dispatch::GrantOutcome;
+use clem_policy::dispatch::{GrantOutcome, Origin, Resumes, StreamKey, StreamRequest};
 use clem_types::SoftwareVersion;
 use http::Response;
 
@@ -22,6 +22,8 @@
 const FULL_RETRY: Duration = Duration::from_millis(100);
 /// Minimum retry time when no slot is free; overload lasts longer than one request.
 const BUSY_RETRY_MIN: Duration = Duration::from_millis(300);
+/// A stream that a caller takes up began within as many timeouts of its route.
+const SETTLED_TIMEOUTS: u32 = 2;
 /// How many targets are tried for a request that was not sent or was refused.
 const UNSENT_MAX: u32 = 4;
 
@@ -36,6 +38,8 @@
     pub(crate) avoid: Vec<String>,
     /// Id of the last event sent to the caller.
     pub(crate) last_event: Option<u64>,
+    /// Where the events began that were sent to the caller; `None` before the first one.
+    pub(crate) began: Option<Origin>,
     /// Number of body bytes sent to the caller.
     pub(crate) sent_bytes: usize,
     /// How the last slot was acquired, for the log.
@@ -79,6 +83,7 @@
         runs: 0,
         avoid: Vec::new(),
         last_event,
+        began: None,
         sent_bytes: 0,
         placement: PlacementInfo::default(),
     };
@@ -153,7 +158,11 @@
         else {
             return Err(self.not_run(FULL_RETRY));
         };
-        let want = self.request.want(now, &service, &self.avoid);
+        let mut want = self.request.want(now, &service, &self.avoid);
+        want.stream = self.stream();
+        if let Some(origin) = want.origin().cloned() {
+            want.service = origin.service;
+        }
         let placed = node.place(want, self.request.limit()).await;
         self.placement = PlacementInfo {
             waited: node.now().since(now),
@@ -178,6 +187,15 @@
                 );
                 Err(failed(Cause::Harmful))
             }
+            SlotOutcome::Unresumable if self.runs > 0 => Err(failed(Cause::Broken)),
+            SlotOutcome::Unresumable => {
+                log::warn!(
+                    request = self.request.id.as_str(),
+                    resumes = self.request.info.resumes.as_deref(), after = self.last_event;
+                    "stream can't be resumed"
+                );
+                Err(failed(Cause::Unresumable))
+            }
             SlotOutcome::Busy { retry, wait } => {
                 self.placement.expected = wait;
                 let left = self.request.left(node.now());
@@ -186,6 +204,47 @@
         }
     }
 
+    /// The stream that the request begins or resumes; `None` if its response can't be resumed.
+    fn stream(&self) -> Option<StreamRequest> {
+        let request = &self.request;
+        if !request.is_resumable() {
+            return None;
+        }
+        let key = |id: &str| StreamKey::of(self.customer(), id);
+        let resumes = match (&self.began, request.info.last_event) {
+            (Some(began), _) => Some(Resumes::At(began.clone())),
+            (None, Some(_)) => {
+                let named = request.info.resumes.as_deref().map(key);
+                let origin = named.and_then(|key| self.front.node.origin(key));
+                Some(Resumes::Attempt {
+                    key: named,
+                    services: request.services(),
+                    otherwise: origin.or_else(|| self.settled_origin()),
+                })
+            }
+            (None, None) => None,
+        };
+        Some(StreamRequest {
+            key: Some(key(&request.id)),
+            resumes,
+        })
+    }
+
+    /// Where the stream began whatever attempt it was: at the only service and version that may have
+    /// run it since then.
+    fn settled_origin(&self) -> Option<Origin> {
+        let services = self.request.services();
+        let [service] = services.as_slice() else {
+            return None;
+        };
+        let span = self.request.route.timeout * SETTLED_TIMEOUTS;
+        let version = self.front.node.settled_version(service, span)?;
+        Some(Origin {
+            service: service.clone(),
+            version,
+        })
+    }
+
     /// Sends the request; `None` if there was no response in time.
     async fn send(&self, slot: &mut Slot) -> Option<Outcome> {
         let node = &self.front.node;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use clem_direct::{EventBuffer, Reply, Slot};
 use clem_edge::Framing;
-use clem_policy::dispatch::GrantOutcome;
+use clem_policy::dispatch::{GrantOutcome, Origin};
 use http::{HeaderValue, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -91,9 +91,7 @@
 
 impl Relay {
     async fn run(mut self, mut slot: Slot, mut reply: Reply) {
-        let resumes = self.state.request.is_stream()
-            && self.state.request.route.resumable
-            && reply.head.status.is_success();
+        let resumes = self.state.request.is_resumable() && reply.head.status.is_success();
         let node = Arc::clone(&self.state.front.node);
         loop {
             let framing = reply.framing;
@@ -101,7 +99,11 @@
             self.state.placement.framing = Some(framing);
             self.frames = 0;
             let end = if resumes {
-                self.relay_events(body, framing).await
+                let origin = Origin {
+                    service: slot.target.service.clone(),
+                    version: slot.target.version.clone(),
+                };
+                self.relay_events(body, framing, origin).await
             } else {
                 self.relay_bytes(body, framing).await
             };
@@ -136,14 +138,14 @@
             if !resumes || self.state.runs >= self.state.request.route.attempts {
                 break;
             }
-            let begun = self.state.placement.version.clone();
+            let began = self.state.placement.version.clone();
             match self.state.next_response().await {
                 Ok((next, answer)) if answer.head.status.is_success() => {
                     let version = &next.target.version;
                     log::info!(
                         request = self.state.request.id.as_str(), target = next.target.id.as_str(),
                         after = self.state.last_event, version = version.as_ref().map(|v| v.as_str()),
-                        begun = begun.as_ref().map(|v| v.as_str());
+                        began = began.as_ref().map(|v| v.as_str());
                         "stream resumed"
                     );
                     slot = next;
@@ -177,7 +179,7 @@
     }
 
     /// Relays complete events and remembers the id of the last one.
-    async fn relay_events(&mut self, mut body: Incoming, framing: Framing) -> End {
+    async fn relay_events(&mut self, mut body: Incoming, framing: Framing, origin: Origin) -> End {
         let mut events = EventBuffer::default();
         loop {
             let frame = match self.next_frame(&mut body).await {
@@ -188,6 +190,7 @@
             };
             events.push(&frame);
             while let Some(event) = events.next_event() {
+                self.state.began.get_or_insert_with(|| origin.clone());
                 if let Some(id) = event.id {
                     self.state.last_event = Some(id);
                 }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -64,6 +64,7 @@
             data_centre: String::new(),
             avoid: avoid.to_vec(),
             parts: self.parts.clone(),
+            stream: None,
         }
     }
 
@@ -88,6 +89,17 @@
         ids.join(",")
     }
 
+    /// The services that may run it.
+    pub(crate) fn services(&self) -> Vec<String> {
+        let backends = self.route.backends.iter().filter(|b| b.weight > 0);
+        backends.map(|backend| backend.service.clone()).collect()
+    }
+
+    /// Whether its response is a stream that can be resumed.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.is_stream() && self.route.resumable
+    }
+
     /// Whether the response is an event stream.
     pub(crate) fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -236,6 +236,7 @@
                 target: target.id.clone(),
                 data_centre: target.data_centre.clone(),
                 slots: target.slots,
+                version: target.version.clone(),
             });
         }
         for (service, slots) in &by_service {
@@ -251,6 +252,7 @@
     pub fn record_report(&mut self, now: Time, follow: &Follow) {
         self.dispatcher.note_crashes(now, &follow.crashes);
         self.restore_limits(now, &follow.vm, &follow.limits);
+        self.dispatcher.restore_streams(now, &follow.streams);
         let process = Process {
             vm: follow.vm.clone(),
             role: follow.role,
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -47,6 +47,7 @@
         blocked: Vec::new(),
         crashes: Vec::new(),
         limits: Vec::new(),
+        streams: Vec::new(),
         held: Vec::new(),
         members: None,
         wait_ms: 400,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod rate;
 mod retry_after;
+mod streams;
 mod target;
 
 use std::{
@@ -36,6 +37,7 @@
 pub use pool::{Pool, PoolView};
 pub use rate::{RateBucket, RateLimit, RateShare};
 pub use retry_after::{RouteTimeouts, retry_after};
+pub use streams::{Origin, OriginReport, Resumes, StreamKey, StreamRequest, Streams};
 pub use target::{GrantOutcome, TargetSlots};
 
 /// Time without a message from a holder after which its grants are revoked: three times the
@@ -98,6 +100,19 @@
     /// What the request has in common with others.
     #[serde(default)]
     pub parts: Vec<PartId>,
+    /// The stream that it begins or resumes; `None` if its response can't be resumed.
+    #[serde(default)]
+    pub stream: Option<StreamRequest>,
+}
+
+impl SlotRequest {
+    /// Where its stream must go on, once that is known.
+    pub fn origin(&self) -> Option<&Origin> {
+        match self.stream.as_ref()?.resumes.as_ref()? {
+            Resumes::At(origin) => Some(origin),
+            Resumes::Attempt { .. } => None,
+        }
+    }
 }
 
 /// Decision on a slot request.
@@ -126,6 +141,9 @@
     NoTarget,
     /// The request has parts that crash each target that runs them.
     Harmful,
+    /// It is not known at which version of the software the stream began, or no target has that
+    /// version.
+    Unresumable,
 }
 
 /// A grant as its holder reports it.
@@ -167,6 +185,7 @@
     recalls: HashMap<String, Vec<Ticket>>,
     crash_parts: CrashParts,
     limited: LimitedTargets,
+    streams: Streams,
 }
 
 impl Dispatcher {
@@ -245,8 +264,12 @@
 
     /// Requests a slot. The verdict is returned by [`take_decided`](Self::take_decided), either
     /// immediately or after the request was queued.
-    pub fn request_slot(&mut self, now: Time, want: SlotRequest) {
+    pub fn request_slot(&mut self, now: Time, mut want: SlotRequest) {
         self.last_heard.insert(want.holder.clone(), now);
+        if !self.streams.tie(&mut want) {
+            self.decided.push((want.ticket, Verdict::Unresumable));
+            return;
+        }
         if let Some(verdict) = self.reject_parts(now, &want) {
             self.decided.push((want.ticket, verdict));
             return;
@@ -334,6 +357,13 @@
         self.schedule(now);
     }
 
+    /// Takes over where streams began, from a process that knows of them.
+    pub fn restore_streams(&mut self, now: Time, reports: &[OriginReport]) {
+        for report in reports {
+            self.streams.restore(now, report);
+        }
+    }
+
     /// The parts that crash targets, for other processes.
     pub fn blocked_parts(&self) -> Vec<BlockedParts> {
         self.crash_parts.blocked()
@@ -432,6 +462,7 @@
 
     /// Expires queued requests, and revokes the grants of holders that timed out.
     pub fn tick(&mut self, now: Time) {
+        self.streams.expire(now);
         let timed_out = |at: &Time| now.since(*at) >= HOLDER_TIMEOUT;
         let gone: Vec<String> = self
             .last_heard
@@ -500,6 +531,15 @@
         for (service, pool) in &mut self.pools {
             refused.extend(pool.expire(now));
             for (want, target) in pool.grant_free(now) {
+                let key = want.stream.as_ref().and_then(|stream| stream.key);
+                if let Some(key) = key {
+                    let origin = Origin {
+                        service: service.clone(),
+                        version: pool.version(&target),
+                    };
+                    let customer = want.customer.as_deref().unwrap_or_default();
+                    self.streams.note(now, customer, key, origin);
+                }
                 let bucket = want.customer.as_ref().and_then(|c| self.buckets.get_mut(c));
                 let share =
                     bucket.map_or(RateShare::WHOLE, |bucket| bucket.count(now, &want.holder));
@@ -517,7 +557,7 @@
                     .push((want.ticket, Verdict::Granted { target, share }));
             }
             let short = pool.online_short(now);
-            let is_useful = |target: &str| pool.has_budget(now, target);
+            let is_useful = |target: &str| pool.is_wanted(now, target);
             let recalls = &mut self.recalls;
             recall(service, short, is_useful, &mut self.grants, recalls);
         }
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use clem_types::{Rate, Time};
+use clem_types::{Rate, SoftwareVersion, Time};
 
 use super::{GrantOutcome, SlotRequest, TargetSlots, Ticket, Urgency, Verdict, target::Target};
 
@@ -111,10 +111,13 @@
     /// Admission control: returns the refusal of a request that is expected to be late, or `None`
     /// if the request may be queued.
     pub(super) fn admit(&self, now: Time, want: &SlotRequest) -> Option<Verdict> {
-        let listed = self.targets.values().any(|t| t.listed);
-        if !listed {
+        let mut listed = self.targets.values().filter(|t| t.listed).peekable();
+        if listed.peek().is_none() {
             return Some(Verdict::NoTarget);
         }
+        if !listed.any(|target| self.accepts(want, target)) {
+            return Some(Verdict::Unresumable);
+        }
         if matches!(want.urgency, Urgency::Batch { .. }) {
             return None;
         }
@@ -133,7 +136,11 @@
 
     /// Expected queueing time of an online request; `None` if a slot is free at once.
     fn expected_wait(&self, now: Time, want: &SlotRequest) -> Option<Duration> {
-        let up: Vec<&Target> = self.targets.values().filter(|t| t.is_up(now)).collect();
+        let up: Vec<&Target> = self
+            .targets
+            .values()
+            .filter(|t| t.is_up(now) && self.accepts(want, t))
+            .collect();
         let slots: u32 = up.iter().map(|t| t.slots.slots).sum();
         let free: u32 = up.iter().map(|t| t.free(now)).sum();
         let preemptible = up.iter().filter(|t| t.has_budget(now, false));
@@ -144,9 +151,11 @@
         if up.iter().any(|t| t.budget.is_some()) {
             return Some(self.limited_wait(now, &up, missing));
         }
+        let is_up = |target: &str| up.iter().any(|t| t.slots.target == target);
         let mut ends: Vec<Duration> = self
             .running
             .iter()
+            .filter(|running| want.origin().is_none() || is_up(&running.target))
             .map(|running| self.remaining(now, running.since))
             .collect();
         ends.sort_unstable();
@@ -192,11 +201,13 @@
         target.is_some_and(|target| target.budget.is_none())
     }
 
-    /// Number of queued online requests that come before this one.
+    /// Number of queued online requests that come before this one. Those that may go elsewhere don't
+    /// stand before one that may not.
     fn ahead(&self, want: &SlotRequest) -> u32 {
         let ahead = self
             .waiting
             .iter()
+            .filter(|w| want.origin().is_none() || w.want.origin() == want.origin())
             .filter(|w| matches!(w.want.urgency, Urgency::Online))
             .filter(|w| (w.want.final_try, w.want.rank) <= (want.final_try, want.rank));
         u32::try_from(ahead.count()).unwrap_or(u32::MAX)
@@ -335,6 +346,9 @@
             if target.free(now) == 0 || want.avoid.contains(&target.slots.target) {
                 continue;
             }
+            if !self.accepts(want, target) {
+                continue;
+            }
             if !target.has_budget(now, batch) {
                 continue;
             }
@@ -358,10 +372,33 @@
         }
     }
 
-    /// Whether an online request could use a slot of this target if one were free.
-    pub(super) fn has_budget(&self, now: Time, target: &str) -> bool {
-        let target = self.targets.get(target);
-        target.is_some_and(|target| target.has_budget(now, false))
+    /// Whether a queued online request could use a slot of this target if one were free.
+    pub(super) fn is_wanted(&self, now: Time, target: &str) -> bool {
+        let Some(target) = self.targets.get(target) else {
+            return false;
+        };
+        let mut online = self
+            .waiting
+            .iter()
+            .filter(|w| matches!(w.want.urgency, Urgency::Online));
+        target.has_budget(now, false) && online.any(|w| self.accepts(&w.want, target))
+    }
+
+    /// Whether a target may run a request: a stream goes on only at the version that began it.
+    /// Versions that aren't named can't be compared, but a service may have none at all.
+    fn accepts(&self, want: &SlotRequest, target: &Target) -> bool {
+        let Some(origin) = want.origin() else {
+            return true;
+        };
+        if origin.version.is_some() {
+            return origin.version == target.slots.version;
+        }
+        self.targets.values().all(|t| t.slots.version.is_none())
+    }
+
+    /// The version of a target's software.
+    pub(super) fn version(&self, target: &str) -> Option<SoftwareVersion> {
+        self.targets.get(target)?.slots.version.clone()
     }
 
     /// Installs the limit that a target named; returns false for an unknown target.
@@ -418,6 +455,7 @@
             target: target.to_owned(),
             data_centre: String::new(),
             slots: 0,
+            version: None,
         });
         fresh.listed = false;
         fresh.occupy(now, batch);
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use clem_types::{Rate, Time};
+use clem_types::{Rate, SoftwareVersion, Time};
 use serde::{Deserialize, Serialize};
 
 use super::Budget;
@@ -26,6 +26,8 @@
     pub data_centre: String,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
+    /// Version of its software; `None` if the platform doesn't say.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Reason why a slot was released, which also tells the target's health.
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -91,6 +91,7 @@
                 target: format!("t{number}"),
                 data_centre: "a".to_owned(),
                 slots: 8,
+                version: None,
             });
         }
         let at = self.at();
@@ -179,7 +180,10 @@
                 }
                 Verdict::Harmful if bad => {}
                 Verdict::Harmful => self.sound_rejected += 1,
-                Verdict::Busy { .. } | Verdict::OverRate { .. } | Verdict::NoTarget => {}
+                Verdict::Busy { .. }
+                | Verdict::OverRate { .. }
+                | Verdict::NoTarget
+                | Verdict::Unresumable => {}
             }
         }
         let due: Vec<Ticket> = self
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -31,6 +31,7 @@
         target: format!("t{number}"),
         data_centre: "a".to_owned(),
         slots,
+        version: None,
     }
 }
 
@@ -142,7 +143,10 @@
                     assert!(retry >= ms(50));
                     assert!(waited <= 75, "refused only after {waited} ms");
                 }
-                Verdict::OverRate { .. } | Verdict::NoTarget | Verdict::Harmful => {
+                Verdict::OverRate { .. }
+                | Verdict::NoTarget
+                | Verdict::Harmful
+                | Verdict::Unresumable => {
                     panic!("{verdict:?}")
                 }
             }
--- a/crates/policy/tests/limited.rs
+++ b/crates/policy/tests/limited.rs
@@ -72,6 +72,7 @@
             target: format!("t{number}"),
             data_centre: "a".to_owned(),
             slots: 8,
+            version: None,
         };
         let list: Vec<TargetSlots> = (0..self.targets).map(slots).collect();
         let at = self.at();
@@ -148,7 +149,10 @@
                     self.reached.entry(target).or_default().push(self.now);
                 }
                 Verdict::Busy { retry, .. } => self.refused.push(retry),
-                Verdict::Harmful | Verdict::OverRate { .. } | Verdict::NoTarget => {}
+                Verdict::Harmful
+                | Verdict::OverRate { .. }
+                | Verdict::NoTarget
+                | Verdict::Unresumable => {}
             }
         }
     }
--- a/crates/policy/tests/loads/mod.rs
+++ b/crates/policy/tests/loads/mod.rs
@@ -21,5 +21,6 @@
         data_centre: "a".to_owned(),
         avoid: Vec::new(),
         parts: Vec::new(),
+        stream: None,
     }
 }
--- a/crates/policy/tests/repeats.rs
+++ b/crates/policy/tests/repeats.rs
@@ -83,6 +83,7 @@
                 target: format!("t{number}"),
                 data_centre: format!("dc{number}"),
                 slots: 6,
+                version: None,
             });
         }
         let at = self.at();
@@ -189,7 +190,10 @@
                     );
                 }
                 Verdict::Harmful => self.sound_harmful += usize::from(!bad),
-                Verdict::Busy { .. } | Verdict::OverRate { .. } | Verdict::NoTarget => {}
+                Verdict::Busy { .. }
+                | Verdict::OverRate { .. }
+                | Verdict::NoTarget
+                | Verdict::Unresumable => {}
             }
         }
         let due: Vec<Ticket> = self
@@ -289,6 +293,7 @@
             target: format!("t{number}"),
             data_centre: "dc".to_owned(),
             slots: 6,
+            version: None,
         };
         let mut reached = 0;
         for number in 0..1200 {
--- a/crates/policy/tests/retry_after.rs
+++ b/crates/policy/tests/retry_after.rs
@@ -63,6 +63,7 @@
         target: format!("t{n}"),
         data_centre: "a".to_owned(),
         slots: SLOTS,
+        version: None,
     });
     dispatcher.set_targets(Time::ZERO, SERVICE, &slots.collect::<Vec<_>>());
     let mut seen = Seen::default();
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use clem_edge::TargetVm;
 use clem_policy::dispatch::{
-    BlockedParts, CrashReport, GrantOutcome, HeldGrant, LimitReport, SlotRequest, TargetLimit,
-    Ticket, Verdict,
+    BlockedParts, CrashReport, GrantOutcome, HeldGrant, LimitReport, OriginReport, SlotRequest,
+    TargetLimit, Ticket, Verdict,
 };
 use clem_types::{Epoch, Version};
 use serde::{Deserialize, Serialize};
@@ -71,6 +71,9 @@
     /// The limited targets that it knows.
     #[serde(default)]
     pub limits: Vec<TargetLimit>,
+    /// Where streams began that the leader of `seen` was not told of by this process.
+    #[serde(default)]
+    pub streams: Vec<OriginReport>,
     /// The slots that it holds, from which a new leader restores its state.
     pub held: Vec<HeldGrant>,
     /// The members of the group that stores batches, if this process leads that group.
