--- /dev/null
+++ b/crates/policy/tests/streams.rs
@@ -0,0 +1,159 @@
+//! Streams that are resumed while targets of two software versions serve, in virtual time.
+
+use std::time::Duration;
+
+use clem_policy::dispatch::{
+    Dispatcher, GrantOutcome, Origin, OriginReport, Resumes, SlotRequest, StreamKey, StreamRequest,
+    TargetSlots, Ticket, Urgency, Verdict,
+};
+use clem_types::Time;
+
+const SERVICE: &str = "engines";
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+/// A dispatcher with one target of each version, with one slot each.
+fn dispatcher(versions: &[Option<&str>]) -> Dispatcher {
+    let mut targets = Vec::new();
+    for (place, version) in versions.iter().enumerate() {
+        targets.push(TargetSlots {
+            target: format!("t{place}"),
+            data_centre: "a".to_owned(),
+            slots: 1,
+            version: version.map(|version| version.parse().expect("a version")),
+        });
+    }
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_targets(Time::ZERO, SERVICE, &targets);
+    dispatcher
+}
+
+fn want(ticket: u64, customer: &str, stream: StreamRequest) -> SlotRequest {
+    SlotRequest {
+        ticket: Ticket(ticket),
+        holder: "front-1".to_owned(),
+        service: SERVICE.to_owned(),
+        customer: Some(customer.to_owned()),
+        rank: 0,
+        urgency: Urgency::Online,
+        final_try: false,
+        on_time: Duration::from_millis(1000),
+        queue_timeout: Duration::from_millis(2000),
+        data_centre: "a".to_owned(),
+        avoid: Vec::new(),
+        parts: Vec::new(),
+        stream: Some(stream),
+    }
+}
+
+fn begins(customer: &str, id: &str) -> StreamRequest {
+    StreamRequest {
+        key: Some(StreamKey::of(customer, id)),
+        resumes: None,
+    }
+}
+
+fn resumes(customer: &str, named: Option<&str>) -> StreamRequest {
+    StreamRequest {
+        key: Some(StreamKey::of(customer, "next")),
+        resumes: Some(Resumes::Attempt {
+            key: named.map(|id| StreamKey::of(customer, id)),
+            services: vec![SERVICE.to_owned()],
+            otherwise: None,
+        }),
+    }
+}
+
+fn verdict(dispatcher: &mut Dispatcher, now: Time, want: SlotRequest) -> Option<Verdict> {
+    let ticket = want.ticket;
+    dispatcher.request_slot(now, want);
+    let decided = dispatcher.take_decided();
+    let found = decided.into_iter().find(|(decided, _)| *decided == ticket);
+    found.map(|(_, verdict)| verdict)
+}
+
+fn target(verdict: Option<Verdict>) -> String {
+    let Some(Verdict::Granted { target, .. }) = verdict else {
+        panic!("no slot: {verdict:?}");
+    };
+    target
+}
+
+#[test]
+fn a_resumed_stream_waits_for_the_version_that_began_it() {
+    let mut dispatcher = dispatcher(&[Some("v1"), Some("v2")]);
+    let first = want(1, "one", begins("one", "first"));
+    assert_eq!(target(verdict(&mut dispatcher, at(0), first)), "t0");
+    let second = want(2, "one", resumes("one", Some("first")));
+    assert_eq!(verdict(&mut dispatcher, at(10), second), None, "it waits");
+    dispatcher.release(at(60), Ticket(1), GrantOutcome::Broken);
+    let decided = dispatcher.take_decided();
+    let (_, granted) = decided.into_iter().next().expect("a decision");
+    assert_eq!(target(Some(granted)), "t0");
+}
+
+#[test]
+fn the_attempt_of_another_customer_tells_nothing() {
+    let mut dispatcher = dispatcher(&[Some("v1"), Some("v2")]);
+    let first = want(1, "one", begins("one", "first"));
+    target(verdict(&mut dispatcher, at(0), first));
+    for (ticket, stream) in [
+        (2, resumes("two", Some("first"))),
+        (3, resumes("one", Some("other"))),
+        (4, resumes("one", None)),
+    ] {
+        let refused = verdict(&mut dispatcher, at(10), want(ticket, "two", stream));
+        assert_eq!(refused, Some(Verdict::Unresumable), "ticket {ticket}");
+    }
+}
+
+#[test]
+fn a_stream_whose_version_has_no_target_is_refused() {
+    let mut dispatcher = dispatcher(&[Some("v1")]);
+    let first = want(1, "one", begins("one", "first"));
+    target(verdict(&mut dispatcher, at(0), first));
+    let gone = [TargetSlots {
+        target: "t9".to_owned(),
+        data_centre: "a".to_owned(),
+        slots: 1,
+        version: Some("v2".parse().expect("a version")),
+    }];
+    dispatcher.set_targets(at(5), SERVICE, &gone);
+    let second = want(2, "one", resumes("one", Some("first")));
+    let refused = verdict(&mut dispatcher, at(10), second);
+    assert_eq!(refused, Some(Verdict::Unresumable));
+}
+
+#[test]
+fn versions_that_are_not_named_are_equal_only_if_none_is_named() {
+    for (versions, goes_on) in [([None, None], true), ([None, Some("v2")], false)] {
+        let mut dispatcher = dispatcher(&versions);
+        let first = want(1, "one", begins("one", "first"));
+        assert_eq!(target(verdict(&mut dispatcher, at(0), first)), "t0");
+        let second = want(2, "one", resumes("one", Some("first")));
+        let granted = verdict(&mut dispatcher, at(10), second);
+        assert_eq!(granted != Some(Verdict::Unresumable), goes_on);
+    }
+}
+
+#[test]
+fn a_new_leader_learns_where_streams_began() {
+    let mut dispatcher = dispatcher(&[Some("v1"), Some("v2")]);
+    let report = OriginReport {
+        key: StreamKey::of("one", "first"),
+        customer: "one".to_owned(),
+        origin: Origin {
+            service: SERVICE.to_owned(),
+            version: Some("v2".parse().expect("a version")),
+        },
+    };
+    dispatcher.restore_streams(at(0), &[report]);
+    let second = want(2, "one", resumes("one", Some("first")));
+    assert_eq!(target(verdict(&mut dispatcher, at(10), second)), "t1");
+    let forgotten = want(3, "one", resumes("one", Some("first")));
+    dispatcher.tick(at(31_000));
+    let refused = verdict(&mut dispatcher, at(31_000), forgotten);
+    assert_eq!(refused, Some(Verdict::Unresumable));
+}
