The latest slot of an attempt tells where its stream began

A slot that is given back unused is forgotten now, and a report counts if its slot is later. A route that a service has been taken from does not send a stream there, whoever remembers it. Tests: a_slot_that_was_not_used_tells_nothing, the_latest_slot_of_an_attempt_tells_where_it_began (not run on the code before).

--- a/crates/direct/src/stream_log.rs
+++ b/crates/direct/src/stream_log.rs
@@ -15,7 +15,7 @@
     streams: Streams,
     /// The leader that knows all but `untold`.
     epoch: Epoch,
-    untold: Vec<OriginReport>,
+    untold: Vec<StreamKey>,
 }
 
 impl StreamLog {
@@ -34,21 +34,21 @@
         without_leader: bool,
     ) {
         if without_leader && self.untold.len() < REPORTS_MAX {
-            self.untold.push(OriginReport {
-                key,
-                customer: customer.to_owned(),
-                origin: origin.clone(),
-            });
+            self.untold.push(key);
         }
         self.streams.note(now, customer, key, origin);
     }
 
     /// What the leader of an epoch was not told of.
     pub(crate) fn untold(&self, now: Time, epoch: Epoch) -> Vec<OriginReport> {
+        if epoch == self.epoch && self.untold.is_empty() {
+            return Vec::new();
+        }
+        let mut reports = self.streams.reports(now, REPORTS_MAX);
         if epoch == self.epoch {
-            return self.untold.clone();
+            reports.retain(|report| self.untold.contains(&report.key));
         }
-        self.streams.reports(now, REPORTS_MAX)
+        reports
     }
 
     /// Records that the leader of `epoch` replied to these reports, which were chosen for the leader of
@@ -65,6 +65,7 @@
             return;
         }
         self.epoch = epoch;
-        self.untold.retain(|report| !told.contains(report));
+        self.untold
+            .retain(|key| !told.iter().any(|report| report.key == *key));
     }
 }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -172,6 +172,8 @@
     since: Time,
     recalled: bool,
     parts: Vec<PartId>,
+    /// The attempt at a stream that it was given to.
+    stream: Option<StreamKey>,
 }
 
 /// Queues and slots of all services, and the customers' rate limits.
@@ -344,9 +346,14 @@
             GrantOutcome::Broken | GrantOutcome::Silent => {
                 self.crash_parts.fail_trial(now, ticket);
             }
+            GrantOutcome::NotRun => {
+                // The holder may have gone on with a slot of its own choice.
+                if let Some(key) = grant.stream {
+                    self.streams.forget(key, grant.since);
+                }
+            }
             GrantOutcome::Failed
             | GrantOutcome::Full
-            | GrantOutcome::NotRun
             | GrantOutcome::Unreachable
             | GrantOutcome::Lost => {}
         }
@@ -455,6 +462,7 @@
                     since: now,
                     recalled: false,
                     parts: grant.parts.clone(),
+                    stream: None,
                 },
             );
         }
@@ -551,6 +559,7 @@
                     since: now,
                     recalled: false,
                     parts: want.parts,
+                    stream: key,
                 };
                 self.grants.insert(want.ticket, grant);
                 self.decided
--- a/crates/policy/src/dispatch/streams.rs
+++ b/crates/policy/src/dispatch/streams.rs
@@ -76,6 +76,8 @@
     pub customer: String,
     /// Where it began.
     pub origin: Origin,
+    /// How long ago it got its slot, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// The origins of the latest streams.
@@ -112,12 +114,26 @@
         }
     }
 
-    /// Takes over what another process knows; what is known already stays.
+    /// Takes over what the process of an attempt knows, unless the attempt has got a later slot here.
     pub fn restore(&mut self, now: Time, report: &OriginReport) {
-        if self.origins.contains_key(&report.key) {
+        let age = Duration::from_millis(report.age_ms.into());
+        let known = self.origins.get(&report.key);
+        if known.is_some_and(|known| now.since(known.since) <= age) {
             return;
         }
-        self.note(now, &report.customer, report.key, report.origin.clone());
+        self.note(
+            now - age,
+            &report.customer,
+            report.key,
+            report.origin.clone(),
+        );
+    }
+
+    /// Forgets an attempt whose slot of `since` was not used.
+    pub fn forget(&mut self, key: StreamKey, since: Time) {
+        if self.origins.get(&key).is_some_and(|e| e.since == since) {
+            self.origins.remove(&key);
+        }
     }
 
     /// Forgets the expired attempts of customers that no longer send any.
@@ -152,8 +168,8 @@
                 let known = key.and_then(|key| self.origin(key));
                 // A service that the route has been taken from must not run the request.
                 known
+                    .or(otherwise.as_ref())
                     .filter(|origin| services.contains(&origin.service))
-                    .or_else(|| otherwise.as_ref().filter(|_| known.is_none()))
             }
         };
         origin.cloned()
@@ -190,6 +206,7 @@
                     key: *key,
                     customer: customer.clone(),
                     origin: entry.origin.clone(),
+                    age_ms: u32::try_from(now.since(*since).as_millis()).unwrap_or(u32::MAX),
                 };
                 newest.push((*since, report));
             }
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -148,6 +148,7 @@
             service: SERVICE.to_owned(),
             version: Some("v2".parse().expect("a version")),
         },
+        age_ms: 0,
     };
     dispatcher.restore_streams(at(0), &[report]);
     let second = want(2, "one", resumes("one", Some("first")));
@@ -157,3 +158,36 @@
     let refused = verdict(&mut dispatcher, at(31_000), forgotten);
     assert_eq!(refused, Some(Verdict::Unresumable));
 }
+
+#[test]
+fn a_slot_that_was_not_used_tells_nothing() {
+    let mut dispatcher = dispatcher(&[Some("v1"), Some("v2")]);
+    let first = want(1, "one", begins("one", "first"));
+    target(verdict(&mut dispatcher, at(0), first));
+    dispatcher.release(at(200), Ticket(1), GrantOutcome::NotRun);
+    let second = want(2, "one", resumes("one", Some("first")));
+    let refused = verdict(&mut dispatcher, at(210), second);
+    assert_eq!(refused, Some(Verdict::Unresumable));
+}
+
+#[test]
+fn the_latest_slot_of_an_attempt_tells_where_it_began() {
+    for (age_ms, expected) in [(200, "t1"), (700, "t0")] {
+        let mut dispatcher = dispatcher(&[Some("v1"), Some("v2")]);
+        let first = want(1, "one", begins("one", "first"));
+        assert_eq!(target(verdict(&mut dispatcher, at(0), first)), "t0");
+        let report = OriginReport {
+            key: StreamKey::of("one", "first"),
+            customer: "one".to_owned(),
+            origin: Origin {
+                service: SERVICE.to_owned(),
+                version: Some("v2".parse().expect("a version")),
+            },
+            age_ms,
+        };
+        dispatcher.restore_streams(at(600), &[report]);
+        dispatcher.release(at(600), Ticket(1), GrantOutcome::Broken);
+        let second = want(2, "one", resumes("one", Some("first")));
+        assert_eq!(target(verdict(&mut dispatcher, at(610), second)), expected);
+    }
+}
