Only the polls that have an update are woken

Cause: the hub's leader woke all held polls after each call while any slot recall was open, and the check that each woken poll makes is such a call itself, so that up to 90 polls kept waking each other until the holder's next poll took its recalls. Ruled out: the scheduler itself.

Change: a recall wakes the poll of its holder, once; a changed list or newer rules wake all polls. The hub logs stalls of its event loop.

--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -16,9 +16,12 @@
 use clem_state::{batch_group, document};
 use clem_types::{Time, Version};
 use clem_wire::LeaderClient;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 
-use crate::lead::{LeaderInit, LeaderState};
+use crate::{
+    lead::{LeaderInit, LeaderState},
+    polls::Polls,
+};
 
 /// Shared state of the request handlers. The runtime has one thread, so the mutexes are never
 /// contended.
@@ -41,7 +44,8 @@
     pub restart_allowance: f64,
     leader: Mutex<Option<LeaderState>>,
     waiters: Mutex<HashMap<Ticket, oneshot::Sender<Verdict>>>,
-    updates: watch::Sender<u64>,
+    /// The polls of followers that wait for an update.
+    pub(crate) polls: Polls,
     /// Held while rules are proposed, so that a resend finds them stored.
     pub(crate) put_turn: tokio::sync::Mutex<()>,
 }
@@ -71,7 +75,7 @@
             restart_allowance: parts.restart_allowance,
             leader: Mutex::new(None),
             waiters: Mutex::default(),
-            updates: watch::Sender::new(0),
+            polls: Polls::default(),
             put_turn: tokio::sync::Mutex::new(()),
         }
     }
@@ -107,13 +111,10 @@
         let Some(leader) = leader.as_mut() else {
             return Err(ServeError::NotLeader);
         };
-        let stamp = leader.stamp();
         let result = work(leader, now);
         self.deliver_verdicts(leader, now);
         leader.publish_parts(now);
-        if leader.stamp() != stamp || leader.has_recalls() {
-            self.updates.send_modify(|count| *count += 1);
-        }
+        self.polls.wake(leader.take_wakes());
         Ok(result)
     }
 
@@ -163,11 +164,6 @@
         self.replica.read(document::version)
     }
 
-    /// Subscribes to possible updates for followers.
-    pub(crate) fn updates(&self) -> watch::Receiver<u64> {
-        self.updates.subscribe()
-    }
-
     /// The addresses of the members.
     pub(crate) fn members(&self) -> Vec<SocketAddr> {
         self.replica.members().iter().map(|m| m.address).collect()
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -41,6 +41,15 @@
     pub allowance: f64,
 }
 
+/// The polls that have an update, among those that the leader holds.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Wakes {
+    /// The polls of all processes.
+    All,
+    /// The polls of these holders, which have slots to give back.
+    Holders(BTreeSet<String>),
+}
+
 /// In-memory state of the leader.
 #[derive(Debug)]
 pub struct LeaderState {
@@ -53,6 +62,8 @@
     /// Replicated state of the batch group.
     pub batch_group: BatchGroup,
     change: u64,
+    /// The change and the rules for which all polls were last woken.
+    woken: (u64, Version),
     /// Version of the target list.
     targets_version: u64,
     /// The platform's target list as it was read.
@@ -96,6 +107,7 @@
             rules: RulesDocument::default(),
             batch_group: start.batch_group,
             change: 1,
+            woken: (1, Version(0)),
             targets_version: 0,
             listed: None,
             targets: None,
@@ -111,15 +123,14 @@
         }
     }
 
-    /// Changes whenever there is an update for followers.
-    pub fn stamp(&self) -> (u64, Version) {
-        (self.change, self.rules.version)
-    }
-
-    /// Whether any process has slots to give back.
-    pub fn has_recalls(&self) -> bool {
-        let mut holders = self.processes.keys();
-        holders.any(|holder| self.dispatcher.has_recalls(holder))
+    /// Removes and returns the polls that have got an update since the last call.
+    pub fn take_wakes(&mut self) -> Wakes {
+        let holders = self.dispatcher.take_recall_news();
+        let stamp = (self.change, self.rules.version);
+        if std::mem::replace(&mut self.woken, stamp) != stamp {
+            return Wakes::All;
+        }
+        Wakes::Holders(holders)
     }
 
     /// Installs newer rules; older ones are ignored.
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -5,12 +5,14 @@
 mod hub;
 mod lead;
 mod operator;
+mod polls;
 mod program;
 mod serve;
 mod spread;
 mod tasks;
 
 pub use hub::Hub;
-pub use lead::{LeaderInit, LeaderState, Process};
+pub use lead::{LeaderInit, LeaderState, Process, Wakes};
+pub use polls::{HeldPoll, Polls};
 pub use program::{HubSettings, consensus_settings, run};
 pub use spread::{RulesSpread, SpreadReport};
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -30,7 +30,7 @@
 
 impl Serve<Hub> for Follow {
     async fn serve(self, hub: Arc<Hub>) -> Result<FollowReply> {
-        let mut updates = hub.updates();
+        let poll = hub.polls.register(&self.holder);
         let mut leadership = hub.replica.watch_leadership();
         leadership.mark_unchanged();
         hub.with_leader(|leader, now| {
@@ -40,7 +40,6 @@
         let wait = Duration::from_millis(self.wait_ms.into()).min(FOLLOW_MAX_HOLD);
         let deadline = tokio::time::Instant::now() + wait;
         loop {
-            updates.mark_unchanged();
             let members = hub.members();
             if let Some(reply) = hub.with_leader(|leader, _| leader.updates(&self, members))? {
                 if let Some(rules) = &reply.rules {
@@ -53,7 +52,7 @@
                 return Ok(reply);
             }
             tokio::select! {
-                _ = updates.changed() => {}
+                () = poll.woken() => {}
                 _ = leadership.changed() => {}
                 () = tokio::time::sleep_until(deadline) => return Ok(FollowReply::default()),
             }
--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -75,10 +75,20 @@
     }
 }
 
+/// A tick that is this late is logged: calls wait for as long, and members may think that the leader is
+/// lost.
+const STALL_LOGGED: Duration = Duration::from_millis(60);
+
 /// Runs the leader's tick until the process exits.
 pub(crate) async fn tick(hub: Arc<Hub>) {
     loop {
-        tokio::time::sleep(TICK).await;
+        let due = tokio::time::Instant::now() + TICK;
+        tokio::time::sleep_until(due).await;
+        let late = due.elapsed();
+        metrics::histogram!("clem_hub_tick_late_seconds").record(late.as_secs_f64());
+        if late >= STALL_LOGGED {
+            log::warn!(late_ms = late.as_millis() as u64; "event loop stalled");
+        }
         hub.peers.set_addresses(&hub.members());
         if !hub.has_disk {
             hub.peers.add_addresses(&hub.replica.peers());
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -1,10 +1,11 @@
 //! Updates from the leader to its followers: a follower gets the targets if and only if it lacks
 //! the current list.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use clem_edge::{TargetState, TargetVm};
-use clem_hub::{LeaderInit, LeaderState};
+use clem_hub::{LeaderInit, LeaderState, Polls, Wakes};
+use clem_policy::dispatch::{SlotRequest, Ticket, Urgency};
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, Time, Version};
 use clem_wire::fleet::{FleetList, FleetListVersion, Follow, ProcessRole};
@@ -137,3 +138,112 @@
     leader.note_leaving(Time::ZERO, "front-1", &[targets[0].id.clone()]);
     assert_eq!(states(&mut leader), vec![TargetState::Ready]);
 }
+
+const KEEPER: &str = "front-0";
+/// Number of slots of [`targets`].
+const SLOTS: u64 = 8 * TARGETS as u64;
+
+fn slot_request(ticket: u64, holder: &str, urgency: Urgency) -> SlotRequest {
+    SlotRequest {
+        ticket: Ticket(ticket),
+        holder: holder.to_owned(),
+        service: "engines".to_owned(),
+        customer: None,
+        rank: 0,
+        urgency,
+        final_try: true,
+        on_time: Duration::from_secs(60),
+        queue_timeout: Duration::from_secs(60),
+        data_centre: "a".to_owned(),
+        avoid: Vec::new(),
+        parts: Vec::new(),
+        stream: None,
+    }
+}
+
+/// A leader with items of one holder in all but the reserved slots, whose followers are up to date.
+fn leader_with_items() -> LeaderState {
+    let mut leader = leader();
+    for place in 0..FOLLOWERS {
+        leader.record_report(Time::ZERO, &follow(place, FleetListVersion::default()));
+    }
+    leader.set_targets(Time::ZERO, targets());
+    let due = Duration::from_secs(60);
+    for ticket in 0..SLOTS {
+        let item = slot_request(ticket, KEEPER, Urgency::Batch { due });
+        leader.dispatcher.request_slot(Time::ZERO, item);
+    }
+    assert_eq!(leader.take_wakes(), Wakes::All);
+    leader
+}
+
+/// Requests more slots than the reserved ones, so that items are recalled.
+fn request_reserved_slots(leader: &mut LeaderState) {
+    for ticket in SLOTS..SLOTS + SLOTS / 4 {
+        let request = slot_request(ticket, "front-1", Urgency::Online);
+        leader.dispatcher.request_slot(Time::ZERO, request);
+    }
+}
+
+fn polls(wakes: &Wakes) -> usize {
+    match wakes {
+        Wakes::All => FOLLOWERS,
+        Wakes::Holders(holders) => holders.len(),
+    }
+}
+
+/// A holder that is frozen, or whose next poll is on its way, leaves its recalls open for a while.
+/// Waking all polls at each call meanwhile made a leader miss its pings and heartbeats in each surge.
+#[test]
+fn open_recalls_wake_the_poll_of_their_holder_once() {
+    let mut leader = leader_with_items();
+    request_reserved_slots(&mut leader);
+    let mut woken = polls(&leader.take_wakes());
+    for ticket in 2 * SLOTS..3 * SLOTS {
+        let now = Time::from_millis(1);
+        let request = slot_request(ticket, "front-2", Urgency::Online);
+        leader.dispatcher.request_slot(now, request);
+        leader.dispatcher.withdraw(now, Ticket(ticket));
+        woken += polls(&leader.take_wakes());
+    }
+    // The first of the requests that are withdrawn has an item more recalled.
+    assert!(woken <= 2, "{woken} polls were woken");
+    let reply = leader.updates(&follow(0, FleetListVersion::default()), Vec::new());
+    assert!(reply.is_some_and(|reply| !reply.recalls.is_empty()));
+}
+
+#[test]
+fn a_recall_wakes_its_holder_and_a_changed_list_wakes_all() {
+    let mut leader = leader_with_items();
+    request_reserved_slots(&mut leader);
+    let keeper = [KEEPER.to_owned()].into();
+    assert_eq!(leader.take_wakes(), Wakes::Holders(keeper));
+    leader.set_targets(Time::ZERO, targets()[1..].to_vec());
+    assert_eq!(leader.take_wakes(), Wakes::All);
+    assert_eq!(leader.take_wakes(), Wakes::Holders([].into()));
+}
+
+#[tokio::test]
+async fn only_the_polls_that_have_an_update_wake_up() {
+    let held = Polls::default();
+    let first = held.register("front-1");
+    let second = held.register("front-2");
+    held.wake(Wakes::Holders(["front-1".to_owned()].into()));
+    first.woken().await;
+    let quiet = tokio::time::timeout(Duration::from_millis(20), second.woken()).await;
+    assert!(quiet.is_err(), "it has no update");
+    held.wake(Wakes::All);
+    first.woken().await;
+    second.woken().await;
+}
+
+/// The reply to the older poll is lost; the holder has sent another one.
+#[tokio::test]
+async fn an_older_poll_that_ends_leaves_the_newer_one_registered() {
+    let held = Polls::default();
+    let older = held.register("front-1");
+    let newer = held.register("front-1");
+    drop(older);
+    held.wake(Wakes::Holders(["front-1".to_owned()].into()));
+    newer.woken().await;
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -23,7 +23,7 @@
 mod target;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -185,6 +185,8 @@
     last_heard: HashMap<String, Time>,
     decided: Vec<(Ticket, Verdict)>,
     recalls: HashMap<String, Vec<Ticket>>,
+    /// Holders that have got recalls since they were last asked for.
+    recall_news: BTreeSet<String>,
     crash_parts: CrashParts,
     limited: LimitedTargets,
     streams: Streams,
@@ -507,11 +509,9 @@
         self.recalls.remove(holder).unwrap_or_default()
     }
 
-    /// Whether there are grants that the holder should release.
-    pub fn has_recalls(&self, holder: &str) -> bool {
-        self.recalls
-            .get(holder)
-            .is_some_and(|list| !list.is_empty())
+    /// Removes and returns the holders of the grants recalled since the last call.
+    pub fn take_recall_news(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.recall_news)
     }
 
     /// Counters of a service's pool, for logs and metrics; `None` for an unknown service.
@@ -567,8 +567,10 @@
             }
             let short = pool.online_short(now);
             let is_useful = |target: &str| pool.is_wanted(now, target);
-            let recalls = &mut self.recalls;
-            recall(service, short, is_useful, &mut self.grants, recalls);
+            for (holder, ticket) in recall(service, short, is_useful, &mut self.grants) {
+                self.recall_news.insert(holder.clone());
+                self.recalls.entry(holder).or_default().push(ticket);
+            }
         }
         for (want, verdict) in refused {
             self.refuse(now, &want, verdict);
@@ -577,16 +579,16 @@
 }
 
 /// Preempts the most recent batch grants of a service at useful targets until `short` slots are being
-/// released.
+/// released; returns the grants recalled now, with their holders.
 fn recall(
     service: &str,
     short: usize,
     is_useful: impl Fn(&str) -> bool,
     grants: &mut BTreeMap<Ticket, Grant>,
-    recalls: &mut HashMap<String, Vec<Ticket>>,
-) {
+) -> Vec<(String, Ticket)> {
+    let mut recalled = Vec::new();
     if short == 0 {
-        return;
+        return recalled;
     }
     let of_batch = |grant: &Grant| grant.batch && grant.service == service;
     let pending = grants
@@ -608,9 +610,7 @@
             continue;
         };
         grant.recalled = true;
-        recalls
-            .entry(grant.holder.clone())
-            .or_default()
-            .push(ticket);
+        recalled.push((grant.holder.clone(), ticket));
     }
+    recalled
 }
