Unknown streams go on only at a version that is known to have served alone

Two gaps found by reading, with the same effect: a version that came and went while a front heard nothing from the hub (frozen, cut off, no leader) left the former one settled; and rules that shorten a route's timeout shortened the span for streams that had begun before. A silence of 2 s now counts as a change, and the span is 10 s at least.

Test: what_came_and_went_while_the_hub_was_silent_does_not_count_as_settled, red without the reset (version v1 counted as settled 100 ms after a silence of 7 s).

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -119,7 +119,7 @@
 fn apply_reply(node: &Node, sent: Time, reply: FollowReply) {
     let now = node.now();
     let mut changed = false;
-    node.view().heard = Some(now);
+    node.view().note_heard(now);
     node.note_recalls(reply.recalls);
     node.note_announced(reply.newest);
     if let Some(document) = reply.rules {
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
-use clem_policy::dispatch::BlockedParts;
+use clem_policy::dispatch::{BlockedParts, SettledVersions};
 use clem_types::{Rate, SoftwareVersion, Time, Version};
 use clem_wire::fleet::{FleetList, FleetListVersion};
 
@@ -34,8 +34,8 @@
     pub listed: Option<Time>,
     /// When the hub's leader last responded; `None` if never.
     pub heard: Option<Time>,
-    /// The services whose targets all have one version of their software, and since when.
-    settled: BTreeMap<String, (Option<SoftwareVersion>, Time)>,
+    /// The versions of the targets' software.
+    settled: SettledVersions,
 }
 
 impl View {
@@ -78,26 +78,15 @@
         self.listed = Some(now);
     }
 
-    /// Notes since when each service has had one version. A service without targets has not changed.
     fn note_versions(&mut self, now: Time, targets: &[TargetVm]) {
-        let mut found: BTreeMap<&str, Vec<&Option<SoftwareVersion>>> = BTreeMap::new();
-        for target in targets {
-            let versions = found.entry(&target.service).or_default();
-            if !versions.contains(&&target.version) {
-                versions.push(&target.version);
-            }
-        }
-        for (service, versions) in found {
-            let [version] = versions[..] else {
-                self.settled.remove(service);
-                continue;
-            };
-            let known = self.settled.get(service);
-            if known.is_none_or(|(known, _)| known != version) {
-                let settled = (version.clone(), now);
-                self.settled.insert(service.to_owned(), settled);
-            }
-        }
+        let versions = targets.iter().map(|t| (t.service.as_str(), &t.version));
+        self.settled.note(now, versions);
+    }
+
+    /// Notes a message from the hub's leader.
+    pub(crate) fn note_heard(&mut self, now: Time) {
+        self.settled.note_heard(now);
+        self.heard = Some(now);
     }
 
     /// The version that all targets of a service have had for `span` or longer.
@@ -107,8 +96,7 @@
         service: &str,
         span: Duration,
     ) -> Option<Option<SoftwareVersion>> {
-        let (version, since) = self.settled.get(service)?;
-        (now.since(*since) >= span).then(|| version.clone())
+        self.settled.version(now, service, span)
     }
 
     /// Whether the platform names the version of any target of a service.
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -24,6 +24,9 @@
 const BUSY_RETRY_MIN: Duration = Duration::from_millis(300);
 /// A stream that a caller takes up began within as many timeouts of its route.
 const SETTLED_TIMEOUTS: u32 = 2;
+/// The least time for which a service must have had one version before a stream of unknown origin goes
+/// on there: the route's timeout may have been longer when the stream began.
+const SETTLED_MIN: Duration = Duration::from_secs(10);
 /// How many targets are tried for a request that was not sent or was refused.
 const UNSENT_MAX: u32 = 4;
 
@@ -237,7 +240,7 @@
         let [service] = services.as_slice() else {
             return None;
         };
-        let span = self.request.route.timeout * SETTLED_TIMEOUTS;
+        let span = (self.request.route.timeout * SETTLED_TIMEOUTS).max(SETTLED_MIN);
         let version = self.front.node.settled_version(service, span)?;
         Some(Origin {
             service: service.clone(),
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod rate;
 mod retry_after;
+mod settled;
 mod streams;
 mod target;
 
@@ -37,6 +38,7 @@
 pub use pool::{Pool, PoolView};
 pub use rate::{RateBucket, RateLimit, RateShare};
 pub use retry_after::{RouteTimeouts, retry_after};
+pub use settled::SettledVersions;
 pub use streams::{Origin, OriginReport, Resumes, StreamKey, StreamRequest, Streams};
 pub use target::{GrantOutcome, TargetSlots};
 
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use clem_policy::dispatch::{
-    Dispatcher, GrantOutcome, Origin, OriginReport, Resumes, SlotRequest, StreamKey, StreamRequest,
-    TargetSlots, Ticket, Urgency, Verdict,
+    Dispatcher, GrantOutcome, Origin, OriginReport, Resumes, SettledVersions, SlotRequest,
+    StreamKey, StreamRequest, TargetSlots, Ticket, Urgency, Verdict,
 };
-use clem_types::Time;
+use clem_types::{SoftwareVersion, Time};
 
 const SERVICE: &str = "engines";
 
@@ -191,3 +191,53 @@
         assert_eq!(target(verdict(&mut dispatcher, at(610), second)), expected);
     }
 }
+
+/// How long one version must have served before a stream of unknown origin goes on there.
+const SETTLED: Duration = Duration::from_secs(10);
+
+fn version(text: &str) -> Option<SoftwareVersion> {
+    Some(text.parse().expect("a version"))
+}
+
+/// Hears from the hub every 400 ms until `until`.
+fn follow(settled: &mut SettledVersions, from: u64, until: u64) {
+    for ms in (from..=until).step_by(400) {
+        settled.note_heard(at(ms));
+    }
+}
+
+#[test]
+fn a_version_settles_once_it_has_served_alone_for_long_enough() {
+    let mut settled = SettledVersions::default();
+    let (v1, v2) = (version("v1"), version("v2"));
+    follow(&mut settled, 0, 20_000);
+    settled.note(at(400), [(SERVICE, &v1), (SERVICE, &v1)]);
+    assert_eq!(settled.version(at(9000), SERVICE, SETTLED), None);
+    assert_eq!(
+        settled.version(at(10_400), SERVICE, SETTLED),
+        Some(v1.clone())
+    );
+    settled.note(at(11_000), [(SERVICE, &v1), (SERVICE, &v2)]);
+    assert_eq!(settled.version(at(30_000), SERVICE, SETTLED), None);
+    settled.note(at(12_000), [(SERVICE, &v2)]);
+    assert_eq!(settled.version(at(21_000), SERVICE, SETTLED), None);
+    assert_eq!(settled.version(at(22_000), SERVICE, SETTLED), Some(v2));
+}
+
+/// A release that was begun and taken back while the process was frozen, or while the hub had no leader.
+#[test]
+fn what_came_and_went_while_the_hub_was_silent_does_not_count_as_settled() {
+    let mut settled = SettledVersions::default();
+    let v1 = version("v1");
+    settled.note(at(0), [(SERVICE, &v1)]);
+    follow(&mut settled, 0, 12_000);
+    assert_eq!(
+        settled.version(at(12_000), SERVICE, SETTLED),
+        Some(v1.clone())
+    );
+    settled.note_heard(at(19_000));
+    settled.note(at(19_000), [(SERVICE, &v1)]);
+    assert_eq!(settled.version(at(19_100), SERVICE, SETTLED), None);
+    follow(&mut settled, 19_400, 29_400);
+    assert_eq!(settled.version(at(29_400), SERVICE, SETTLED), Some(v1));
+}
