Targets travel to processes as changes

Change: a process reports the digest of its target list and gets what has changed since, or the whole list, packed once for all. The digest names the content, so a new leader with the same list sends nothing, and a process that read the list by itself is told what it lacks. Processes that come and go are published every 100 ms. Processes of earlier releases still get whole lists. Comparing an old list with a new one took time quadratic in the targets.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_types::Time;
-use clem_wire::fleet::{FOLLOW_MAX_HOLD, Follow, FollowReply, RulesDocument};
+use clem_wire::{
+    fleet::{FOLLOW_MAX_HOLD, Follow, FollowReply, RulesDocument},
+    targets::TargetUpdate,
+};
 
 use tokio::sync::watch;
 
@@ -104,6 +107,7 @@
         rules: view.version(),
         announced: Some(node.newest_announced()),
         seen: view.seen,
+        targets: Some(view.digest),
         leaving: node.leaving(),
         blocked: view.blocked.clone(),
         crashes,
@@ -115,6 +119,14 @@
     }
 }
 
+/// How targets were sent, for the log.
+fn kind_of(update: &TargetUpdate) -> &'static str {
+    match update {
+        TargetUpdate::Whole(_) => "whole",
+        TargetUpdate::Changes(_) => "changes",
+    }
+}
+
 /// Applies the reply to a poll that was sent at `sent`.
 fn apply_reply(node: &Node, sent: Time, reply: FollowReply) {
     let now = node.now();
@@ -129,12 +141,8 @@
     if let Some(list) = reply.fleet {
         node.hub.set_addresses(&list.hub);
         node.jobs.set_addresses(&list.batch);
-        log::info!(
-            epoch = list.seen.epoch.0, change = list.seen.change,
-            targets = list.targets.as_ref().map_or(node.view().targets.len(), Vec::len),
-            batch = list.batch.len();
-            "fleet changed"
-        );
+        let (epoch, change, batch) = (list.seen.epoch.0, list.seen.change, list.batch.len());
+        let update = list.update.as_ref().map(kind_of);
         node.crashes()
             .note_reports(now, list.seen.epoch, &list.crashes);
         let mut view = node.view();
@@ -142,6 +150,10 @@
         view.set_list(now, list);
         node.limits()
             .retain(now, |id| view.targets.contains_key(id));
+        log::info!(
+            epoch, change, targets = view.targets.len(), update, batch;
+            "fleet changed"
+        );
         changed = true;
     }
     if changed {
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -5,7 +5,10 @@
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{BlockedParts, SettledVersions};
 use clem_types::{Rate, SoftwareVersion, Time, Version};
-use clem_wire::fleet::{FleetList, FleetListVersion};
+use clem_wire::{
+    fleet::{FleetList, FleetListVersion},
+    targets::{TargetUpdate, TargetsDigest},
+};
 
 /// State last received from the hub; the rules version never decreases.
 #[derive(Debug, Default)]
@@ -14,6 +17,8 @@
     pub rules: Option<Arc<Ruleset>>,
     /// The targets by id.
     pub targets: BTreeMap<String, TargetVm>,
+    /// The content of `targets`, sent to the hub to ask for what has changed.
+    pub(crate) digest: TargetsDigest,
     /// Version of the target and process list, sent back to the hub to ask for newer ones.
     pub seen: FleetListVersion,
     /// The founding members of the batch group; empty until it is founded.
@@ -56,8 +61,10 @@
     }
 
     pub(crate) fn set_list(&mut self, now: Time, list: FleetList) {
-        if let Some(targets) = list.targets {
-            self.set_targets(now, targets);
+        match (list.update, list.targets) {
+            (Some(update), _) => self.update_targets(now, update),
+            (None, Some(targets)) => self.set_targets(now, targets),
+            (None, None) => {}
         }
         self.seen = list.seen;
         self.founders = list.founders;
@@ -70,17 +77,40 @@
     }
 
     pub(crate) fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) {
-        self.note_versions(now, &targets);
         let pairs = targets
             .into_iter()
             .map(|target| (target.id.clone(), target));
         self.targets = pairs.collect();
+        self.digest = TargetsDigest::of(self.targets.values());
         self.listed = Some(now);
+        self.note_versions(now);
     }
 
-    fn note_versions(&mut self, now: Time, targets: &[TargetVm]) {
-        let versions = targets.iter().map(|t| (t.service.as_str(), &t.version));
-        self.settled.note(now, versions);
+    fn update_targets(&mut self, now: Time, update: TargetUpdate) {
+        let changes = match update {
+            TargetUpdate::Whole(list) => {
+                match list.targets() {
+                    Ok(targets) => self.set_targets(now, targets),
+                    Err(error) => log::error!(error; "target list damaged"),
+                }
+                // Otherwise the same list would come again at once.
+                self.digest = list.digest;
+                return;
+            }
+            TargetUpdate::Changes(changes) => changes,
+        };
+        if !changes.apply(&mut self.targets, &mut self.digest) {
+            log::error!(targets = self.targets.len(); "target list differs from the leader's");
+            self.digest = TargetsDigest::default();
+        }
+        self.listed = Some(now);
+        self.note_versions(now);
+    }
+
+    fn note_versions(&mut self, now: Time) {
+        let targets = self.targets.values();
+        self.settled
+            .note(now, targets.map(|t| (t.service.as_str(), &t.version)));
     }
 
     /// Notes a message from the hub's leader.
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -4,7 +4,7 @@
 //! processes. Nothing here does I/O or reads a clock.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
 };
@@ -21,7 +21,7 @@
     RulesDocument,
 };
 
-use crate::{RulesSpread, SpreadReport};
+use crate::{RulesSpread, SpreadReport, TargetList};
 
 /// How long a process counts as alive after its last report.
 const PROCESS_TIMEOUT: Duration = Duration::from_millis(4000);
@@ -29,6 +29,10 @@
 /// founders: they should span as many data centres as possible.
 const FOUNDING_DELAY: Duration = Duration::from_millis(600);
 
+/// Minimum time between two lists that differ in their processes only: when a fleet starts, each
+/// process that joins would otherwise have the list sent to all others.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Initial state of a new leader.
 #[derive(Debug)]
 pub struct LeaderInit {
@@ -64,12 +68,10 @@
     change: u64,
     /// The change and the rules for which all polls were last woken.
     woken: (u64, Version),
-    /// Version of the target list.
-    targets_version: u64,
     /// The platform's target list as it was read.
     listed: Option<Vec<TargetVm>>,
     /// The list as the processes get it: targets that said that they are leaving are draining.
-    targets: Option<Vec<TargetVm>>,
+    targets: TargetList,
     leaving: LeavingTargets,
     services: BTreeSet<String>,
     processes: BTreeMap<String, Process>,
@@ -82,6 +84,10 @@
     crashes: Vec<CrashReport>,
     /// Whether limits of targets have changed since the last tick, which publishes them.
     limits_changed: bool,
+    /// Whether processes have come or gone since they were last published.
+    processes_changed: bool,
+    /// When processes were last published.
+    published: Time,
 }
 
 /// A process that reports to the leader.
@@ -108,9 +114,8 @@
             batch_group: start.batch_group,
             change: 1,
             woken: (1, Version(0)),
-            targets_version: 0,
             listed: None,
-            targets: None,
+            targets: TargetList::default(),
             leaving: LeavingTargets::default(),
             services: BTreeSet::new(),
             processes: BTreeMap::new(),
@@ -120,6 +125,8 @@
             spread: RulesSpread::default(),
             crashes: Vec::new(),
             limits_changed: false,
+            processes_changed: false,
+            published: Time::ZERO,
         }
     }
 
@@ -162,19 +169,19 @@
         if self.listed.as_ref() == Some(&targets) {
             return false;
         }
-        self.leaving
-            .retain(now, |id| targets.iter().any(|target| target.id == id));
-        self.dispatcher
-            .retain_limits(now, |id| targets.iter().any(|target| target.id == id));
-        let before = self.listed.replace(targets).unwrap_or_default();
+        let ids: HashSet<&str> = targets.iter().map(|target| target.id.as_str()).collect();
+        self.leaving.retain(now, |id| ids.contains(id));
+        self.dispatcher.retain_limits(now, |id| ids.contains(id));
+        let before = self.listed.take().unwrap_or_default();
         for target in &before {
-            let listed = self.listed.iter().flatten().any(|t| t.id == target.id);
+            let listed = ids.contains(target.id.as_str());
             let planned = target.state != TargetState::Ready || self.leaving.contains(&target.id);
             if listed || planned {
                 continue;
             }
             self.dispatcher.note_gone(now, &target.id);
         }
+        self.listed = Some(targets);
         self.apply_targets(now);
         true
     }
@@ -254,9 +261,9 @@
             self.dispatcher.set_targets(now, service, slots);
         }
         self.services = by_service.keys().map(|name| (*name).to_owned()).collect();
-        self.targets = Some(targets);
-        self.targets_version += 1;
-        self.change += 1;
+        if self.targets.replace(targets) {
+            self.change += 1;
+        }
     }
 
     /// Records a report of a process.
@@ -276,7 +283,7 @@
             .insert(follow.holder.clone(), process)
             .is_none()
         {
-            self.change += 1;
+            self.processes_changed = true;
         }
         if follow.role == ProcessRole::Batch && self.first_keeper.is_none() {
             self.first_keeper = Some(now);
@@ -344,7 +351,10 @@
         let before = self.processes.len();
         self.processes
             .retain(|_, process| now.since(process.heard) < PROCESS_TIMEOUT);
-        if self.processes.len() != before {
+        self.processes_changed |= self.processes.len() != before;
+        if self.processes_changed && now.since(self.published) >= PUBLISH_INTERVAL {
+            self.processes_changed = false;
+            self.published = now;
             self.change += 1;
         }
     }
@@ -400,15 +410,18 @@
         let seen = FleetListVersion {
             epoch: self.epoch,
             change: self.change,
-            targets: self.targets_version,
+            targets: self.targets.version(),
         };
         let newest = self.rules.version;
         let known = follow.announced.unwrap_or_default().max(follow.rules);
         let rules = (newest > known).then(|| self.poll_rules(follow)).flatten();
         let knows_targets = (follow.seen.epoch, follow.seen.targets) == (seen.epoch, seen.targets);
-        let fleet = (follow.seen != seen).then(|| FleetList {
+        let update = follow.targets.and_then(|known| self.targets.update(known));
+        let in_full = follow.targets.is_none() && !knows_targets;
+        let fleet = (follow.seen != seen || update.is_some()).then(|| FleetList {
             seen,
-            targets: self.targets.clone().filter(|_| !knows_targets),
+            targets: in_full.then(|| self.targets.whole()).flatten(),
+            update,
             hub,
             founders: self.batch_group.founders.clone(),
             batch: self.batch().filter_map(|p| p.address).collect(),
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -9,6 +9,7 @@
 mod program;
 mod serve;
 mod spread;
+mod targets;
 mod tasks;
 
 pub use hub::Hub;
@@ -16,3 +17,4 @@
 pub use polls::{HeldPoll, Polls};
 pub use program::{HubSettings, consensus_settings, run};
 pub use spread::{RulesSpread, SpreadReport};
+pub use targets::TargetList;
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -44,6 +44,7 @@
         rules: Version(0),
         announced: Some(Version(0)),
         seen,
+        targets: None,
         leaving: Vec::new(),
         blocked: Vec::new(),
         crashes: Vec::new(),
@@ -247,3 +248,23 @@
     held.wake(Wakes::Holders(["front-1".to_owned()].into()));
     newer.woken().await;
 }
+
+/// Counts the lists that differ in their processes only.
+#[test]
+fn processes_that_join_together_are_published_together() {
+    let mut leader = leader();
+    leader.take_wakes();
+    let mut published = 0;
+    for place in 0..300_u64 {
+        let now = Time::from_millis(place);
+        let joined = usize::try_from(place).expect("a small number");
+        leader.record_report(now, &follow(joined, FleetListVersion::default()));
+        leader.tick(now);
+        published += usize::from(leader.take_wakes() == Wakes::All);
+    }
+    leader.tick(Time::from_millis(400));
+    published += usize::from(leader.take_wakes() == Wakes::All);
+    assert!(published <= 5, "{published} lists");
+    let list = list(&mut leader, &follow(0, FleetListVersion::default()));
+    assert_eq!(list.map(|list| list.fronts), Some(300));
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -11,7 +11,10 @@
 use clem_types::{Epoch, Version};
 use serde::{Deserialize, Serialize};
 
-use crate::{Call, pack};
+use crate::{
+    Call, pack,
+    targets::{TargetUpdate, TargetsDigest},
+};
 
 /// Maximum time that the leader holds a [`Follow`].
 pub const FOLLOW_MAX_HOLD: Duration = Duration::from_millis(400);
@@ -59,6 +62,9 @@
     pub announced: Option<Version>,
     /// The version of its list of targets and processes.
     pub seen: FleetListVersion,
+    /// The content of its target list; `None` from an earlier release, which gets each list whole.
+    #[serde(default)]
+    pub targets: Option<TargetsDigest>,
     /// The ids of the targets that said to it that they are leaving.
     #[serde(default)]
     pub leaving: Vec<String>,
@@ -149,9 +155,12 @@
 pub struct FleetList {
     /// The version of this list.
     pub seen: FleetListVersion,
-    /// The platform's targets; `None` if the leader hasn't read them yet, or if the recipient
-    /// already has them.
+    /// The platform's targets, for a recipient of an earlier release; `None` if the leader hasn't
+    /// read them yet, or if the recipient already has them.
     pub targets: Option<Vec<TargetVm>>,
+    /// What the recipient lacks of the platform's targets.
+    #[serde(default)]
+    pub update: Option<TargetUpdate>,
     /// The members of the hub's replicated group.
     pub hub: Vec<SocketAddr>,
     /// The initial members of the group that stores batches; empty until it is founded.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod online;
 pub mod pack;
 pub mod sync;
+pub mod targets;
 
 mod call;
 mod client;
