A silent connection to a target drops the other idle ones

Cause: connections over one path can go silent together.

Change: a slot that ends as silent closes the idle connections to its target.

Test: connections_to_a_target_that_went_silent_together_cost_one_request, red before (3 requests lost), 1 allowed.

--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Closes the idle connections to a target. All connections over a path can go silent at once, without
+    /// an error on any of them, while new ones work.
+    pub(crate) fn drop_idle(&self, address: SocketAddr) -> usize {
+        self.lock().remove(&address).map_or(0, |list| list.len())
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -72,6 +72,10 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if self.ended == GrantOutcome::Silent {
+            let dropped = self.node.pool.drop_idle(self.target.address);
+            log::info!(target = self.target.id.as_str(), dropped; "idle connections dropped");
+        }
         self.node.release_slot(self.ticket, self.ended);
     }
 }
