Items leave targets that stall and wait for slow ones; failed replies count as run

- An item's target that sent a byte now and then was never left: each byte counted as progress.
A complete event must come every 10 s now.
- Items whose targets all take longer than 2.5 s for an event never ended: each run was cut and read the prompt again.
The bound doubles twice for an item whose runs stalled.
- A call that was executed and whose reply could not be encoded was answered 500, which counted as not run.
- A second copy of an answer on a connection in use again, and malformed messages at every port: no fault found.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -11,7 +11,10 @@
 use clem_types::PartId;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
-use tokio::sync::{oneshot, watch};
+use tokio::{
+    sync::{oneshot, watch},
+    time::Instant,
+};
 
 use crate::{keeper::Keeper, queue::ReadyItem};
 
@@ -32,6 +35,10 @@
 const TEXT_BYTES_MAX: usize = 4 * 1024 * 1024;
 /// Longest pause in a stream before it counts as stalled; engines emit many events per second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How often [`STALL_TIMEOUT`] is doubled for an item whose runs stalled: all targets may be that slow.
+const STALL_DOUBLINGS: u32 = 2;
+/// Longest time without a complete event, however many bytes arrive.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Consecutive runs that may break before their first event until the next ones are delayed.
 const CRASHES_QUICK: u32 = 2;
 /// Longest delay before the next run; the first delay is [`FAILED_DELAY`], and each later one twice
@@ -58,6 +65,8 @@
     failed: u32,
     /// Number of consecutive runs that broke before the first event.
     crashes: u32,
+    /// Number of runs that stalled.
+    stalls: u32,
     avoid: Vec<String>,
     /// What the item has in common with other requests.
     parts: Vec<PartId>,
@@ -93,6 +102,7 @@
             confirmed: Vec::new(),
             failed: 0,
             crashes: 0,
+            stalls: 0,
             avoid: Vec::new(),
             parts: Vec::new(),
             target: String::new(),
@@ -193,8 +203,8 @@
             timeout: None,
             last_event: self.last_event,
         };
-        let sent =
-            tokio::time::timeout(STALL_TIMEOUT, node.send(&mut slot, &outgoing, &forward)).await;
+        let sending = node.send(&mut slot, &outgoing, &forward);
+        let sent = tokio::time::timeout(self.stall_timeout(), sending).await;
         match sent {
             Ok(Outcome::Answered(reply)) => self.read_response(slot, *reply, recall).await,
             Ok(Outcome::NotSent(reason)) => self.retry(&target, "not sent", &reason),
@@ -206,11 +216,16 @@
             }
             Err(_) => {
                 slot.set_ended(GrantOutcome::Silent);
+                self.stalls += 1;
                 self.retry(&target, "silent", "")
             }
         }
     }
 
+    fn stall_timeout(&self) -> Duration {
+        STALL_TIMEOUT * 2_u32.pow(self.stalls.min(STALL_DOUBLINGS))
+    }
+
     async fn place(&self) -> SlotOutcome {
         let left = self
             .ready
@@ -295,11 +310,17 @@
             version: slot.target.version.clone(),
         };
         let mut frames = 0;
+        let mut progress = Instant::now();
         let node = Arc::clone(&self.keeper.node);
         tokio::pin!(recall);
         loop {
+            let left = EVENT_TIMEOUT.saturating_sub(progress.elapsed());
+            if left.is_zero() {
+                slot.set_ended(GrantOutcome::Silent);
+                return self.retry(&target, "stalled", "no complete event in time");
+            }
             let frame = tokio::select! {
-                frame = tokio::time::timeout(STALL_TIMEOUT, body.frame()) => frame,
+                frame = tokio::time::timeout(self.stall_timeout().min(left), body.frame()) => frame,
                 Ok(()) = &mut recall => {
                     node.end_unread(slot, frames);
                     log::info!(
@@ -317,6 +338,7 @@
                     frames += 1;
                     events.push(&data);
                     while let Some(event) = events.next_event() {
+                        progress = Instant::now();
                         if event.data.is_some() {
                             self.began.get_or_insert_with(|| origin.clone());
                         }
@@ -350,6 +372,7 @@
                 }
                 Err(_) => {
                     slot.set_ended(GrantOutcome::Silent);
+                    self.stalls += 1;
                     return self.retry(&target, "silent", "");
                 }
             }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -135,6 +135,11 @@
         targets.any(|target| target.service == service && target.version.is_some())
     }
 
+    /// Whether the group that stores batches has been founded, and processes of it are known.
+    pub fn has_batch_group(&self) -> bool {
+        !self.founders.is_empty() && !self.batch.is_empty()
+    }
+
     /// The targets of a service that accept new work.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetVm> + 'a {
         let targets = self.targets.values();
--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use clem_direct::Node;
 use clem_edge::{Cause, Customer, Refusal, RequestKind, Route, Ruleset};
 use clem_wire::jobs::{EndJob, JobName, JobOptions, ReadItem, ReadResults, SubmitJob, SubmitReply};
 use http::Response;
@@ -14,6 +15,8 @@
 
 /// Timeout of a call to the leader.
 const TIMEOUT: Duration = Duration::from_millis(2500);
+/// How long a call waits for the group to be founded.
+const FOUNDING_WAIT: Duration = Duration::from_millis(1000);
 /// Retry time while the leader can't be reached.
 const RETRY: Duration = Duration::from_millis(300);
 /// Retry time for a batch that exceeds a limit.
@@ -54,6 +57,9 @@
             token_cap: bounds.map_or(0, |bounds| bounds.token_cap),
         },
     };
+    if !until_founded(node).await {
+        return Err(Refusal::after(Cause::NotReady, RETRY));
+    }
     let reply = node.jobs.call(&call, TIMEOUT).await;
     let outcome = match &reply {
         Ok(SubmitReply::Accepted) => "accepted",
@@ -80,6 +86,20 @@
     }
 }
 
+/// Waits until the group that keeps batches is known here, which takes a moment when the fleet starts;
+/// returns whether it is. Keepers don't serve calls before.
+async fn until_founded(node: &Node) -> bool {
+    let mut changes = node.changes();
+    let founded = async {
+        while !node.view().has_batch_group() {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(FOUNDING_WAIT, founded).await.is_ok()
+}
+
 /// Answers a call on a submitted batch.
 pub(crate) async fn answer(
     front: &Arc<Front>,
@@ -96,6 +116,9 @@
         Refusal::after(Cause::NotReady, RETRY)
     };
     let missing = Refusal::new(Cause::NotFound);
+    if !until_founded(node).await {
+        return Err(Refusal::after(Cause::NotReady, RETRY));
+    }
     match kind {
         RequestKind::Forward => Err(missing),
         RequestKind::Results { batch, after, wait } => {
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -117,7 +117,8 @@
     /// whose answers are streamed.
     ///
     /// # Errors
-    /// See [`CallError`]; any status other than 200 is [`CallError::Refused`].
+    /// See [`CallError`]; a status other than 200 is [`CallError::Refused`], but 500 comes from a server
+    /// that has executed the call.
     pub async fn open(
         &self,
         address: SocketAddr,
@@ -176,8 +177,13 @@
     if response.status() == StatusCode::OK {
         return Ok(response);
     }
+    let failed = response.status() == StatusCode::INTERNAL_SERVER_ERROR;
     let status = response.status().as_u16();
     let message = refusal_text(response).await;
+    if failed {
+        // The call was executed, but its reply could not be sent.
+        return Err(CallError::MayHaveArrived(message));
+    }
     Err(CallError::Refused { status, message })
 }
 
