--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -1,7 +1,9 @@
 //! Updates from the leader to its followers: a follower gets the targets if and only if it lacks
 //! the current list.
 
-use std::{net::SocketAddr, time::Duration};
+mod support;
+
+use std::time::Duration;
 
 use clem_edge::{TargetState, TargetVm};
 use clem_hub::{LeaderInit, LeaderState, Polls, Wakes};
@@ -9,6 +11,7 @@
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, Time, Version};
 use clem_wire::fleet::{FleetList, FleetListVersion, Follow, ProcessRole};
+use support::target;
 
 const FOLLOWERS: usize = 37;
 const TARGETS: usize = 58;
@@ -22,16 +25,6 @@
 }
 
 fn targets() -> Vec<TargetVm> {
-    let target = |place: usize| TargetVm {
-        id: format!("i-{place:010}"),
-        service: "engines".to_owned(),
-        address: SocketAddr::from(([10, 0, 0, 1], 8000)),
-        data_centre: "a".to_owned(),
-        slots: 8,
-        state: TargetState::Ready,
-        version: None,
-        started: 0,
-    };
     (0..TARGETS).map(target).collect()
 }
 
--- a/crates/hub/tests/targets.rs
+++ b/crates/hub/tests/targets.rs
@@ -1,28 +1,18 @@
 //! The target list on its way to processes: what it costs, and that all of them end up with the same list.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+mod support;
+
+use std::collections::BTreeMap;
 
 use clem_edge::{TargetState, TargetVm};
 use clem_hub::TargetList;
 use clem_wire::targets::{TargetUpdate, TargetsDigest};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use support::target;
 
 const FOLLOWERS: usize = 90;
 const TARGETS: usize = 300;
 
-fn target(number: usize) -> TargetVm {
-    TargetVm {
-        id: format!("i-{number:010}"),
-        service: "engines".to_owned(),
-        address: SocketAddr::from(([10, 0, 0, 1], 8000)),
-        data_centre: "a".to_owned(),
-        slots: 8,
-        state: TargetState::Ready,
-        version: None,
-        started: 0,
-    }
-}
-
 /// The list that a process holds.
 #[derive(Debug, Default)]
 struct Follower {
