--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -46,11 +46,15 @@
                     let away = now.since(since).as_millis();
                     log::info!(away_ms = away as u64; "hub reachable again");
                 }
-                apply_reply(node, sent, reply);
+                let readable = apply_reply(node, sent, reply);
                 let epoch = node.view().seen.epoch;
                 node.crashes().note_told(now, epoch, crashes);
                 node.streams()
                     .note_told(now, call.seen.epoch, epoch, &call.streams);
+                if !readable {
+                    // The leader sends the same at once.
+                    tokio::time::sleep(PAUSE).await;
+                }
             }
             Err(error) => {
                 if lost.is_none() {
@@ -127,10 +131,11 @@
     }
 }
 
-/// Applies the reply to a poll that was sent at `sent`.
-fn apply_reply(node: &Node, sent: Time, reply: FollowReply) {
+/// Applies the reply to a poll that was sent at `sent`; returns false if a part of it can't be read.
+fn apply_reply(node: &Node, sent: Time, reply: FollowReply) -> bool {
     let now = node.now();
     let mut changed = false;
+    let mut readable = true;
     node.view().note_heard(now);
     node.note_recalls(reply.recalls);
     node.note_announced(reply.newest);
@@ -147,7 +152,7 @@
             .note_reports(now, list.seen.epoch, &list.crashes);
         let mut view = node.view();
         node.limits().note_published(&view.limits, &list.limits);
-        view.set_list(now, list);
+        readable = view.set_list(now, list);
         node.limits()
             .retain(now, |id| view.targets.contains_key(id));
         log::info!(
@@ -159,4 +164,5 @@
     if changed {
         node.note_change();
     }
+    readable
 }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -60,12 +60,16 @@
         true
     }
 
-    pub(crate) fn set_list(&mut self, now: Time, list: FleetList) {
-        match (list.update, list.targets) {
+    /// Installs a list from the leader; returns false if its targets can't be read.
+    pub(crate) fn set_list(&mut self, now: Time, list: FleetList) -> bool {
+        let readable = match (list.update, list.targets) {
             (Some(update), _) => self.update_targets(now, update),
-            (None, Some(targets)) => self.set_targets(now, targets),
-            (None, None) => {}
-        }
+            (None, Some(targets)) => {
+                self.set_targets(now, targets);
+                true
+            }
+            (None, None) => true,
+        };
         self.seen = list.seen;
         self.founders = list.founders;
         self.batch = list.batch;
@@ -74,6 +78,7 @@
         self.blocked = list.blocked;
         let limits = list.limits.into_iter();
         self.limits = limits.map(|l| (l.target, l.rate)).collect();
+        readable
     }
 
     pub(crate) fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) {
@@ -86,16 +91,22 @@
         self.note_versions(now);
     }
 
-    fn update_targets(&mut self, now: Time, update: TargetUpdate) {
+    /// Returns false if the update can't be read.
+    fn update_targets(&mut self, now: Time, update: TargetUpdate) -> bool {
         let changes = match update {
             TargetUpdate::Whole(list) => {
-                match list.targets() {
-                    Ok(targets) => self.set_targets(now, targets),
-                    Err(error) => log::error!(error; "target list damaged"),
-                }
-                // Otherwise the same list would come again at once.
+                let targets = match list.targets() {
+                    Ok(targets) => targets,
+                    Err(error) => {
+                        log::error!(error; "target list damaged");
+                        self.digest = TargetsDigest::default();
+                        return false;
+                    }
+                };
+                self.set_targets(now, targets);
+                // A leader of another release may hash entries in another way.
                 self.digest = list.digest;
-                return;
+                return true;
             }
             TargetUpdate::Changes(changes) => changes,
         };
@@ -105,6 +116,7 @@
         }
         self.listed = Some(now);
         self.note_versions(now);
+        true
     }
 
     fn note_versions(&mut self, now: Time) {
--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -16,7 +16,7 @@
 /// Timeout of a call to the leader.
 const TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long a call waits for the group to be founded.
-const FOUNDING_WAIT: Duration = Duration::from_millis(1000);
+const FOUNDING_WAIT: Duration = TIMEOUT;
 /// Retry time while the leader can't be reached.
 const RETRY: Duration = Duration::from_millis(300);
 /// Retry time for a batch that exceeds a limit.
