--- a/review/stand/src/replica.rs
+++ b/review/stand/src/replica.rs
@@ -27,6 +27,8 @@
     pub at: Instant,
     /// Its id.
     pub id: String,
+    /// Its path.
+    pub path: String,
     /// Whether the server ran it.
     pub ran: bool,
 }
@@ -75,6 +77,11 @@
         self.arrivals.lock().expect("not poisoned").clone()
     }
 
+    /// The paths of the requests that it has run.
+    pub fn paths(&self) -> Vec<String> {
+        self.arrivals().into_iter().filter(|a| a.ran).map(|a| a.path).collect()
+    }
+
     fn answer(&self, call: &Call) -> Answer {
         let id = call.get("x-request-id").unwrap_or_default().to_owned();
         let expected = call.get("x-expect-instance").is_none_or(|expected| expected == self.id);
@@ -82,6 +89,7 @@
         self.arrivals.lock().expect("not poisoned").push(Arrival {
             at: Instant::now(),
             id: id.clone(),
+            path: call.path.clone(),
             ran: admitted,
         });
         let mut reply = if !expected {
