--- a/review/stand/src/fleet.rs
+++ b/review/stand/src/fleet.rs
@@ -54,7 +54,9 @@
         let pid = std::process::id();
         let net = 64 + (pid % 60) as u8;
         let port = free_ports(net);
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let folder = std::env::temp_dir().join(format!("review-{pid}-{}", since.as_millis()));
         let list: ListBody = Arc::new(Mutex::new(list));
         let cloud = TcpListener::bind((Ipv4Addr::new(127, net, 9, 1), 0)).expect("a free port");
@@ -163,10 +165,14 @@
     /// Sends a config to the hubs, one after the other, until one acknowledges it.
     pub fn put_config(&self, config: &str) -> bool {
         for place in [1, 2, 3] {
-            let call = Call::new("POST", "/Config.Put").header("content-type", "application/json").body(config);
+            let call = Call::new("POST", "/Config.Put")
+                .header("content-type", "application/json")
+                .body(config);
             if let Ok(answer) = call.send(self.control(place), Duration::from_millis(1000)) {
                 if answer.status == 200 {
-                    record(&format!("operator: config acknowledged by hub {place}: {config}"));
+                    record(&format!(
+                        "operator: config acknowledged by hub {place}: {config}"
+                    ));
                     return true;
                 }
             }
@@ -176,7 +182,10 @@
 
     /// Replaces what the platform's list answers.
     pub fn set_list(&self, body: Vec<u8>) {
-        record(&format!("platform: the list is now {}", String::from_utf8_lossy(&body).escape_debug()));
+        record(&format!(
+            "platform: the list is now {}",
+            String::from_utf8_lossy(&body).escape_debug()
+        ));
         *self.list.lock().expect("not poisoned") = body;
     }
 
@@ -184,7 +193,11 @@
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
         for process in &mut self.processes {
-            if process.child.try_wait().is_ok_and(|status| status.is_some()) {
+            if process
+                .child
+                .try_wait()
+                .is_ok_and(|status| status.is_some())
+            {
                 ended.push(process.name.clone());
             }
         }
@@ -194,7 +207,10 @@
     /// The lines of a process's log that contain a text.
     pub fn logged(&self, name: &str, text: &str) -> Vec<String> {
         let log = fs::read_to_string(self.folder.join(name).join("output")).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
+        log.lines()
+            .filter(|line| line.contains(text))
+            .map(str::to_owned)
+            .collect()
     }
 
     /// Ends all processes and removes their files.
@@ -222,7 +238,9 @@
     loop {
         let free = (port..port + PORTS).all(|port| {
             [1, 2].iter().all(|group| {
-                (1..=3).all(|place| TcpListener::bind((Ipv4Addr::new(127, net, *group, place), port)).is_ok())
+                (1..=3).all(|place| {
+                    TcpListener::bind((Ipv4Addr::new(127, net, *group, place), port)).is_ok()
+                })
             })
         });
         if free {
@@ -253,4 +271,3 @@
     body.extend_from_slice(br#"],"next_token":null}"#);
     body
 }
-
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -122,7 +122,9 @@
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(known, _)| known.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -131,7 +133,9 @@
 }
 
 /// Reads a first line and headers; `None` if the peer has closed the connection.
-fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<(String, Vec<(String, String)>)>> {
+fn read_head(
+    reader: &mut BufReader<TcpStream>,
+) -> io::Result<Option<(String, Vec<(String, String)>)>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
@@ -222,7 +226,10 @@
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(&reply.body);
         writer.write_all(&bytes)?;
-        if reply.get("connection").is_some_and(|value| value == "close") {
+        if reply
+            .get("connection")
+            .is_some_and(|value| value == "close")
+        {
             return Ok(());
         }
     }
--- a/review/stand/src/lib.rs
+++ b/review/stand/src/lib.rs
@@ -39,7 +39,9 @@
 
 /// Seconds since the record was opened.
 pub fn seconds() -> f64 {
-    RECORD.get().map_or(0.0, |(_, start)| start.elapsed().as_secs_f64())
+    RECORD
+        .get()
+        .map_or(0.0, |(_, start)| start.elapsed().as_secs_f64())
 }
 
 /// Writes a line to the record.
@@ -74,7 +76,8 @@
     until(fleet, "the config is acknowledged", 30, || {
         controls.iter().any(|control| {
             let call = Call::new("POST", "/Config.Put").body(config);
-            call.send(*control, Duration::from_secs(1)).is_ok_and(|answer| answer.status == 200)
+            call.send(*control, Duration::from_secs(1))
+                .is_ok_and(|answer| answer.status == 200)
         })
     });
     record(&format!("operator: config acknowledged: {config}"));
--- a/review/stand/src/replica.rs
+++ b/review/stand/src/replica.rs
@@ -54,7 +54,14 @@
 
 impl Replica {
     /// Starts a server on a free port of this address.
-    pub fn start(ip: &str, id: &str, service: &str, kind: Kind, work_ms: u64, slots: usize) -> Arc<Self> {
+    pub fn start(
+        ip: &str,
+        id: &str,
+        service: &str,
+        kind: Kind,
+        work_ms: u64,
+        slots: usize,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let replica = Arc::new(Self {
             id: id.to_owned(),
@@ -79,12 +86,18 @@
 
     /// The paths of the requests that it has run.
     pub fn paths(&self) -> Vec<String> {
-        self.arrivals().into_iter().filter(|a| a.ran).map(|a| a.path).collect()
+        self.arrivals()
+            .into_iter()
+            .filter(|a| a.ran)
+            .map(|a| a.path)
+            .collect()
     }
 
     fn answer(&self, call: &Call) -> Answer {
         let id = call.get("x-request-id").unwrap_or_default().to_owned();
-        let expected = call.get("x-expect-instance").is_none_or(|expected| expected == self.id);
+        let expected = call
+            .get("x-expect-instance")
+            .is_none_or(|expected| expected == self.id);
         let admitted = expected && self.running.fetch_add(1, Ordering::SeqCst) < self.slots;
         self.arrivals.lock().expect("not poisoned").push(Arrival {
             at: Instant::now(),
@@ -123,7 +136,11 @@
 
 /// A stream of four events, or what follows the last one that the sender has.
 fn events(call: &Call) -> String {
-    let after = call.get("last-event-id").and_then(|text| text.parse::<u64>().ok());
+    let after = call
+        .get("last-event-id")
+        .and_then(|text| text.parse::<u64>().ok());
     let first = after.map_or(0, |after| after + 1);
-    (first..4).map(|n| format!("id: {n}\ndata: token-{n}\n\n")).collect()
+    (first..4)
+        .map(|n| format!("id: {n}\ndata: token-{n}\n\n"))
+        .collect()
 }
