A line at the begin of each response without a length

What callers saw: partial streams that looked complete. Nothing in the logs told a front that was killed in the middle of such a response from one that had passed on its end: `request ended` is written at the end only, so the lines of a killed front say nothing of the requests that it had under way.

Done: `response without a length begun` with the request and its target, and a counter `clem_front_unframed`. No change of logic.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -65,6 +65,11 @@
     *response.headers_mut() = headers;
     let reset = match reply.framing {
         Framing::Close => {
+            metrics::counter!("clem_front_unframed").increment(1);
+            log::info!(
+                request = state.request.id.as_str(), target = slot.target.id.as_str();
+                "response without a length begun"
+            );
             end_with_connection(&mut response);
             Some(state.request.link.clone())
         }
