A front that ends resets the connections of partial responses

What callers saw: a partial stream that looked complete (ORDER, MIXED for plain answers), whenever a front was killed, ran into the end of its grace period or ended by itself while it relayed a response that has neither a length nor chunks.

Cause: the kernel closes the connections of a process that ends in the same way as a process that is done with them, and for such a response a plain end says that it is complete. The reset that tells callers otherwise was armed when the relay found the target's connection broken, which a process that is killed never does. Class: an end that is reported by an action of the process that has to report it; it must hold by default, and be taken back by success.

Evidence: `clem-platform endings`, red before: a_partial_answer_does_not_look_complete_when_its_front_is_killed and ..._at_the_end_of_the_grace_period, `left: Closed, right: Reset`.

Done: the socket is set to a reset before the first byte of such a response is written, and set back when all of it has been written after the target's end. What ends the connection in between is then seen as a reset, whoever closes the socket.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -55,20 +55,23 @@
     parts: mpsc::Receiver<Part>,
     /// Bytes still expected; `None` if the target sent no length.
     left: Option<u64>,
-    /// The connection to reset if the response is truncated; `None` if its framing shows that.
-    reset: Option<CallerLink>,
+    /// The connection whose plain end is the end of the response; `None` if its framing marks the end.
+    link: Option<CallerLink>,
 }
 
 impl RelayedBody {
     pub(crate) fn new(
         parts: mpsc::Receiver<Part>,
         length: Option<u64>,
-        reset: Option<CallerLink>,
+        link: Option<CallerLink>,
     ) -> Self {
+        if let Some(link) = &link {
+            link.reset_at_end();
+        }
         Self {
             parts,
             left: length,
-            reset,
+            link,
         }
     }
 }
@@ -91,13 +94,13 @@
                 }
                 Some(Ok(Frame::data(bytes)))
             }
-            Some(Part::End) => None,
-            None => {
-                if let Some(link) = &self.reset {
-                    link.reset_on_drop();
+            Some(Part::End) => {
+                if let Some(link) = &self.link {
+                    link.close_at_end();
                 }
-                Some(Err(Truncated))
+                None
             }
+            None => Some(Err(Truncated)),
         })
     }
 
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -15,17 +15,22 @@
     net::TcpStream,
 };
 
-/// Tells a caller's connection to end with a reset.
+/// Tells a caller's connection how to end.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CallerLink(Arc<AtomicBool>);
 
 impl CallerLink {
-    /// Makes the connection end with a reset when it is dropped, so that the caller can tell its end
-    /// from the end of a response without length and chunks.
-    pub(crate) fn reset_on_drop(&self) {
+    /// Makes the connection end with a reset from now on, also if this process is killed, so that the
+    /// caller can tell that end from the end of a response without length and chunks.
+    pub(crate) fn reset_at_end(&self) {
         self.0.store(true, Ordering::Relaxed);
     }
 
+    /// Makes the connection end without a reset once all of the response is written.
+    pub(crate) fn close_at_end(&self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+
     fn resets(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
@@ -35,21 +40,38 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     link: CallerLink,
+    /// Whether the kernel resets the connection when the socket is closed, by whatever closes it.
+    resets: bool,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, link: CallerLink) -> Self {
-        Self { stream, link }
+        Self {
+            stream,
+            link,
+            resets: false,
+        }
     }
-}
 
-impl Drop for CallerStream {
-    fn drop(&mut self) {
-        if self.link.resets()
-            && let Err(error) = self.stream.set_zero_linger()
-        {
-            log::warn!(error:% = error; "caller's connection not reset");
+    /// Arms the reset before the first byte of a response that needs it is written.
+    fn arm_reset(&mut self) -> io::Result<()> {
+        if self.resets || !self.link.resets() {
+            return Ok(());
         }
+        self.stream.set_zero_linger()?;
+        self.resets = true;
+        Ok(())
+    }
+
+    /// Disarms the reset once everything is written.
+    fn disarm_reset(&mut self) -> io::Result<()> {
+        if !self.resets || self.link.resets() {
+            return Ok(());
+        }
+        #[expect(deprecated, reason = "only lingering for a time blocks the thread")]
+        self.stream.set_linger(None)?;
+        self.resets = false;
+        Ok(())
     }
 }
 
@@ -69,6 +91,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.arm_reset()?;
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
@@ -77,6 +100,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.arm_reset()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
     }
 
@@ -89,6 +113,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.resets && self.link.resets() {
+            // A shutdown would end the connection plainly before the reset.
+            return Poll::Ready(Ok(()));
+        }
+        self.disarm_reset()?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -63,7 +63,7 @@
     let mut response = Response::new(());
     *response.status_mut() = reply.head.status;
     *response.headers_mut() = headers;
-    let reset = match reply.framing {
+    let link = match reply.framing {
         Framing::Close => {
             metrics::counter!("clem_front_unframed").increment(1);
             log::info!(
@@ -83,7 +83,7 @@
         frames: 0,
     };
     tokio::spawn(relay.run(slot, reply));
-    response.map(|()| RelayedBody::new(waiting, length, reset).boxed())
+    response.map(|()| RelayedBody::new(waiting, length, link).boxed())
 }
 
 /// Makes the end of the connection mark the end of the body. An HTTP/1.1 response without a length
