The end of a crashed target's connection isn't the end of its response

What callers saw: the first half of a stream, or of a plain answer, that looked complete (ORDER, MIXED) when a target crashed whose response had neither a length nor chunks. A resumable stream was not resumed.

Cause: the kernel closes the connections of a target that crashes like those of a complete response, and the front passed that end on. It asked whether the target still ran for the evidence of crashes only, after it had ended the response.

Evidence: `clem-platform endings`, red before: a_partial_answer_whose_target_crashed_does_not_look_complete (`left: Closed, right: Reset`), a_resumable_stream_whose_target_crashed_goes_on_elsewhere (three of six events).

Done: at such an end the front connects to the target first. A refused connection makes the response a truncated one: resumed if it can be, the caller's connection reset otherwise. A target that can't be reached is not known to have ended, and is believed as before. The cost is one connection for each response without a length; it goes to the pool.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clem_direct::{EventBuffer, Reply, Slot};
+use clem_direct::{EventBuffer, Liveness, Reply, Slot};
 use clem_edge::Framing;
 use clem_policy::dispatch::{GrantOutcome, Origin};
 use http::{HeaderValue, Response, StatusCode, Version, header};
@@ -112,6 +112,10 @@
             } else {
                 self.relay_bytes(body, framing).await
             };
+            // A target whose process ends closes its connections as well.
+            let may_be_whole = matches!(end, End::Closed)
+                && self.framing == Framing::Close
+                && node.probe(&slot.target, &self.state.request.id).await != Liveness::Ended;
             match end {
                 End::Whole => {
                     node.recycle(&mut slot, head.status, connection);
@@ -119,9 +123,9 @@
                     self.finish("answered", head.status).await;
                     return;
                 }
-                End::Closed if self.framing == Framing::Close => {
-                    let id = &self.state.request.id;
-                    node.end_early(slot, id, self.frames, GrantOutcome::Answered);
+                End::Closed if may_be_whole => {
+                    slot.set_ended(GrantOutcome::Answered);
+                    drop(slot);
                     self.finish("closed", head.status).await;
                     return;
                 }
