Truncated responses to callers without chunks end with a reset

Cause: the front marked the end of a response as the target had marked it, in chunks, but a caller of HTTP/1.0 gets no chunks, so that the end of its connection is all that it has.

Evidence: `clem-platform endings a_truncated_answer_to_a_caller_without_chunks_does_not_look_complete`, red before: `left: Closed, right: Reset`.

Done: for such a caller a response in chunks counts as one that ends with its connection, with all that follows for these.

Measured: that test green; of `clem-platform endings` all others as before.

--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use clem_direct::OutgoingRequest;
 use clem_edge::{Cause, Customer, Refusal, RequestKind, RouteKind, Ruleset, common_parts};
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, Version, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
@@ -112,6 +112,7 @@
         id,
         parts,
         link,
+        reads_chunks: head.version >= Version::HTTP_11,
         is_retry,
         route: Arc::new(route.clone()),
         customer: customer.cloned().map(Arc::new),
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -59,11 +59,15 @@
         .dialect
         .response_headers(&reply.head.headers);
     let length = headers.get(header::CONTENT_LENGTH);
-    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let length: Option<u64> = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let framing = match reply.framing {
+        Framing::Chunked if !state.request.reads_chunks => Framing::Close,
+        Framing::Length | Framing::Chunked | Framing::Close => reply.framing,
+    };
     let mut response = Response::new(());
     *response.status_mut() = reply.head.status;
     *response.headers_mut() = headers;
-    let link = match reply.framing {
+    let link = match framing {
         Framing::Close => {
             metrics::counter!("clem_front_unframed").increment(1);
             log::info!(
@@ -79,7 +83,7 @@
     let relay = Relay {
         state,
         parts,
-        framing: reply.framing,
+        framing,
         frames: 0,
     };
     tokio::spawn(relay.run(slot, reply));
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -28,6 +28,8 @@
     pub(crate) outgoing: OutgoingRequest,
     /// The connection that it came on.
     pub(crate) link: CallerLink,
+    /// Whether the caller understands a response in chunks, which HTTP/1.0 doesn't have.
+    pub(crate) reads_chunks: bool,
     /// What it has in common with other requests.
     pub(crate) parts: Vec<PartId>,
     /// Whether the caller has probably been refused before.
