A stream that ends with its connection inside an event is truncated

What callers saw: a plain end after half an event, on routes whose streams can't be resumed (ORDER).

Cause: only resumable streams were read as events, all others were passed on as bytes. Where nothing but the end of the connection marks the end, half an event is proof that the response is not complete, and it was thrown away.

Evidence: `clem-platform endings a_partial_answer_that_ended_with_its_connection_is_not_framed_as_complete` now demands a reset for a stream that ends inside an event, where it took a plain end before; it is stricter and was red: `left: Closed, right: Reset`. For a stream that ends between two events, and a plain answer, it demands what it did.

Done: responses of events with neither a length nor chunks are followed event by event, and passed on unchanged as before.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -114,7 +114,8 @@
                 };
                 self.relay_events(body, framing, origin).await
             } else {
-                self.relay_bytes(body, framing).await
+                let is_stream = self.state.request.is_stream() && head.status.is_success();
+                self.relay_bytes(body, framing, is_stream).await
             };
             // A target whose process ends closes its connections as well.
             let may_be_whole = matches!(end, End::Closed)
@@ -177,14 +178,24 @@
         let _ = self.parts.send(Part::End).await;
     }
 
-    /// Relays a response unchanged.
-    async fn relay_bytes(&mut self, mut body: Incoming, framing: Framing) -> End {
+    /// Relays a response unchanged. One that ends with its connection inside an event is truncated, if it
+    /// consists of events.
+    async fn relay_bytes(&mut self, mut body: Incoming, framing: Framing, is_stream: bool) -> End {
+        let mut events = (is_stream && framing == Framing::Close).then(EventBuffer::default);
         loop {
             let frame = match self.next_frame(&mut body).await {
                 Ok(Some(frame)) => frame,
+                Ok(None) if events.is_some_and(|events| !events.is_empty()) => return End::Broken,
                 Ok(None) => return end_of(framing),
                 Err(end) => return end,
             };
+            if let Some(buffer) = &mut events {
+                buffer.push(&frame);
+                while buffer.next_event().is_some() {}
+                if buffer.is_too_long() {
+                    events = None;
+                }
+            }
             if !self.send(frame).await {
                 return End::Gone;
             }
