A resumable stream that ends with its connection is confirmed by another target

Cause: such an end was passed on with the doubt that it has. Callers of resumable streams may go on by themselves, but nothing tells them that they should. A batch keeper asks a second target already.

Evidence: `clem-platform endings a_resumable_stream_that_a_running_target_closed_between_events_goes_on_elsewhere`, red before: three of six events.

Done: the front asks another target of the stream's version for what follows the last event, within the route's attempts. It adds events, or it ends at the same event, which confirms the end. Without a target to ask the end is passed on as before. A stream that must not run twice can't be confirmed.

The cost is one run without output for each such stream.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -102,6 +102,8 @@
     async fn run(mut self, mut slot: Slot, mut reply: Reply) {
         let resumes = self.state.request.is_resumable() && reply.head.status.is_success();
         let node = Arc::clone(&self.state.front.node);
+        // The last event at which a run ended that may have been the whole.
+        let mut closed_at = None;
         loop {
             let framing = reply.framing;
             let (head, body, connection) = reply.into_parts();
@@ -129,10 +131,14 @@
                     return;
                 }
                 End::Closed if may_be_whole => {
+                    self.state.avoid.push(slot.target.id.clone());
                     slot.set_ended(GrantOutcome::Answered);
                     drop(slot);
-                    self.finish("closed", head.status).await;
-                    return;
+                    let before = closed_at.replace(self.state.last_event);
+                    if !resumes || before == closed_at || !self.may_run_again() {
+                        self.finish("closed", head.status).await;
+                        return;
+                    }
                 }
                 End::Gone => {
                     node.end_unread(slot, self.frames);
@@ -149,7 +155,7 @@
                     node.end_early(slot, id, self.frames, GrantOutcome::Broken);
                 }
             }
-            if !resumes || self.state.runs >= self.state.request.route.attempts {
+            if !resumes || !self.may_run_again() {
                 break;
             }
             let began = self.state.placement.version.clone();
@@ -165,12 +171,21 @@
                     slot = next;
                     reply = answer;
                 }
+                Ok(_) | Err(_) if may_be_whole => {
+                    self.finish("closed", head.status).await;
+                    return;
+                }
                 Ok(_) | Err(_) => break,
             }
         }
         log_end(&self.state, "cut off", 0);
     }
 
+    /// Whether another target may run the request.
+    fn may_run_again(&self) -> bool {
+        self.state.runs < self.state.request.route.attempts
+    }
+
     /// Ends the response to the caller.
     async fn finish(self, outcome: &str, status: StatusCode) {
         log_end(&self.state, outcome, status.as_u16());
