Batch keeper: runs are joined only after events with ids

What callers saw: a text with an event twice (or one missing), if the engine's events have no ids and a run broke.

Cause: an event without an id got the number after the one before it, or 0 for the first. After a break the next run was asked to go on after that guess, which is wrong for engines that begin at 1 or that don't number every event.

an_item_whose_events_have_no_ids_is_not_joined_from_two_runs ... FAILED Err("b-2: event 4 is due, but there is Mark { name: \"b-2\", id: 3, run: 9, version: \"v1\" }")

Why this works: once an event without an id is in the text, a later run may still confirm that there is nothing to add, but if it sends an event the item begins anew. After: the same command, 1 passed in 2 of 2 runs. Engines of the platform number their events, so this is not what was reported.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -54,6 +54,8 @@
     text: String,
     /// Id of the last event received.
     last_event: Option<u64>,
+    /// Whether an event came without an id, after which no other run is known to go on.
+    unnumbered: bool,
     /// Where the events received so far began.
     began: Option<Origin>,
     /// Consecutive refusals of a slot while the item waited for the version that began it.
@@ -97,6 +99,7 @@
             spec,
             text: String::new(),
             last_event: None,
+            unnumbered: false,
             began: None,
             waits: 0,
             confirmed: Vec::new(),
@@ -305,6 +308,7 @@
         }
         let mut events = EventBuffer::default();
         let seen = self.last_event;
+        let joins = seen.is_none() || !self.unnumbered;
         let origin = Origin {
             service: slot.target.service.clone(),
             version: slot.target.version.clone(),
@@ -340,6 +344,10 @@
                     while let Some(event) = events.next_event() {
                         progress = Instant::now();
                         if event.data.is_some() {
+                            if !joins {
+                                self.reset();
+                                return self.retry(&target, "begun anew", "events without ids");
+                            }
                             self.began.get_or_insert_with(|| origin.clone());
                         }
                         if !self.take_event(event.id, event.data.as_deref()) {
@@ -421,6 +429,7 @@
         }
         self.text.push_str(data);
         self.confirmed.clear();
+        self.unnumbered |= id.is_none();
         self.last_event = Some(id.unwrap_or_else(|| self.last_event.map_or(0, |seen| seen + 1)));
         self.crashes = 0;
         true
@@ -430,6 +439,7 @@
     fn reset(&mut self) {
         self.text.clear();
         self.last_event = None;
+        self.unnumbered = false;
         self.began = None;
         self.waits = 0;
     }
