State: pages of results count escaped text

What callers saw: a page of results over 1 MB, if the lines of its texts are short: each line feed takes two bytes in the response, a control character six, but the size of a page counted the plain text.

What is read is the same, only where a page ends differs, so next_token stays right. Lines of 55 bytes (the platform's) never came near it: 900 kB of them are 916 kB in quotes, by calculation.

--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -250,7 +250,7 @@
 }
 
 /// The results from position `after` on: at least one if there is any, then as many as fit in
-/// `bytes` of text.
+/// `bytes` of text in quotes, with line feeds, quotes and control characters escaped.
 pub fn results(
     store: &dyn Store,
     number: JobNumber,
@@ -264,7 +264,7 @@
         let Some(item) = table::get::<ItemResult>(store, &listed_key(number, position))? else {
             break;
         };
-        size += item.text.len();
+        size += quoted_len(&item.text);
         if !results.is_empty() && size > bytes {
             break;
         }
@@ -273,6 +273,16 @@
     Ok(results)
 }
 
+/// The length of a text in quotes, in bytes.
+fn quoted_len(text: &str) -> usize {
+    let byte_len = |byte: u8| match byte {
+        b'"' | b'\\' | b'\n' | b'\r' | b'\t' => 2,
+        0..b' ' => 6,
+        b' '..=u8::MAX => 1,
+    };
+    text.bytes().map(byte_len).sum()
+}
+
 /// The request body of the unfinished item that the caller named `id`.
 pub fn body(store: &dyn Store, number: JobNumber, id: &str) -> Result<Option<Bytes>> {
     let Some(job) = job(store, number)? else {
