A resumed stream isn't cut at the length of its first run

What callers saw: a stream that looked complete at its declared length and lacked its last events (ORDER), or a whole one that looked cut, when a target that had named a length broke off and the stream went on at a target whose events take up more or less space.

Cause: the response to the caller kept the length of the first target's response, which says nothing of what another run adds. Class: the mark of an end that was true of one run, kept for a response of several.

Done: a stream that may be resumed goes out in chunks, without the target's length.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -53,16 +53,22 @@
 
 /// Starts to relay a response.
 pub(crate) fn start(state: RequestState, slot: Slot, reply: Reply) -> Response<ResponseBody> {
-    let headers = state
+    let mut headers = state
         .front
         .node
         .dialect
         .response_headers(&reply.head.headers);
+    let resumes = state.request.is_resumable() && reply.head.status.is_success();
+    if resumes {
+        // The events of another target may take up more or less space.
+        headers.remove(header::CONTENT_LENGTH);
+    }
     let length = headers.get(header::CONTENT_LENGTH);
     let length: Option<u64> = length.and_then(|value| value.to_str().ok()?.parse().ok());
     let framing = match reply.framing {
-        Framing::Chunked if !state.request.reads_chunks => Framing::Close,
-        Framing::Length | Framing::Chunked | Framing::Close => reply.framing,
+        Framing::Length if !resumes => Framing::Length,
+        Framing::Length | Framing::Chunked if state.request.reads_chunks => Framing::Chunked,
+        Framing::Length | Framing::Chunked | Framing::Close => Framing::Close,
     };
     let mut response = Response::new(());
     *response.status_mut() = reply.head.status;
@@ -135,7 +141,7 @@
                     slot.set_ended(GrantOutcome::Answered);
                     drop(slot);
                     let before = closed_at.replace(self.state.last_event);
-                    if !resumes || before == closed_at || !self.may_run_again() {
+                    if !resumes || before == closed_at || !self.may_go_on() {
                         self.finish("closed", head.status).await;
                         return;
                     }
@@ -155,7 +161,7 @@
                     node.end_early(slot, id, self.frames, GrantOutcome::Broken);
                 }
             }
-            if !resumes || !self.may_run_again() {
+            if !resumes || !self.may_go_on() {
                 break;
             }
             let began = self.state.placement.version.clone();
@@ -181,8 +187,8 @@
         log_end(&self.state, "cut off", 0);
     }
 
-    /// Whether another target may run the request.
-    fn may_run_again(&self) -> bool {
+    /// Whether another target may be asked for what follows the last event.
+    fn may_go_on(&self) -> bool {
         self.state.runs < self.state.request.route.attempts
     }
 
