A stream isn't resumed after an event without an id

Cause: the next target was asked to go on after the last id that had been seen, and sent the events after it, which the caller had, once more.

Evidence: `clem-platform joins a_stream_is_not_resumed_after_an_event_without_an_id`, red before: `left: 1, right: 3`.

Done: after an event with data and without an id the stream is cut off if it breaks; the next id makes it resumable again.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -49,6 +49,8 @@
     framing: Framing,
     /// Number of data frames received from the current target.
     frames: u32,
+    /// Whether the last event had no id, so that no other target can be asked for what follows it.
+    unnumbered: bool,
 }
 
 /// Starts to relay a response.
@@ -91,6 +93,7 @@
         parts,
         framing,
         frames: 0,
+        unnumbered: false,
     };
     tokio::spawn(relay.run(slot, reply));
     response.map(|()| RelayedBody::new(waiting, length, link).boxed())
@@ -189,7 +192,7 @@
 
     /// Whether another target may be asked for what follows the last event.
     fn may_go_on(&self) -> bool {
-        self.state.runs < self.state.request.route.attempts
+        !self.unnumbered && self.state.runs < self.state.request.route.attempts
     }
 
     /// Ends the response to the caller.
@@ -238,6 +241,9 @@
                 self.state.began.get_or_insert_with(|| origin.clone());
                 if let Some(id) = event.id {
                     self.state.last_event = Some(id);
+                    self.unnumbered = false;
+                } else if event.data.is_some() {
+                    self.unnumbered = true;
                 }
                 if !self.send(event.bytes).await {
                     return End::Gone;
