A run that doesn't go on after the last event isn't joined to a stream

What callers saw: events twice, or a stream that begins anew in the middle of a response (ORDER), if a target that is asked to go on after an event begins at another one before it.

Cause: the front believed that a target does as it is asked, and passed on whatever events came; the batch keeper has always compared them.

Evidence: `clem-platform joins a_stream_is_not_joined_with_a_run_that_begins_anew`, red before: `left: Some(1), right: Some(3)`.

Done: an event whose id isn't above that of the last one ends the run as broken, with the line `event out of order`. That holds for streams that callers take up, too. A gap is not judged: ids increase, but nothing says by how much.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -238,6 +238,15 @@
             };
             events.push(&frame);
             while let Some(event) = events.next_event() {
+                if event.id.is_some_and(|id| Some(id) <= self.state.last_event) {
+                    log::warn!(
+                        request = self.state.request.id.as_str(), event = event.id,
+                        after = self.state.last_event,
+                        target = self.state.placement.target.as_str();
+                        "event out of order"
+                    );
+                    return End::Broken;
+                }
                 self.state.began.get_or_insert_with(|| origin.clone());
                 if let Some(id) = event.id {
                     self.state.last_event = Some(id);
