Edge: only a last coding of chunks marks the end of a body

What callers saw: a response that was cut looks complete, if its target names another transfer coding than chunks (or names it after them). hyper reads such a body until the connection ends, but any Transfer-Encoding counted as chunks, so a plain end became a last chunk for the caller and a complete item for the batch keeper.

FAILED: ["identity"] left: Chunked right: Close Found by reading; no target of the platform is known to send this. After: 1 passed.

--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -95,7 +95,13 @@
         if body.is_end_stream() || body.size_hint().exact().is_some() {
             return Self::Length;
         }
-        if headers.contains_key(header::TRANSFER_ENCODING) {
+        // Only the last encoding marks the end.
+        let encodings = headers.get_all(header::TRANSFER_ENCODING);
+        let last = encodings.iter().next_back().and_then(|value| {
+            let text = value.to_str().ok()?;
+            text.rsplit(',').next()
+        });
+        if last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked")) {
             return Self::Chunked;
         }
         Self::Close
