Front: the line 'stream taken up' names its version and the age of the front's list

When a stream went on at another version, no line told which front had decided where it goes on, whether the hub's leader had, and how old the list of targets was. 'stream taken up' says so for each stream that a caller takes up; 'stream resumed' covers those that go on within one answer only.

--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -226,6 +226,13 @@
         *lock(&self.leader_heard)
     }
 
+    /// Time since the last reply of the hub's leader to a poll, on which this process's list of targets
+    /// rests; `None` before the first one.
+    pub fn hub_silence(&self) -> Option<Duration> {
+        let heard = self.view().heard;
+        heard.map(|heard| self.now().since(heard))
+    }
+
     pub(crate) fn note_change(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use clem_direct::{Outcome, Reply, Slot, SlotOutcome};
 use clem_edge::{Cause, Forward, Framing, Refusal};
-use clem_policy::dispatch::{GrantOutcome, Origin, Resumes, StreamKey, StreamRequest};
+use clem_policy::dispatch::{GrantOutcome, Origin, Resumes, SlotRequest, StreamKey, StreamRequest};
 use clem_types::SoftwareVersion;
 use http::Response;
 
@@ -166,6 +166,8 @@
         if let Some(origin) = want.origin().cloned() {
             want.service = origin.service;
         }
+        let claimed = unknown_origin(&want).cloned();
+        let takes_up = self.began.is_none() && self.request.info.last_event.is_some();
         let placed = node.place(want, self.request.limit()).await;
         self.placement = PlacementInfo {
             waited: node.now().since(now),
@@ -177,6 +179,9 @@
                 self.placement.target.clone_from(&slot.target.id);
                 self.placement.version.clone_from(&slot.target.version);
                 self.placement.without_leader = slot.without_leader;
+                if takes_up {
+                    self.log_take_up(&slot, claimed.as_ref());
+                }
                 Ok(slot)
             }
             SlotOutcome::OverRate(retry) => Err(Failed {
@@ -275,6 +280,20 @@
         }
     }
 
+    /// Logs where a stream goes on that the caller takes up, and what this process knew of it.
+    fn log_take_up(&self, slot: &Slot, claimed: Option<&Origin>) {
+        let node = &self.front.node;
+        let version = slot.target.version.as_ref().map(ToString::to_string);
+        let claimed = claimed.map(|origin| origin.version.as_ref().map(ToString::to_string));
+        log::info!(
+            request = self.request.id.as_str(), resumes = self.request.info.resumes.as_deref(),
+            after = self.last_event, target = slot.target.id.as_str(), ticket = slot.ticket().0,
+            version, claimed:?, alone = slot.without_leader,
+            heard_ms = node.hub_silence().map(millis);
+            "stream taken up"
+        );
+    }
+
     fn log_attempt(&self, target: &str, outcome: &str, reason: &str) {
         log::warn!(
             request = self.request.id.as_str(), target, outcome, reason, runs = self.runs;
@@ -304,6 +323,14 @@
     }
 }
 
+/// Where a stream goes on if nobody remembers the attempt that began it.
+fn unknown_origin(want: &SlotRequest) -> Option<&Origin> {
+    match want.stream.as_ref()?.resumes.as_ref()? {
+        Resumes::Attempt { otherwise, .. } => otherwise.as_ref(),
+        Resumes::At(_) => None,
+    }
+}
+
 fn failed(cause: Cause) -> Failed {
     Failed {
         refusal: Refusal::new(cause),
