The hub's leader judges streams of unknown origin by its own lists

Callers whose stream had broken got the rest of it from a target of another version. A front that stood still while targets of a new version joined took its old list for the present one when it woke up: it told the leader that only the old version could have begun the stream, and the leader granted a slot there, although its own list had both versions and it had granted the stream's first slot itself. Being a moment behind the front that began the stream was enough; no freeze is needed.

Cause: SettledVersions::version didn't look at how long the hub had been silent, and Streams::resolve let the process that asks for a slot decide (`otherwise`) without looking at the leader's own knowledge.

Now the leader decides. All slots are granted by its lists, so a version that none of them had for the stream's span can't have begun it. A leader that has not led for so long goes by what the front knows of its predecessors' lists, which it refuses if its own lists, or streams that processes report to it, tell of another version. Without a list it leaves the decision to the front. What a front remembers of its own attempts (`began`) is told apart from what it concludes. A front concludes nothing once it has heard nothing from the hub for 2 s. A front that has just woken up is no longer refused for 10 s where the leader knows that there is one version.

An existing test changes: a_version_settles_once_it_has_served_alone_for_long_enough asked at 22 s after the hub had been heard until 20 s only; it is now heard until 22 s. Its assertions are the same, and what a silence of 2 s means has its own test.

The leader logs each judgement as 'stream of unknown origin', with the age of its list.

--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -263,7 +263,11 @@
         limit: Option<RateLimit>,
     ) -> SlotOutcome {
         let now = self.now();
-        if !self.streams().streams().tie(&mut want) {
+        let tied = self
+            .streams()
+            .streams()
+            .tie(&mut want, |stream| stream.claimed.cloned());
+        if !tied {
             return SlotOutcome::Unresumable;
         }
         let want = &want;
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -24,9 +24,6 @@
 const BUSY_RETRY_MIN: Duration = Duration::from_millis(300);
 /// A stream that a caller takes up began within as many timeouts of its route.
 const SETTLED_TIMEOUTS: u32 = 2;
-/// The least time for which a service must have had one version before a stream of unknown origin goes
-/// on there: the route's timeout may have been longer when the stream began.
-const SETTLED_MIN: Duration = Duration::from_secs(10);
 /// How many targets are tried for a request that was not sent or was refused.
 const UNSENT_MAX: u32 = 4;
 
@@ -223,11 +220,13 @@
             (Some(began), _) => Some(Resumes::At(began.clone())),
             (None, Some(_)) => {
                 let named = request.info.resumes.as_deref().map(key);
-                let origin = named.and_then(|key| self.front.node.origin(key));
+                let began = named.and_then(|key| self.front.node.origin(key));
                 Some(Resumes::Attempt {
                     key: named,
                     services: request.services(),
-                    otherwise: origin.or_else(|| self.settled_origin()),
+                    otherwise: began.clone().or_else(|| self.settled_origin()),
+                    began,
+                    span: self.settled_span(),
                 })
             }
             (None, None) => None,
@@ -245,14 +244,18 @@
         let [service] = services.as_slice() else {
             return None;
         };
-        let span = (self.request.route.timeout * SETTLED_TIMEOUTS).max(SETTLED_MIN);
-        let version = self.front.node.settled_version(service, span)?;
+        let node = &self.front.node;
+        let version = node.settled_version(service, self.settled_span())?;
         Some(Origin {
             service: service.clone(),
             version,
         })
     }
 
+    fn settled_span(&self) -> Duration {
+        self.request.route.timeout * SETTLED_TIMEOUTS
+    }
+
     /// Sends the request; `None` if there was no response in time.
     async fn send(&self, slot: &mut Slot) -> Option<Outcome> {
         let node = &self.front.node;
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -114,6 +114,7 @@
         let result = work(leader, now);
         self.deliver_verdicts(leader, now);
         leader.publish_parts(now);
+        leader.log_streams();
         self.polls.wake(leader.take_wakes());
         Ok(result)
     }
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -11,7 +11,7 @@
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{
-    CrashReport, Dispatcher, LeavingTargets, LimitReport, PartNews, RateLimit, TargetLimit,
+    CrashReport, Dispatcher, LeavingTargets, LimitReport, Origin, PartNews, RateLimit, TargetLimit,
     TargetSlots,
 };
 use clem_state::batch_group::BatchGroup;
@@ -166,6 +166,8 @@
 
     /// Installs the platform's target list and returns whether it changed.
     pub fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) -> bool {
+        let versions = targets.iter().map(|t| (t.service.as_str(), &t.version));
+        self.dispatcher.note_versions(now, versions);
         if self.listed.as_ref() == Some(&targets) {
             return false;
         }
@@ -342,6 +344,20 @@
         }
     }
 
+    /// Logs how streams of unknown origin were judged.
+    pub fn log_streams(&mut self) {
+        for news in self.dispatcher.take_stream_news() {
+            let version = |origin: Option<Origin>| origin.map(|o| o.version.map(|v| v.to_string()));
+            log::info!(
+                ticket = news.ticket.0, holder = news.holder.as_str(),
+                service = news.service.as_str(), version:? = version(news.origin),
+                claimed:? = version(news.claimed),
+                list_age_ms = news.list_age.map(|age| age.as_millis() as u64);
+                "stream of unknown origin"
+            );
+        }
+    }
+
     /// Expires silent processes and overdue requests.
     pub fn tick(&mut self, now: Time) {
         self.dispatcher.tick(now);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -28,7 +28,7 @@
     time::Duration,
 };
 
-use clem_types::{PartId, Time};
+use clem_types::{PartId, SoftwareVersion, Time};
 use serde::{Deserialize, Serialize};
 
 pub use crashes::{Admission, BlockedParts, CrashParts, CrashReport, PartNews, SUSPECT_CRASHES};
@@ -39,7 +39,9 @@
 pub use rate::{RateBucket, RateLimit, RateShare};
 pub use retry_after::{RouteTimeouts, retry_after};
 pub use settled::SettledVersions;
-pub use streams::{Origin, OriginReport, Resumes, StreamKey, StreamRequest, Streams};
+pub use streams::{
+    Origin, OriginReport, Resumes, StreamKey, StreamRequest, Streams, UnknownStream,
+};
 pub use target::{GrantOutcome, TargetSlots};
 
 /// Time without a message from a holder after which its grants are revoked: three times the
@@ -192,9 +194,40 @@
     crash_parts: CrashParts,
     limited: LimitedTargets,
     streams: Streams,
+    settled: SettledVersions,
+    /// When the platform's list was last read.
+    listed: Option<Time>,
+    stream_news: Vec<StreamNews>,
+}
+
+/// How a stream was judged whose attempt nobody remembers, for the log.
+#[derive(Debug)]
+pub struct StreamNews {
+    /// Id of its slot request.
+    pub ticket: Ticket,
+    /// Process that asked for the slot.
+    pub holder: String,
+    /// The only service that may have begun it.
+    pub service: String,
+    /// Where it goes on; `None` if it is refused.
+    pub origin: Option<Origin>,
+    /// Where it would go on by what the process that asked knows.
+    pub claimed: Option<Origin>,
+    /// Age of the list of targets by which it was judged; `None` without a list.
+    pub list_age: Option<Duration>,
 }
 
 impl Dispatcher {
+    /// Notes that the platform's list was read, with the service and version of each target in it.
+    pub fn note_versions<'a>(
+        &mut self,
+        now: Time,
+        targets: impl IntoIterator<Item = (&'a str, &'a Option<SoftwareVersion>)>,
+    ) {
+        self.listed = Some(now);
+        self.settled.note(now, targets);
+    }
+
     /// Replaces the list of targets that may get work for a service.
     pub fn set_targets(&mut self, now: Time, service: &str, targets: &[TargetSlots]) {
         let pool = self.pools.entry(service.to_owned()).or_default();
@@ -272,8 +305,8 @@
     /// immediately or after the request was queued.
     pub fn request_slot(&mut self, now: Time, mut want: SlotRequest) {
         self.last_heard.insert(want.holder.clone(), now);
-        if !self.streams.tie(&mut want) {
-            self.decided.push((want.ticket, Verdict::Unresumable));
+        if let Some(verdict) = self.reject_unknown(now, &mut want) {
+            self.decided.push((want.ticket, verdict));
             return;
         }
         if let Some(verdict) = self.reject_parts(now, &want) {
@@ -372,7 +405,43 @@
     pub fn restore_streams(&mut self, now: Time, reports: &[OriginReport]) {
         for report in reports {
             self.streams.restore(now, report);
+            let age = Duration::from_millis(report.age_ms.into());
+            self.settled.note_began(now - age, &report.origin);
+        }
+    }
+
+    /// Removes and returns how streams of unknown origin were judged since the last call.
+    pub fn take_stream_news(&mut self) -> Vec<StreamNews> {
+        std::mem::take(&mut self.stream_news)
+    }
+
+    /// Ties a request that resumes a stream to where it must go on; returns the verdict if that is not
+    /// known.
+    fn reject_unknown(&mut self, now: Time, want: &mut SlotRequest) -> Option<Verdict> {
+        let mut news = None;
+        let (ticket, holder) = (want.ticket, want.holder.clone());
+        let tied = self.streams.tie(want, |stream| {
+            let origin = self.settled.origin(now, stream);
+            news = Some(StreamNews {
+                ticket,
+                holder,
+                service: stream.service.to_owned(),
+                origin: origin.clone(),
+                claimed: stream.claimed.cloned(),
+                list_age: self.listed.map(|listed| now.since(listed)),
+            });
+            origin
+        });
+        self.stream_news.extend(news);
+        if tied {
+            return None;
+        }
+        let pool = self.pools.get(&want.service);
+        // The list may not have been read yet.
+        if pool.is_none_or(|pool| !pool.has_targets()) {
+            return Some(Verdict::NoTarget);
         }
+        Some(Verdict::Unresumable)
     }
 
     /// The parts that crash targets, for other processes.
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -111,10 +111,10 @@
     /// Admission control: returns the refusal of a request that is expected to be late, or `None`
     /// if the request may be queued.
     pub(super) fn admit(&self, now: Time, want: &SlotRequest) -> Option<Verdict> {
-        let mut listed = self.targets.values().filter(|t| t.listed).peekable();
-        if listed.peek().is_none() {
+        if !self.has_targets() {
             return Some(Verdict::NoTarget);
         }
+        let mut listed = self.targets.values().filter(|t| t.listed);
         if !listed.any(|target| self.accepts(want, target)) {
             return Some(Verdict::Unresumable);
         }
@@ -134,6 +134,11 @@
         Some(Verdict::Busy { retry, wait })
     }
 
+    /// Whether the platform lists any target for new work.
+    pub(super) fn has_targets(&self) -> bool {
+        self.targets.values().any(|target| target.listed)
+    }
+
     /// Expected queueing time of an online request; `None` if a slot is free at once.
     fn expected_wait(&self, now: Time, want: &SlotRequest) -> Option<Duration> {
         let up: Vec<&Target> = self
--- a/crates/policy/src/dispatch/streams.rs
+++ b/crates/policy/src/dispatch/streams.rs
@@ -62,11 +62,29 @@
         key: Option<StreamKey>,
         /// The services that may run the request.
         services: Vec<String>,
-        /// Where it goes on if the attempt is not known.
+        /// Where it began, as the process that asks remembers.
+        #[serde(default)]
+        began: Option<Origin>,
+        /// The same, or else where it began whatever attempt it was: at the only version that may have
+        /// run it, as far as that process knows.
         otherwise: Option<Origin>,
+        /// How long a version must have served alone for that.
+        #[serde(default)]
+        span: Duration,
     },
 }
 
+/// A stream that is resumed although nobody remembers the attempt that began it.
+#[derive(Debug, Clone, Copy)]
+pub struct UnknownStream<'a> {
+    /// The only service that may have begun it.
+    pub service: &'a str,
+    /// Where it began, as far as the process that asks knows.
+    pub claimed: Option<&'a Origin>,
+    /// How long a version must have served alone for a stream to go on there.
+    pub span: Duration,
+}
+
 /// A stream's origin, as a process reports it to a new leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginReport {
@@ -156,34 +174,52 @@
         self.origins.get(&key).map(|entry| &entry.origin)
     }
 
-    /// Where a stream must go on; `None` if that is not known.
-    pub fn resolve(&self, resumes: &Resumes) -> Option<Origin> {
-        let origin = match resumes {
-            Resumes::At(origin) => Some(origin),
+    /// Where a stream must go on; `None` if that is not known. `judge` decides on a stream whose attempt
+    /// is unknown.
+    fn resolve(
+        &self,
+        resumes: &Resumes,
+        judge: impl FnOnce(UnknownStream<'_>) -> Option<Origin>,
+    ) -> Option<Origin> {
+        let (key, services, began, claimed, span) = match resumes {
+            Resumes::At(origin) => return Some(origin.clone()),
             Resumes::Attempt {
                 key,
                 services,
+                began,
                 otherwise,
-            } => {
-                let known = key.and_then(|key| self.origin(key));
-                // A service that the route has been taken from must not run the request.
-                known
-                    .or(otherwise.as_ref())
-                    .filter(|origin| services.contains(&origin.service))
-            }
+                span,
+            } => (key, services, began, otherwise, span),
+        };
+        let known = key.and_then(|key| self.origin(key));
+        if let Some(origin) = known.or(began.as_ref()) {
+            // A service that the route has been taken from must not run the request.
+            return services.contains(&origin.service).then(|| origin.clone());
+        }
+        let [service] = services.as_slice() else {
+            return None;
         };
-        origin.cloned()
+        judge(UnknownStream {
+            service,
+            claimed: claimed.as_ref(),
+            span: *span,
+        })
     }
 
     /// Ties a request that resumes a stream to where it must go on; returns false if that is not known.
-    pub fn tie(&self, want: &mut SlotRequest) -> bool {
+    /// `judge` decides on a stream whose attempt is unknown.
+    pub fn tie(
+        &self,
+        want: &mut SlotRequest,
+        judge: impl FnOnce(UnknownStream<'_>) -> Option<Origin>,
+    ) -> bool {
         let Some(stream) = &mut want.stream else {
             return true;
         };
         let Some(resumes) = &stream.resumes else {
             return true;
         };
-        let Some(origin) = self.resolve(resumes) else {
+        let Some(origin) = self.resolve(resumes, judge) else {
             return false;
         };
         want.service.clone_from(&origin.service);
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -61,11 +61,56 @@
         resumes: Some(Resumes::Attempt {
             key: named.map(|id| StreamKey::of(customer, id)),
             services: vec![SERVICE.to_owned()],
+            began: None,
             otherwise: None,
+            span: SETTLED,
         }),
     }
 }
 
+/// Takes up an unnamed stream, of which the front knows that only `claimed` has run it.
+fn claims(claimed: Option<&str>) -> StreamRequest {
+    let otherwise = claimed.map(|claimed| Origin {
+        service: SERVICE.to_owned(),
+        version: version(claimed),
+    });
+    StreamRequest {
+        key: Some(StreamKey::of("one", "next")),
+        resumes: Some(Resumes::Attempt {
+            key: None,
+            services: vec![SERVICE.to_owned()],
+            began: None,
+            otherwise,
+            span: SETTLED,
+        }),
+    }
+}
+
+/// The leader has read a list with one target of each version, with one slot each.
+fn read_list(dispatcher: &mut Dispatcher, now: Time, versions: &[&str]) {
+    let versions: Vec<_> = versions.iter().map(|text| version(text)).collect();
+    dispatcher.note_versions(now, versions.iter().map(|version| (SERVICE, version)));
+    let target = |(place, version): (usize, &Option<SoftwareVersion>)| TargetSlots {
+        target: format!("t{place}"),
+        data_centre: "a".to_owned(),
+        slots: 1,
+        version: version.clone(),
+    };
+    let targets: Vec<_> = versions.iter().enumerate().map(target).collect();
+    dispatcher.set_targets(now, SERVICE, &targets);
+}
+
+/// Whether an unnamed stream goes on; its slot is given back.
+fn goes_on(dispatcher: &mut Dispatcher, now: Time, claimed: Option<&str>) -> bool {
+    let verdict = verdict(dispatcher, now, want(9, "one", claims(claimed)));
+    dispatcher.withdraw(now, Ticket(9));
+    match verdict {
+        Some(Verdict::Granted { .. }) | None => true,
+        Some(Verdict::Unresumable) => false,
+        Some(other) => panic!("neither a slot nor a refusal of the stream: {other:?}"),
+    }
+}
+
 fn verdict(dispatcher: &mut Dispatcher, now: Time, want: SlotRequest) -> Option<Verdict> {
     let ticket = want.ticket;
     dispatcher.request_slot(now, want);
@@ -210,7 +255,7 @@
 fn a_version_settles_once_it_has_served_alone_for_long_enough() {
     let mut settled = SettledVersions::default();
     let (v1, v2) = (version("v1"), version("v2"));
-    follow(&mut settled, 0, 20_000);
+    follow(&mut settled, 0, 22_000);
     settled.note(at(400), [(SERVICE, &v1), (SERVICE, &v1)]);
     assert_eq!(settled.version(at(9000), SERVICE, SETTLED), None);
     assert_eq!(
@@ -241,3 +286,125 @@
     follow(&mut settled, 19_400, 29_400);
     assert_eq!(settled.version(at(29_400), SERVICE, SETTLED), Some(v1));
 }
+
+#[test]
+fn a_process_that_hears_nothing_from_the_hub_does_not_take_its_list_for_the_present_one() {
+    let mut settled = SettledVersions::default();
+    let v1 = version("v1");
+    settled.note(at(0), [(SERVICE, &v1)]);
+    follow(&mut settled, 0, 12_000);
+    assert_eq!(
+        settled.version(at(13_900), SERVICE, SETTLED),
+        Some(v1.clone())
+    );
+    assert_eq!(settled.version(at(14_000), SERVICE, SETTLED), None);
+    assert_eq!(settled.version(at(60_000), SERVICE, SETTLED), None);
+}
+
+#[test]
+fn the_leader_does_not_believe_a_list_that_is_older_than_its_own() {
+    let mut dispatcher = Dispatcher::default();
+    for ms in (0..20_000).step_by(900) {
+        read_list(&mut dispatcher, at(ms), &["v1"]);
+    }
+    assert!(goes_on(&mut dispatcher, at(20_000), Some("v1")));
+    read_list(&mut dispatcher, at(20_100), &["v1", "v2"]);
+    for ms in (20_100..32_000).step_by(900) {
+        for claimed in [None, Some("v1"), Some("v2")] {
+            let goes_on = goes_on(&mut dispatcher, at(ms), claimed);
+            assert!(!goes_on, "at {ms} ms with {claimed:?}");
+        }
+    }
+    // The newer version has left again, and streams that it began may still be taken up.
+    read_list(&mut dispatcher, at(32_000), &["v1"]);
+    assert!(!goes_on(&mut dispatcher, at(41_900), Some("v1")));
+    assert!(goes_on(&mut dispatcher, at(42_000), Some("v1")));
+}
+
+#[test]
+fn the_leader_lets_streams_go_on_that_a_front_out_of_step_can_not_judge() {
+    let mut dispatcher = Dispatcher::default();
+    read_list(&mut dispatcher, at(0), &["v1"]);
+    assert!(!goes_on(&mut dispatcher, at(9900), None));
+    read_list(&mut dispatcher, at(9900), &["v1"]);
+    for claimed in [None, Some("v1"), Some("v0")] {
+        assert!(goes_on(&mut dispatcher, at(10_000), claimed));
+    }
+}
+
+#[test]
+fn a_new_leader_goes_by_what_fronts_know_unless_its_own_lists_say_otherwise() {
+    let mut dispatcher = Dispatcher::default();
+    let unread = verdict(&mut dispatcher, at(0), want(1, "one", claims(Some("v1"))));
+    assert_eq!(unread, Some(Verdict::NoTarget), "it has read no list");
+    read_list(&mut dispatcher, at(10), &["v1"]);
+    assert!(goes_on(&mut dispatcher, at(20), Some("v1")));
+    assert!(!goes_on(&mut dispatcher, at(20), None));
+    assert!(!goes_on(&mut dispatcher, at(20), Some("v0")));
+
+    let mut dispatcher = Dispatcher::default();
+    read_list(&mut dispatcher, at(10), &["v1", "v2"]);
+    read_list(&mut dispatcher, at(900), &["v1"]);
+    assert!(!goes_on(&mut dispatcher, at(910), Some("v1")));
+}
+
+#[test]
+fn streams_that_began_without_the_leader_tell_it_of_another_version() {
+    let mut dispatcher = Dispatcher::default();
+    read_list(&mut dispatcher, at(0), &["v1"]);
+    let report = OriginReport {
+        key: StreamKey::of("one", "first"),
+        customer: "one".to_owned(),
+        origin: Origin {
+            service: SERVICE.to_owned(),
+            version: version("v2"),
+        },
+        age_ms: 300,
+    };
+    dispatcher.restore_streams(at(20_300), &[report]);
+    assert!(!goes_on(&mut dispatcher, at(20_400), Some("v1")));
+    assert!(goes_on(&mut dispatcher, at(30_000), None));
+}
+
+#[test]
+fn streams_told_to_a_new_leader_before_its_first_list_count() {
+    for (began, confirmed) in [("v1", true), ("v2", false)] {
+        let mut dispatcher = Dispatcher::default();
+        let report = OriginReport {
+            key: StreamKey::of("one", "first"),
+            customer: "one".to_owned(),
+            origin: Origin {
+                service: SERVICE.to_owned(),
+                version: version(began),
+            },
+            age_ms: 300,
+        };
+        dispatcher.restore_streams(at(400), &[report]);
+        read_list(&mut dispatcher, at(500), &["v1"]);
+        assert_eq!(goes_on(&mut dispatcher, at(510), Some("v1")), confirmed);
+    }
+}
+
+#[test]
+fn what_a_front_remembers_counts_while_versions_mix() {
+    for (began, expected) in [("v1", "t0"), ("v2", "t1")] {
+        let mut dispatcher = Dispatcher::default();
+        read_list(&mut dispatcher, at(0), &["v1", "v2"]);
+        let origin = Origin {
+            service: SERVICE.to_owned(),
+            version: version(began),
+        };
+        let stream = StreamRequest {
+            key: Some(StreamKey::of("one", "next")),
+            resumes: Some(Resumes::Attempt {
+                key: Some(StreamKey::of("one", "first")),
+                services: vec![SERVICE.to_owned()],
+                began: Some(origin.clone()),
+                otherwise: Some(origin),
+                span: SETTLED,
+            }),
+        };
+        let granted = verdict(&mut dispatcher, at(10), want(1, "one", stream));
+        assert_eq!(target(granted), expected);
+    }
+}
