Fronts without a leader read the list before they let a stream of unknown origin go on

A front that had lost the hub let callers take up streams at the version of its last list, though other fronts had begun streams at a newer version since: text of two versions (ORDER). After 2 s it could not know at all, but answered from the old list for as long as the hub was silent.

Cause: a front alone took its own list for the newest one that any process had placed a stream by.

Now it reads the platform's list after the request has come, and lets the stream go on only if that list, its own one and all lists of the stream's span had one version. Requests share readings, at most one in 400 ms; a stream that is refused anyway causes none. Readings count as news like replies of the hub, so a front that is alone for long knows by itself that there is one version: it reads the list every 1 to 1.5 s (2 to 3.5 s before, from one reading to the next). A reply of a leader that has read no list yet no longer counts as a confirmation of the front's list.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -161,6 +161,9 @@
         );
         changed = true;
     }
+    if readable {
+        node.view().note_confirmed(now);
+    }
     if changed {
         node.note_change();
     }
--- a/crates/direct/src/list.rs
+++ b/crates/direct/src/list.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use clem_edge::{Dialect, TargetVm};
+use clem_types::Time;
 use http::{Request, header};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::rt::TokioIo;
@@ -25,6 +26,9 @@
 /// How often a process checks whether the hub is overdue, and reads the list if it is.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// The shortest time from one reading of the versions to the next.
+const READING_INTERVAL: Duration = Duration::from_millis(400);
+
 /// A value read from the platform, or the reason why it could not be read.
 type Result<T> = std::result::Result<T, String>;
 
@@ -78,6 +82,38 @@
     Ok(body.to_bytes())
 }
 
+/// A reading of the list to learn which versions serve.
+#[derive(Debug, Default)]
+pub(crate) struct Reading {
+    /// When it began; `None` before the first one.
+    began: Option<Time>,
+    failed: bool,
+}
+
+impl Node {
+    /// Reads which versions are listed, and returns when the reading began, which is after the call. Calls
+    /// share readings. `None` if the list can't be read.
+    pub(crate) async fn read_versions(&self) -> Option<Time> {
+        let called = self.now();
+        let mut last = self.last_reading().lock().await;
+        if last.began.is_none_or(|began| began < called) {
+            if let Some(began) = last.began {
+                let pause = READING_INTERVAL.saturating_sub(self.now().since(began));
+                tokio::time::sleep(pause).await;
+            }
+            let began = self.now();
+            let read = read_targets(&*self.dialect, self.list).await;
+            last.began = Some(began);
+            last.failed = read.is_err();
+            match read {
+                Ok(targets) => self.view().note_read(began, &targets),
+                Err(error) => log::warn!(error; "target list not read"),
+            }
+        }
+        last.began.filter(|_| !last.failed)
+    }
+}
+
 /// Reads the list directly while the hub is silent: draining targets must get no new work even if
 /// the hub has no leader.
 pub async fn poll_without_hub(node: Arc<Node>) {
@@ -89,17 +125,17 @@
             tokio::time::sleep(node.with_jitter(CHECK_INTERVAL)).await;
         }
         let now = node.now();
-        let heard = {
-            let view = node.view();
-            view.heard.max(view.listed)
-        };
+        let heard = node.view().heard;
         if heard.is_some_and(|at| now.since(at) < HUB_OVERDUE) {
             continue;
         }
         match read_targets(&*node.dialect, node.list).await {
             Ok(targets) => {
                 log::info!(targets = targets.len(); "target list read without the hub");
-                node.view().set_targets(node.now(), targets);
+                let mut view = node.view();
+                view.note_read(now, &targets);
+                view.set_targets(node.now(), targets);
+                drop(view);
                 node.note_change();
             }
             Err(error) => log::warn!(error; "target list not read"),
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -13,7 +13,7 @@
     Fallback, GrantOutcome, HeldGrant, LeavingTargets, LimitReport, Origin, StreamKey, Ticket,
     retry_after,
 };
-use clem_types::{SoftwareVersion, Time, Version};
+use clem_types::{Time, Version};
 use clem_wire::{
     Client, FleetSecret, LeaderClient,
     fleet::{LEADER_LOSS_NOTICED, ProcessRole},
@@ -21,7 +21,10 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::sync::{Notify, watch};
 
-use crate::{crash_log::CrashLog, limits::Limits, pool::Pool, stream_log::StreamLog, view::View};
+use crate::{
+    crash_log::CrashLog, limits::Limits, list::Reading, pool::Pool, stream_log::StreamLog,
+    view::View,
+};
 
 /// Settings of a [`Node`].
 pub struct NodeSettings {
@@ -87,6 +90,7 @@
     crashes: Mutex<CrashLog>,
     limits: Mutex<Limits>,
     streams: Mutex<StreamLog>,
+    last_reading: tokio::sync::Mutex<Reading>,
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
     rng: Mutex<StdRng>,
     changes: watch::Sender<u64>,
@@ -128,6 +132,7 @@
             crashes: Mutex::default(),
             limits: Mutex::default(),
             streams: Mutex::default(),
+            last_reading: tokio::sync::Mutex::default(),
             ends: Mutex::default(),
             rng: Mutex::new(rng),
             changes: watch::Sender::new(0),
@@ -292,13 +297,19 @@
         self.streams().streams().origin(key).cloned()
     }
 
-    /// The version of the software that all targets of a service have had for `span` or longer.
-    pub fn settled_version(
-        &self,
-        service: &str,
-        span: Duration,
-    ) -> Option<Option<SoftwareVersion>> {
-        self.view().settled_version(self.now(), service, span)
+    /// The only origin that a stream of a service can have at `now`: the version of the software that all
+    /// its targets have had for `span` or longer.
+    pub fn settled_origin(&self, now: Time, service: &str, span: Duration) -> Option<Origin> {
+        let version = self.view().settled_version(now, service, span)?;
+        Some(Origin {
+            service: service.to_owned(),
+            version,
+        })
+    }
+
+    /// The last reading of the platform's list by [`read_versions`](Self::read_versions).
+    pub(crate) fn last_reading(&self) -> &tokio::sync::Mutex<Reading> {
+        &self.last_reading
     }
 
     /// The limits that targets named.
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -149,7 +149,7 @@
         want.data_centre.clone_from(&self.data_centre);
         let without_leader = self.fallback().is_active();
         if without_leader {
-            return self.place_locally(want, limit);
+            return self.place_alone(want, limit).await;
         }
         let mut pending = PendingTicket {
             node: self,
@@ -174,7 +174,7 @@
                 if self.fallback().note_silent() {
                     log::warn!(error:% = error, ends = ends.len(); "placing without a leader");
                 }
-                return self.place_locally(want, limit);
+                return self.place_alone(want, limit).await;
             }
         };
         pending.ticket = None;
@@ -196,7 +196,7 @@
             Verdict::Harmful => SlotOutcome::Harmful,
             Verdict::Unresumable => SlotOutcome::Unresumable,
             // A new leader may not have read the target list yet.
-            Verdict::NoTarget => self.place_locally(want, limit),
+            Verdict::NoTarget => self.place_alone(want, limit).await,
         }
     }
 
@@ -257,20 +257,51 @@
         })
     }
 
-    fn place_locally(
+    /// Chooses a target without the hub's leader.
+    async fn place_alone(
         self: &Arc<Self>,
         mut want: SlotRequest,
         limit: Option<RateLimit>,
     ) -> SlotOutcome {
-        let now = self.now();
-        let tied = self
-            .streams()
-            .streams()
-            .tie(&mut want, |stream| stream.claimed.cloned());
+        let mut unknown = None;
+        let mut tied = self.streams().streams().tie(&mut want, |stream| {
+            unknown = Some((stream.service.to_owned(), stream.span));
+            None
+        });
+        if let Some((service, span)) = unknown {
+            let origin = self.only_origin(want.ticket, &service, span).await;
+            tied = self.streams().streams().tie(&mut want, |_| origin);
+        }
         if !tied {
             return SlotOutcome::Unresumable;
         }
-        let want = &want;
+        self.place_locally(&want, limit)
+    }
+
+    /// Where a stream began whose attempt nobody remembers. Other processes may place streams by a newer
+    /// list than this one's, so it reads the list once more.
+    async fn only_origin(&self, ticket: Ticket, service: &str, span: Duration) -> Option<Origin> {
+        let mut origin = self.settled_origin(self.now(), service, span);
+        let mut listed = None;
+        if origin.is_some() {
+            listed = self.read_versions().await;
+            origin = listed.and_then(|listed| self.settled_origin(listed, service, span));
+        }
+        log::info!(
+            ticket = ticket.0, holder = self.holder.as_str(), service,
+            version:? = origin.as_ref().map(|o| o.version.as_ref().map(ToString::to_string)),
+            list_age_ms = listed.map(|listed| self.now().since(listed).as_millis() as u64);
+            "stream of unknown origin"
+        );
+        origin
+    }
+
+    fn place_locally(
+        self: &Arc<Self>,
+        want: &SlotRequest,
+        limit: Option<RateLimit>,
+    ) -> SlotOutcome {
+        let now = self.now();
         if self.view().blocked.iter().any(|b| b.blocks(&want.parts)) {
             return SlotOutcome::Harmful;
         }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -35,8 +35,6 @@
     pub blocked: Vec<BlockedParts>,
     /// The limited targets, as the leader has published them.
     pub limits: BTreeMap<String, Rate>,
-    /// When the target list was last updated; `None` if never.
-    pub listed: Option<Time>,
     /// When the hub's leader last responded; `None` if never.
     pub heard: Option<Time>,
     /// The versions of the targets' software.
@@ -87,7 +85,6 @@
             .map(|target| (target.id.clone(), target));
         self.targets = pairs.collect();
         self.digest = TargetsDigest::of(self.targets.values());
-        self.listed = Some(now);
         self.note_versions(now);
     }
 
@@ -114,7 +111,6 @@
             log::error!(targets = self.targets.len(); "target list differs from the leader's");
             self.digest = TargetsDigest::default();
         }
-        self.listed = Some(now);
         self.note_versions(now);
         true
     }
@@ -125,12 +121,27 @@
             .note(now, targets.map(|t| (t.service.as_str(), &t.version)));
     }
 
-    /// Notes a message from the hub's leader.
+    /// Notes that this process has read the platform's list; the reading began at `began`.
+    pub(crate) fn note_read(&mut self, began: Time, targets: &[TargetVm]) {
+        // The hub may have sent a newer list meanwhile.
+        let listed = targets.iter().chain(self.targets.values());
+        self.settled
+            .note(began, listed.map(|t| (t.service.as_str(), &t.version)));
+        self.settled.note_heard(began);
+    }
+
+    /// Notes a reply of the hub's leader to a poll.
     pub(crate) fn note_heard(&mut self, now: Time) {
-        self.settled.note_heard(now);
         self.heard = Some(now);
     }
 
+    /// Notes that the leader's list is the present one, unless it has not read any yet.
+    pub(crate) fn note_confirmed(&mut self, now: Time) {
+        if self.seen.targets > 0 {
+            self.settled.note_heard(now);
+        }
+    }
+
     /// The version that all targets of a service have had for `span` or longer.
     pub(crate) fn settled_version(
         &self,
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -245,11 +245,7 @@
             return None;
         };
         let node = &self.front.node;
-        let version = node.settled_version(service, self.settled_span())?;
-        Some(Origin {
-            service: service.clone(),
-            version,
-        })
+        node.settled_origin(node.now(), service, self.settled_span())
     }
 
     fn settled_span(&self) -> Duration {
--- a/crates/policy/src/dispatch/settled.rs
+++ b/crates/policy/src/dispatch/settled.rs
@@ -68,7 +68,8 @@
     /// Notes that the hub confirmed the list or sent a newer one, or that this process read it. What has
     /// come and gone since the last time is unknown if that was long ago.
     pub fn note_heard(&mut self, now: Time) {
-        let before = self.heard.replace(now).unwrap_or(now);
+        let before = self.heard.unwrap_or(now);
+        self.heard = Some(before.max(now));
         if now.since(before) < SILENCE_MAX {
             return;
         }
