--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use clem_direct::{Outcome, Reply, Slot, SlotOutcome};
 use clem_edge::{Cause, Forward, Framing, Refusal};
-use clem_policy::dispatch::{GrantOutcome, Origin, Resumes, StreamKey, StreamRequest};
+use clem_policy::dispatch::{GrantOutcome, Origin, Resumes, SlotRequest, StreamKey, StreamRequest};
 use clem_types::SoftwareVersion;
 use http::Response;
 
@@ -24,9 +24,6 @@
 const BUSY_RETRY_MIN: Duration = Duration::from_millis(300);
 /// A stream that a caller takes up began within as many timeouts of its route.
 const SETTLED_TIMEOUTS: u32 = 2;
-/// The least time for which a service must have had one version before a stream of unknown origin goes
-/// on there: the route's timeout may have been longer when the stream began.
-const SETTLED_MIN: Duration = Duration::from_secs(10);
 /// How many targets are tried for a request that was not sent or was refused.
 const UNSENT_MAX: u32 = 4;
 
@@ -166,6 +163,8 @@
         if let Some(origin) = want.origin().cloned() {
             want.service = origin.service;
         }
+        let claimed = unknown_origin(&want).cloned();
+        let takes_up = self.began.is_none() && self.request.info.last_event.is_some();
         let placed = node.place(want, self.request.limit()).await;
         self.placement = PlacementInfo {
             waited: node.now().since(now),
@@ -177,6 +176,9 @@
                 self.placement.target.clone_from(&slot.target.id);
                 self.placement.version.clone_from(&slot.target.version);
                 self.placement.without_leader = slot.without_leader;
+                if takes_up {
+                    self.log_take_up(&slot, claimed.as_ref());
+                }
                 Ok(slot)
             }
             SlotOutcome::OverRate(retry) => Err(Failed {
@@ -218,11 +220,13 @@
             (Some(began), _) => Some(Resumes::At(began.clone())),
             (None, Some(_)) => {
                 let named = request.info.resumes.as_deref().map(key);
-                let origin = named.and_then(|key| self.front.node.origin(key));
+                let began = named.and_then(|key| self.front.node.origin(key));
                 Some(Resumes::Attempt {
                     key: named,
                     services: request.services(),
-                    otherwise: origin.or_else(|| self.settled_origin()),
+                    otherwise: began.clone().or_else(|| self.settled_origin()),
+                    began,
+                    span: self.settled_span(),
                 })
             }
             (None, None) => None,
@@ -240,12 +244,12 @@
         let [service] = services.as_slice() else {
             return None;
         };
-        let span = (self.request.route.timeout * SETTLED_TIMEOUTS).max(SETTLED_MIN);
-        let version = self.front.node.settled_version(service, span)?;
-        Some(Origin {
-            service: service.clone(),
-            version,
-        })
+        let node = &self.front.node;
+        node.settled_origin(node.now(), service, self.settled_span())
+    }
+
+    fn settled_span(&self) -> Duration {
+        self.request.route.timeout * SETTLED_TIMEOUTS
     }
 
     /// Sends the request; `None` if there was no response in time.
@@ -275,6 +279,20 @@
         }
     }
 
+    /// Logs where a stream goes on that the caller takes up, and what this process knew of it.
+    fn log_take_up(&self, slot: &Slot, claimed: Option<&Origin>) {
+        let node = &self.front.node;
+        let version = slot.target.version.as_ref().map(ToString::to_string);
+        let claimed = claimed.map(|origin| origin.version.as_ref().map(ToString::to_string));
+        log::info!(
+            request = self.request.id.as_str(), resumes = self.request.info.resumes.as_deref(),
+            after = self.last_event, target = slot.target.id.as_str(), ticket = slot.ticket().0,
+            version, claimed:?, alone = slot.without_leader,
+            heard_ms = node.hub_silence().map(millis);
+            "stream taken up"
+        );
+    }
+
     fn log_attempt(&self, target: &str, outcome: &str, reason: &str) {
         log::warn!(
             request = self.request.id.as_str(), target, outcome, reason, runs = self.runs;
@@ -304,6 +322,14 @@
     }
 }
 
+/// Where a stream goes on if nobody remembers the attempt that began it.
+fn unknown_origin(want: &SlotRequest) -> Option<&Origin> {
+    match want.stream.as_ref()?.resumes.as_ref()? {
+        Resumes::Attempt { otherwise, .. } => otherwise.as_ref(),
+        Resumes::At(_) => None,
+    }
+}
+
 fn failed(cause: Cause) -> Failed {
     Failed {
         refusal: Refusal::new(cause),
