An answer that names no request is no proof on a used connection

What callers saw: a target wrote a refusal once more, before its answer to the next request on a kept connection. Without an id, the copy was taken as that request's own: a request that may run once ran at a second target, or its caller was told 503 ("not run, and never will be") though it ran.

Cause: an answer that echoes no request id matched every request, unless it was a success. A kept connection may still bring bytes that belong to the request before; hyper drops those that it reads before it writes the next request, but not those that arrive with or after it.

Fix: a connection knows whether it has carried a request. An answer belongs to a request if it names it, or if it is a failure that names none on a connection that carried nothing before. Any other answer leaves open whether the request has run: 502, or another attempt where the route allows it. The event "answer of another request" and the metric `clem_target_strays` show such answers; until now they were among the lost ones.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clem_edge::{Forward, Framing, TargetHead, TargetVm};
+use clem_edge::{Forward, Framing, NamedRequest, TargetHead, TargetVm};
 use clem_policy::dispatch::GrantOutcome;
 use http::{HeaderMap, Method, Request, StatusCode, response};
 use http_body_util::Full;
@@ -98,8 +98,19 @@
             };
             // This future may be dropped while it waits; that must not count against the target.
             slot.set_ended(GrantOutcome::Lost);
-            match connection.try_send_request(request).await {
-                Ok(response) => return self.read_response(slot, response, connection, forward.id),
+            let used = connection.is_used();
+            match connection.send(request).await {
+                Ok(response) => {
+                    let (head, body) = response.into_parts();
+                    let read = self.dialect.read_head(&head, forward.id);
+                    if read.leaves && !read.replaced {
+                        self.note_leaving(&slot.target);
+                    }
+                    if !is_answer(read.named, head.status, used) {
+                        return self.reject_stray(slot, &read, head.status, forward.id);
+                    }
+                    return self.read_response(slot, read, head, body, connection);
+                }
                 Err(mut error) => {
                     let unsent = error.take_message().is_some();
                     let reason = error.into_error().to_string();
@@ -131,25 +142,35 @@
         Ok(request)
     }
 
+    /// Ends an attempt whose response can't be told to belong to the request, which may have run.
+    fn reject_stray(
+        &self,
+        slot: &mut Slot,
+        read: &TargetHead,
+        status: StatusCode,
+        id: &str,
+    ) -> Outcome {
+        metrics::counter!("clem_target_strays").increment(1);
+        log::warn!(
+            target = slot.target.id.as_str(), request = id, status = status.as_u16(),
+            named = read.named.as_str(), not_run = read.not_run;
+            "answer of another request"
+        );
+        slot.set_ended(GrantOutcome::Broken);
+        Outcome::Lost("the answer belongs to another request".to_owned())
+    }
+
     fn read_response(
         &self,
         slot: &mut Slot,
-        response: http::Response<Incoming>,
+        read: TargetHead,
+        head: response::Parts,
+        body: Incoming,
         connection: Connection,
-        id: &str,
     ) -> Outcome {
-        let (head, body) = response.into_parts();
-        let read = self.dialect.read_head(&head, id);
-        if read.leaves && !read.replaced {
-            self.note_leaving(&slot.target);
-        }
-        if read.matches && !read.replaced {
+        if !read.replaced {
             self.note_limit(slot.ticket(), &slot.target, read.limit);
         }
-        if !read.matches {
-            slot.set_ended(GrantOutcome::Broken);
-            return Outcome::Lost("the answer belongs to another request".to_owned());
-        }
         if read.not_run {
             let ended = if read.replaced {
                 GrantOutcome::Replaced
@@ -243,6 +264,16 @@
     }
 }
 
+/// Whether a response belongs to the request that was sent. One that names no request may be a copy of
+/// an earlier response if the connection was `used` before; a success always names its request.
+fn is_answer(named: NamedRequest, status: StatusCode, used: bool) -> bool {
+    match named {
+        NamedRequest::Sent => true,
+        NamedRequest::Other => false,
+        NamedRequest::Unnamed => !used && !status.is_success() && !status.is_informational(),
+    }
+}
+
 /// The connection that a response came from.
 pub struct ReusableConnection(Connection);
 
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -10,8 +10,15 @@
 
 use bytes::Bytes;
 use clem_types::Time;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{SendRequest, handshake},
+    },
+};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -22,8 +29,36 @@
 /// The most idle connections per target.
 const IDLE_PER_TARGET: usize = 4;
 
-/// The sending half of an HTTP/1 connection to a target.
-pub(crate) type Connection = SendRequest<Full<Bytes>>;
+/// An HTTP/1 connection to a target.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Whether a request was sent on it.
+    used: bool,
+}
+
+impl Connection {
+    /// Whether a request was sent on it before: bytes that belong to that one may still arrive.
+    pub(crate) fn is_used(&self) -> bool {
+        self.used
+    }
+
+    /// Sends a request and waits for the response head.
+    ///
+    /// # Errors
+    /// The connection ended; the error returns the request if no byte of it was sent.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.used = true;
+        self.sender.try_send_request(request).await
+    }
+
+    fn is_idle(&self) -> bool {
+        !self.sender.is_closed() && self.sender.is_ready()
+    }
+}
 
 /// Idle connections by target address.
 #[derive(Debug, Default)]
@@ -44,7 +79,7 @@
         let list = idle.get_mut(&address)?;
         while let Some(last) = list.pop() {
             let fresh = now.since(last.since) < IDLE_TIMEOUT;
-            if fresh && !last.connection.is_closed() && last.connection.is_ready() {
+            if fresh && last.connection.is_idle() {
                 return Some(last.connection);
             }
         }
@@ -56,7 +91,9 @@
     pub(crate) fn put(&self, now: Time, address: SocketAddr, connection: Connection) {
         let mut idle = self.lock();
         idle.retain(|_, list| {
-            list.retain(|one| now.since(one.since) < IDLE_TIMEOUT && !one.connection.is_closed());
+            list.retain(|one| {
+                now.since(one.since) < IDLE_TIMEOUT && !one.connection.sender.is_closed()
+            });
             !list.is_empty()
         });
         let list = idle.entry(address).or_default();
@@ -125,5 +162,8 @@
         // An error here also fails the request that uses the connection.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Connection {
+        sender,
+        used: false,
+    })
 }
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -52,8 +52,8 @@
 /// What the head of a target's response says about the attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetHead {
-    /// Whether the response belongs to the request that was sent.
-    pub matches: bool,
+    /// The request that the response names.
+    pub named: NamedRequest,
     /// Whether the target reports that it did not run the request.
     pub not_run: bool,
     /// Whether another instance now has the address.
@@ -66,6 +66,28 @@
     pub limit: NamedLimit,
 }
 
+/// Which request a response names as the one that it answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NamedRequest {
+    /// The one that was sent.
+    Sent,
+    /// Another one.
+    Other,
+    /// None.
+    Unnamed,
+}
+
+impl NamedRequest {
+    /// The name in log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Other => "other",
+            Self::Unnamed => "none",
+        }
+    }
+}
+
 /// What a response says of how many requests its target takes from all vms together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NamedLimit {
