A target's failure without X-Not-Run reaches no caller as a promise

What callers saw: a target ran a request that may run once and then answered 503 (or 429, 408) without stating that it had not run. The front passed the status on, and with it the promise "not run, and never will be".

Cause: the front relayed every answer that wasn't stated as not run. To callers the status alone is the promise; only a stated "not run" keeps it.

Fix: such an answer to a request that may run once ends it with 502, without the target's headers. Requests that may run again get the answer unchanged.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, request, response};
+use http::{HeaderMap, Response, StatusCode, request, response};
 
 use crate::{
     BatchSpec, ListPage, OperatorCall, PromptPart, Refusal, RequestInfo, RequestKind, Result,
@@ -53,6 +53,9 @@
     /// Parses the head of a target's response to the request `id`.
     fn read_head(&self, head: &response::Parts, id: &str) -> TargetHead;
 
+    /// Whether a status promises a caller that its request has not run and never will.
+    fn promises_not_run(&self, status: StatusCode) -> bool;
+
     /// Builds the headers to send to a caller from the target's.
     fn response_headers(&self, from: &HeaderMap) -> HeaderMap;
 
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -112,6 +112,14 @@
             match outcome {
                 Some(Outcome::Answered(reply)) => {
                     self.runs += 1;
+                    let status = reply.head.status;
+                    let dialect = &self.front.node.dialect;
+                    // The target doesn't state that it has not run the request.
+                    if !retryable && dialect.promises_not_run(status) {
+                        slot.set_ended(GrantOutcome::Failed);
+                        self.log_attempt(&target, "refused without proof", status.as_str());
+                        return Err(failed(Cause::Broken));
+                    }
                     return Ok((slot, *reply));
                 }
                 Some(Outcome::NotSent(reason)) => {
