A refused repeat no longer denies a try that may have arrived

What callers saw (by reading, shown by the tests): a batch submission whose first try got no reply was sent again to the group; if the repeat was refused (by its status, or as too large for the customer's cap) the caller was told 429 or 503, "no part of it runs", while the first try could still arrive on its broken or slow connection and be accepted once tokens were free again.

Cause: `LeaderClient::call` remembers that a try may have arrived, but passed an error status, and a reply that the call had no effect, on as the outcome of all tries. They are true of the last one only.

Fix: a call names the replies that say it had no effect; after a try that may have arrived they, and error statuses, give `MayHaveArrived`, which the front answers with 504. The first try's refusal counts as before.

--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -15,6 +15,11 @@
     const MAX_HOLD: Duration = Duration::ZERO;
     /// The type of the reply.
     type Reply: Serialize + DeserializeOwned;
+
+    /// Whether a reply says that the call had no effect, which is true of the try that it answers only.
+    fn is_refusal(_reply: &Self::Reply) -> bool {
+        false
+    }
 }
 
 /// What a member of a replicated group answers: the leader's reply, or which process leads.
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -44,6 +44,13 @@
 impl Call for SubmitJob {
     const PATH: &'static str = "/internal/jobs/submit";
     type Reply = SubmitReply;
+
+    fn is_refusal(reply: &SubmitReply) -> bool {
+        match reply {
+            SubmitReply::Accepted => false,
+            SubmitReply::Full | SubmitReply::NoRoom => true,
+        }
+    }
 }
 
 /// Whether a batch was accepted.
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -79,7 +79,8 @@
     /// # Errors
     /// [`CallError::MayHaveArrived`] if the call may have been executed when the time is over,
     /// [`CallError::NotSent`] if it reached no leader, and [`CallError::Refused`] if a process
-    /// rejected it.
+    /// rejected it. A process that refuses a repeat says nothing of the tries before, which may still be
+    /// on their way: the result is [`CallError::MayHaveArrived`].
     pub async fn call<C: Call>(&self, call: &C, timeout: Duration) -> Result<C::Reply>
     where
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
@@ -106,6 +107,9 @@
                     Ok(LeaderReply::Done(reply)) => {
                         self.leader().note_leader(address);
                         log_retries::<C>(start, tries, true);
+                        if arrived && C::is_refusal(&reply) {
+                            return Err(unknown_error("a repeat of the call was refused"));
+                        }
                         return Ok(reply);
                     }
                     Ok(LeaderReply::NotLeader { leader }) => {
@@ -115,6 +119,9 @@
                         arrived = true;
                         self.leader().note_follower(Instant::now(), address, None);
                     }
+                    Err(error @ CallError::Refused { .. }) if arrived => {
+                        return Err(unknown_error(&error.to_string()));
+                    }
                     Err(error @ CallError::Refused { .. }) => return Err(error),
                     Err(error) => {
                         arrived |= !error.is_not_run();
@@ -246,7 +253,12 @@
 
 fn timeout_error(arrived: bool) -> CallError {
     if arrived {
-        return CallError::MayHaveArrived("no control process answered in time".to_owned());
+        return unknown_error("no control process answered in time");
     }
     CallError::NotSent("no control leader was reached in time".to_owned())
 }
+
+/// The error of a call of which a try may have been executed.
+fn unknown_error(reason: &str) -> CallError {
+    CallError::MayHaveArrived(reason.to_owned())
+}
