Items of an accepted batch follow their route to another service

What callers saw: a batch was accepted, its route moved to another service and the old service was emptied. Items that had not run by then waited for ever and were listed as errored when they were given up, though the service that the route had now was idle (LOST).

Each refusal led to another try without a log line.

An item that has begun goes on there while its route has the service, and begins anew otherwise, so that outputs of two services are never joined. An item whose route is gone ends as errored. "item waits for a slot" names items that are refused slots again and again, ever more rarely.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -16,7 +16,7 @@
     time::Instant,
 };
 
-use crate::{keeper::Keeper, queue::ReadyItem};
+use crate::{keeper::Keeper, placement::Placement, queue::ReadyItem};
 
 /// How long the hub may hold a request for a slot.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -25,6 +25,8 @@
 /// How often an item that has begun is refused a slot at its version before it begins anew at another
 /// one.
 const WAITS_MAX: u32 = 4;
+/// Consecutive refusals of a slot from which on they are logged.
+const WAITS_LOGGED_MIN: u32 = 16;
 /// Delay before asking again for an item with parts that crash targets.
 const HARMFUL_DELAY: Duration = Duration::from_secs(2);
 /// Delay before the next run after a failed one.
@@ -56,7 +58,7 @@
     last_event: Option<u64>,
     /// Where the events received so far began.
     began: Option<Origin>,
-    /// Consecutive refusals of a slot while the item waited for the version that began it.
+    /// Consecutive refusals of a slot.
     waits: u32,
     /// Targets that had nothing to add after the last event, and didn't crash, in runs that ended with
     /// their connection; the one that sent that event included.
@@ -85,6 +87,8 @@
     Failed,
     /// The target rejected the item for good.
     Impossible,
+    /// No service may run the item any more.
+    Gone,
     /// The job was deleted, or this process is no longer the leader.
     Closed,
 }
@@ -142,6 +146,10 @@
                     self.end(ItemStatus::Errored, "impossible");
                     return;
                 }
+                RunEnd::Gone => {
+                    self.end(ItemStatus::Errored, "route gone");
+                    return;
+                }
                 RunEnd::Failed => {
                     self.failed += 1;
                     self.reset();
@@ -163,7 +171,11 @@
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
-        let mut slot = match self.place().await {
+        let service = match self.choose_service() {
+            Placement::At(service) => service,
+            Placement::Gone => return RunEnd::Gone,
+        };
+        let mut slot = match self.place(service.clone()).await {
             SlotOutcome::Slot(slot) => {
                 self.waits = 0;
                 slot
@@ -172,6 +184,7 @@
                 tokio::time::sleep(BUSY_DELAY).await;
                 self.avoid.clear();
                 self.waits += 1;
+                self.log_wait(&service);
                 if self.began.is_some() && self.waits >= WAITS_MAX {
                     self.log_failure("", "begun anew", "no slot at its version");
                     self.reset();
@@ -226,7 +239,26 @@
         STALL_TIMEOUT * 2_u32.pow(self.stalls.min(STALL_DOUBLINGS))
     }
 
-    async fn place(&self) -> SlotOutcome {
+    /// The service for the next run by the rules in force. Output that began at another one is discarded.
+    fn choose_service(&mut self) -> Placement {
+        let node = &self.keeper.node;
+        let rules = node.view().rules.clone();
+        let began = self.began.as_ref().map(|origin| origin.service.as_str());
+        let options = &self.ready.job.options;
+        let draw = node.random();
+        let placement = Placement::choose(rules.as_deref(), options, &self.spec.path, began, draw);
+        let stays = match (&placement, began) {
+            (Placement::At(service), Some(began)) => service == began,
+            (Placement::At(_), None) | (Placement::Gone, _) => true,
+        };
+        if !stays {
+            self.log_failure("", "begun anew", "its route left the service");
+            self.reset();
+        }
+        placement
+    }
+
+    async fn place(&self, service: String) -> SlotOutcome {
         let left = self
             .ready
             .due
@@ -235,7 +267,7 @@
         let want = SlotRequest {
             ticket: Ticket(0),
             holder: String::new(),
-            service: self.ready.job.options.service.clone(),
+            service,
             customer: None,
             rank: self.ready.job.options.rank,
             urgency: Urgency::Batch {
@@ -443,6 +475,18 @@
         RunEnd::Closed
     }
 
+    /// Logs a refused slot, ever more rarely.
+    fn log_wait(&self, service: &str) {
+        if self.waits < WAITS_LOGGED_MIN || !self.waits.is_power_of_two() {
+            return;
+        }
+        log::info!(
+            item = self.spec.id.as_str(), batch = self.ready.job.name.id.as_str(), service,
+            waits = self.waits, seen = self.last_event;
+            "item waits for a slot"
+        );
+    }
+
     fn log_failure(&self, target: &str, outcome: &str, reason: &str) {
         log::warn!(
             item = self.spec.id.as_str(), batch = self.ready.job.name.id.as_str(), target, outcome,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod item;
 mod keeper;
+mod placement;
 mod program;
 mod queue;
 mod serve;
 mod tasks;
 
+pub use placement::Placement;
 pub use program::{BatchSettings, run};
 pub use queue::{ItemQueue, ReadyItem};
--- a/crates/edge/src/rules.rs
+++ b/crates/edge/src/rules.rs
@@ -216,6 +216,13 @@
         last.map(|backend| backend.service.as_str())
     }
 
+    /// Whether its requests may go to a service.
+    pub fn uses(&self, service: &str) -> bool {
+        self.backends
+            .iter()
+            .any(|backend| backend.service == service && backend.weight > 0)
+    }
+
     /// Whether a request may be sent again although it may have run.
     pub fn is_retryable(&self) -> bool {
         match self.kind {
--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -50,6 +50,7 @@
             route: route.name.clone(),
             host: route.host.clone(),
             service: service.to_owned(),
+            rules: rules.version,
             rank: customer.rank.unwrap_or(route.rank),
             due: bounds.map_or(DEFAULT_SPAN, |bounds| bounds.due),
             keep: bounds.map_or(DEFAULT_SPAN, |bounds| bounds.keep),
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use clem_edge::{BatchSpec, ResultsPage};
+use clem_types::Version;
 use serde::{Deserialize, Serialize};
 
 use crate::Call;
@@ -20,15 +21,19 @@
     pub options: JobOptions,
 }
 
-/// How a batch's items are run; copied from the route's rules at submission.
+/// How a batch's items are run; copied from the route's rules at submission. Rules in force later may
+/// move the items to another service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobOptions {
-    /// The name of the route, for the token cap.
+    /// The name of the route.
     pub route: String,
     /// The value of the `Host` header of the items' requests.
     pub host: String,
-    /// The service that runs the items.
+    /// The service that runs the items by the rules of the submission.
     pub service: String,
+    /// The version of these rules.
+    #[serde(default)]
+    pub rules: Version,
     /// The items' rank among waiting requests; 0 goes first.
     pub rank: u8,
     /// How long after the submission all results are due.
--- a/crates/wire/tests/repeated.rs
+++ b/crates/wire/tests/repeated.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use clem_edge::BatchSpec;
+use clem_types::Version;
 use clem_wire::{
     CallError, Client, FleetSecret, LeaderClient, LeaderReply, answer,
     jobs::{JobOptions, SubmitJob, SubmitReply},
@@ -77,6 +78,7 @@
             route: "r".to_owned(),
             host: "h".to_owned(),
             service: "s".to_owned(),
+            rules: Version(1),
             rank: 0,
             due: TIMEOUT,
             keep: TIMEOUT,
