An accepted batch is read after its host is gone

Cause: the front answered 404 to these calls if no route has their host. They aren't routed to a service: the customer's key and the batch's id name the batch, and it is kept whatever becomes of the routes.

Fix: calls with a key reach the batch group.

--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -72,11 +72,13 @@
     let path = head.uri.path();
     let limits = rules.limits;
     if kind != RequestKind::Forward {
-        if !rules.has_host(&info.host) {
+        // An accepted batch outlives the routes of its host.
+        let key = info.key.as_deref();
+        if key.is_none() && !rules.has_host(&info.host) {
             log::info!(request = early.id, host = info.host.as_str(), path; "no route");
             return Err(early.refuse(Refusal::new(Cause::NotFound)));
         }
-        let customer = authenticate(&rules, info.key.as_deref(), &early)?;
+        let customer = authenticate(&rules, key, &early)?;
         return batch::answer(front, customer, kind).await;
     }
     let Some(route) = rules.route(&info.host, path) else {
