A compaction that a power loss undoes in part leaves a log that opens

What callers saw: nothing yet; found by reading. A member of which power was lost within a compaction that removes several segments could refuse its own log at the next start ("the segment is missing"), as if its disk were lost.

Cause: the segments are removed one by one and the folder is synced once, so that a power loss may undo any of the removals. If an older one comes back and a newer one doesn't, the numbers have a gap, which recovery took for lost data.

Why it works: the base is durable before anything is removed, and only segments below it are. So recovery accepts a gap after segments that lie entirely below the base, and still refuses any other. The second new test removes each segment in turn after the compacted ones and is green before and after. Weighed: one sync for each removal, which a test on a real file system can't show to be there, and which leaves folders with a gap unusable.

One case can't be told apart any more: removals that were undone, and besides a lost segment right before an active one that holds no entries yet.

--- a/crates/log/src/disk/folder.rs
+++ b/crates/log/src/disk/folder.rs
@@ -163,7 +163,7 @@
         let mut kept = Vec::new();
         let mut removed = false;
         for closed in std::mem::take(&mut self.closed) {
-            // Stops at the first segment to keep, as the numbers must have no gaps.
+            // Stops at the first segment to keep: recovery accepts gaps only before it.
             if !kept.is_empty() || closed.highest > self.base.index {
                 kept.push(closed);
                 continue;
--- a/crates/log/src/disk/recover.rs
+++ b/crates/log/src/disk/recover.rs
@@ -54,12 +54,6 @@
         numbers.push(number);
     }
     numbers.sort_unstable();
-    for pair in numbers.windows(2) {
-        if pair[0] + 1 != pair[1] {
-            let missing = segment::path(folder, pair[0] + 1);
-            return Err(DiskError::damaged(&missing, 0, "the segment is missing"));
-        }
-    }
     Ok(numbers)
 }
 
@@ -142,8 +136,22 @@
         self.base = base;
     }
 
-    /// Checks that the entries follow the base without gaps; a gap means that synced data is lost.
+    /// Checks that no segment is missing, and that the entries follow the base without gaps; a gap
+    /// means that synced data is lost.
+    ///
+    /// A power loss may undo any of the removals of a compaction, so segments may be missing after
+    /// those that lie entirely below the base.
     fn check(&self, folder: &Path) -> Result<()> {
+        let last = self.last.iter().map(|last| &last.segment);
+        let segments: Vec<&SegmentInfo> = self.closed.iter().chain(last).collect();
+        let mut highest = LogIndex::default();
+        for pair in segments.windows(2) {
+            highest = highest.max(pair[0].highest);
+            if pair[0].number + 1 != pair[1].number && highest > self.base.index {
+                let missing = segment::path(folder, pair[0].number + 1);
+                return Err(DiskError::damaged(&missing, 0, "the segment is missing"));
+            }
+        }
         let mut expected = self.base.index.next();
         for entry in &self.entries {
             if entry.index != expected {
--- a/crates/log/tests/disk.rs
+++ b/crates/log/tests/disk.rs
@@ -190,6 +190,84 @@
     assert!(matches!(open_error(dir.path()), DiskError::Damaged { path, .. } if path == all[1]));
 }
 
+#[test]
+fn a_power_loss_that_undoes_some_removals_of_a_compaction_leaves_a_log_that_opens() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    for index in 1..=10 {
+        let large = Write {
+            entries: vec![entry(index, 1, 5 << 20)],
+            ..Write::default()
+        };
+        folder.write(vec![large]).unwrap();
+    }
+    let before: Vec<(PathBuf, Vec<u8>)> = segments(dir.path())
+        .into_iter()
+        .map(|path| (path.clone(), fs::read(path).unwrap()))
+        .collect();
+    folder.compact(base(8, 1)).unwrap();
+    drop(folder);
+    let kept = segments(dir.path());
+    let removed: Vec<_> = before.iter().filter(|(p, _)| !kept.contains(p)).collect();
+    assert!(
+        removed.len() >= 3,
+        "{} segments were removed",
+        removed.len()
+    );
+    for undone in 0..1_u32 << removed.len() {
+        let copy = TempDir::new().unwrap();
+        for file in fs::read_dir(dir.path()).unwrap() {
+            let file = file.unwrap();
+            fs::copy(file.path(), copy.path().join(file.file_name())).unwrap();
+        }
+        for (at, (path, bytes)) in removed.iter().enumerate() {
+            if undone & (1 << at) != 0 {
+                fs::write(copy.path().join(path.file_name().unwrap()), bytes).unwrap();
+            }
+        }
+        let (mut folder, recovered) = Folder::open(copy.path(), FRESH)
+            .unwrap_or_else(|error| panic!("removals undone {undone:b}: {error}"));
+        assert_eq!(recovered.base, base(8, 1));
+        let indices: Vec<u64> = recovered.entries.iter().map(|e| e.index.0).collect();
+        assert_eq!(indices, [9, 10]);
+        folder.write(vec![entries(11..=11, 1)]).unwrap();
+        folder.compact(base(10, 1)).unwrap();
+        drop(folder);
+        let (_folder, recovered) = open(copy.path());
+        assert_eq!(recovered.entries.len(), 1);
+    }
+}
+
+#[test]
+fn a_missing_segment_after_the_compacted_ones_is_rejected() {
+    let dir = TempDir::new().unwrap();
+    let (mut folder, _) = open(dir.path());
+    for index in 1..=10 {
+        let large = Write {
+            entries: vec![entry(index, 1, 5 << 20)],
+            ..Write::default()
+        };
+        folder.write(vec![large]).unwrap();
+    }
+    folder.compact(base(3, 1)).unwrap();
+    drop(folder);
+    let kept = segments(dir.path());
+    assert!(kept.len() > 3, "{} segments are left", kept.len());
+    for lost in &kept[1..kept.len() - 1] {
+        let copy = TempDir::new().unwrap();
+        for file in fs::read_dir(dir.path()).unwrap() {
+            let file = file.unwrap();
+            if file.path() != *lost {
+                fs::copy(file.path(), copy.path().join(file.file_name())).unwrap();
+            }
+        }
+        let missing = copy.path().join(lost.file_name().unwrap());
+        assert!(
+            matches!(open_error(copy.path()), DiskError::Damaged { path, .. } if path == missing)
+        );
+    }
+}
+
 #[test]
 fn compaction_removes_segments() {
     let dir = TempDir::new().unwrap();
