A process without its disk finds its group through any live process

Cause: a batch keeper with an empty disk that is a founder looked for its group at the founders only, since the addresses to ask were also those that had to answer before a group could be founded. Later processes were added only once a group was known. By the same guard, a keeper that had found its group and was restarted before a leader admitted it asked nobody for ever, and so did a new one whose first news named no other store. A hub process whose seeds were gone but for one without a disk never found its group either, as such a hub knows the members but belongs to no group.

Why it works: who may found a group (the founders) and whom to ask are apart. `clem-control joining` guards that: three founders that lost their disks at once join the group of a later member, and three founders don't found while a process that is named as alive is silent. Weighed: a replicated mark that the group exists, which a hub of an earlier release can't read; without it, three founders with empty disks that a new leader names no other store for would found. That takes the loss of three disks at once.

--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -55,7 +55,7 @@
     let identity = read_identity(&settings.data_dir)?;
     let grouped = identity.is_some_and(|identity| identity.cluster.is_some());
     let peers = tokio::select! {
-        peers = find_peers(&node, settings.address), if !grouped => peers,
+        founders = find_founders(&node), if !grouped => founders,
         stopped = &mut stop, if !grouped => return Ok(stopped?),
         else => Vec::new(),
     };
@@ -71,6 +71,7 @@
         reserve_bytes: settings.reserve_bytes,
         consensus: consensus_settings(settings.tolerance),
     })?;
+    replica.set_live(&node.view().batch);
     let keeper = Arc::new(Keeper::new(Arc::clone(&node), replica.clone()));
     let router = Router::new()
         .hoop(Guard::new(settings.secret))
@@ -83,11 +84,7 @@
     tokio::spawn(tasks::record_results(Arc::clone(&keeper)));
     tokio::spawn(tasks::handle_recalls(Arc::clone(&keeper)));
     tokio::spawn(tasks::delete_old(Arc::clone(&keeper)));
-    tokio::spawn(follow_members(
-        Arc::clone(&node),
-        replica.clone(),
-        settings.address,
-    ));
+    tokio::spawn(follow_members(Arc::clone(&node), replica.clone()));
     stop.await?;
     log::info!(vm = node.vm.as_str(); "batch keeper stopping");
     replica.transfer_leadership().await;
@@ -96,36 +93,25 @@
     Ok(())
 }
 
-/// Waits for the hub to announce the batch group, and returns the addresses to look for it.
-///
-/// If this process is a founder, these are the founders. Otherwise its own address is left out, so
-/// that an empty disk can join the group but not found one.
-async fn find_peers(node: &Node, own: SocketAddr) -> Vec<SocketAddr> {
+/// Waits for the hub to announce the batch group, and returns its founders.
+async fn find_founders(node: &Node) -> Vec<SocketAddr> {
     loop {
-        {
-            let view = node.view();
-            if !view.founders.is_empty() {
-                let mut peers = view.founders.clone();
-                if !peers.contains(&own) {
-                    peers.extend(view.batch.iter().filter(|a| **a != own));
-                }
-                return peers;
-            }
+        let founders = node.view().founders.clone();
+        if !founders.is_empty() {
+            return founders;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-/// Tells the group about later processes and about vms being retired.
-async fn follow_members(node: Arc<Node>, replica: Replica, own: SocketAddr) {
+/// Tells the replica which processes the hub names, and which of their vms are being retired.
+async fn follow_members(node: Arc<Node>, replica: Replica) {
     let mut changes = node.changes();
     loop {
         {
             let view = node.view();
-            if !replica.members().is_empty() {
-                replica.add_peers(view.batch.iter().copied().filter(|a| *a != own));
-                replica.set_leaving(&view.retiring);
-            }
+            replica.set_live(&view.batch);
+            replica.set_leaving(&view.retiring);
         }
         tokio::select! {
             _ = changes.changed() => {}
--- a/crates/control/src/replica/calls.rs
+++ b/crates/control/src/replica/calls.rs
@@ -1,5 +1,7 @@
 //! Calls between the members of a group.
 
+use std::net::SocketAddr;
+
 use clem_log::{ClusterId, MemberId, Members, Message, SnapshotMetadata};
 use clem_wire::Call;
 use serde::{Deserialize, Serialize};
@@ -45,6 +47,9 @@
     pub(super) votes: bool,
     /// The group of the process; `None` while it has not joined one.
     pub(super) group: Option<Group>,
+    /// Without a group, the addresses at which the process looks for one.
+    #[serde(default)]
+    pub(super) known: Vec<SocketAddr>,
 }
 
 /// A group and the members that it starts from.
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -1,11 +1,12 @@
 //! Group formation: bootstraps a new group or joins an existing one.
 //!
-//! A process with an empty disk queries all other processes that its settings list. If one of them
-//! knows a group, this process joins it: as an initial member if it is one, otherwise as a learner
-//! that replaces the lost disk at its address. Only the process with the lowest address bootstraps
-//! a group, and only when every listed process has answered and none knows a group. A process that
-//! has lost its disk therefore never bootstraps a second group while a member of the first one
-//! answers.
+//! A process with an empty disk queries all other processes that it is told of: the initial members
+//! of its settings, the live processes that its owner names, and whom those name in turn. If one of
+//! them knows a group, this process joins it: as an initial member if it is one, otherwise as a
+//! learner that replaces the lost disk at its address. Only the initial member with the lowest
+//! address bootstraps a group, and only when all initial members and all live processes have
+//! answered and none knows a group. A process that has lost its disk therefore never bootstraps a
+//! second group while a member of the first one answers or is thought to be alive.
 //!
 //! A process without a disk answers these queries as well, but never becomes a member.
 //!
@@ -18,12 +19,14 @@
     SnapshotMetadata, Write,
     disk::{DiskEvent, Folder, Identity, Recovered, Writer},
 };
+use futures_util::future;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::{
     calls::{Group, Hello, HelloReply, Join},
     core::{Core, log_members},
     event_loop, fatal, gauges, install_snapshot,
+    joining::{Joining, Phase},
     shared::Shared,
 };
 
@@ -117,58 +120,76 @@
 
 /// Queries the other processes until there is a group to join or to bootstrap.
 async fn form(shared: &Shared, folder: &mut Folder) -> (ClusterId, InitialState) {
+    let mut joining = Joining::default();
     loop {
-        let answers = query_peers(shared).await;
-        let found = answers.iter().find_map(|answer| answer.reply.group.clone());
-        let group = found.or_else(|| bootstrap_group(shared, &answers));
-        let Some(group) = group else {
-            tokio::time::sleep(ROUND_PAUSE).await;
-            continue;
-        };
-        return (group.cluster, adopt(shared, folder, group));
+        let asked = shared.others();
+        let answers = query(shared, &asked).await;
+        let now = shared.clock.now();
+        if let Some((address, group)) = find_group(&answers) {
+            log::info!(
+                cluster:% = group.cluster, address:% = address,
+                waited_ms = joining.finish(now).as_millis() as u64;
+                "group found"
+            );
+            return (group.cluster, adopt(shared, folder, group));
+        }
+        if let Some(group) = bootstrap_group(shared, &answers) {
+            joining.finish(now);
+            return (group.cluster, adopt(shared, folder, group));
+        }
+        joining.note(now, Phase::Search, &asked, answers.len());
+        tokio::time::sleep(ROUND_PAUSE).await;
     }
 }
 
+fn find_group(answers: &[PeerReply]) -> Option<(SocketAddr, Group)> {
+    let found = answers.iter().find(|answer| answer.reply.group.is_some())?;
+    Some((found.address, found.reply.group.clone()?))
+}
+
 /// Keeps the addresses of the group's members up to date in a process without a disk.
 pub(super) async fn discover(shared: Arc<Shared>) {
     loop {
-        query_peers(&shared).await;
+        query(&shared, &shared.others()).await;
         tokio::time::sleep(DISCOVERY_INTERVAL).await;
     }
 }
 
-async fn query_peers(shared: &Shared) -> Vec<PeerReply> {
-    let mut answers = Vec::new();
-    for address in others(shared) {
-        let asked = shared.client.call(address, &Hello {}, HELLO_TIMEOUT).await;
-        let Ok(reply) = asked else { continue };
+/// Queries these processes at once, so that a round takes no longer for those that are gone.
+async fn query(shared: &Shared, asked: &[SocketAddr]) -> Vec<PeerReply> {
+    let calls = asked.iter().map(async |address| {
+        let asked = shared.client.call(*address, &Hello {}, HELLO_TIMEOUT).await;
+        asked.ok().map(|reply| PeerReply {
+            address: *address,
+            reply,
+        })
+    });
+    let answers = future::join_all(calls).await;
+    let answers: Vec<PeerReply> = answers.into_iter().flatten().collect();
+    for PeerReply { reply, .. } in &answers {
         if let Some(group) = &reply.group {
             let known = group.members.iter().filter_map(|m| m.address.parse().ok());
             shared.add_peers(known);
         }
-        answers.push(PeerReply { address, reply });
+        shared.add_peers(reply.known.iter().copied());
     }
     answers
 }
 
-fn others(shared: &Shared) -> Vec<SocketAddr> {
-    shared
-        .peers()
-        .into_iter()
-        .filter(|address| *address != shared.address)
-        .collect()
-}
-
 /// Creates a new group, if this process is the one to bootstrap it and all others have answered.
 fn bootstrap_group(shared: &Shared, answers: &[PeerReply]) -> Option<Group> {
-    if !shared.bootstrap {
+    let named = shared.founders.contains(&shared.address);
+    if !shared.bootstrap || !named {
         return None;
     }
-    let others = others(shared);
-    let named = others.len() < shared.peers().len();
-    let voting: Vec<&PeerReply> = answers.iter().filter(|a| a.reply.votes).collect();
+    let answered = |address: &SocketAddr| answers.iter().any(|a| a.address == *address);
+    let silent = shared.expected().any(|address| !answered(&address));
+    let founding = answers
+        .iter()
+        .filter(|a| a.reply.votes && shared.founders.contains(&a.address));
+    let voting: Vec<&PeerReply> = founding.collect();
     let lowest = voting.iter().all(|answer| shared.address < answer.address);
-    if !named || !lowest || answers.len() < others.len() {
+    if silent || !lowest {
         return None;
     }
     let mut members = vec![voter(shared.member, shared.address)];
@@ -216,26 +237,38 @@
 
 /// Asks the others to let this process join, whenever no leader has it as a member.
 async fn request_join(shared: Arc<Shared>) {
+    let mut joining = Joining::default();
     loop {
         tokio::time::sleep(JOIN_INTERVAL).await;
-        let join = {
+        let now = shared.clock.now();
+        let (join, is_member) = {
             let core = shared.core();
             let Some(core) = core.as_ref() else { continue };
             if !core.node().wants_join() {
+                joining.finish(now);
                 continue;
             }
-            let known = core.node().members().iter();
-            shared.add_peers(known.filter_map(|m| m.address.parse().ok()));
-            let address = shared.address.to_string();
-            Join {
+            let members = core.node().members();
+            shared.add_peers(members.iter().filter_map(|m| m.address.parse().ok()));
+            let join = Join {
                 cluster: core.cluster,
                 member: shared.member,
-                address,
-            }
+                address: shared.address.to_string(),
+            };
+            (join, members.get(shared.member).is_some())
         };
-        for address in others(&shared) {
-            // Only the leader accepts the call.
-            let _ = shared.client.call(address, &join, HELLO_TIMEOUT).await;
+        let asked = shared.others();
+        // Only the leader accepts the call.
+        let calls = asked
+            .iter()
+            .map(|address| shared.client.call(*address, &join, HELLO_TIMEOUT));
+        let replies = future::join_all(calls).await;
+        let replies = replies.iter().filter(|reply| reply.is_ok()).count();
+        // A member without a leader has its place already.
+        if is_member {
+            joining.finish(now);
+        } else {
+            joining.note(now, Phase::Admission, &asked, replies);
         }
     }
 }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -313,6 +313,12 @@
         self.shared.add_peers(found);
     }
 
+    /// Sets the addresses of the processes that are thought to be alive, in place of those set
+    /// before. Any of them may know the group, and none is bootstrapped while one of them is silent.
+    pub fn set_live(&self, live: &[SocketAddr]) {
+        self.shared.set_live(live);
+    }
+
     /// Sets the addresses of members that are to be replaced although they are alive.
     pub fn set_leaving(&self, leaving: &[SocketAddr]) {
         let addresses: Vec<String> = leaving.iter().map(ToString::to_string).collect();
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -17,6 +17,7 @@
 mod gauges;
 mod handle;
 mod install_snapshot;
+mod joining;
 mod peers;
 mod routes;
 mod send_snapshot;
--- a/crates/control/src/replica/routes.rs
+++ b/crates/control/src/replica/routes.rs
@@ -73,12 +73,17 @@
             cluster: core.cluster,
             members: core.node().members().clone(),
         });
+        let known = match &group {
+            Some(_) => Vec::new(),
+            None => self.0.others(),
+        };
         answer(
             res,
             &HelloReply {
                 member: self.0.member,
                 votes: self.0.votes,
                 group,
+                known,
             },
         );
     }
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -21,7 +21,11 @@
 /// Locks are never held across an `await`, and are taken in this order: core, store, install.
 pub(super) struct Shared {
     pub(super) address: SocketAddr,
+    /// The initial members, if a group is to be bootstrapped.
+    pub(super) founders: Vec<SocketAddr>,
     peers: Mutex<Vec<SocketAddr>>,
+    /// The processes that are thought to be alive.
+    live: Mutex<Vec<SocketAddr>>,
     pub(super) data_dir: PathBuf,
     pub(super) clock: Clock,
     pub(super) client: Client,
@@ -64,7 +68,9 @@
         let (epoch, _) = watch::channel(None);
         Self {
             address: parts.address,
+            founders: parts.peers.clone(),
             peers: Mutex::new(parts.peers),
+            live: Mutex::default(),
             bootstrap: parts.bootstrap,
             reserve_bytes: parts.reserve_bytes,
             consensus: parts.consensus,
@@ -97,6 +103,35 @@
         }
     }
 
+    /// Sets the addresses of the processes that are thought to be alive.
+    pub(super) fn set_live(&self, live: &[SocketAddr]) {
+        live.clone_into(&mut self.live.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// The addresses of all other processes that may know the group, each once.
+    pub(super) fn others(&self) -> Vec<SocketAddr> {
+        let mut others = self.peers();
+        for address in self.live() {
+            if !others.contains(&address) {
+                others.push(address);
+            }
+        }
+        others.retain(|address| *address != self.address);
+        others
+    }
+
+    /// The addresses of the other processes that must have answered before a group is bootstrapped.
+    pub(super) fn expected(&self) -> impl Iterator<Item = SocketAddr> {
+        let founders = self.founders.iter().copied();
+        let expected = founders.chain(self.live());
+        expected.filter(|address| *address != self.address)
+    }
+
+    fn live(&self) -> Vec<SocketAddr> {
+        let live = self.live.lock().unwrap_or_else(PoisonError::into_inner);
+        live.clone()
+    }
+
     /// The replica's core; `None` until a group has been bootstrapped or joined.
     pub(super) fn core(&self) -> MutexGuard<'_, Option<Core>> {
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/crates/control/tests/joining.rs
@@ -0,0 +1,121 @@
+//! How processes with empty disks find their group, or found one.
+
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use clem_boot::{Clock, Listener, acceptor, listen};
+use clem_control::replica::{RESERVE_BYTES, Replica, ReplicaSettings};
+use clem_wire::{FleetSecret, Guard};
+use salvo::{Router, Server};
+use tempfile::TempDir;
+
+/// Timeout for a condition; long enough for a busy machine.
+const BOUND: Duration = Duration::from_secs(30);
+/// Several rounds of queries.
+const ROUNDS: Duration = Duration::from_secs(3);
+
+struct Member {
+    address: SocketAddr,
+    replica: Replica,
+    _folder: TempDir,
+}
+
+fn listeners<const N: usize>() -> [Listener; N] {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    std::array::from_fn(|_| listen(any).unwrap())
+}
+
+/// Starts a member with an empty disk that knows these founders and live processes.
+fn start(listener: Listener, founders: &[SocketAddr], live: &[SocketAddr]) -> Member {
+    let folder = TempDir::new().unwrap();
+    let address = listener.address();
+    let secret = FleetSecret::new("joining-test-001").unwrap();
+    let replica = Replica::open(ReplicaSettings {
+        data_dir: Some(folder.path().to_owned()),
+        address,
+        peers: founders.to_vec(),
+        secret: secret.clone(),
+        clock: Clock::start(),
+        bootstrap: true,
+        reserve_bytes: RESERVE_BYTES,
+        consensus: clem_log::Settings {
+            voters: 3,
+            ..clem_log::Settings::default()
+        },
+    })
+    .unwrap();
+    replica.set_live(live);
+    let mut routes = replica.routes();
+    let router = Router::new().hoop(Guard::new(secret)).append(&mut routes);
+    let server = Server::new(acceptor(listener).unwrap());
+    tokio::spawn(server.serve(router));
+    Member {
+        address,
+        replica,
+        _folder: folder,
+    }
+}
+
+async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let held = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let in_time = tokio::time::timeout(BOUND, held).await;
+    assert!(in_time.is_ok(), "waited too long for: {what}");
+}
+
+fn knows(member: &Member, address: SocketAddr) -> bool {
+    let members = member.replica.members();
+    members.iter().any(|member| member.address == address)
+}
+
+#[tokio::test]
+async fn founders_that_all_lost_their_disks_join_the_group_of_a_later_member() {
+    let [later, first, second, third] = listeners();
+    let founders = [first.address(), second.address(), third.address()];
+    let own = later.address();
+    let later = start(later, &[own], &[]);
+    eventually("the later member leads", || {
+        later.replica.leader() == Some(own)
+    })
+    .await;
+    let members = [first, second, third].map(|one| start(one, &founders, &[own]));
+    eventually("two founders have joined", || {
+        let joined = members.iter().filter(|member| knows(member, own));
+        joined.count() >= 2
+    })
+    .await;
+    tokio::time::sleep(ROUNDS).await;
+    for member in &members {
+        let alone = !member.replica.members().is_empty() && !knows(member, own);
+        assert!(!alone, "{} is in a second group", member.address);
+    }
+}
+
+#[tokio::test]
+async fn no_group_is_founded_while_a_process_that_is_named_as_alive_is_silent() {
+    let [silent, first, second, third] = listeners();
+    let founders = [first.address(), second.address(), third.address()];
+    let live = [silent.address()];
+    let members = [first, second, third].map(|one| start(one, &founders, &live));
+    tokio::time::sleep(ROUNDS).await;
+    for member in &members {
+        assert!(
+            member.replica.members().is_empty(),
+            "{} is in a group",
+            member.address
+        );
+    }
+    for member in &members {
+        member.replica.set_live(&[]);
+    }
+    eventually("the founders have a leader", || {
+        members
+            .iter()
+            .any(|member| member.replica.leader().is_some())
+    })
+    .await;
+}
