Rates: a tiny rate of a customer breaks no call of the hub

Cause: RateBucket::take turned the waiting time into a Duration with from_secs_f64, which panics beyond its range.

Fix: the time that a caller is told is at most an hour, which also keeps the later sums and products in range.

--- a/crates/policy/src/dispatch/rate.rs
+++ b/crates/policy/src/dispatch/rate.rs
@@ -34,6 +34,8 @@
 /// Seconds of the customer's full rate that are assumed as a minimum of recent requests: a new
 /// leader has seen few holders and would otherwise assign the whole rate to the first one.
 const EVIDENCE_S: f64 = 4.0;
+/// Longest time until the next token that a caller is told.
+const WAIT_MAX: Duration = Duration::from_secs(3600);
 /// Decayed request count below which a holder is forgotten.
 const COUNT_MIN: f64 = 0.01;
 /// Time constant of the exponential decay of the holders' request counts.
@@ -85,7 +87,7 @@
     /// Takes one token; always succeeds for an unlimited customer.
     ///
     /// # Errors
-    /// The time until the next token, if the bucket is empty.
+    /// The time until the next token, at most an hour, if the bucket is empty.
     pub fn take(&mut self, now: Time) -> Result<(), Duration> {
         if self.limit.rate <= 0.0 {
             return Ok(());
@@ -96,7 +98,7 @@
             return Ok(());
         }
         let wait = (1.0 - self.level) / self.limit.rate;
-        Err(Duration::from_secs_f64(wait))
+        Err(Duration::try_from_secs_f64(wait).map_or(WAIT_MAX, |wait| wait.min(WAIT_MAX)))
     }
 
     /// Counts a request of a holder and returns the holder's share of the rate.
