Batches: an item with an endless retention isn't given up at once

Callers saw: with a retention_s or completion_target_ms so large that it stands for 'never', items were abandoned at their first failure: the sum of the time of acceptance and the span wrapped (in builds with overflow checks the leader panicked at each submission).

Fix: one function adds spans, and saturates.

--- a/crates/batch/src/queue.rs
+++ b/crates/batch/src/queue.rs
@@ -60,9 +60,9 @@
         let job = Arc::clone(self.jobs.get(&number)?);
         self.running.insert((number, item));
         let keep = UnixMillis(
-            job.accepted.0
-                + u64::try_from(job.options.keep.as_millis()).unwrap_or(u64::MAX / 2)
-                + KEEP_MARGIN_MS,
+            after(&job, job.options.keep)
+                .0
+                .saturating_add(KEEP_MARGIN_MS),
         );
         Some(ReadyItem {
             job,
@@ -129,6 +129,11 @@
 }
 
 fn due(job: &Job) -> UnixMillis {
-    let span = u64::try_from(job.options.due.as_millis()).unwrap_or(u64::MAX / 2);
-    UnixMillis(job.accepted.0 + span)
+    after(job, job.options.due)
+}
+
+/// The time that is `span` after a job was accepted.
+fn after(job: &Job, span: Duration) -> UnixMillis {
+    let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+    UnixMillis(job.accepted.0.saturating_add(span))
 }
