Batches: tokens beyond any number don't fit under a cap

Callers saw: items whose tokens sum to more than 2^64 were accepted although the route has a cap, and the count of waiting tokens was wrong for all later batches of the customer; with overflow checks each store would panic while it applies the entry, and again at each start.

Fix: the sums saturate.

--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -130,14 +130,16 @@
     if number_of(store, &name)?.is_some() {
         return Ok(JobOutcome::Submitted(SubmitReply::Accepted, None));
     }
-    let tokens: u64 = call.spec.items.iter().map(|item| item.tokens).sum();
+    let each = call.spec.items.iter().map(|item| item.tokens);
+    let tokens = each.fold(0, u64::saturating_add);
     let waiting_key = waiting_key(&call.customer, &call.options.route);
     let waiting: u64 = table::get(store, &waiting_key)?.unwrap_or_default();
     let cap = call.options.token_cap;
-    if cap > 0 && waiting + tokens > cap {
+    let waiting = waiting.saturating_add(tokens);
+    if cap > 0 && waiting > cap {
         return Ok(JobOutcome::Submitted(SubmitReply::Full, None));
     }
-    table::put(store, &waiting_key, &(waiting + tokens))?;
+    table::put(store, &waiting_key, &waiting)?;
     let job = Job {
         number,
         name: name.clone(),
