--- a/crates/edge/src/rules.rs
+++ b/crates/edge/src/rules.rs
@@ -201,8 +201,8 @@
 impl Route {
     /// Chooses a service by weight; `draw` is a random number in `0.0..1.0`.
     pub fn pick_service(&self, draw: f64) -> Option<&str> {
-        let total: u32 = self.backends.iter().map(|b| b.weight).sum();
-        let mut left = draw * f64::from(total);
+        let total: f64 = self.backends.iter().map(|b| f64::from(b.weight)).sum();
+        let mut left = draw * total;
         for backend in &self.backends {
             if backend.weight == 0 {
                 continue;
