--- a/crates/batch/tests/queue.rs
+++ b/crates/batch/tests/queue.rs
@@ -4,7 +4,7 @@
 
 use clem_batch::ItemQueue;
 use clem_state::jobs::{Job, JobNumber};
-use clem_types::{ItemIndex, Time, UnixMillis};
+use clem_types::{ItemIndex, Time, UnixMillis, Version};
 use clem_wire::jobs::{JobName, JobOptions};
 
 const NOW: UnixMillis = UnixMillis(1_790_000_000_000);
@@ -27,6 +27,7 @@
                 route: "batch".to_owned(),
                 host: "one.example".to_owned(),
                 service: "engines".to_owned(),
+                rules: Version(1),
                 rank: 0,
                 due: span,
                 keep: span,
--- a/crates/state/tests/pages.rs
+++ b/crates/state/tests/pages.rs
@@ -8,7 +8,7 @@
     jobs::{self, EndedItem, JobCommand, JobNumber},
 };
 use clem_store::MemStore;
-use clem_types::{ItemIndex, UnixMillis};
+use clem_types::{ItemIndex, UnixMillis, Version};
 use clem_wire::jobs::{JobOptions, SubmitJob};
 
 /// Size of a page, in bytes.
@@ -46,6 +46,7 @@
         route: "route".to_owned(),
         host: "one.example".to_owned(),
         service: "engines".to_owned(),
+        rules: Version(1),
         rank: 0,
         due: Duration::from_secs(10),
         keep: Duration::from_secs(10),
