--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -10,7 +10,7 @@
     jobs::{JobCommand, JobOutcome},
 };
 use clem_store::MemStore;
-use clem_types::UnixMillis;
+use clem_types::{UnixMillis, Version};
 use clem_wire::jobs::{JobOptions, SubmitJob, SubmitReply};
 
 fn submit(store: &mut MemStore, index: u64, tokens: &[u64], cap: u64) -> SubmitReply {
@@ -31,6 +31,7 @@
             route: "batch".to_owned(),
             host: "one.example".to_owned(),
             service: "engines".to_owned(),
+            rules: Version(1),
             rank: 0,
             due: Duration::from_secs(60),
             keep: Duration::from_secs(60),
