Fronts without a leader begin streams at versions that the hub has listed

A front that has been cut off from the hub for 2 s reads the platform's list itself, up to 0.9 s before the leader does. A stream that it began at a new version, which broke in that time and was taken up through the hub's leader, went on at the version of the leader's list, as the leader could not know of another.

Now a front alone begins streams that may be taken up at versions that the hub's last list had, as long as one of their targets is ready; then the leader, which reads the list every 0.9 s, knows of the others as well.

a_front_alone_does_not_begin_streams_at_a_version_that_the_hub_may_not_know: left: Some("v2"), right: Some("v1")

It passes now.

--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -320,13 +320,22 @@
         let mut best: Option<(f64, TargetVm)> = None;
         let mut accepted = want.origin().is_none();
         let is_versioned = self.view().is_versioned(&want.service);
-        for target in self.view().ready(&want.service) {
+        // Processes that follow the hub may not know of the other versions yet.
+        let published_only = want.begins_stream() && {
+            let view = self.view();
+            view.ready(&want.service).any(|t| view.is_published(t))
+        };
+        let view = self.view();
+        for target in view.ready(&want.service) {
             let accepts = |origin: &Origin| {
                 origin.version == target.version && (origin.version.is_some() || !is_versioned)
             };
             if !want.origin().is_none_or(accepts) {
                 continue;
             }
+            if published_only && !view.is_published(target) {
+                continue;
+            }
             accepted = true;
             if want.avoid.contains(&target.id) || self.fallback().is_avoided(now, &target.id) {
                 continue;
@@ -341,6 +350,7 @@
                 best = Some((load, target.clone()));
             }
         }
+        drop(view);
         if !accepted {
             return SlotOutcome::Unresumable;
         }
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,6 +1,11 @@
 //! State received from the hub: rules, targets and processes.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{BlockedParts, SettledVersions};
@@ -39,6 +44,8 @@
     pub heard: Option<Time>,
     /// The versions of the targets' software.
     settled: SettledVersions,
+    /// The services and versions in the last list from the hub.
+    published: BTreeSet<(String, Option<SoftwareVersion>)>,
 }
 
 impl View {
@@ -68,6 +75,9 @@
             }
             (None, None) => true,
         };
+        let targets = self.targets.values();
+        let published = targets.map(|t| (t.service.clone(), t.version.clone()));
+        self.published = published.collect();
         self.seen = list.seen;
         self.founders = list.founders;
         self.batch = list.batch;
@@ -158,6 +168,12 @@
         targets.any(|target| target.service == service && target.version.is_some())
     }
 
+    /// Whether the hub has listed a target's version.
+    pub(crate) fn is_published(&self, target: &TargetVm) -> bool {
+        let mut published = self.published.iter();
+        published.any(|(service, version)| *service == target.service && *version == target.version)
+    }
+
     /// Whether the group that stores batches has been founded, and processes of it are known.
     pub fn has_batch_group(&self) -> bool {
         !self.founders.is_empty() && !self.batch.is_empty()
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -117,6 +117,12 @@
             Resumes::Attempt { .. } => None,
         }
     }
+
+    /// Whether it begins a stream that may be taken up.
+    pub fn begins_stream(&self) -> bool {
+        let stream = self.stream.as_ref();
+        stream.is_some_and(|stream| stream.key.is_some() && stream.resumes.is_none())
+    }
 }
 
 /// Decision on a slot request.
