A slot names its version, and is not used if the front knows another one of its target

What callers could see: text of two versions (ORDER), if a target comes back under its former id with another version. The leader's list may have it a moment before the front's. The front then took the stream to have begun at the version of its own list: it went on elsewhere at that version, within its answer or for a caller that took it up through this front.

Cause: leader and front each looked the version up in its own list, by the id only.

A grant now says the version by which the leader chose the target, for streams and items; a process that knows another one gives the slot back unused, as it does for a target that it doesn't know, and the caller is asked to come again. A leader of an earlier build doesn't say a version, and its grants are used as before.

If the platform's list itself is late, neither list knows; that remains (docs/design/platform.md).

--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -180,11 +180,15 @@
         pending.ticket = None;
         self.note_leader();
         match verdict {
-            Verdict::Granted { target, share } => {
+            Verdict::Granted {
+                target,
+                share,
+                origin,
+            } => {
                 if let Some(customer) = &want.customer {
                     self.fallback().note_share(self.now(), customer, share);
                 }
-                self.grant(&want, &target, false)
+                self.grant(&want, &target, origin.as_ref(), false)
             }
             Verdict::OverRate { retry } => {
                 if let Some(customer) = &want.customer {
@@ -220,11 +224,14 @@
         self: &Arc<Self>,
         want: &SlotRequest,
         target: &str,
+        granted: Option<&Origin>,
         without_leader: bool,
     ) -> SlotOutcome {
         let known = self.view().targets.get(target).cloned();
-        let Some(target) = known else {
-            // The leader has a newer target list than this process.
+        // A target may come back under its id with another version.
+        let is_same = |target: &TargetVm| granted.is_none_or(|o| o.version == target.version);
+        let Some(target) = known.filter(is_same) else {
+            // The leader has another target list than this process.
             self.release_slot(want.ticket, GrantOutcome::NotRun);
             return SlotOutcome::Busy {
                 retry: NO_TARGET_RETRY,
@@ -370,7 +377,7 @@
         match admission {
             Admission::Free => {
                 self.limits().take(now, &target.id);
-                self.grant(want, &target.id, true)
+                self.grant(want, &target.id, None, true)
             }
             Admission::Later => SlotOutcome::Busy {
                 retry: SUSPECT_RETRY,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -134,6 +134,10 @@
         target: String,
         /// Part of the customer's rate that the holder may use while no leader is reachable.
         share: RateShare,
+        /// Where a stream that can be resumed begins or goes on, by the leader's list; `None` for other
+        /// requests.
+        #[serde(default)]
+        origin: Option<Origin>,
     },
     /// The customer exceeds its rate limit.
     OverRate {
@@ -617,13 +621,13 @@
             refused.extend(pool.expire(now));
             for (want, target) in pool.grant_free(now) {
                 let key = want.stream.as_ref().and_then(|stream| stream.key);
-                if let Some(key) = key {
-                    let origin = Origin {
-                        service: service.clone(),
-                        version: pool.version(&target),
-                    };
+                let origin = want.stream.as_ref().map(|_| Origin {
+                    service: service.clone(),
+                    version: pool.version(&target),
+                });
+                if let (Some(key), Some(origin)) = (key, &origin) {
                     let customer = want.customer.as_deref().unwrap_or_default();
-                    self.streams.note(now, customer, key, origin);
+                    self.streams.note(now, customer, key, origin.clone());
                 }
                 let bucket = want.customer.as_ref().and_then(|c| self.buckets.get_mut(c));
                 let share =
@@ -639,8 +643,12 @@
                     stream: key,
                 };
                 self.grants.insert(want.ticket, grant);
-                self.decided
-                    .push((want.ticket, Verdict::Granted { target, share }));
+                let granted = Verdict::Granted {
+                    target,
+                    share,
+                    origin,
+                };
+                self.decided.push((want.ticket, granted));
             }
             let short = pool.online_short(now);
             let is_useful = |target: &str| pool.is_wanted(now, target);
