--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -180,11 +180,15 @@
         pending.ticket = None;
         self.note_leader();
         match verdict {
-            Verdict::Granted { target, share } => {
+            Verdict::Granted {
+                target,
+                share,
+                origin,
+            } => {
                 if let Some(customer) = &want.customer {
                     self.fallback().note_share(self.now(), customer, share);
                 }
-                self.grant(&want, &target, false)
+                self.grant(&want, &target, origin.as_ref(), false)
             }
             Verdict::OverRate { retry } => {
                 if let Some(customer) = &want.customer {
@@ -220,11 +224,14 @@
         self: &Arc<Self>,
         want: &SlotRequest,
         target: &str,
+        granted: Option<&Origin>,
         without_leader: bool,
     ) -> SlotOutcome {
         let known = self.view().targets.get(target).cloned();
-        let Some(target) = known else {
-            // The leader has a newer target list than this process.
+        // A target may come back under its id with another version.
+        let is_same = |target: &TargetVm| granted.is_none_or(|o| o.version == target.version);
+        let Some(target) = known.filter(is_same) else {
+            // The leader has another target list than this process.
             self.release_slot(want.ticket, GrantOutcome::NotRun);
             return SlotOutcome::Busy {
                 retry: NO_TARGET_RETRY,
@@ -320,13 +327,22 @@
         let mut best: Option<(f64, TargetVm)> = None;
         let mut accepted = want.origin().is_none();
         let is_versioned = self.view().is_versioned(&want.service);
-        for target in self.view().ready(&want.service) {
+        // Processes that follow the hub may not know of the other versions yet.
+        let published_only = want.begins_stream() && {
+            let view = self.view();
+            view.ready(&want.service).any(|t| view.is_published(t))
+        };
+        let view = self.view();
+        for target in view.ready(&want.service) {
             let accepts = |origin: &Origin| {
                 origin.version == target.version && (origin.version.is_some() || !is_versioned)
             };
             if !want.origin().is_none_or(accepts) {
                 continue;
             }
+            if published_only && !view.is_published(target) {
+                continue;
+            }
             accepted = true;
             if want.avoid.contains(&target.id) || self.fallback().is_avoided(now, &target.id) {
                 continue;
@@ -341,6 +357,7 @@
                 best = Some((load, target.clone()));
             }
         }
+        drop(view);
         if !accepted {
             return SlotOutcome::Unresumable;
         }
@@ -360,7 +377,7 @@
         match admission {
             Admission::Free => {
                 self.limits().take(now, &target.id);
-                self.grant(want, &target.id, true)
+                self.grant(want, &target.id, None, true)
             }
             Admission::Later => SlotOutcome::Busy {
                 retry: SUSPECT_RETRY,
