Batches: the largest event id of a target doesn't lose its item

With overflow checks (debug builds) a target that sent the event id 2^64 - 1 and another one after it made the task of that item panic: the item was never run again while the same keeper led. Without them the sum wrapped, so that event 0 counted as the next one.

Fix: nothing follows the largest id, so the output is discarded and the item is run again.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -411,7 +411,7 @@
     fn take_event(&mut self, id: Option<u64>, data: Option<&str>) -> bool {
         let Some(data) = data else { return true };
         if let (Some(id), Some(seen)) = (id, self.last_event)
-            && id != seen + 1
+            && seen.checked_add(1) != Some(id)
         {
             self.reset();
             return false;
@@ -421,7 +421,8 @@
         }
         self.text.push_str(data);
         self.confirmed.clear();
-        self.last_event = Some(id.unwrap_or_else(|| self.last_event.map_or(0, |seen| seen + 1)));
+        self.last_event =
+            Some(id.unwrap_or_else(|| self.last_event.map_or(0, |seen| seen.saturating_add(1))));
         self.crashes = 0;
         true
     }
