Target list: an odd entry hides no other, and names no target

Callers saw: with one entry of another writer in the platform's list, draining targets went on to get requests and new ones got none for as long as the entry stayed (its bytes can't be read, it is nested deeply, a number is out of range); or the entry was used (fields missing or of another type), so that a service ran requests of another one.

Cause: the page was parsed as one JSON value, so that what no parser takes in one entry failed the page, and all of it was dropped. Of an entry, only the fields that are used were looked at, and a version of another type counted as none.

Fix: a page is split into entries by an iterative scan that accepts any bytes in texts and any digits in numbers; each entry is parsed alone, and each field that the page names must be there, of its type and in its range. After an entry without an end, reading resumes at the next object behind a comma. Time and memory are linear in the size of the page. A page whose end or next page isn't known is an error, so the former list stays. See docs/design/platform.md.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -102,7 +102,8 @@
     /// Parses a page of the platform's target list.
     ///
     /// # Errors
-    /// The page can't be parsed at all; single invalid entries are only counted.
+    /// The page has no list, its end wasn't found, or its next page isn't named: targets may be missing.
+    /// Single invalid entries are only counted.
     fn read_list(&self, body: &[u8]) -> Result<ListPage>;
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,4 +23,4 @@
     Backend, BatchRules, CallerLimits, Customer, Engine, KeyDigest, Route, RouteKind, Ruleset,
     Service,
 };
-pub use target::{Framing, ListPage, NamedLimit, TargetHead, TargetState, TargetVm};
+pub use target::{Framing, ListPage, NamedLimit, SkippedEntry, TargetHead, TargetState, TargetVm};
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -43,12 +43,23 @@
 pub struct ListPage {
     /// The entries that could be parsed.
     pub targets: Vec<TargetVm>,
-    /// Number of entries that could not be parsed.
+    /// Number of entries that name no target.
     pub unreadable: usize,
+    /// Some of them.
+    pub skipped: Vec<SkippedEntry>,
     /// Token of the next page; `None` on the last.
     pub next: Option<String>,
 }
 
+/// An entry of the platform's list that names no target.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SkippedEntry {
+    /// Its id or, if that can't be read, a hash of its bytes.
+    pub entry: String,
+    /// The field that is missing or invalid; `entry` if it is all of it.
+    pub field: &'static str,
+}
+
 /// What the head of a target's response says about the attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetHead {
