Target list: pages are read to a sound end, and odd entries are logged once

What a process saw when it reads the platform's list:

- Pages that name each other: 200 calls at each reading, against a rate that all vms share, and a list without the entries behind them never came.
- An odd entry of more than 4 MB: the list was not read for as long as it stayed.
- An entry with the id of a sound one: the last of both was used, so that a service that no rules name could take a target out of its own.
- An odd entry: a line at each reading that named neither entry nor field.
- Large pages were parsed on the only thread of the runtime.

Fix: ListReader keeps what it has read and logged. A page token that comes again ends the reading with an error, as a list above 32 MB does; the former list stays. An entry that names no target is logged once, with its field, 256 at most in a process, and counted in clem_list_entries_skipped. Pages above 64 kB are parsed beside the thread.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,7 +18,7 @@
 pub use events::{Event, EventBuffer};
 pub use exchange::{Liveness, Outcome, OutgoingRequest, Reply, ReusableConnection};
 pub use follow::follow;
-pub use list::{poll_without_hub, read_targets};
+pub use list::{ListReader, poll_without_hub};
 pub use node::{Node, NodeSettings};
 pub use slot::{Slot, SlotOutcome, release_loop};
 pub use view::View;
--- a/crates/direct/src/list.rs
+++ b/crates/direct/src/list.rs
@@ -1,9 +1,14 @@
 //! Reads the platform's list of targets.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
-use clem_edge::{Dialect, TargetVm};
+use clem_edge::{Dialect, ListPage, SkippedEntry, TargetVm};
 use http::{Request, header};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::rt::TokioIo;
@@ -14,7 +19,13 @@
 /// Timeout of one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The largest page that is accepted, in bytes.
-const PAGE_BYTES: usize = 4 * 1024 * 1024;
+const PAGE_BYTES: usize = 8 * 1024 * 1024;
+/// The largest list that is accepted, in bytes.
+const LIST_BYTES: usize = 32 * 1024 * 1024;
+/// Pages above this size, in bytes, are parsed beside the runtime's only thread.
+const INLINE_BYTES: usize = 64 * 1024;
+/// Maximum number of skipped entries that a process logs.
+const SKIPPED_MAX: usize = 256;
 /// The most pages that are read; a longer list is assumed to be a pagination loop.
 const PAGES_MAX: usize = 200;
 /// How long the hub may send no update before a process reads the list itself.
@@ -28,32 +39,124 @@
 /// A value read from the platform, or the reason why it could not be read.
 type Result<T> = std::result::Result<T, String>;
 
-/// Reads all pages of the list.
-///
-/// # Errors
-/// A page could not be fetched or parsed. The pages read so far are discarded because they are not
-/// the complete list.
-pub async fn read_targets(dialect: &dyn Dialect, address: SocketAddr) -> Result<Vec<TargetVm>> {
-    let mut targets = Vec::new();
-    let mut page = None;
-    for _ in 0..PAGES_MAX {
-        let path = dialect.list_path(page.as_deref());
-        let body = tokio::time::timeout(PAGE_TIMEOUT, read_page(address, &path))
-            .await
-            .map_err(|_| "no response in time".to_owned())??;
-        let read = dialect
-            .read_list(&body)
-            .map_err(|findings| findings.to_string())?;
-        if read.unreadable > 0 {
-            log::warn!(entries = read.unreadable; "invalid entries in the target list");
+/// Reads the list, and remembers what it has logged about it.
+pub struct ListReader {
+    dialect: Arc<dyn Dialect>,
+    address: SocketAddr,
+    /// The list that was last read, by id.
+    known: BTreeMap<String, TargetVm>,
+    logged: BTreeSet<SkippedEntry>,
+}
+
+impl ListReader {
+    /// A reader of the list at this address.
+    pub fn new(dialect: Arc<dyn Dialect>, address: SocketAddr) -> Self {
+        Self {
+            dialect,
+            address,
+            known: BTreeMap::new(),
+            logged: BTreeSet::new(),
+        }
+    }
+
+    /// Reads all pages of the list. Of several entries with the same id one is kept, by preference one of
+    /// the `services` that the rules name.
+    ///
+    /// # Errors
+    /// A page could not be fetched or parsed, or the pages don't end. The pages read so far are discarded
+    /// because they are not the complete list.
+    pub async fn read(&mut self, services: &BTreeSet<String>) -> Result<Vec<TargetVm>> {
+        let mut targets = BTreeMap::new();
+        let mut tokens = BTreeSet::new();
+        let mut token: Option<String> = None;
+        let (mut bytes, mut unreadable) = (0, 0);
+        for _ in 0..PAGES_MAX {
+            let path = self.dialect.list_path(token.as_deref());
+            let body = tokio::time::timeout(PAGE_TIMEOUT, read_page(self.address, &path))
+                .await
+                .map_err(|_| "no response in time".to_owned())??;
+            bytes += body.len();
+            if bytes > LIST_BYTES {
+                return Err("the list is too large".to_owned());
+            }
+            let page = self.parse(body).await?;
+            unreadable += page.unreadable;
+            for skipped in page.skipped {
+                self.note_skipped(skipped);
+            }
+            for target in page.targets {
+                self.add(&mut targets, target, services);
+            }
+            let Some(next) = page.next else {
+                metrics::gauge!("clem_list_entries_skipped").set(unreadable as f64);
+                self.known = targets;
+                return Ok(self.known.values().cloned().collect());
+            };
+            if !tokens.insert(next.clone()) {
+                return Err("a page of the list names one that was read before".to_owned());
+            }
+            token = Some(next);
+        }
+        Err("the list has too many pages".to_owned())
+    }
+
+    async fn parse(&self, body: Bytes) -> Result<ListPage> {
+        let page = if body.len() <= INLINE_BYTES {
+            self.dialect.read_list(&body)
+        } else {
+            let dialect = Arc::clone(&self.dialect);
+            let parsed = tokio::task::spawn_blocking(move || dialect.read_list(&body));
+            parsed.await.map_err(|error| error.to_string())?
+        };
+        page.map_err(|findings| findings.to_string())
+    }
+
+    fn add(
+        &mut self,
+        targets: &mut BTreeMap<String, TargetVm>,
+        target: TargetVm,
+        services: &BTreeSet<String>,
+    ) {
+        let Some(other) = targets.get(&target.id) else {
+            targets.insert(target.id.clone(), target);
+            return;
+        };
+        let known = self.known.get(&target.id);
+        let rank = |target: &TargetVm| {
+            let is_named = services.contains(&target.service);
+            (is_named, known.is_some_and(|known| is_same(known, target)))
+        };
+        // Pages are read one after the other, so the later entry of an instance is newer.
+        let mut replaces = true;
+        if !is_same(other, &target) {
+            replaces = rank(&target) > rank(other);
+            self.note_skipped(SkippedEntry {
+                entry: target.id.clone(),
+                field: "id",
+            });
         }
-        targets.extend(read.targets);
-        match read.next {
-            Some(next) => page = Some(next),
-            None => return Ok(targets),
+        if replaces {
+            targets.insert(target.id.clone(), target);
         }
     }
-    Err("the list has too many pages".to_owned())
+
+    /// Logs an entry that names no target, once.
+    fn note_skipped(&mut self, skipped: SkippedEntry) {
+        if self.logged.len() >= SKIPPED_MAX || self.logged.contains(&skipped) {
+            return;
+        }
+        log::warn!(
+            entry = skipped.entry.as_str(), field = skipped.field;
+            "target list entry skipped"
+        );
+        self.logged.insert(skipped);
+    }
+}
+
+/// Whether two entries are of the same instance.
+fn is_same(one: &TargetVm, other: &TargetVm) -> bool {
+    let place = |target: &TargetVm| (target.address, target.started);
+    place(one) == place(other) && one.service == other.service
 }
 
 async fn read_page(address: SocketAddr, path: &str) -> Result<Bytes> {
@@ -84,6 +187,7 @@
     // Random delay, so that not all processes read the list at the same time.
     tokio::time::sleep(FIRST_WAIT.mul_f64(1.0 + node.random())).await;
     let mut first = true;
+    let mut reader = ListReader::new(Arc::clone(&node.dialect), node.list);
     loop {
         if !std::mem::take(&mut first) {
             tokio::time::sleep(node.with_jitter(CHECK_INTERVAL)).await;
@@ -96,7 +200,8 @@
         if heard.is_some_and(|at| now.since(at) < HUB_OVERDUE) {
             continue;
         }
-        match read_targets(&*node.dialect, node.list).await {
+        let services = node.view().services();
+        match reader.read(&services).await {
             Ok(targets) => {
                 log::info!(targets = targets.len(); "target list read without the hub");
                 node.view().set_targets(node.now(), targets);
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -1,6 +1,11 @@
 //! State received from the hub: rules, targets and processes.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{BlockedParts, SettledVersions};
@@ -51,6 +56,12 @@
             .map_or(Version(0), |rules| rules.version)
     }
 
+    /// The services that the rules name.
+    pub(crate) fn services(&self) -> BTreeSet<String> {
+        let rules = self.rules.iter();
+        rules.flat_map(|r| r.services.keys().cloned()).collect()
+    }
+
     /// Installs newer rules and returns whether they were newer.
     pub(crate) fn install_rules(&mut self, rules: Ruleset) -> bool {
         if rules.version <= self.version() {
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -63,6 +63,8 @@
     pub dispatcher: Dispatcher,
     /// The rules in force.
     pub rules: RulesDocument,
+    /// The services that the rules name.
+    pub rules_services: BTreeSet<String>,
     /// Replicated state of the batch group.
     pub batch_group: BatchGroup,
     change: u64,
@@ -73,6 +75,7 @@
     /// The list as the processes get it: targets that said that they are leaving are draining.
     targets: TargetList,
     leaving: LeavingTargets,
+    /// The services that had targets.
     services: BTreeSet<String>,
     processes: BTreeMap<String, Process>,
     /// The members of the batch group, as its leader last reported them.
@@ -111,6 +114,7 @@
             epoch: start.epoch,
             dispatcher: Dispatcher::default(),
             rules: RulesDocument::default(),
+            rules_services: BTreeSet::new(),
             batch_group: start.batch_group,
             change: 1,
             woken: (1, Version(0)),
@@ -147,6 +151,7 @@
         }
         self.spread.start(now, document.version);
         self.rules = document;
+        self.rules_services = rules.services.keys().cloned().collect();
         let mut rates = HashMap::new();
         for customer in &rules.customers {
             let limit = RateLimit {
--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use clem_control::endpoint::{Replicated, Result};
-use clem_direct::read_targets;
+use clem_direct::ListReader;
 use clem_state::{Command, batch_group::BatchGroupChange};
 
 use crate::{Hub, SpreadReport};
@@ -17,16 +17,17 @@
 pub(crate) async fn poll(hub: Arc<Hub>) {
     let mut failing = false;
     let mut leadership = hub.replica.watch_leadership();
+    let mut reader = ListReader::new(Arc::clone(&hub.dialect), hub.list);
     loop {
-        if hub.with_leader(|_, _| ()).is_err() {
+        let Ok(services) = hub.with_leader(|leader, _| leader.rules_services.clone()) else {
             // Read the list as soon as this process becomes leader.
             tokio::select! {
                 _ = leadership.changed() => {}
                 () = tokio::time::sleep(TICK * 5) => {}
             }
             continue;
-        }
-        match read_targets(&*hub.dialect, hub.list).await {
+        };
+        match reader.read(&services).await {
             Ok(targets) => {
                 if std::mem::take(&mut failing) {
                     log::info!("target list readable again");
