--- a/crates/edge/src/finding.rs
+++ b/crates/edge/src/finding.rs
@@ -11,7 +11,11 @@
     pub reason: String,
 }
 
-/// All validation errors of an input, reported together so that one pass is enough to fix it.
+/// Maximum number of validation errors that are reported together.
+const FINDINGS_MAX: usize = 100;
+
+/// The validation errors of an input, reported together so that one pass is enough to fix it. An input
+/// with more than 100 of them has its first ones reported.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Findings {
     /// In the order in which they were found.
@@ -22,8 +26,11 @@
 pub type Result<T> = std::result::Result<T, Findings>;
 
 impl Findings {
-    /// Adds a validation error.
+    /// Adds a validation error, unless there are too many.
     pub fn add(&mut self, path: impl Into<String>, reason: impl Into<String>) {
+        if self.list.len() >= FINDINGS_MAX {
+            return;
+        }
         self.list.push(Finding {
             path: path.into(),
             reason: reason.into(),
