--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -22,7 +22,11 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    crash_log::CrashLog, limits::Limits, list::Reading, pool::Pool, stream_log::StreamLog,
+    crash_log::CrashLog,
+    limits::Limits,
+    list::{ListReader, Readings},
+    pool::Pool,
+    stream_log::StreamLog,
     view::View,
 };
 
@@ -71,8 +75,6 @@
     pub role: ProcessRole,
     /// Address for calls from other processes; `None` if it serves none.
     pub address: Option<SocketAddr>,
-    /// Address of the platform's target list.
-    pub list: SocketAddr,
     /// Translates the platform's protocol.
     pub dialect: Arc<dyn Dialect>,
     /// Client for the hub; its addresses follow the hub's member list.
@@ -90,7 +92,7 @@
     crashes: Mutex<CrashLog>,
     limits: Mutex<Limits>,
     streams: Mutex<StreamLog>,
-    last_reading: tokio::sync::Mutex<Reading>,
+    readings: tokio::sync::Mutex<Readings>,
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
     rng: Mutex<StdRng>,
     changes: watch::Sender<u64>,
@@ -110,6 +112,7 @@
             LeaderClient::new(client, members).with_election_timeout(LEADER_LOSS_NOTICED)
         };
         let holder = format!("{}.{:08x}", settings.vm, rng.random::<u32>());
+        let reader = ListReader::new(Arc::clone(&settings.dialect), settings.list);
         Self {
             clock: Clock::start(),
             holder,
@@ -117,7 +120,6 @@
             data_centre: settings.data_centre,
             role: settings.role,
             address: settings.address,
-            list: settings.list,
             dialect: settings.dialect,
             hub: group(client.clone(), settings.hub),
             jobs: group(client, Vec::new()),
@@ -132,7 +134,7 @@
             crashes: Mutex::default(),
             limits: Mutex::default(),
             streams: Mutex::default(),
-            last_reading: tokio::sync::Mutex::default(),
+            readings: tokio::sync::Mutex::new(Readings::new(reader)),
             ends: Mutex::default(),
             rng: Mutex::new(rng),
             changes: watch::Sender::new(0),
@@ -307,9 +309,9 @@
         })
     }
 
-    /// The last reading of the platform's list by [`read_versions`](Self::read_versions).
-    pub(crate) fn last_reading(&self) -> &tokio::sync::Mutex<Reading> {
-        &self.last_reading
+    /// The readings of the platform's list.
+    pub(crate) fn readings(&self) -> &tokio::sync::Mutex<Readings> {
+        &self.readings
     }
 
     /// The limits that targets named.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,4 +23,6 @@
     Backend, BatchRules, CallerLimits, Customer, Engine, KeyDigest, Route, RouteKind, Ruleset,
     Service,
 };
-pub use target::{Framing, ListPage, NamedLimit, NamedRequest, TargetHead, TargetState, TargetVm};
+pub use target::{
+    Framing, ListPage, NamedLimit, NamedRequest, SkippedEntry, TargetHead, TargetState, TargetVm,
+};
