Batch items without a target hold up no other route

What callers saw (found beside the move of routes, shown by the test): items of a route whose service has no target took all places of the keeper's leader, and no item of another route was run, though its targets were idle.

Cause: the leader takes items in the order of their due time and runs as many at once as there are slots at all targets. An item that is refused a slot keeps its place and tries again, so as many waiting items as there are slots stop the queue.

Fix: places are counted for each route: as many as its services have slots at ready targets, and none while they have no target. Such items stay in the queue, and "batch without a target" names their batch every 10 s. Items whose route or time is over are taken in any case, as they end without a target.

--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -1,6 +1,6 @@
 //! Which service may run an item.
 
-use clem_edge::{RouteKind, Ruleset};
+use clem_edge::{Backend, Route, RouteKind, Ruleset};
 use clem_wire::jobs::JobOptions;
 
 /// Where an item may run next.
@@ -25,16 +25,16 @@
         began: Option<&str>,
         draw: f64,
     ) -> Self {
-        let Some(rules) = rules.filter(|rules| rules.version >= options.rules) else {
+        let Some(rules) = binding(rules, options) else {
             return Self::At(options.service.clone());
         };
-        // A route may get another name, and a path may belong to another route later.
-        let route = rules
-            .route_named(&options.route)
-            .filter(|route| route.host.eq_ignore_ascii_case(&options.host))
-            .or_else(|| rules.route(&options.host, path))
-            .filter(|route| route.kind == RouteKind::Batch);
-        let Some(route) = route else {
+        // The route may have another name now.
+        let by_path = || {
+            rules
+                .route(&options.host, path)
+                .filter(|route| takes_batches(route))
+        };
+        let Some(route) = named(rules, options).or_else(by_path) else {
             return Self::Gone;
         };
         let service = began
@@ -43,3 +43,32 @@
         service.map_or(Self::Gone, |service| Self::At(service.to_owned()))
     }
 }
+
+/// The services that may run the items of a job; `None` if the rules have no route of its name, so that
+/// the path of each item decides.
+pub(crate) fn services<'a>(
+    rules: Option<&'a Ruleset>,
+    options: &'a JobOptions,
+) -> Option<Vec<&'a str>> {
+    let Some(rules) = binding(rules, options) else {
+        return Some(vec![&options.service]);
+    };
+    let used = |backend: &&'a Backend| backend.weight > 0;
+    let backends = named(rules, options)?.backends.iter().filter(used);
+    Some(backends.map(|backend| backend.service.as_str()).collect())
+}
+
+/// The rules if they are as new as those of the submission.
+fn binding<'a>(rules: Option<&'a Ruleset>, options: &JobOptions) -> Option<&'a Ruleset> {
+    rules.filter(|rules| rules.version >= options.rules)
+}
+
+/// The batch route that has the name and host of the submission's.
+fn named<'a>(rules: &'a Ruleset, options: &JobOptions) -> Option<&'a Route> {
+    let route = rules.route_named(&options.route)?;
+    (route.host.eq_ignore_ascii_case(&options.host) && takes_batches(route)).then_some(route)
+}
+
+fn takes_batches(route: &Route) -> bool {
+    route.kind == RouteKind::Batch
+}
--- a/crates/batch/src/queue.rs
+++ b/crates/batch/src/queue.rs
@@ -53,17 +53,24 @@
         }
     }
 
-    /// Takes the item with the earliest due time.
-    pub fn take(&mut self, now: Time) -> Option<ReadyItem> {
+    /// Takes the item with the earliest due time among the jobs whose route has fewer items taken than
+    /// `places` allows for the job, so that items which wait for a target hold up no other route.
+    pub fn take(&mut self, now: Time, places: impl Fn(&Job) -> usize) -> Option<ReadyItem> {
         self.requeue_delayed(now);
-        let (due, number, item) = self.waiting.pop_first()?;
-        let job = Arc::clone(self.jobs.get(&number)?);
-        self.running.insert((number, item));
-        let keep = UnixMillis(
-            job.accepted.0
-                + u64::try_from(job.options.keep.as_millis()).unwrap_or(u64::MAX / 2)
-                + KEEP_MARGIN_MS,
-        );
+        let mut from = (UnixMillis(0), JobNumber(0), ItemIndex(0));
+        let (due, job, item) = loop {
+            let (due, number, item) = *self.waiting.range(from..).next()?;
+            if let Some(job) = self.jobs.get(&number)
+                && self.taken(&job.options.route) < places(job)
+            {
+                break (due, Arc::clone(job), item);
+            }
+            // All items of a job are due at the same time.
+            from = (due, JobNumber(number.0 + 1), ItemIndex(0));
+        };
+        self.waiting.remove(&(due, job.number, item));
+        self.running.insert((job.number, item));
+        let keep = keep(&job);
         Some(ReadyItem {
             job,
             item,
@@ -104,6 +111,16 @@
         self.jobs.contains_key(&job)
     }
 
+    /// The jobs that have queued items.
+    pub fn jobs_waiting(&self) -> Vec<Arc<Job>> {
+        let mut numbers: Vec<JobNumber> = self.waiting.iter().map(|(_, job, _)| *job).collect();
+        numbers.dedup();
+        numbers
+            .iter()
+            .filter_map(|number| self.jobs.get(number).cloned())
+            .collect()
+    }
+
     /// Number of queued items, including delayed ones.
     pub fn waiting(&self) -> usize {
         self.waiting.len() + self.delayed.len()
@@ -114,6 +131,16 @@
         self.running.len()
     }
 
+    /// Number of taken items of a route.
+    fn taken(&self, route: &str) -> usize {
+        let of_route = |number: &JobNumber| {
+            let job = self.jobs.get(number);
+            job.is_some_and(|job| job.options.route == route)
+        };
+        let running = self.running.iter();
+        running.filter(|(number, _)| of_route(number)).count()
+    }
+
     fn requeue_delayed(&mut self, now: Time) {
         while let Some(entry) = self.delayed.first_entry() {
             let (at, number, item) = *entry.key();
@@ -132,3 +159,9 @@
     let span = u64::try_from(job.options.due.as_millis()).unwrap_or(u64::MAX / 2);
     UnixMillis(job.accepted.0 + span)
 }
+
+/// Until when the items of a job must be retried.
+pub(crate) fn keep(job: &Job) -> UnixMillis {
+    let span = u64::try_from(job.options.keep.as_millis()).unwrap_or(u64::MAX / 2);
+    UnixMillis(job.accepted.0 + span + KEEP_MARGIN_MS)
+}
--- a/crates/batch/src/tasks.rs
+++ b/crates/batch/src/tasks.rs
@@ -2,19 +2,24 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clem_state::jobs::{self, JobCommand};
+use clem_state::jobs::{self, Job, JobCommand};
 use clem_types::UnixMillis;
 use tokio::task::JoinSet;
 
-use crate::{item::ItemRun, keeper::Keeper};
+use crate::{item::ItemRun, keeper::Keeper, placement, queue};
 
 /// How often the queue is checked, in addition to when an item is added.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Number of items of a route that may end at once without a run, or whose path decides where they run.
+const ENDING_MAX: usize = 256;
+/// How often jobs are logged whose items no target may run.
+const WAITING_INTERVAL: Duration = Duration::from_secs(10);
 /// How long ended items are collected before they are recorded in one command.
 const RECORD_DELAY: Duration = Duration::from_millis(10);
 /// Delay before a command that was not committed is proposed again.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Lower bound for the number of items that may run or wait for a slot at once.
+/// Lower bound for the number of items of a route that may run or wait for a slot at once, if it has
+/// targets.
 const RUNNING_MIN: usize = 8;
 /// How often old jobs are looked for.
 const DELETE_INTERVAL: Duration = Duration::from_secs(10);
@@ -25,22 +30,28 @@
 /// Runs items while this process leads, until it exits.
 pub(crate) async fn run_items(keeper: Arc<Keeper>) {
     let mut runs = JoinSet::new();
+    let mut logged = keeper.node.now();
     loop {
         tokio::select! {
             () = keeper.items_ready.notified() => {}
             () = tokio::time::sleep(INTERVAL) => {}
         }
         while runs.try_join_next().is_some() {}
+        let now = keeper.node.now();
+        if now.since(logged) >= WAITING_INTERVAL {
+            logged = now;
+            log_waiting(&keeper);
+        }
         if keeper.with_leader(|_| ()).is_err() {
             // The next leader runs them again.
             runs.abort_all();
             continue;
         }
         report_members(&keeper);
-        let most = running_max(&keeper);
-        while runs.len() < most {
+        loop {
             let now = keeper.node.now();
-            let Ok(Some(ready)) = keeper.with_leader(|queue| queue.take(now)) else {
+            let places = |job: &Job| places(&keeper, job);
+            let Ok(Some(ready)) = keeper.with_leader(|queue| queue.take(now, places)) else {
                 break;
             };
             let spec = keeper
@@ -60,11 +71,34 @@
     keeper.node.view().members = Some(keeper.replica.voters());
 }
 
-/// The number of items that may run or wait for a slot at once: the total number of slots.
-fn running_max(keeper: &Keeper) -> usize {
+/// The number of items of a job's route that may run or wait for a slot at once: the slots of the
+/// targets that may run them. Without a target they stay in the queue, unless they end without one.
+fn places(keeper: &Keeper, job: &Job) -> usize {
     let view = keeper.node.view();
-    let slots: u32 = view.targets.values().map(|target| target.slots).sum();
-    (slots as usize).max(RUNNING_MIN)
+    if keeper.node.clock.wall_time() >= queue::keep(job) {
+        return ENDING_MAX;
+    }
+    let Some(services) = placement::services(view.rules.as_deref(), &job.options) else {
+        return ENDING_MAX;
+    };
+    let targets = services.iter().flat_map(|service| view.ready(service));
+    match targets.map(|target| target.slots).sum::<u32>() {
+        0 => 0,
+        slots => (slots as usize).max(RUNNING_MIN),
+    }
+}
+
+/// Logs the jobs whose items wait because no target may run them.
+fn log_waiting(keeper: &Keeper) {
+    let jobs = keeper.with_leader(|queue| queue.jobs_waiting());
+    for job in jobs.unwrap_or_default() {
+        if places(keeper, &job) == 0 {
+            log::warn!(
+                batch = job.name.id.as_str(), route = job.options.route.as_str();
+                "batch without a target"
+            );
+        }
+    }
 }
 
 /// Records results of ended items until the process exits.
