The queue of items looks at each route once per take

Taking an item asked for the places of each job before it, which goes through all items under way and all targets: with many jobs of a route that is full, each ended item would have cost as many passes. A route that is full is now passed over for the rest of the call, and the queue itself knows whose time is over. No behaviour changes; crates/batch/tests/queue.rs covers the order, the places of each route and items that are given up.

--- a/crates/batch/src/queue.rs
+++ b/crates/batch/src/queue.rs
@@ -15,6 +15,8 @@
 
 /// Margin on the retention time of an item, in milliseconds, for clock differences between vms.
 const KEEP_MARGIN_MS: u64 = 3000;
+/// Number of items of a route that may end at once without a run, or whose path decides where they run.
+pub(crate) const ENDING_MAX: usize = 256;
 /// Delay before a failed item is retried.
 const FAILED_DELAY: Duration = Duration::from_millis(200);
 
@@ -54,19 +56,34 @@
     }
 
     /// Takes the item with the earliest due time among the jobs whose route has fewer items taken than
-    /// `places` allows for the job, so that items which wait for a target hold up no other route.
-    pub fn take(&mut self, now: Time, places: impl Fn(&Job) -> usize) -> Option<ReadyItem> {
+    /// `places` allows for the job, so that items which wait for a target hold up no other route. Items
+    /// that may be given up at `wall` need no target.
+    pub fn take(
+        &mut self,
+        now: Time,
+        wall: UnixMillis,
+        places: impl Fn(&Job) -> usize,
+    ) -> Option<ReadyItem> {
         self.requeue_delayed(now);
+        let mut full = BTreeSet::new();
         let mut from = (UnixMillis(0), JobNumber(0), ItemIndex(0));
         let (due, job, item) = loop {
             let (due, number, item) = *self.waiting.range(from..).next()?;
-            if let Some(job) = self.jobs.get(&number)
-                && self.taken(&job.options.route) < places(job)
-            {
-                break (due, Arc::clone(job), item);
-            }
             // All items of a job are due at the same time.
             from = (due, JobNumber(number.0 + 1), ItemIndex(0));
+            let Some(job) = self.jobs.get(&number) else {
+                continue;
+            };
+            let route = job.options.route.as_str();
+            let ends = wall >= keep(job);
+            if !ends && full.contains(route) {
+                continue;
+            }
+            let most = if ends { ENDING_MAX } else { places(job) };
+            if self.taken(route) < most {
+                break (due, Arc::clone(job), item);
+            }
+            full.insert(route);
         };
         self.waiting.remove(&(due, job.number, item));
         self.running.insert((job.number, item));
@@ -161,7 +178,7 @@
 }
 
 /// Until when the items of a job must be retried.
-pub(crate) fn keep(job: &Job) -> UnixMillis {
+fn keep(job: &Job) -> UnixMillis {
     let span = u64::try_from(job.options.keep.as_millis()).unwrap_or(u64::MAX / 2);
     UnixMillis(job.accepted.0 + span + KEEP_MARGIN_MS)
 }
--- a/crates/batch/src/tasks.rs
+++ b/crates/batch/src/tasks.rs
@@ -6,12 +6,10 @@
 use clem_types::UnixMillis;
 use tokio::task::JoinSet;
 
-use crate::{item::ItemRun, keeper::Keeper, placement, queue};
+use crate::{item::ItemRun, keeper::Keeper, placement, queue::ENDING_MAX};
 
 /// How often the queue is checked, in addition to when an item is added.
 const INTERVAL: Duration = Duration::from_millis(100);
-/// Number of items of a route that may end at once without a run, or whose path decides where they run.
-const ENDING_MAX: usize = 256;
 /// How often jobs are logged whose items no target may run.
 const WAITING_INTERVAL: Duration = Duration::from_secs(10);
 /// How long ended items are collected before they are recorded in one command.
@@ -50,8 +48,9 @@
         report_members(&keeper);
         loop {
             let now = keeper.node.now();
+            let wall = keeper.node.clock.wall_time();
             let places = |job: &Job| places(&keeper, job);
-            let Ok(Some(ready)) = keeper.with_leader(|queue| queue.take(now, places)) else {
+            let Ok(Some(ready)) = keeper.with_leader(|queue| queue.take(now, wall, places)) else {
                 break;
             };
             let spec = keeper
@@ -72,12 +71,9 @@
 }
 
 /// The number of items of a job's route that may run or wait for a slot at once: the slots of the
-/// targets that may run them. Without a target they stay in the queue, unless they end without one.
+/// targets that may run them, and none without a target.
 fn places(keeper: &Keeper, job: &Job) -> usize {
     let view = keeper.node.view();
-    if keeper.node.clock.wall_time() >= queue::keep(job) {
-        return ENDING_MAX;
-    }
     let Some(services) = placement::services(view.rules.as_deref(), &job.options) else {
         return ENDING_MAX;
     };
--- /dev/null
+++ b/crates/batch/tests/queue.rs
@@ -0,0 +1,76 @@
+//! Which items the queue hands out while some routes have no place.
+
+use std::time::Duration;
+
+use clem_batch::ItemQueue;
+use clem_state::jobs::{Job, JobNumber};
+use clem_types::{ItemIndex, Time, UnixMillis, Version};
+use clem_wire::jobs::{JobName, JobOptions};
+
+/// Until when items are kept, and a moment long after that.
+const KEEP: Duration = Duration::from_secs(60);
+const LATE: UnixMillis = UnixMillis(100_000);
+
+fn add(queue: &mut ItemQueue, number: u64, route: &str, due_s: u64) {
+    let job = Job {
+        number: JobNumber(number),
+        name: JobName {
+            customer: "one".to_owned(),
+            id: number.to_string(),
+        },
+        options: JobOptions {
+            route: route.to_owned(),
+            host: "one.example".to_owned(),
+            service: "s".to_owned(),
+            rules: Version(1),
+            rank: 0,
+            due: Duration::from_secs(due_s),
+            keep: KEEP,
+            attempts: 3,
+            token_cap: 0,
+        },
+        items: vec!["a".to_owned(), "b".to_owned()],
+        accepted: UnixMillis(0),
+    };
+    queue.add(job, (0..2).map(ItemIndex));
+}
+
+fn take(queue: &mut ItemQueue, wall: UnixMillis, places: impl Fn(&str) -> usize) -> Option<u64> {
+    let ready = queue.take(Time::ZERO, wall, |job| places(&job.options.route))?;
+    Some(ready.job.number.0)
+}
+
+#[test]
+fn a_route_without_places_holds_up_no_later_job() {
+    let mut queue = ItemQueue::default();
+    add(&mut queue, 1, "stuck", 1);
+    add(&mut queue, 2, "stuck", 2);
+    add(&mut queue, 3, "free", 3);
+    let places = |route: &str| if route == "free" { 8 } else { 0 };
+    assert_eq!(take(&mut queue, UnixMillis(0), places), Some(3));
+    assert_eq!(take(&mut queue, UnixMillis(0), places), Some(3));
+    assert_eq!(take(&mut queue, UnixMillis(0), places), None);
+    assert_eq!(queue.waiting(), 4);
+    assert_eq!(take(&mut queue, UnixMillis(0), |_| 8), Some(1));
+}
+
+#[test]
+fn a_route_gets_no_more_items_than_its_places() {
+    let mut queue = ItemQueue::default();
+    add(&mut queue, 1, "first", 1);
+    add(&mut queue, 2, "first", 2);
+    add(&mut queue, 3, "second", 3);
+    for expected in [Some(1), Some(1), Some(2), Some(3), Some(3), None] {
+        assert_eq!(take(&mut queue, UnixMillis(0), |_| 3), expected);
+    }
+    queue.finish(JobNumber(1), ItemIndex(0));
+    assert_eq!(take(&mut queue, UnixMillis(0), |_| 3), Some(2));
+}
+
+#[test]
+fn items_whose_time_is_over_are_given_up_without_a_place() {
+    let mut queue = ItemQueue::default();
+    add(&mut queue, 1, "stuck", 1);
+    assert_eq!(take(&mut queue, UnixMillis(0), |_| 0), None);
+    assert_eq!(take(&mut queue, LATE, |_| 0), Some(1));
+}
