A switch of protocols is no answer of a target

What callers saw: a target that wrote 101 with the request's id, after it had run it, had that status passed on; no request asks for another protocol, so the bytes after it are no answer to anyone.

Cause: hyper skips all interim heads but 101, which it hands over as the response, and a response that names the request was always taken.

Fix: a response with an interim status belongs to no request.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -265,13 +265,15 @@
 }
 
 /// Whether a response belongs to the request that was sent. One that names no request may be a copy of
-/// an earlier response if the connection was `used` before; a success always names its request.
+/// an earlier response if the connection was `used` before; a success always names its request. No
+/// request asks for another protocol, which is the only interim head that ends a response.
 fn is_answer(named: NamedRequest, status: StatusCode, used: bool) -> bool {
-    match named {
+    let belongs = match named {
         NamedRequest::Sent => true,
         NamedRequest::Other => false,
-        NamedRequest::Unnamed => !used && !status.is_success() && !status.is_informational(),
-    }
+        NamedRequest::Unnamed => !used && !status.is_success(),
+    };
+    belongs && !status.is_informational()
 }
 
 /// The connection that a response came from.
