--- a/crates/batch/src/queue.rs
+++ b/crates/batch/src/queue.rs
@@ -15,6 +15,8 @@
 
 /// Margin on the retention time of an item, in milliseconds, for clock differences between vms.
 const KEEP_MARGIN_MS: u64 = 3000;
+/// Number of items of a route that may end at once without a run, or whose path decides where they run.
+pub(crate) const ENDING_MAX: usize = 256;
 /// Delay before a failed item is retried.
 const FAILED_DELAY: Duration = Duration::from_millis(200);
 
@@ -53,17 +55,39 @@
         }
     }
 
-    /// Takes the item with the earliest due time.
-    pub fn take(&mut self, now: Time) -> Option<ReadyItem> {
+    /// Takes the item with the earliest due time among the jobs whose route has fewer items taken than
+    /// `places` allows for the job, so that items which wait for a target hold up no other route. Items
+    /// that may be given up at `wall` need no target.
+    pub fn take(
+        &mut self,
+        now: Time,
+        wall: UnixMillis,
+        places: impl Fn(&Job) -> usize,
+    ) -> Option<ReadyItem> {
         self.requeue_delayed(now);
-        let (due, number, item) = self.waiting.pop_first()?;
-        let job = Arc::clone(self.jobs.get(&number)?);
-        self.running.insert((number, item));
-        let keep = UnixMillis(
-            after(&job, job.options.keep)
-                .0
-                .saturating_add(KEEP_MARGIN_MS),
-        );
+        let mut full = BTreeSet::new();
+        let mut from = (UnixMillis(0), JobNumber(0), ItemIndex(0));
+        let (due, job, item) = loop {
+            let (due, number, item) = *self.waiting.range(from..).next()?;
+            // All items of a job are due at the same time.
+            from = (due, JobNumber(number.0 + 1), ItemIndex(0));
+            let Some(job) = self.jobs.get(&number) else {
+                continue;
+            };
+            let route = job.options.route.as_str();
+            let ends = wall >= keep(job);
+            if !ends && full.contains(route) {
+                continue;
+            }
+            let most = if ends { ENDING_MAX } else { places(job) };
+            if self.taken(route) < most {
+                break (due, Arc::clone(job), item);
+            }
+            full.insert(route);
+        };
+        self.waiting.remove(&(due, job.number, item));
+        self.running.insert((job.number, item));
+        let keep = keep(&job);
         Some(ReadyItem {
             job,
             item,
@@ -104,6 +128,16 @@
         self.jobs.contains_key(&job)
     }
 
+    /// The jobs that have queued items.
+    pub fn jobs_waiting(&self) -> Vec<Arc<Job>> {
+        let mut numbers: Vec<JobNumber> = self.waiting.iter().map(|(_, job, _)| *job).collect();
+        numbers.dedup();
+        numbers
+            .iter()
+            .filter_map(|number| self.jobs.get(number).cloned())
+            .collect()
+    }
+
     /// Number of queued items, including delayed ones.
     pub fn waiting(&self) -> usize {
         self.waiting.len() + self.delayed.len()
@@ -114,6 +148,16 @@
         self.running.len()
     }
 
+    /// Number of taken items of a route.
+    fn taken(&self, route: &str) -> usize {
+        let of_route = |number: &JobNumber| {
+            let job = self.jobs.get(number);
+            job.is_some_and(|job| job.options.route == route)
+        };
+        let running = self.running.iter();
+        running.filter(|(number, _)| of_route(number)).count()
+    }
+
     fn requeue_delayed(&mut self, now: Time) {
         while let Some(entry) = self.delayed.first_entry() {
             let (at, number, item) = *entry.key();
@@ -137,3 +181,9 @@
     let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
     UnixMillis(job.accepted.0.saturating_add(span))
 }
+
+/// Until when the items of a job must be retried.
+fn keep(job: &Job) -> UnixMillis {
+    let kept = after(job, job.options.keep);
+    UnixMillis(kept.0.saturating_add(KEEP_MARGIN_MS))
+}
