A target counts as running only if it accepts connections a moment after a close

What callers saw: half a stream and a plain end (ORDER), when a crash closed the target's connections some milliseconds before its port, or when the target couldn't be reached any more.

Cause: the front asked at once whether the port still accepts connections, and took a target that it could not reach for a running one. Found by the review of the fix; the batch keeper asked as early, and demanded an answer.

Done: front and batch keeper ask after 50 ms, in one place, and only a target that accepts the connection counts as running. A target that is back at the same address sooner than that is still believed. A rest of blank lines and comments is no part of an event (`clem-direct events`).

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clem_direct::{EventBuffer, Liveness, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
+use clem_direct::{EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
 use clem_edge::{Forward, Framing, ItemSpec, ItemStatus, common_parts};
 use clem_policy::dispatch::{
     GrantOutcome, Origin, Resumes, SlotRequest, StreamRequest, Ticket, Urgency,
@@ -392,10 +392,10 @@
                         return self.retry(&target, "too long", "");
                     }
                 }
-                Ok(None) if events.is_empty() && framing == Framing::Close => {
+                Ok(None) if !events.holds_part() && framing == Framing::Close => {
                     return self.read_closed(slot, seen, frames).await;
                 }
-                Ok(None) if events.is_empty() => {
+                Ok(None) if !events.holds_part() => {
                     node.recycle(&mut slot, head.status, connection);
                     return RunEnd::Completed;
                 }
@@ -426,8 +426,8 @@
         let node = Arc::clone(&self.keeper.node);
         let target = slot.target.id.clone();
         let added = self.last_event != seen;
-        let alive = self.last_event.is_some()
-            && node.probe(&slot.target, &self.spec.id).await == Liveness::Running;
+        let alive =
+            self.last_event.is_some() && node.outlives_close(&slot.target, &self.spec.id).await;
         if alive && !self.confirmed.contains(&target) {
             self.confirmed.push(target.clone());
         }
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -42,9 +42,11 @@
         self.rest.len() > EVENT_BYTES_MAX
     }
 
-    /// Whether no partial event is buffered.
-    pub fn is_empty(&self) -> bool {
-        self.rest.is_empty()
+    /// Whether a part of an event is buffered. Blank lines and comments are none.
+    pub fn holds_part(&self) -> bool {
+        let lines = self.rest[..].split(|byte| *byte == b'\n');
+        let mut lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
     }
 
     /// Removes and returns the next complete event, if there is one.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Sends one request to one target.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use clem_edge::{Forward, Framing, NamedRequest, TargetHead, TargetVm};
@@ -31,6 +31,9 @@
 /// to answer may still send one.
 const BEGUN_FRAMES: u32 = 1;
 
+/// How long a target that crashes may go on accepting connections after it has closed the others.
+const CRASH_TIME: Duration = Duration::from_millis(50);
+
 /// Whether the process of a target runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Liveness {
@@ -211,6 +214,13 @@
         }
     }
 
+    /// Whether a target that has closed the connection of the request `id` still accepts connections, so
+    /// that it did not close this one by ending.
+    pub async fn outlives_close(&self, target: &TargetVm, id: &str) -> bool {
+        tokio::time::sleep(CRASH_TIME).await;
+        self.probe(target, id).await == Liveness::Running
+    }
+
     /// Releases the slot of a response that ended early. If it had hardly begun, its request may be
     /// what crashed the target; `otherwise` is how it ended if the target didn't crash.
     pub fn end_early(
--- a/crates/direct/tests/events.rs
+++ b/crates/direct/tests/events.rs
@@ -22,7 +22,7 @@
             (None, text("c\nd")),
         ];
         assert_eq!(seen, whole, "in pieces of {size} bytes");
-        assert!(!events.is_empty(), "an event that was begun is left");
+        assert!(events.holds_part(), "an event that was begun is left");
     }
 }
 
@@ -38,3 +38,23 @@
         assert!(pushed <= 1024 * 1024, "{pushed} bytes are buffered");
     }
 }
+
+#[test]
+fn blank_lines_and_comments_are_no_part_of_an_event() {
+    for (rest, holds) in [
+        ("", false),
+        ("\n", false),
+        ("\r\n", false),
+        (": still here\n", false),
+        ("\n: still", false),
+        ("id: 2", true),
+        ("id: 2\ndata: b\n", true),
+        (": still here\ndata: b\n", true),
+    ] {
+        let mut events = EventBuffer::default();
+        events.push(format!("id: 1\ndata: a\n\n{rest}").as_bytes());
+        assert!(events.next_event().is_some());
+        assert!(events.next_event().is_none(), "{rest:?}");
+        assert_eq!(events.holds_part(), holds, "{rest:?}");
+    }
+}
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clem_direct::{EventBuffer, Liveness, Reply, Slot};
+use clem_direct::{EventBuffer, Reply, Slot};
 use clem_edge::Framing;
 use clem_policy::dispatch::{GrantOutcome, Origin};
 use http::{HeaderValue, Response, StatusCode, Version, header};
@@ -131,7 +131,9 @@
             // A target whose process ends closes its connections as well.
             let may_be_whole = matches!(end, End::Closed)
                 && self.framing == Framing::Close
-                && node.probe(&slot.target, &self.state.request.id).await != Liveness::Ended;
+                && node
+                    .outlives_close(&slot.target, &self.state.request.id)
+                    .await;
             match end {
                 End::Whole => {
                     node.recycle(&mut slot, head.status, connection);
@@ -209,7 +211,7 @@
         loop {
             let frame = match self.next_frame(&mut body).await {
                 Ok(Some(frame)) => frame,
-                Ok(None) if events.is_some_and(|events| !events.is_empty()) => return End::Broken,
+                Ok(None) if events.is_some_and(|e| e.holds_part()) => return End::Broken,
                 Ok(None) => return end_of(framing),
                 Err(end) => return end,
             };
@@ -232,7 +234,7 @@
         loop {
             let frame = match self.next_frame(&mut body).await {
                 Ok(Some(frame)) => frame,
-                Ok(None) if events.is_empty() => return end_of(framing),
+                Ok(None) if !events.holds_part() => return end_of(framing),
                 Ok(None) => return End::Broken,
                 Err(end) => return end,
             };
