Only a response of events can end inside one

What callers saw: a reset after the whole of a plain body without length and chunks, on a route for streams. So did those of a HEAD request over HTTP/1.0 (by reading).

Done: the media type decides, and a response without a body keeps its framing.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -14,9 +14,9 @@
 use clem_direct::{EventBuffer, Reply, Slot};
 use clem_edge::Framing;
 use clem_policy::dispatch::{GrantOutcome, Origin};
-use http::{HeaderValue, Response, StatusCode, Version, header};
+use http::{HeaderValue, Response, StatusCode, Version, header, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -26,6 +26,8 @@
 
 /// Number of chunks buffered for a slow caller.
 const CHUNKS: usize = 8;
+/// The media type of events.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// How a target's response ended.
 enum End {
@@ -60,7 +62,8 @@
         .node
         .dialect
         .response_headers(&reply.head.headers);
-    let resumes = state.request.is_resumable() && reply.head.status.is_success();
+    let has_body = !reply.body.is_end_stream();
+    let resumes = has_body && state.request.is_resumable() && reply.head.status.is_success();
     if resumes {
         // The events of another target may take up more or less space.
         headers.remove(header::CONTENT_LENGTH);
@@ -125,8 +128,8 @@
                 };
                 self.relay_events(body, framing, origin).await
             } else {
-                let is_stream = self.state.request.is_stream() && head.status.is_success();
-                self.relay_bytes(body, framing, is_stream).await
+                self.relay_bytes(body, framing, is_event_stream(&head))
+                    .await
             };
             // A target whose process ends closes its connections as well.
             let may_be_whole = matches!(end, End::Closed)
@@ -314,6 +317,13 @@
     }
 }
 
+/// Whether a response consists of events.
+fn is_event_stream(head: &response::Parts) -> bool {
+    let kind = head.headers.get(header::CONTENT_TYPE);
+    let kind = kind.and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.trim_start().starts_with(EVENT_STREAM))
+}
+
 /// How a response ended that was read without an error.
 fn end_of(framing: Framing) -> End {
     match framing {
