The end of a stream is not held back for a slow target

What callers saw: the end of a whole stream came 3 s late, after which callers have given up, when the target that was to confirm it was slow. After the caller had left, that target went on working (GONE).

Cause: the run that confirms an end had no limit but the deadline, and nothing watched the caller until it had an answer; neither did a stream that is resumed.

`clem-platform endings a_whole_stream_does_not_wait_for_a_slow_target_to_confirm_its_end` and `a_caller_that_left_ends_the_run_that_is_to_confirm_its_stream`.

Done: 500 ms for the slot, the head and the first event of such a run, then the end is passed on as it is; so it is when the run breaks without adding anything. A caller that leaves ends the search for another target. `stream resumed` names runs that `confirms`.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -8,12 +8,13 @@
 //! ends with its connection is passed on in the same way, so that the caller knows as much as this
 //! process does. See `docs/design/platform.md`, "Ends of responses".
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use clem_direct::{EventBuffer, Reply, Slot};
 use clem_edge::Framing;
 use clem_policy::dispatch::{GrantOutcome, Origin};
+use clem_types::Time;
 use http::{HeaderValue, Response, StatusCode, Version, header, response};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -28,6 +29,8 @@
 const CHUNKS: usize = 8;
 /// The media type of events.
 const EVENT_STREAM: &str = "text/event-stream";
+/// How long the end of a stream may be held back until another target has confirmed it.
+const CONFIRM_TIME: Duration = Duration::from_millis(500);
 
 /// How a target's response ended.
 enum End {
@@ -41,6 +44,18 @@
     Gone,
     /// The deadline passed.
     OutOfTime,
+    /// A target that was to confirm the end of a stream sent no event in time.
+    Unconfirmed,
+}
+
+/// Another run of a stream.
+enum NextRun {
+    /// A target responded.
+    Answered(Slot, Box<Reply>),
+    /// No target can be asked, or none responded with a success.
+    None,
+    /// The caller disconnected.
+    Gone,
 }
 
 /// What the relay task needs besides the target's response.
@@ -53,6 +68,8 @@
     frames: u32,
     /// Whether the last event had no id, so that no other target can be asked for what follows it.
     unnumbered: bool,
+    /// Until when a run that is to confirm the end may send no event.
+    patience: Option<Time>,
 }
 
 /// Starts to relay a response.
@@ -97,6 +114,7 @@
         framing,
         frames: 0,
         unnumbered: false,
+        patience: None,
     };
     tokio::spawn(relay.run(slot, reply));
     response.map(|()| RelayedBody::new(waiting, length, link).boxed())
@@ -116,6 +134,7 @@
         let node = Arc::clone(&self.state.front.node);
         // The last event at which a run ended that may have been the whole.
         let mut closed_at = None;
+        let mut in_doubt = false;
         loop {
             let framing = reply.framing;
             let (head, body, connection) = reply.into_parts();
@@ -126,6 +145,7 @@
                     service: slot.target.service.clone(),
                     version: slot.target.version.clone(),
                 };
+                self.patience = in_doubt.then(|| node.now() + CONFIRM_TIME);
                 self.relay_events(body, framing, origin).await
             } else {
                 self.relay_bytes(body, framing, is_event_stream(&head))
@@ -159,6 +179,11 @@
                     log_end(&self.state, "caller gone", head.status.as_u16());
                     return;
                 }
+                End::Unconfirmed => {
+                    node.end_unread(slot, self.frames);
+                    self.finish("closed", head.status).await;
+                    return;
+                }
                 End::OutOfTime => {
                     slot.set_ended(GrantOutcome::Silent);
                     break;
@@ -169,32 +194,56 @@
                     node.end_early(slot, id, self.frames, GrantOutcome::Broken);
                 }
             }
-            if !resumes || !self.may_go_on() {
-                break;
-            }
+            in_doubt = closed_at == Some(self.state.last_event);
             let began = self.state.placement.version.clone();
-            match self.state.next_response().await {
-                Ok((next, answer)) if answer.head.status.is_success() => {
+            let next = if resumes && self.may_go_on() {
+                self.next_run(in_doubt).await
+            } else {
+                NextRun::None
+            };
+            match next {
+                NextRun::Answered(next, answer) => {
                     let version = &next.target.version;
                     log::info!(
                         request = self.state.request.id.as_str(), target = next.target.id.as_str(),
                         after = self.state.last_event, version = version.as_ref().map(|v| v.as_str()),
-                        began = began.as_ref().map(|v| v.as_str());
+                        began = began.as_ref().map(|v| v.as_str()), confirms = in_doubt;
                         "stream resumed"
                     );
                     slot = next;
-                    reply = answer;
+                    reply = *answer;
                 }
-                Ok(_) | Err(_) if may_be_whole => {
+                NextRun::None if in_doubt => {
                     self.finish("closed", head.status).await;
                     return;
                 }
-                Ok(_) | Err(_) => break,
+                NextRun::None => break,
+                NextRun::Gone => {
+                    log_end(&self.state, "caller gone", head.status.as_u16());
+                    return;
+                }
             }
         }
         log_end(&self.state, "cut off", 0);
     }
 
+    /// Asks another target for what follows the last event. One that is to confirm the end is asked only
+    /// for as long as the caller can be kept waiting for it.
+    async fn next_run(&mut self, confirms: bool) -> NextRun {
+        let left = self.state.request.left(self.state.front.node.now());
+        let limit = if confirms { CONFIRM_TIME } else { left };
+        let next = tokio::select! {
+            next = tokio::time::timeout(limit, self.state.next_response()) => next,
+            () = self.parts.closed() => return NextRun::Gone,
+        };
+        match next {
+            Ok(Ok((slot, reply))) if reply.head.status.is_success() => {
+                NextRun::Answered(slot, Box::new(reply))
+            }
+            Ok(Ok(_) | Err(_)) | Err(_) => NextRun::None,
+        }
+    }
+
     /// Whether another target may be asked for what follows the last event.
     fn may_go_on(&self) -> bool {
         !self.unnumbered && self.state.runs < self.state.request.route.attempts
@@ -237,8 +286,8 @@
         loop {
             let frame = match self.next_frame(&mut body).await {
                 Ok(Some(frame)) => frame,
-                Ok(None) if !events.holds_part() => return end_of(framing),
-                Ok(None) => return End::Broken,
+                Ok(None) if events.holds_part() => return End::Broken,
+                Ok(None) => return end_of(framing),
                 Err(end) => return end,
             };
             events.push(&frame);
@@ -252,6 +301,7 @@
                     );
                     return End::Broken;
                 }
+                self.patience = None;
                 self.state.began.get_or_insert_with(|| origin.clone());
                 if let Some(id) = event.id {
                     self.state.last_event = Some(id);
@@ -283,15 +333,21 @@
     /// Reads the next chunk of a response; `None` at its end.
     async fn next_frame(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, End> {
         loop {
-            let left = self.state.request.left(self.state.front.node.now());
+            let now = self.state.front.node.now();
+            let left = self.state.request.left(now);
             // A new timer never comes first while there is always another frame.
             if left.is_zero() {
                 return Err(End::OutOfTime);
             }
+            let wait = match self.patience {
+                Some(until) if until <= now => return Err(End::Unconfirmed),
+                Some(until) => until.since(now).min(left),
+                None => left,
+            };
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.parts.closed() => return Err(End::Gone),
-                () = tokio::time::sleep(left) => return Err(End::OutOfTime),
+                () = tokio::time::sleep(wait) => continue,
             };
             match frame {
                 None => return Ok(None),
