What fronts out of touch may spend is kept back from the others

Cause: a front out of touch goes on with its share of a customer's rate, and the leader granted the whole rate to the others.

Why it works: the leader knows which share it told each front. When a front has been silent for 1.2 s, it charges the bucket with that share for the time since (the level may go below zero) and fills it with the rest of the rate, for as long as the front may use the share: 30 s, after which the front has the least one. Fronts report what they have placed by themselves. So nothing is charged twice, what a front was silent for but didn't use comes back (2 s of its share at most), and what a front spent that was alone for too short to be noticed is charged too. A new leader keeps an equal part back for each front that reported to the one before and not to it. Nothing is kept back for a front whose poll was dropped with its connection, as a system does for a process that ends, or whose vm has started a new one (`clem-platform out_of_touch`: a killed front isn't waited for, a stopped one is). A front that was restarted counts once.

What remains, see platform.md: beyond 30 s a front may spend a quarter of an equal part beside the whole rate; a leader younger than 8 s knows only equal parts; a vm that loses power or is frozen can't be told from one out of touch, so its share is kept back until it is back or for 30 s. A front of an earlier release reports no spending, so that up to 2 s of its share come back though it has used them.

Log lines `front out of touch` and `front in touch again`, gauge `clem_hub_fronts_away`.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -100,6 +100,7 @@
 }
 
 fn call(node: &Node) -> Follow {
+    let spent = node.fallback().spent(node.now());
     let view = node.view();
     let crashes = node.crashes().untold(node.now(), view.seen.epoch);
     let streams = node.streams().untold(node.now(), view.seen.epoch);
@@ -118,6 +119,8 @@
         limits: node.limits().limits(),
         streams,
         held: node.held(),
+        spent,
+        fronts: view.fronts,
         members: view.members.clone(),
         wait_ms: WAIT.as_millis() as u32,
     }
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -11,8 +11,8 @@
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{
-    CrashReport, Dispatcher, LeavingTargets, LimitReport, PartNews, RateLimit, TargetLimit,
-    TargetSlots,
+    CrashReport, Dispatcher, FrontNews, LeavingTargets, LimitReport, PartNews, RateLimit,
+    SHARE_LIFE, TargetLimit, TargetSlots, UnknownShares, least_share,
 };
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, PartId, Time, Version};
@@ -25,6 +25,8 @@
 
 /// How long a process counts as alive after its last report.
 const PROCESS_TIMEOUT: Duration = Duration::from_millis(4000);
+/// Age below which a leader may not have assigned a share of each customer's rate to each front.
+const YOUNG: Duration = Duration::from_secs(8);
 /// How long a leader collects batch keepers after the first one reports, before it picks the
 /// founders: they should span as many data centres as possible.
 const FOUNDING_DELAY: Duration = Duration::from_millis(600);
@@ -79,6 +81,12 @@
     members: Vec<SocketAddr>,
     allowance: f64,
     first_keeper: Option<Time>,
+    /// The holder of each vm's front that has reported to this leader.
+    fronts_heard: BTreeMap<String, String>,
+    /// The most fronts that an earlier leader knew, by the reports.
+    fronts_before: u32,
+    /// When this leader was first asked to do something.
+    started: Option<Time>,
     spread: RulesSpread,
     /// The crashes that make parts suspected, as the processes get them.
     crashes: Vec<CrashReport>,
@@ -122,6 +130,9 @@
             members: Vec::new(),
             allowance: start.allowance,
             first_keeper: None,
+            fronts_heard: BTreeMap::new(),
+            fronts_before: 0,
+            started: None,
             spread: RulesSpread::default(),
             crashes: Vec::new(),
             limits_changed: false,
@@ -285,6 +296,9 @@
         {
             self.processes_changed = true;
         }
+        if follow.role == ProcessRole::Front {
+            self.record_front(now, follow);
+        }
         if follow.role == ProcessRole::Batch && self.first_keeper.is_none() {
             self.first_keeper = Some(now);
         }
@@ -297,6 +311,58 @@
         }
     }
 
+    fn record_front(&mut self, now: Time, follow: &Follow) {
+        if follow.seen.epoch != self.epoch {
+            self.fronts_before = self.fronts_before.max(follow.fronts);
+        }
+        let before = self
+            .fronts_heard
+            .insert(follow.vm.clone(), follow.holder.clone());
+        if let Some(ended) = before.filter(|before| *before != follow.holder) {
+            self.dispatcher.note_ended(now, &ended);
+        }
+        self.share_rates(now);
+        self.dispatcher
+            .note_front(now, &follow.holder, &follow.spent);
+    }
+
+    /// Tells the dispatcher what fronts may use of the customers' rates that this leader has assigned
+    /// no share to.
+    fn share_rates(&mut self, now: Time) {
+        let age = now.since(*self.started.get_or_insert(now));
+        let heard = u32::try_from(self.fronts_heard.len()).unwrap_or(u32::MAX);
+        let before = self.fronts_before;
+        let mut unknown = UnknownShares {
+            least: least_share(before.max(self.fronts())),
+            unheard: 0.0,
+        };
+        if age < SHARE_LIFE && before > 0 {
+            unknown.unheard = f64::from(before.saturating_sub(heard)) / f64::from(before);
+        }
+        if age < YOUNG {
+            // A front may still use a share of an earlier leader.
+            unknown.least = 1.0 / f64::from(before.max(self.fronts()).max(1));
+        }
+        self.dispatcher.set_unknown_shares(now, unknown);
+    }
+
+    /// Logs fronts that are out of touch, and those that report again.
+    fn log_fronts(&mut self) {
+        for news in self.dispatcher.take_front_news() {
+            match news {
+                FrontNews::Away { holder, silent } => log::warn!(
+                    holder = holder.as_str(), silent_ms = silent.as_millis() as u64;
+                    "front out of touch"
+                ),
+                FrontNews::Back { holder, spent } => log::info!(
+                    holder = holder.as_str(), spent;
+                    "front in touch again"
+                ),
+            }
+        }
+        metrics::gauge!("clem_hub_fronts_away").set(self.dispatcher.fronts_away() as f64);
+    }
+
     /// Logs what has come under suspicion to crash targets, and lists new blocks for followers.
     pub fn publish_parts(&mut self, now: Time) {
         for news in self.dispatcher.take_part_news() {
@@ -344,7 +410,9 @@
 
     /// Expires silent processes and overdue requests.
     pub fn tick(&mut self, now: Time) {
+        self.share_rates(now);
         self.dispatcher.tick(now);
+        self.log_fronts();
         if std::mem::take(&mut self.limits_changed) {
             self.change += 1;
         }
@@ -473,11 +541,11 @@
     }
 
     fn fronts(&self) -> u32 {
-        let fronts = self
-            .processes
-            .values()
-            .filter(|p| p.role == ProcessRole::Front);
-        u32::try_from(fronts.count()).unwrap_or(u32::MAX)
+        let processes = self.processes.values();
+        let fronts = processes.filter(|p| p.role == ProcessRole::Front);
+        // A front that was restarted is listed twice for a while.
+        let vms: BTreeSet<&str> = fronts.map(|p| p.vm.as_str()).collect();
+        u32::try_from(vms.len()).unwrap_or(u32::MAX)
     }
 }
 
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -30,33 +30,65 @@
 
 impl Serve<Hub> for Follow {
     async fn serve(self, hub: Arc<Hub>) -> Result<FollowReply> {
-        let poll = hub.polls.register(&self.holder);
-        let mut leadership = hub.replica.watch_leadership();
-        leadership.mark_unchanged();
-        hub.with_leader(|leader, now| {
-            leader.note_leaving(now, &self.vm, &self.leaving);
-            leader.record_report(now, &self);
-        })?;
-        let wait = Duration::from_millis(self.wait_ms.into()).min(FOLLOW_MAX_HOLD);
-        let deadline = tokio::time::Instant::now() + wait;
-        loop {
-            let members = hub.members();
-            if let Some(reply) = hub.with_leader(|leader, _| leader.updates(&self, members))? {
-                if let Some(rules) = &reply.rules {
-                    log::info!(
-                        vm = self.vm.as_str(), version = rules.version.0, known = self.rules.0,
-                        bytes = rules.document.len();
-                        "rules sent with a poll"
-                    );
-                }
-                return Ok(reply);
-            }
-            tokio::select! {
-                () = poll.woken() => {}
-                _ = leadership.changed() => {}
-                () = tokio::time::sleep_until(deadline) => return Ok(FollowReply::default()),
+        let mut guard = PollGuard {
+            hub: &hub,
+            holder: &self.holder,
+            replied: false,
+        };
+        let reply = poll(&hub, &self).await;
+        guard.replied = true;
+        reply
+    }
+}
+
+/// Records a report and waits until there is something to reply.
+async fn poll(hub: &Hub, follow: &Follow) -> Result<FollowReply> {
+    let poll = hub.polls.register(&follow.holder);
+    let mut leadership = hub.replica.watch_leadership();
+    leadership.mark_unchanged();
+    hub.with_leader(|leader, now| {
+        leader.note_leaving(now, &follow.vm, &follow.leaving);
+        leader.record_report(now, follow);
+    })?;
+    let wait = Duration::from_millis(follow.wait_ms.into()).min(FOLLOW_MAX_HOLD);
+    let deadline = tokio::time::Instant::now() + wait;
+    loop {
+        let members = hub.members();
+        if let Some(reply) = hub.with_leader(|leader, _| leader.updates(follow, members))? {
+            if let Some(rules) = &reply.rules {
+                log::info!(
+                    vm = follow.vm.as_str(), version = rules.version.0, known = follow.rules.0,
+                    bytes = rules.document.len();
+                    "rules sent with a poll"
+                );
             }
+            return Ok(reply);
+        }
+        tokio::select! {
+            () = poll.woken() => {}
+            _ = leadership.changed() => {}
+            () = tokio::time::sleep_until(deadline) => return Ok(FollowReply::default()),
+        }
+    }
+}
+
+/// Notes that a process has hung up when its poll is dropped: its system closes the connection when it
+/// ends, while one out of touch is only silent.
+struct PollGuard<'a> {
+    hub: &'a Hub,
+    holder: &'a str,
+    replied: bool,
+}
+
+impl Drop for PollGuard<'_> {
+    fn drop(&mut self) {
+        if self.replied {
+            return;
         }
+        // If this process is no longer the leader, the next one has not heard of it.
+        let _ = self
+            .hub
+            .with_leader(|leader, now| leader.dispatcher.note_ended(now, self.holder));
     }
 }
 
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -3,11 +3,11 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use clem_edge::{TargetState, TargetVm};
 use clem_hub::{LeaderInit, LeaderState, Polls, Wakes};
-use clem_policy::dispatch::{SlotRequest, Ticket, Urgency};
+use clem_policy::dispatch::{RateLimit, SHARE_LIFE, SlotRequest, Ticket, Urgency};
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, Time, Version};
 use clem_wire::fleet::{FleetList, FleetListVersion, Follow, ProcessRole};
@@ -44,6 +44,8 @@
         limits: Vec::new(),
         streams: Vec::new(),
         held: Vec::new(),
+        spent: Vec::new(),
+        fronts: 0,
         members: None,
         wait_ms: 400,
     }
@@ -261,3 +263,78 @@
     let list = list(&mut leader, &follow(0, FleetListVersion::default()));
     assert_eq!(list.map(|list| list.fronts), Some(300));
 }
+
+const FRONTS: usize = 4;
+
+/// The leader of a fleet with one customer.
+fn leader_with_customer() -> LeaderState {
+    let mut leader = leader();
+    let limit = RateLimit {
+        rate: 50.0,
+        burst: 50.0,
+    };
+    let rates = HashMap::from([("customer".to_owned(), limit)]);
+    leader.dispatcher.set_rates(Time::ZERO, &rates, 10.0);
+    leader
+}
+
+/// A front that an earlier leader counted among four.
+fn counted_front(place: usize) -> Follow {
+    Follow {
+        fronts: FRONTS as u32,
+        ..follow(place, FleetListVersion::default())
+    }
+}
+
+fn kept_part(leader: &mut LeaderState, now: Time) -> f64 {
+    leader.tick(now);
+    let part = leader.dispatcher.kept_part("customer");
+    part.expect("the customer is known")
+}
+
+#[test]
+fn a_new_leader_keeps_back_the_part_of_a_front_that_never_reports_to_it() {
+    let mut leader = leader_with_customer();
+    let mut now = Time::ZERO;
+    while now < Time::ZERO + SHARE_LIFE {
+        for place in 1..FRONTS {
+            leader.record_report(now, &counted_front(place));
+        }
+        assert_eq!(kept_part(&mut leader, now), 0.25, "at {now}");
+        now = now + Duration::from_millis(400);
+    }
+    assert_eq!(kept_part(&mut leader, now), 0.0, "the share has run out");
+}
+
+#[test]
+fn a_new_leader_keeps_nothing_back_once_all_fronts_have_reported() {
+    let mut leader = leader_with_customer();
+    for place in 0..FRONTS {
+        leader.record_report(Time::ZERO, &counted_front(place));
+    }
+    assert_eq!(kept_part(&mut leader, Time::ZERO), 0.0);
+}
+
+#[test]
+fn a_front_that_was_started_again_ends_what_is_kept_back_for_it() {
+    let mut leader = leader_with_customer();
+    let mut now = Time::ZERO;
+    leader.record_report(now, &counted_front(0));
+    for _ in 0..5 {
+        for place in 1..FRONTS {
+            leader.record_report(now, &counted_front(place));
+        }
+        now = now + Duration::from_millis(400);
+        leader.tick(now);
+    }
+    let kept = kept_part(&mut leader, now);
+    assert!(kept > 0.0, "nothing is kept back for a silent front");
+    let restarted = Follow {
+        holder: "front-0, started again".to_owned(),
+        ..counted_front(0)
+    };
+    leader.record_report(now, &restarted);
+    assert_eq!(kept_part(&mut leader, now), 0.0);
+    let list = list(&mut leader, &follow(1, FleetListVersion::default()));
+    assert_eq!(list.map(|list| list.fronts), Some(FRONTS as u32));
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -20,6 +20,7 @@
 mod rate;
 mod retry_after;
 mod settled;
+mod shares;
 mod streams;
 mod target;
 
@@ -30,15 +31,17 @@
 
 use clem_types::{PartId, Time};
 use serde::{Deserialize, Serialize};
+use shares::RateBuckets;
 
 pub use crashes::{Admission, BlockedParts, CrashParts, CrashReport, PartNews, SUSPECT_CRASHES};
-pub use fallback::Fallback;
+pub use fallback::{Fallback, least_share};
 pub use leaving::LeavingTargets;
 pub use limit::{Budget, LimitReport, LimitedTargets, TargetLimit};
 pub use pool::{Pool, PoolView};
-pub use rate::{RateBucket, RateLimit, RateShare};
+pub use rate::{RateBucket, RateLimit, RateShare, SHARE_LIFE};
 pub use retry_after::{RouteTimeouts, retry_after};
 pub use settled::SettledVersions;
+pub use shares::{FrontNews, UnknownShares};
 pub use streams::{Origin, OriginReport, Resumes, StreamKey, StreamRequest, Streams};
 pub use target::{GrantOutcome, TargetSlots};
 
@@ -182,7 +185,7 @@
 #[derive(Debug, Default)]
 pub struct Dispatcher {
     pools: HashMap<String, Pool>,
-    buckets: HashMap<String, RateBucket>,
+    rates: RateBuckets,
     grants: BTreeMap<Ticket, Grant>,
     last_heard: HashMap<String, Time>,
     decided: Vec<(Ticket, Verdict)>,
@@ -256,16 +259,39 @@
     /// Replaces the customers' rate limits. Known customers keep their bucket; a new one starts
     /// with at most `start` tokens.
     pub fn set_rates(&mut self, now: Time, rates: &HashMap<String, RateLimit>, start: f64) {
-        self.buckets.retain(|name, _| rates.contains_key(name));
-        for (name, limit) in rates {
-            match self.buckets.get_mut(name) {
-                Some(bucket) => bucket.set_limit(now, *limit),
-                None => {
-                    let bucket = RateBucket::new(now, *limit, start);
-                    self.buckets.insert(name.clone(), bucket);
-                }
-            }
-        }
+        self.rates.set_limits(now, rates, start);
+    }
+
+    /// Sets what fronts may use of the customers' rates without the leader knowing their shares.
+    pub fn set_unknown_shares(&mut self, now: Time, unknown: UnknownShares) {
+        self.rates.set_unknown(now, unknown);
+    }
+
+    /// Notes a report of a front, which may place requests by itself while it can't reach the leader;
+    /// `spent` is how many it has placed so since it started, for each customer.
+    pub fn note_front(&mut self, now: Time, holder: &str, spent: &[(String, u32)]) {
+        self.rates.note_front(now, holder, spent);
+    }
+
+    /// Notes that a process has ended: it spends nothing of the customers' rates any more.
+    pub fn note_ended(&mut self, now: Time, holder: &str) {
+        self.rates.note_ended(now, holder);
+    }
+
+    /// Removes and returns the changes of what is kept back for fronts out of touch.
+    pub fn take_front_news(&mut self) -> Vec<FrontNews> {
+        self.rates.take_news()
+    }
+
+    /// The number of fronts out of touch for which shares are kept back.
+    pub fn fronts_away(&self) -> usize {
+        self.rates.away()
+    }
+
+    /// The part of a customer's rate that is kept back for fronts that may spend it out of touch,
+    /// from 0 to 1; `None` for an unknown customer.
+    pub fn kept_part(&self, customer: &str) -> Option<f64> {
+        self.rates.kept_part(customer)
     }
 
     /// Requests a slot. The verdict is returned by [`take_decided`](Self::take_decided), either
@@ -280,9 +306,8 @@
             self.decided.push((want.ticket, verdict));
             return;
         }
-        if let Some(bucket) = want.customer.as_ref().and_then(|c| self.buckets.get_mut(c))
-            && let Err(retry) = bucket.take(now)
-        {
+        let taken = self.rates.take(now, want.customer.as_ref(), &want.holder);
+        if let Err(retry) = taken {
             self.crash_parts.end(want.ticket);
             self.decided
                 .push((want.ticket, Verdict::OverRate { retry }));
@@ -308,9 +333,7 @@
                 continue;
             };
             self.crash_parts.end(ticket);
-            if let Some(bucket) = want.customer.and_then(|c| self.buckets.get_mut(&c)) {
-                bucket.refund();
-            }
+            self.rates.refund(want.customer.as_ref());
             return;
         }
         self.release(now, ticket, ended);
@@ -475,14 +498,16 @@
     /// Expires queued requests, and revokes the grants of holders that timed out.
     pub fn tick(&mut self, now: Time) {
         self.streams.expire(now);
+        self.rates.expire(now);
         let timed_out = |at: &Time| now.since(*at) >= HOLDER_TIMEOUT;
-        let gone: Vec<String> = self
+        let gone: Vec<(String, Time)> = self
             .last_heard
             .iter()
             .filter(|(_, at)| timed_out(at))
-            .map(|(name, _)| name.clone())
+            .map(|(name, at)| (name.clone(), *at))
             .collect();
-        for holder in gone {
+        for (holder, since) in gone {
+            self.rates.note_silent(now, &holder, since);
             let orphaned: Vec<SlotRequest> = self
                 .pools
                 .values_mut()
@@ -529,9 +554,7 @@
     fn refuse(&mut self, now: Time, want: &SlotRequest, verdict: Verdict) {
         debug_assert!(now >= Time::ZERO, "time starts at zero");
         self.crash_parts.end(want.ticket);
-        if let Some(bucket) = want.customer.as_ref().and_then(|c| self.buckets.get_mut(c)) {
-            bucket.refund();
-        }
+        self.rates.refund(want.customer.as_ref());
         self.decided.push((want.ticket, verdict));
     }
 
@@ -550,9 +573,7 @@
                     let customer = want.customer.as_deref().unwrap_or_default();
                     self.streams.note(now, customer, key, origin);
                 }
-                let bucket = want.customer.as_ref().and_then(|c| self.buckets.get_mut(c));
-                let share =
-                    bucket.map_or(RateShare::WHOLE, |bucket| bucket.count(now, &want.holder));
+                let share = self.rates.count(now, want.customer.as_ref(), &want.holder);
                 let grant = Grant {
                     holder: want.holder,
                     service: service.clone(),
--- a/crates/policy/src/dispatch/fallback.rs
+++ b/crates/policy/src/dispatch/fallback.rs
@@ -6,15 +6,20 @@
 //! that the leader last told it, so a customer that had spent its burst gets no new one when the
 //! leader fails.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use clem_types::Time;
 
-use super::{GrantOutcome, RateBucket, RateLimit, RateShare, rate::SHARE_SPAN};
+use super::{GrantOutcome, RateBucket, RateLimit, RateShare, rate::KnownShare};
 
 /// Smallest share of a customer's rate, as a fraction of an equal share among the fronts; applies
 /// to fronts that have not served the customer recently.
 const SHARE_MIN: f64 = 0.25;
+/// How long the requests of a customer are reported after the last one.
+const SPENT_KEPT: Duration = Duration::from_secs(120);
 /// How long a failed target is avoided.
 const COOLDOWN: Duration = Duration::from_millis(1000);
 
@@ -25,15 +30,22 @@
     buckets: HashMap<String, RateBucket>,
     /// This process's share of each customer's rate, as last told by the leader.
     shares: HashMap<String, KnownShare>,
+    /// The requests of each customer that were taken here.
+    spent: BTreeMap<String, Spent>,
     /// Set when a call to the leader failed, until a leader answers.
     silent: bool,
 }
 
-/// Share of a customer's rate, and when the leader assigned it.
+/// Requests of a customer that were taken without a leader, and when the last one was.
 #[derive(Debug)]
-struct KnownShare {
-    share: RateShare,
-    at: Time,
+struct Spent {
+    count: u32,
+    last: Time,
+}
+
+/// The least part of a customer's rate that each of `fronts` may use without a leader.
+pub fn least_share(fronts: u32) -> f64 {
+    SHARE_MIN / f64::from(fronts.max(1))
 }
 
 impl Fallback {
@@ -87,19 +99,8 @@
     }
 
     /// Records the share of a customer's rate that the leader assigned to this process.
-    ///
-    /// The assignment of an earlier leader decays slowly and remains a lower bound, as a new
-    /// leader has seen few requests.
     pub fn note_share(&mut self, now: Time, customer: &str, share: RateShare) {
-        let before = self.shares.get(customer).map_or(0.0, |known| {
-            let age = now.since(known.at).as_secs_f64() / SHARE_SPAN.as_secs_f64();
-            known.share.part * (-age).exp()
-        });
-        let share = RateShare {
-            part: share.part.max(before),
-            ..share
-        };
-        let known = KnownShare { share, at: now };
+        let known = KnownShare::assign(self.shares.get(customer), now, share);
         self.shares.insert(customer.to_owned(), known);
     }
 
@@ -122,13 +123,10 @@
         limit: RateLimit,
         fronts: u32,
     ) -> Result<(), Duration> {
-        let least = SHARE_MIN / f64::from(fronts.max(1));
-        let known = self.shares.get(customer).map(|known| known.share);
-        let share = known.unwrap_or(RateShare {
-            part: least,
-            left: 1.0,
-        });
-        let part = share.part.max(least);
+        let least = least_share(fronts);
+        let known = self.shares.get(customer);
+        let part = known.map_or(least, |known| known.part(now, least));
+        let left = known.map_or(1.0, |known| known.share.left);
         let limit = RateLimit {
             rate: limit.rate * part,
             burst: limit.burst * part,
@@ -136,7 +134,30 @@
         let bucket = self
             .buckets
             .entry(customer.to_owned())
-            .or_insert_with(|| RateBucket::new(now, limit, limit.burst.max(1.0) * share.left));
-        bucket.take(now)
+            .or_insert_with(|| RateBucket::new(now, limit, limit.burst.max(1.0) * left));
+        bucket.set_limit(now, limit);
+        bucket.take(now)?;
+        if limit.rate <= 0.0 {
+            return Ok(());
+        }
+        let spent = self.spent.entry(customer.to_owned());
+        let spent = spent.or_insert(Spent {
+            count: 0,
+            last: now,
+        });
+        spent.count += 1;
+        spent.last = now;
+        Ok(())
+    }
+
+    /// The number of requests of each customer that were taken here, for the leader. Customers with
+    /// none for long are left out and start again from 0.
+    pub fn spent(&mut self, now: Time) -> Vec<(String, u32)> {
+        self.spent
+            .retain(|_, spent| now.since(spent.last) < SPENT_KEPT);
+        let spent = self.spent.iter();
+        spent
+            .map(|(customer, spent)| (customer.clone(), spent.count))
+            .collect()
     }
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -82,6 +82,12 @@
     pub streams: Vec<OriginReport>,
     /// The slots that it holds, from which a new leader restores its state.
     pub held: Vec<HeldGrant>,
+    /// The requests that it has placed without a leader since it started, for each customer.
+    #[serde(default)]
+    pub spent: Vec<(String, u32)>,
+    /// The number of fronts that the leader of `seen` told it; 0 if none did.
+    #[serde(default)]
+    pub fronts: u32,
     /// The members of the group that stores batches, if this process leads that group.
     pub members: Option<Vec<SocketAddr>>,
     /// How long the leader may hold the call until there is a change, in milliseconds.
