A stream of unknown origin does not go on at a service that its route has just moved to

Cause: the route's present service was taken for the only one that can have begun the stream; only how long that service has had one version was checked.

Now a front keeps since when each route has had its services, and claims nothing of a stream, nor asks the leader to judge by its own lists, until that is as long as the span in which the stream may have begun.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -87,7 +87,7 @@
         }
     };
     let previous = node.view().version().0;
-    if !node.view().install_rules(read) {
+    if !node.view().install_rules(received, read) {
         return false;
     }
     log::info!(
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use clem_edge::{Ruleset, TargetState, TargetVm};
+use clem_edge::{Route, Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{BlockedParts, SettledVersions};
 use clem_types::{Rate, SoftwareVersion, Time, Version};
 use clem_wire::{
@@ -46,6 +46,8 @@
     settled: SettledVersions,
     /// The services and versions in the last list from the hub.
     published: BTreeSet<(String, Option<SoftwareVersion>)>,
+    /// The services of each route, by host and prefix, and since when it has had them.
+    routed: BTreeMap<(String, String), (Vec<String>, Time)>,
 }
 
 impl View {
@@ -57,10 +59,19 @@
     }
 
     /// Installs newer rules and returns whether they were newer.
-    pub(crate) fn install_rules(&mut self, rules: Ruleset) -> bool {
+    pub(crate) fn install_rules(&mut self, now: Time, rules: Ruleset) -> bool {
         if rules.version <= self.version() {
             return false;
         }
+        let mut before = std::mem::take(&mut self.routed);
+        for route in &rules.routes {
+            let place = (route.host.clone(), route.prefix.clone());
+            let services: Vec<String> = route.backends.iter().map(|b| b.service.clone()).collect();
+            let known = before
+                .remove(&place)
+                .filter(|(known, _)| *known == services);
+            self.routed.insert(place, known.unwrap_or((services, now)));
+        }
         self.rules = Some(Arc::new(rules));
         true
     }
@@ -168,6 +179,13 @@
         targets.any(|target| target.service == service && target.version.is_some())
     }
 
+    /// How long a route has had its services, as far as this process knows.
+    pub fn routed_for(&self, now: Time, route: &Route) -> Duration {
+        let place = (route.host.clone(), route.prefix.clone());
+        let since = self.routed.get(&place).map(|(_, since)| *since);
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Whether the hub has listed a target's version.
     pub(crate) fn is_published(&self, target: &TargetVm) -> bool {
         let mut published = self.published.iter();
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,7 +4,9 @@
 
 use clem_direct::{Outcome, Reply, Slot, SlotOutcome};
 use clem_edge::{Cause, Forward, Framing, Refusal};
-use clem_policy::dispatch::{GrantOutcome, Origin, Resumes, SlotRequest, StreamKey, StreamRequest};
+use clem_policy::dispatch::{
+    GrantOutcome, Origin, Resumes, SETTLED_MIN, SlotRequest, StreamKey, StreamRequest,
+};
 use clem_types::SoftwareVersion;
 use http::Response;
 
@@ -248,8 +250,15 @@
         node.settled_origin(node.now(), service, self.settled_span())
     }
 
+    /// How long a version must have served alone to have begun the stream.
     fn settled_span(&self) -> Duration {
-        self.request.route.timeout * SETTLED_TIMEOUTS
+        let node = &self.front.node;
+        let route = &self.request.route;
+        let span = (route.timeout * SETTLED_TIMEOUTS).max(SETTLED_MIN);
+        if node.view().routed_for(node.now(), route) < span {
+            return Duration::MAX;
+        }
+        span
     }
 
     /// Sends the request; `None` if there was no response in time.
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -38,7 +38,7 @@
 pub use pool::{Pool, PoolView};
 pub use rate::{RateBucket, RateLimit, RateShare};
 pub use retry_after::{RouteTimeouts, retry_after};
-pub use settled::SettledVersions;
+pub use settled::{SETTLED_MIN, SettledVersions};
 pub use streams::{
     Origin, OriginReport, Resumes, StreamKey, StreamRequest, Streams, UnknownStream,
 };
--- a/crates/policy/src/dispatch/settled.rs
+++ b/crates/policy/src/dispatch/settled.rs
@@ -11,7 +11,7 @@
 const SILENCE_MAX: Duration = Duration::from_secs(2);
 /// The least time for which a service must have had one version before a stream of unknown origin goes
 /// on there: the route's timeout may have been longer when the stream began.
-const SETTLED_MIN: Duration = Duration::from_secs(10);
+pub const SETTLED_MIN: Duration = Duration::from_secs(10);
 
 /// The services whose targets all have one version of their software, and since when this process knows
 /// that. A stream whose origin nobody remembers, since all that knew it were killed, may only go on
--- a/crates/policy/src/dispatch/streams.rs
+++ b/crates/policy/src/dispatch/streams.rs
@@ -68,7 +68,8 @@
         /// The same, or else where it began whatever attempt it was: at the only version that may have
         /// run it, as far as that process knows.
         otherwise: Option<Origin>,
-        /// How long a version must have served alone for that.
+        /// How long a version must have served alone for that; [`Duration::MAX`] if another service may
+        /// have begun it.
         #[serde(default)]
         span: Duration,
     },
