--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -40,7 +40,7 @@
 pub use pool::{Pool, PoolView};
 pub use rate::{RateBucket, RateLimit, RateShare, SHARE_LIFE};
 pub use retry_after::{RouteTimeouts, retry_after};
-pub use settled::SettledVersions;
+pub use settled::{SETTLED_MIN, SettledVersions};
 pub use shares::{FrontNews, UnknownShares};
 pub use streams::{
     Origin, OriginReport, Resumes, StreamKey, StreamRequest, Streams, UnknownStream,
