A process that ends has written its last log lines

What operators saw: a front whose last lines, `connections closed at the end of the grace period` and `front stopped`, are missing. So may be the line of a process that gives up after a failed write.

Cause: lines go to a writer thread, and nothing waited for it when the process ended.

`clem-boot stdout a_process_that_ends_has_written_its_last_line`, red before: `left: 1028, right: 1500`.

Done: the logger's `flush` waits until the lines before it are written, for 200 ms at most, as their reader may be slow. Programs call it when they end, also after an unrecoverable error.

--- a/crates/boot/src/run.rs
+++ b/crates/boot/src/run.rs
@@ -27,7 +27,9 @@
             return ExitCode::from(EXIT_FAILURE);
         }
     };
-    let Err(error) = runtime.block_on(program) else {
+    let ended = runtime.block_on(program);
+    log::logger().flush();
+    let Err(error) = ended else {
         return ExitCode::SUCCESS;
     };
     if let Some(findings) = error.downcast_ref::<Findings>() {
--- a/crates/boot/src/stdout.rs
+++ b/crates/boot/src/stdout.rs
@@ -8,10 +8,10 @@
     io::Write as _,
     sync::{
         atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, sync_channel},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use eyre::WrapErr;
@@ -22,6 +22,10 @@
 const MAX_LINES: usize = 2048;
 /// Queued lines are combined into writes of about this size, in bytes.
 const WRITE_BYTES: usize = 64 * 1024;
+/// How long a process that ends waits for its lines to be written.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+/// Pause before a full channel is tried again.
+const FLUSH_PAUSE: Duration = Duration::from_millis(1);
 
 type Result<T> = eyre::Result<T>;
 
@@ -46,9 +50,17 @@
     Ok(())
 }
 
+/// What the writer thread gets.
+enum Output {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// Asks for word once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 struct StdoutLogger {
     level: LevelFilter,
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Output>,
     dropped: AtomicU64,
 }
 
@@ -62,25 +74,57 @@
             return;
         }
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 && self.lines.try_send(dropped_line(dropped)).is_err() {
+        if dropped > 0
+            && self
+                .lines
+                .try_send(Output::Line(dropped_line(dropped)))
+                .is_err()
+        {
             self.dropped.fetch_add(dropped, Ordering::Relaxed);
         }
-        if self.lines.try_send(line(record)).is_err() {
+        if self.lines.try_send(Output::Line(line(record))).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until the lines before are written, for a bounded time: their reader may be slow.
+    fn flush(&self) {
+        let until = Instant::now() + FLUSH_TIME;
+        let (written, word) = sync_channel(1);
+        let mut flush = Output::Flush(written);
+        while let Err(TrySendError::Full(unsent)) = self.lines.try_send(flush) {
+            if Instant::now() >= until {
+                return;
+            }
+            flush = unsent;
+            thread::sleep(FLUSH_PAUSE);
+        }
+        // Without word in time the rest of the lines is lost.
+        let _ = word.recv_timeout(until.saturating_duration_since(Instant::now()));
+    }
 }
 
-fn write_lines(waiting: &Receiver<Vec<u8>>) {
-    while let Ok(mut buffer) = waiting.recv() {
-        while buffer.len() < WRITE_BYTES {
-            let Ok(line) = waiting.try_recv() else { break };
-            buffer.extend_from_slice(&line);
+fn write_lines(waiting: &Receiver<Output>) {
+    let mut buffer = Vec::new();
+    while let Ok(first) = waiting.recv() {
+        let mut next = Some(first);
+        let mut flushes = Vec::new();
+        while let Some(output) = next.take() {
+            match output {
+                Output::Line(line) => buffer.extend_from_slice(&line),
+                Output::Flush(written) => flushes.push(written),
+            }
+            if buffer.len() < WRITE_BYTES {
+                next = waiting.try_recv().ok();
+            }
         }
         // An error means that standard output is closed; there is nowhere left to report it.
         let _ = std::io::stdout().write_all(&buffer);
+        buffer.clear();
+        for written in flushes {
+            // The process may have waited for too long already.
+            let _ = written.try_send(());
+        }
     }
 }
 
