The leader says what keeps a learner from being promoted

Hypotheses that had to be told apart: the learner lags; it isn't heard; a change is refused; the leader doesn't look.

The decision on a learner moves to node/learner.rs and names what it waits for. The leader logs 'learner not promoted' every two seconds with lag, silence, that reason and the age of the last tick, and two gauges show the number of learners and the largest lag. No behaviour changes.

--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -46,6 +46,8 @@
     outbox: BTreeMap<MemberId, VecDeque<Message>>,
     /// Members that need a snapshot of the state.
     snapshot_requests: Vec<MemberId>,
+    /// When the timers of the node ran last.
+    ticked: Time,
     free_bytes: u64,
     /// Free disk space below which all proposals are refused, in bytes.
     reserve_bytes: u64,
@@ -81,6 +83,7 @@
             syncing: false,
             outbox: BTreeMap::new(),
             snapshot_requests: Vec::new(),
+            ticked: Time::ZERO,
             free_bytes: u64::MAX,
             reserve_bytes,
             caught_up: None,
@@ -124,6 +127,11 @@
         known.unwrap_or_else(|| voters(self.node.members()))
     }
 
+    /// When the timers of the node ran last.
+    pub(super) fn ticked(&self) -> Time {
+        self.ticked
+    }
+
     /// Free disk space as of the last write to the log, in bytes.
     pub(super) fn free_bytes(&self) -> u64 {
         self.free_bytes
@@ -161,6 +169,7 @@
     }
 
     pub(super) fn tick(&mut self, now: Time) {
+        self.ticked = now;
         self.node.tick(now);
     }
 
--- a/crates/control/src/replica/gauges.rs
+++ b/crates/control/src/replica/gauges.rs
@@ -4,7 +4,7 @@
 
 use metrics::gauge;
 
-use super::shared::Shared;
+use super::{learners::Learners, shared::Shared};
 
 /// Time between two updates of the gauges.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -12,14 +12,15 @@
 /// Updates the gauges until the process exits.
 pub(super) async fn report(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(INTERVAL);
+    let mut learners = Learners::default();
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        update(&shared);
+        update(&shared, &mut learners);
     }
 }
 
-fn update(shared: &Shared) {
+fn update(shared: &Shared, learners: &mut Learners) {
     let now = shared.clock.now();
     let applied = shared.store().applied();
     gauge!("clem_control_applied_index").set(applied as f64);
@@ -29,6 +30,7 @@
         return;
     };
     let node = core.node();
+    learners.report(now, &node.learners(now), core.ticked());
     let voters = node.members().voters().count();
     gauge!("clem_control_seated").set(1.0);
     gauge!("clem_control_leads").set(f64::from(u8::from(core.leased_epoch(now).is_some())));
--- a/crates/control/src/replica/joining.rs
+++ b/crates/control/src/replica/joining.rs
@@ -5,8 +5,7 @@
 use clem_types::Time;
 use metrics::gauge;
 
-/// Time between two log lines.
-const LOG_INTERVAL: Duration = Duration::from_secs(2);
+use super::LOG_INTERVAL;
 
 /// What a process without a place in its group waits for.
 #[derive(Debug, Clone, Copy)]
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -5,6 +5,7 @@
 //! - `event_loop` handles timers, disk events and outgoing messages,
 //! - `peers` sends messages to other members,
 //! - `formation` bootstraps a group or joins one,
+//! - `joining` and `learners` report how far that is,
 //! - `send_snapshot` and `install_snapshot` bring a lagging member up to date.
 //!
 //! See `docs/DESIGN.md`, "Agreement".
@@ -18,15 +19,21 @@
 mod handle;
 mod install_snapshot;
 mod joining;
+mod learners;
 mod peers;
 mod routes;
 mod send_snapshot;
 mod shared;
 
+use std::time::Duration;
+
 use clem_state::Outcome;
 
 pub use handle::{RESERVE_BYTES, Replica, ReplicaSettings};
 
+/// Time between two log lines on a state that lasts.
+const LOG_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The result of proposing a command.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ProposalResult {
--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -2,10 +2,8 @@
 
 use clem_types::Time;
 
-use super::{JoinRequest, LeaderState, Node, Role};
-use crate::{
-    Change, LogIndex, Member, MemberId, MemberKind, NodeError, Payload, Result, progress::Progress,
-};
+use super::{JoinRequest, Node, Role, learner::LearnerStep};
+use crate::{Change, LogIndex, MemberId, MemberKind, NodeError, Payload, Result};
 
 impl Node {
     /// Proposes a membership change.
@@ -19,11 +17,10 @@
         let Role::Leader(lead) = &self.role else {
             return Err(NodeError::NotLeader { leader });
         };
-        let (at, members) = &self.configs[self.configs.len() - 1];
-        let settled = *at <= self.commit && self.commit >= lead.term_start;
-        if !settled || lead.transfer.is_some() {
+        if self.change_hold(lead).is_some() {
             return Err(NodeError::ChangeRefused);
         }
+        let members = self.members();
         let valid = match change {
             Change::AddLearner { id, address } => {
                 let duplicate = members
@@ -118,9 +115,8 @@
             return Some(Change::Remove(id));
         }
         for learner in members.iter().filter(|m| m.kind == MemberKind::Learner) {
-            let change = self.change_for_learner(now, lead, learner);
-            if change.is_some() {
-                return change;
+            if let LearnerStep::Due(change) = self.learner_step(now, lead, learner) {
+                return Some(change);
             }
         }
         for (id, join) in &lead.joins {
@@ -147,34 +143,6 @@
         None
     }
 
-    /// Returns the change that is due for a learner, if any.
-    fn change_for_learner(
-        &self,
-        now: Time,
-        lead: &LeaderState,
-        learner: &Member,
-    ) -> Option<Change> {
-        let peer = lead.peers.get(&learner.id)?;
-        let lag = self.commit.0.saturating_sub(peer.matched.0);
-        let heard = |peer: &Progress| now < peer.heard + self.settings.election;
-        let caught_up =
-            peer.matched > LogIndex(0) && lag <= self.settings.learner_lag && heard(peer);
-        let other = self
-            .members()
-            .iter()
-            .find(|m| m.address == learner.address && m.id != learner.id);
-        let Some(other) = other else {
-            return self.change_for_spare(now, learner, caught_up);
-        };
-        if caught_up && self.is_lost(now, other.id) {
-            return Some(Change::Remove(other.id));
-        }
-        // The learner is lost itself, and the member that it should replace is alive.
-        let other_alive = other.id == self.id || lead.peers.get(&other.id).is_some_and(heard);
-        let lost = other_alive && self.is_lost(now, learner.id);
-        lost.then_some(Change::Remove(learner.id))
-    }
-
     /// Sets the addresses of members that are to be replaced although they are alive.
     pub fn set_leaving(&mut self, addresses: &[String]) {
         let members = self.members().iter();
@@ -182,18 +150,6 @@
         self.leaving = leaving.map(|m| m.id).collect();
     }
 
-    /// Returns the change that is due for a learner with an address that no other member has.
-    fn change_for_spare(&self, now: Time, learner: &Member, caught_up: bool) -> Option<Change> {
-        let wanted = self.settings.voters;
-        if self.is_lost(now, learner.id) {
-            return (wanted > 0).then_some(Change::Remove(learner.id));
-        }
-        let needed = wanted == 0 || self.lacks_voter(now);
-        // The spare is promoted before the voter that it replaces is removed. In the opposite
-        // order, losing one more disk right after the removal would lose the quorum.
-        (caught_up && needed).then_some(Change::Promote(learner.id))
-    }
-
     /// Returns the voter to remove if there are more voters than desired, as its replacement is
     /// then already promoted.
     fn surplus_voter(&self, now: Time) -> Option<MemberId> {
@@ -205,7 +161,7 @@
     }
 
     /// Returns whether there are fewer voters than desired, or one that should be replaced.
-    fn lacks_voter(&self, now: Time) -> bool {
+    pub(super) fn lacks_voter(&self, now: Time) -> bool {
         let wanted = self.settings.voters;
         let too_few = self.members().voters().count() < wanted;
         wanted > 0 && (too_few || self.voter_to_replace(now).is_some())
@@ -218,7 +174,7 @@
     }
 
     /// Returns whether a member has been unreachable for so long that a new member may replace it.
-    fn is_lost(&self, now: Time, id: MemberId) -> bool {
+    pub(super) fn is_lost(&self, now: Time, id: MemberId) -> bool {
         let Role::Leader(lead) = &self.role else {
             return false;
         };
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod election;
 mod follower;
 mod leader;
+mod learner;
 mod output;
 mod read;
 
@@ -13,6 +14,7 @@
 };
 
 use clem_types::Time;
+pub use learner::{Hold, LearnerStatus};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
