The timers of a group's member run under constant work

Cause: the event loop of a member ran the timers only if its sleep ended before any other event came. The sleep began anew after each event, so under constant work (commands, messages, synced writes at intervals below 100 ms) it never ended. A leader then neither promoted learners, nor removed lost voters, nor sent heartbeats to members with a full window, nor stepped down without a quorum. Beside load there is no gap in the work; with cores to spare the items of a batch end early enough to leave one.

Why the fix works: whether a tick is due is decided from the time, after every event, and no longer by which branch of the select won. All other selects were read: event_loop was the only one whose branches did different things beside a sleep that is made anew.

--- a/crates/control/src/replica/event_loop.rs
+++ b/crates/control/src/replica/event_loop.rs
@@ -3,12 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use clem_log::{LogIndex, disk::DiskEvent};
+use clem_types::Time;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use super::{fatal, peers::PeerSender, send_snapshot, shared::Shared};
+use super::{core::Core, fatal, peers::PeerSender, send_snapshot, shared::Shared};
 
 /// Longest time between two ticks, in case the clock jumps.
-const MAX_PAUSE: Duration = Duration::from_millis(100);
+const TICK_INTERVAL_MAX: Duration = Duration::from_millis(100);
 /// How often the store is synced even if the log is short, so that a restart replays few entries.
 const SYNC_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -20,11 +21,13 @@
         tokio::select! {
             () = shared.work.notified() => {}
             event = disk.recv() => handle_event(&shared, event),
-            () = tokio::time::sleep(pause(&shared)) => tick(&shared),
+            () = tokio::time::sleep(pause(&shared)) => {}
         }
         while let Ok(event) = disk.try_recv() {
             handle_event(&shared, Some(event));
         }
+        // Not only when the sleep has ended: under constant work it never does.
+        tick_if_due(&shared);
         shared.process();
         peers.send();
         for member in take_snapshot_requests(&shared) {
@@ -42,14 +45,20 @@
     let now = shared.clock.now();
     let core = shared.core();
     let Some(core) = core.as_ref() else {
-        return MAX_PAUSE;
+        return TICK_INTERVAL_MAX;
     };
-    core.node().wake_at().since(now).min(MAX_PAUSE)
+    next_tick(core).since(now)
 }
 
-fn tick(shared: &Shared) {
+fn next_tick(core: &Core) -> Time {
+    core.node().wake_at().min(core.ticked() + TICK_INTERVAL_MAX)
+}
+
+fn tick_if_due(shared: &Shared) {
     let now = shared.clock.now();
-    if let Some(core) = shared.core().as_mut() {
+    let mut core = shared.core();
+    let Some(core) = core.as_mut() else { return };
+    if next_tick(core) <= now {
         core.tick(now);
     }
 }
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -6,12 +6,16 @@
 
 use clem_boot::{Clock, Listener, acceptor, listen};
 use clem_control::replica::{RESERVE_BYTES, Replica, ReplicaSettings};
-use clem_wire::{FleetSecret, Guard};
+use clem_state::Command;
+use clem_wire::{FleetSecret, Guard, admin::MemberRole};
 use salvo::{Router, Server};
 use tempfile::TempDir;
+use tokio::task::JoinHandle;
 
 /// Timeout for a condition; long enough for a busy machine.
 const BOUND: Duration = Duration::from_secs(30);
+/// Time between two proposals of a busy caller; shorter than any timer of a member.
+const WORK_INTERVAL: Duration = Duration::from_millis(5);
 /// Several rounds of queries.
 const ROUNDS: Duration = Duration::from_secs(3);
 
@@ -119,3 +123,39 @@
     })
     .await;
 }
+
+/// Proposes commands at short intervals, for as long as the handle is not aborted.
+fn keep_busy(replica: &Replica) -> JoinHandle<()> {
+    let replica = replica.clone();
+    tokio::spawn(async move {
+        let mut interval = tokio::time::interval(WORK_INTERVAL);
+        loop {
+            interval.tick().await;
+            let replica = replica.clone();
+            tokio::spawn(async move { replica.propose(Command::Nothing).await });
+        }
+    })
+}
+
+fn is_voter(member: &Member, address: SocketAddr) -> bool {
+    let members = member.replica.members();
+    let mut found = members.iter().filter(|member| member.address == address);
+    found.any(|member| member.role != MemberRole::Learner)
+}
+
+/// A leader with constant work never ran its timers, so that it promoted no learner.
+#[tokio::test]
+async fn a_busy_leader_promotes_a_member_that_joins() {
+    let [first, second] = listeners();
+    let own = first.address();
+    let leader = start(first, &[own], &[]);
+    eventually("the first member leads", || {
+        leader.replica.leader() == Some(own)
+    })
+    .await;
+    let work = keep_busy(&leader.replica);
+    let address = second.address();
+    let _joining = start(second, &[own], &[]);
+    eventually("the second member votes", || is_voter(&leader, address)).await;
+    work.abort();
+}
