A group promotes at once what doesn't raise its quorum

Apart from why the promotion was held back, a group stood at two voters for as long as its third one was copied, and one more lost disk then cost everything that had been acknowledged.

Cause: a learner was promoted only when it had caught up, also after the voter that it replaces was removed, and only by the next tick.

Evidence, before the fix: a_learner_that_lags_is_promoted_if_that_does_not_raise_the_quorum red, [[1, 2]] in place of [[1, 2], [1, 2, 4]]; a_new_disk_is_promoted_as_soon_as_the_lost_one_is_removed red, [1, 2] between the two sets.

Why the fix works: one voter more raises the quorum only if their number is odd. From two to three it stays two, so that the old voters still commit alone while the new one lags, and any one of the three may be lost. The promotion is proposed when the removal is committed, not at the next tick. A learner counts as heard only after a reply. Unchanged: a lost voter is removed only when its replacement has caught up, and a spare is promoted before the voter it replaces is removed, as its quorum would rise; a_learner_that_lags_is_not_promoted_if_that_raises_the_quorum holds that.

--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -105,6 +105,16 @@
         }
     }
 
+    /// Promotes a learner if that is the next change, so that no pause follows the removal of the voter
+    /// that it replaces.
+    pub(super) fn promote_learner(&mut self, now: Time) {
+        let Some(change @ Change::Promote(_)) = self.next_change(now) else {
+            return;
+        };
+        // If another change is uncommitted, its commit leads here again.
+        let _ = self.change(now, &change);
+    }
+
     /// Returns the change that brings the membership closer to the desired one, if any.
     fn next_change(&self, now: Time) -> Option<Change> {
         let Role::Leader(lead) = &self.role else {
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -307,7 +307,9 @@
             // This member is removed; before it steps down, the others must learn of the commit.
             self.send_heartbeats(now, true);
             self.become_follower(now, self.term, None);
+            return;
         }
+        self.promote_learner(now);
     }
 }
 
--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -126,7 +126,8 @@
             return LearnerStep::Held(Hold::Silent);
         };
         let heard = |peer: &Progress| now < peer.heard + self.settings.election;
-        let hold = if !heard(peer) {
+        // Being tracked since a moment ago is no reply.
+        let hold = if !heard(peer) || peer.acked.is_none() {
             Some(Hold::Silent)
         } else if peer.matched == LogIndex(0) || self.lag(peer) > self.settings.learner_lag {
             Some(Hold::Behind)
@@ -159,8 +160,13 @@
             }
             return LearnerStep::Due(Change::Remove(learner.id));
         }
-        if let Some(hold) = hold {
-            return LearnerStep::Held(hold);
+        // One voter more raises the quorum only if there is an odd number of them. If not, a learner
+        // that lags costs nothing, while waiting for it would cost the group at the next lost disk.
+        let raises_quorum = self.members().voters().count() % 2 == 1;
+        match hold {
+            Some(Hold::Behind) if !raises_quorum => {}
+            Some(hold) => return LearnerStep::Held(hold),
+            None => {}
         }
         if wanted > 0 && !self.lacks_voter(now) {
             return LearnerStep::Held(Hold::Unneeded);
--- a/crates/log/tests/spares.rs
+++ b/crates/log/tests/spares.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use clem_log::{InitialState, MemberId, Node, Settings};
+use clem_log::{Change, InitialState, MemberId, Node, Settings};
 use clem_types::Time;
 use trio::Trio;
 
@@ -31,10 +31,14 @@
 
 /// Advances the time while the spare asks to join; returns the successive sets of voters.
 fn join(trio: &mut Trio, steps: usize) -> Vec<Vec<u64>> {
+    join_at(trio, SPARE, steps)
+}
+
+fn join_at(trio: &mut Trio, address: &str, steps: usize) -> Vec<Vec<u64>> {
     let mut seen = vec![voters(trio)];
     for _ in 0..steps {
         // Rejected while no voter is missing.
-        let _ = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+        let _ = trio.nodes[0].join(trio.now, MemberId(4), address);
         trio.pass(1);
         if seen.last() != Some(&voters(trio)) {
             seen.push(voters(trio));
@@ -68,6 +72,47 @@
     assert!(seen.iter().all(|voters| voters.len() >= 3), "{seen:?}");
 }
 
+/// A group that had removed a voter waited for its replacement to catch up, and could bear no lost disk
+/// meanwhile.
+#[test]
+fn a_learner_that_lags_is_promoted_if_that_does_not_raise_the_quorum() {
+    let mut trio = with_spare();
+    // The spare never gets the snapshot that it needs.
+    trio.receiver = None;
+    let removed = trio.nodes[0].change(trio.now, &Change::Remove(MemberId(3)));
+    assert!(removed.is_ok());
+    trio.deliver();
+    assert_eq!(join(&mut trio, 40), [vec![1, 2], vec![1, 2, 4]]);
+    // Of three voters any two are a quorum, so that one more disk may be lost.
+    trio.lose(1);
+    trio.receiver = Some(3);
+    trio.nodes[0].snapshot_sent(MemberId(4), None);
+    trio.pass(40);
+    assert!(trio.nodes[0].is_leader(), "{}", trio.nodes[0]);
+    let written = trio.nodes[0].propose(trio.now, b"x"[..].into());
+    let written = written.expect("it leads");
+    trio.deliver();
+    assert!(trio.nodes[0].commit() >= written);
+}
+
+/// With an odd number of voters a learner that lags would be needed for the larger quorum.
+#[test]
+fn a_learner_that_lags_is_not_promoted_if_that_raises_the_quorum() {
+    let mut trio = with_spare();
+    trio.receiver = None;
+    trio.lose(2);
+    assert_eq!(join(&mut trio, 60), [[1, 2, 3]]);
+}
+
+/// Between the removal and the promotion the group can bear no lost disk.
+#[test]
+fn a_new_disk_is_promoted_as_soon_as_the_lost_one_is_removed() {
+    let mut trio = with_spare();
+    trio.lose(2);
+    let seen = join_at(&mut trio, "127.0.0.1:7003", 60);
+    assert_eq!(seen, [vec![1, 2, 3], vec![1, 2, 4]]);
+}
+
 #[test]
 fn a_leaving_leader_transfers_its_leadership() {
     let mut trio = with_spare();
