A broken stream goes on only with the event after its last one

What callers saw: after a stream had broken off, the text of another target's error in the middle of it, framed as complete; a stream that ended as complete after half of its events; or a stream that was cut although a third target could have gone on.

Cause: of another run the front believed every success. It passed on bytes that were no event (a text/plain body, a text that was declared as events), events without an id and events after a gap, and took a complete response without any event for the end of the stream. An error status ended the stream although attempts were left.

Why the fix works: another run has to have the status of the first one and be declared as events if that was. Until its first event with an id nothing but comments is passed on, and that id must be higher than the last one, by one if all steps so far were by one. A run without any event shows the end only if another target that didn't break off agrees; else the response is truncated. A refused continuation counts against the attempts, and the next target is asked while there are any. The same holds for the first run of a stream that a caller takes up, but that an empty one is passed on if nobody can confirm it.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -13,6 +13,20 @@
     pub data: Option<String>,
 }
 
+impl Event {
+    /// Whether it has nothing but comments and empty lines, as targets send to keep a connection open.
+    pub fn is_comment(&self) -> bool {
+        is_comment(&self.bytes)
+    }
+}
+
+/// Whether all lines are empty or comments.
+fn is_comment(bytes: &[u8]) -> bool {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let mut lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    lines.all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 /// Maximum size of an event, in bytes; targets in trouble may send one that never ends.
 const EVENT_BYTES_MAX: usize = 256 * 1024;
 
@@ -44,9 +58,7 @@
 
     /// Whether a part of an event is buffered. Blank lines and comments are none.
     pub fn holds_part(&self) -> bool {
-        let lines = self.rest[..].split(|byte| *byte == b'\n');
-        let mut lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
-        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+        !is_comment(&self.rest)
     }
 
     /// Removes and returns the next complete event, if there is one.
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -4,6 +4,10 @@
 //! only, so the next target can continue after the last one. Any other response that breaks is
 //! truncated, so that the caller doesn't mistake a partial body for the complete one.
 //!
+//! Another run of a stream has to begin with the event after the last one. What comes before that, such as
+//! the text of an error, reaches no caller, and a run without any event shows the end of the stream only if
+//! another target agrees.
+//!
 //! Only a length or a last chunk shows that a target's response is complete. One that has neither and
 //! ends with its connection is passed on in the same way, so that the caller knows as much as this
 //! process does. See `docs/design/platform.md`, "Ends of responses".
@@ -11,7 +15,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use clem_direct::{EventBuffer, Reply, Slot};
+use clem_direct::{Event, EventBuffer, Reply, Slot};
 use clem_edge::Framing;
 use clem_policy::dispatch::{GrantOutcome, Origin};
 use clem_types::Time;
@@ -36,6 +40,8 @@
 enum End {
     /// The response is complete.
     Whole,
+    /// The response is complete, but has no event after the last one.
+    Empty,
     /// The target closed the connection of a response without length and chunks.
     Closed,
     /// The connection broke or the stream ended inside an event.
@@ -48,6 +54,23 @@
     Unconfirmed,
 }
 
+/// The last event at which a run ended that may have been the whole stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Doubt {
+    /// The target closed the connection of a response without length and chunks.
+    Closed(Option<u64>),
+    /// The target had nothing to add to the events of other targets.
+    Empty(Option<u64>),
+}
+
+impl Doubt {
+    fn last_event(self) -> Option<u64> {
+        match self {
+            Self::Closed(last) | Self::Empty(last) => last,
+        }
+    }
+}
+
 /// Another run of a stream.
 enum NextRun {
     /// A target responded.
@@ -68,6 +91,14 @@
     frames: u32,
     /// Whether the last event had no id, so that no other target can be asked for what follows it.
     unnumbered: bool,
+    /// Status of the response to the caller.
+    status: StatusCode,
+    /// Whether the response is declared as a stream of events.
+    is_stream: bool,
+    /// Whether each id so far was the one before plus 1; `None` while there is only one.
+    steps_by_one: Option<bool>,
+    /// Whether a run broke off.
+    broke: bool,
     /// Until when a run that is to confirm the end may send no event.
     patience: Option<Time>,
 }
@@ -114,6 +145,10 @@
         framing,
         frames: 0,
         unnumbered: false,
+        status: reply.head.status,
+        is_stream: is_event_stream(&reply.head),
+        steps_by_one: None,
+        broke: false,
         patience: None,
     };
     tokio::spawn(relay.run(slot, reply));
@@ -130,16 +165,16 @@
 
 impl Relay {
     async fn run(mut self, mut slot: Slot, mut reply: Reply) {
-        let resumes = self.state.request.is_resumable() && reply.head.status.is_success();
+        let resumes = self.state.request.is_resumable() && self.status.is_success();
         let node = Arc::clone(&self.state.front.node);
-        // The last event at which a run ended that may have been the whole.
-        let mut closed_at = None;
+        let mut doubt: Option<Doubt> = None;
         let mut in_doubt = false;
         loop {
             let framing = reply.framing;
-            let (head, body, connection) = reply.into_parts();
+            let (_, body, connection) = reply.into_parts();
             self.state.placement.framing = Some(framing);
             self.frames = 0;
+            let before = self.state.last_event;
             let end = if resumes {
                 let origin = Origin {
                     service: slot.target.service.clone(),
@@ -148,8 +183,7 @@
                 self.patience = in_doubt.then(|| node.now() + CONFIRM_TIME);
                 self.relay_events(body, framing, origin).await
             } else {
-                self.relay_bytes(body, framing, is_event_stream(&head))
-                    .await
+                self.relay_bytes(body, framing).await
             };
             // A target whose process ends closes its connections as well.
             let may_be_whole = matches!(end, End::Closed)
@@ -159,29 +193,49 @@
                     .await;
             match end {
                 End::Whole => {
-                    node.recycle(&mut slot, head.status, connection);
+                    node.recycle(&mut slot, self.status, connection);
                     drop(slot);
-                    self.finish("answered", head.status).await;
+                    self.finish("answered").await;
                     return;
                 }
+                End::Empty => {
+                    let is_other = !self.state.avoid.contains(&slot.target.id);
+                    self.state.avoid.push(slot.target.id.clone());
+                    node.recycle(&mut slot, self.status, connection);
+                    drop(slot);
+                    let last = self.state.last_event;
+                    let confirmed = is_other && doubt.is_some_and(|d| d.last_event() == last);
+                    if confirmed || (!self.broke && !self.may_go_on()) {
+                        self.finish("answered").await;
+                        return;
+                    }
+                    doubt = Some(Doubt::Empty(last));
+                }
                 End::Closed if may_be_whole => {
                     self.state.avoid.push(slot.target.id.clone());
                     slot.set_ended(GrantOutcome::Answered);
                     drop(slot);
-                    let before = closed_at.replace(self.state.last_event);
-                    if !resumes || before == closed_at || !self.may_go_on() {
-                        self.finish("closed", head.status).await;
+                    let last = self.state.last_event;
+                    let confirmed = doubt.is_some_and(|d| d.last_event() == last);
+                    let is_empty = self.broke && last == before;
+                    if !resumes || confirmed || (!is_empty && !self.may_go_on()) {
+                        self.finish("closed").await;
                         return;
                     }
+                    doubt = Some(if is_empty {
+                        Doubt::Empty(last)
+                    } else {
+                        Doubt::Closed(last)
+                    });
                 }
                 End::Gone => {
                     node.end_unread(slot, self.frames);
-                    log_end(&self.state, "caller gone", head.status.as_u16());
+                    log_end(&self.state, "caller gone", self.status.as_u16());
                     return;
                 }
                 End::Unconfirmed => {
                     node.end_unread(slot, self.frames);
-                    self.finish("closed", head.status).await;
+                    self.finish("closed").await;
                     return;
                 }
                 End::OutOfTime => {
@@ -189,12 +243,13 @@
                     break;
                 }
                 End::Closed | End::Broken => {
+                    self.broke = true;
                     self.state.avoid.push(slot.target.id.clone());
                     let id = &self.state.request.id;
                     node.end_early(slot, id, self.frames, GrantOutcome::Broken);
                 }
             }
-            in_doubt = closed_at == Some(self.state.last_event);
+            in_doubt = doubt == Some(Doubt::Closed(self.state.last_event));
             let began = self.state.placement.version.clone();
             let next = if resumes && self.may_go_on() {
                 self.next_run(in_doubt).await
@@ -214,12 +269,18 @@
                     reply = *answer;
                 }
                 NextRun::None if in_doubt => {
-                    self.finish("closed", head.status).await;
+                    self.finish("closed").await;
+                    return;
+                }
+                NextRun::None
+                    if !self.broke && doubt == Some(Doubt::Empty(self.state.last_event)) =>
+                {
+                    self.finish("answered").await;
                     return;
                 }
                 NextRun::None => break,
                 NextRun::Gone => {
-                    log_end(&self.state, "caller gone", head.status.as_u16());
+                    log_end(&self.state, "caller gone", self.status.as_u16());
                     return;
                 }
             }
@@ -232,34 +293,60 @@
     async fn next_run(&mut self, confirms: bool) -> NextRun {
         let left = self.state.request.left(self.state.front.node.now());
         let limit = if confirms { CONFIRM_TIME } else { left };
-        let next = tokio::select! {
-            next = tokio::time::timeout(limit, self.state.next_response()) => next,
-            () = self.parts.closed() => return NextRun::Gone,
-        };
-        match next {
-            Ok(Ok((slot, reply))) if reply.head.status.is_success() => {
-                NextRun::Answered(slot, Box::new(reply))
+        let until = tokio::time::Instant::now() + limit;
+        loop {
+            let next = tokio::select! {
+                next = tokio::time::timeout_at(until, self.state.next_response()) => next,
+                () = self.parts.closed() => return NextRun::Gone,
+            };
+            let Ok(Ok((mut slot, reply))) = next else {
+                return NextRun::None;
+            };
+            if self.is_same_kind(&reply.head) {
+                return NextRun::Answered(slot, Box::new(reply));
+            }
+            log::warn!(
+                request = self.state.request.id.as_str(), target = slot.target.id.as_str(),
+                status = reply.head.status.as_u16(), after = self.state.last_event;
+                "stream not resumed"
+            );
+            self.state.avoid.push(slot.target.id.clone());
+            slot.set_ended(GrantOutcome::Failed);
+            if !self.may_go_on() {
+                return NextRun::None;
             }
-            Ok(Ok(_) | Err(_)) | Err(_) => NextRun::None,
         }
     }
 
+    /// Whether a response can follow the one that the caller gets.
+    fn is_same_kind(&self, head: &response::Parts) -> bool {
+        head.status == self.status && (!self.is_stream || is_event_stream(head))
+    }
+
+    /// Whether an event follows the last one, of another run or of another attempt of the caller.
+    fn follows(&self, event: &Event) -> bool {
+        let (Some(id), Some(last)) = (event.id, self.state.last_event) else {
+            return false;
+        };
+        id > last && (self.steps_by_one != Some(true) || id - last == 1)
+    }
+
     /// Whether another target may be asked for what follows the last event.
     fn may_go_on(&self) -> bool {
         !self.unnumbered && self.state.runs < self.state.request.route.attempts
     }
 
     /// Ends the response to the caller.
-    async fn finish(self, outcome: &str, status: StatusCode) {
-        log_end(&self.state, outcome, status.as_u16());
+    async fn finish(self, outcome: &str) {
+        log_end(&self.state, outcome, self.status.as_u16());
         // The caller may have disconnected.
         let _ = self.parts.send(Part::End).await;
     }
 
     /// Relays a response unchanged. One that ends with its connection inside an event is truncated, if it
     /// consists of events.
-    async fn relay_bytes(&mut self, mut body: Incoming, framing: Framing, is_stream: bool) -> End {
-        let mut events = (is_stream && framing == Framing::Close).then(EventBuffer::default);
+    async fn relay_bytes(&mut self, mut body: Incoming, framing: Framing) -> End {
+        let mut events = (self.is_stream && framing == Framing::Close).then(EventBuffer::default);
         loop {
             let frame = match self.next_frame(&mut body).await {
                 Ok(Some(frame)) => frame,
@@ -283,15 +370,30 @@
     /// Relays complete events and remembers the id of the last one.
     async fn relay_events(&mut self, mut body: Incoming, framing: Framing, origin: Origin) -> End {
         let mut events = EventBuffer::default();
+        // Whether this run has shown that it goes on after the last event.
+        let mut goes_on = self.state.last_event.is_none();
         loop {
             let frame = match self.next_frame(&mut body).await {
                 Ok(Some(frame)) => frame,
                 Ok(None) if events.holds_part() => return End::Broken,
+                Ok(None) if !goes_on && framing != Framing::Close => return End::Empty,
                 Ok(None) => return end_of(framing),
                 Err(end) => return end,
             };
             events.push(&frame);
             while let Some(event) = events.next_event() {
+                if !goes_on && !event.is_comment() {
+                    if !self.follows(&event) {
+                        log::warn!(
+                            request = self.state.request.id.as_str(), event = event.id,
+                            after = self.state.last_event,
+                            target = self.state.placement.target.as_str();
+                            "run doesn't follow the last event"
+                        );
+                        return End::Broken;
+                    }
+                    goes_on = true;
+                }
                 if event.id.is_some_and(|id| Some(id) <= self.state.last_event) {
                     log::warn!(
                         request = self.state.request.id.as_str(), event = event.id,
@@ -304,6 +406,10 @@
                 self.patience = None;
                 self.state.began.get_or_insert_with(|| origin.clone());
                 if let Some(id) = event.id {
+                    if let Some(last) = self.state.last_event {
+                        let by_one = id - last == 1 && self.steps_by_one != Some(false);
+                        self.steps_by_one = Some(by_one);
+                    }
                     self.state.last_event = Some(id);
                     self.unnumbered = false;
                 } else if event.data.is_some() {
