An item goes on only with the event after its last one

What callers saw: batch items listed as completed with half of their text, after a target had broken off.

Cause: a complete response without any event completed the item, whatever it held so far; blocks without data and events without an id were taken as its next ones.

Evidence, before the fix: a_broken_item_never_goes_on_with_anything_but_its_next_event red, text 'token-0 token-1 token-2' of six tokens, state completed, after a text/plain success.

Why the fix works: a run that has to go on shows that by its first event's id; if not, another target is asked, and after two of them the item begins anew. A response without any event completes the item only if two targets had nothing to add, or the only one of their version.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -31,8 +31,10 @@
 const HARMFUL_DELAY: Duration = Duration::from_secs(2);
 /// Delay before the next run after a failed one.
 const FAILED_DELAY: Duration = Duration::from_millis(300);
-/// Targets that must agree on the end of a response that none of them marks.
+/// Targets that must agree on the end of a response that none of them marks, or that has no event.
 const CONFIRMATIONS: usize = 2;
+/// Consecutive runs that may fail to go on after the last event until the item begins anew.
+const STRAYS_MAX: u32 = 2;
 /// Maximum size of an item's result; targets in trouble may send events without end.
 const TEXT_BYTES_MAX: usize = 4 * 1024 * 1024;
 /// Longest pause in a stream before it counts as stalled; engines emit many events per second.
@@ -62,9 +64,11 @@
     began: Option<Origin>,
     /// Consecutive refusals of a slot.
     waits: u32,
-    /// Targets that had nothing to add after the last event, and didn't crash, in runs that ended with
-    /// their connection; the one that sent that event included.
+    /// Targets that had nothing to add after the last event, and didn't crash; with runs that end with
+    /// their connection the one that sent that event included.
     confirmed: Vec<String>,
+    /// Number of consecutive runs that didn't go on after the last event.
+    strays: u32,
     /// Number of runs in which the target reported a failure.
     failed: u32,
     /// Number of consecutive runs that broke before the first event.
@@ -107,6 +111,7 @@
             began: None,
             waits: 0,
             confirmed: Vec::new(),
+            strays: 0,
             failed: 0,
             crashes: 0,
             stalls: 0,
@@ -345,6 +350,8 @@
             service: slot.target.service.clone(),
             version: slot.target.version.clone(),
         };
+        // Whether this run has shown that it goes on after the last event.
+        let mut goes_on = seen.is_none();
         let mut frames = 0;
         let mut progress = Instant::now();
         let node = Arc::clone(&self.keeper.node);
@@ -375,6 +382,14 @@
                     events.push(&data);
                     while let Some(event) = events.next_event() {
                         progress = Instant::now();
+                        if joins && !goes_on && !event.is_comment() {
+                            if event.id.is_none() {
+                                node.end_early(slot, &self.spec.id, frames, GrantOutcome::Broken);
+                                return self.retry_stray(&target);
+                            }
+                            goes_on = true;
+                            self.strays = 0;
+                        }
                         if event.data.is_some() {
                             if !joins {
                                 self.reset();
@@ -395,6 +410,10 @@
                 Ok(None) if !events.holds_part() && framing == Framing::Close => {
                     return self.read_closed(slot, seen, frames).await;
                 }
+                Ok(None) if !events.holds_part() && self.last_event == seen => {
+                    node.recycle(&mut slot, head.status, connection);
+                    return self.read_empty(&slot);
+                }
                 Ok(None) if !events.holds_part() => {
                     node.recycle(&mut slot, head.status, connection);
                     return RunEnd::Completed;
@@ -447,6 +466,36 @@
         self.retry(&target, "closed", "")
     }
 
+    /// Decides on a complete response without any event. The item is complete only if
+    /// [`CONFIRMATIONS`] targets had nothing to add, or the only one of their version.
+    fn read_empty(&mut self, slot: &Slot) -> RunEnd {
+        let target = slot.target.id.clone();
+        if !self.confirmed.contains(&target) {
+            self.confirmed.push(target.clone());
+        }
+        let view = self.keeper.node.view();
+        let ready = view.ready(&slot.target.service);
+        let same = ready.filter(|target| target.version == slot.target.version);
+        let needed = CONFIRMATIONS.min(same.count());
+        drop(view);
+        if self.confirmed.len() >= needed {
+            return RunEnd::Completed;
+        }
+        if self.last_event.is_none() {
+            self.crashes += 1;
+        }
+        self.retry(&target, "empty", "")
+    }
+
+    /// Discards a run that doesn't go on after the last event.
+    fn retry_stray(&mut self, target: &str) -> RunEnd {
+        self.strays += 1;
+        if self.strays >= STRAYS_MAX {
+            self.reset();
+        }
+        self.retry(target, "stray", "no event after the last one")
+    }
+
     /// Appends an event and returns whether it is the expected next one.
     fn take_event(&mut self, id: Option<u64>, data: Option<&str>) -> bool {
         let Some(data) = data else { return true };
@@ -473,6 +522,8 @@
         self.text.clear();
         self.last_event = None;
         self.unnumbered = false;
+        self.confirmed.clear();
+        self.strays = 0;
         self.began = None;
         self.waits = 0;
     }
