A front that stops takes only what it can answer, and answers what it took

What callers saw in a planned stop of a front, in calm: requests that came late in the grace period were passed on to their targets and cut at its end without an answer, among them requests that may not be repeated.

Cause: a stopping front placed requests as at any other time, with their whole time limit, and closed what was left when the grace period ended.

Evidence, before the fix: a_stopping_front_passes_on_only_what_it_can_answer (clem-platform stops) red: a request that may not be repeated, sent 2 s after SIGTERM with a limit of 19 s, was passed on, and its connection closed without an answer.

Why the fix works: the end of the grace period less the time for the last answers is known when the stop begins. A request that may not be repeated and may last longer is refused at once (503, Retry-After 0.05 s, cause 'stopping'), as other fronts can take it; one that may be repeated is passed on with its limit cut to that moment, as most take far less. At that moment each request without a response gets its last answer: 504 if a target may be running it, else 503. Calls on batches are answered in the same way. A stream that has begun is still truncated there; its caller can take it up elsewhere.

Related paths read: clem-entry stops after 120 s, longer than any limit of its routes; clem-agent reports aborted jobs as such; batch keepers hand over first, and items go on under the next leader.

Measured: stops green; all requests of the test are answered before the process ends.

--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -23,6 +23,8 @@
     Unresumable,
     /// This process lacks rules or can't reach the leader; no target has run the request.
     NotReady,
+    /// This process stops before it could surely answer; the request has not run and will not run.
+    Stopping,
     /// The response was lost or corrupted; the request may have run.
     Broken,
     /// The deadline passed; the request may have run.
@@ -65,6 +67,7 @@
             Self::Harmful => "harmful",
             Self::Unresumable => "unresumable",
             Self::NotReady => "not_ready",
+            Self::Stopping => "stopping",
             Self::Broken => "broken",
             Self::OutOfTime => "out_of_time",
         })
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -22,6 +22,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Retry time after a target had no room.
 const FULL_RETRY: Duration = Duration::from_millis(100);
+/// Retry time at a process that stops; other processes can take the request at once.
+pub(crate) const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// Minimum retry time when no slot is free; overload lasts longer than one request.
 const BUSY_RETRY_MIN: Duration = Duration::from_millis(300);
 /// A stream that a caller takes up began within as many timeouts of its route.
@@ -44,6 +46,8 @@
     pub(crate) began: Option<Origin>,
     /// Number of body bytes sent to the caller.
     pub(crate) sent_bytes: usize,
+    /// Whether the request is at a target that may be running it.
+    pub(crate) sending: bool,
     /// How the last slot was acquired, for the log.
     pub(crate) placement: PlacementInfo,
 }
@@ -87,6 +91,7 @@
         last_event,
         began: None,
         sent_bytes: 0,
+        sending: false,
         placement: PlacementInfo::default(),
     };
     let outcome = state.next_response().await;
@@ -100,12 +105,22 @@
 }
 
 impl RequestState {
-    /// Tries targets until one responds.
+    /// Tries targets until one responds, or until this process has to give its last answers.
     pub(crate) async fn next_response(&mut self) -> Result<(Slot, Reply), Failed> {
+        let front = Arc::clone(&self.front);
+        tokio::select! {
+            outcome = self.try_targets() => outcome,
+            () = front.ended() => Err(self.stopped()),
+        }
+    }
+
+    async fn try_targets(&mut self) -> Result<(Slot, Reply), Failed> {
         let mut unsent = 0;
         loop {
             let mut slot = self.next_slot().await?;
+            self.sending = true;
             let outcome = self.send(&mut slot).await;
+            self.sending = false;
             let target = slot.target.id.clone();
             let retryable = self.request.route.is_retryable();
             match outcome {
@@ -296,6 +311,14 @@
         }
     }
 
+    /// Ends the attempts at the end of the grace period.
+    fn stopped(&self) -> Failed {
+        if self.sending {
+            return failed(Cause::OutOfTime);
+        }
+        self.not_run(STOPPING_RETRY)
+    }
+
     /// Logs where a stream goes on that the caller takes up, and what this process knew of it.
     fn log_take_up(&self, slot: &Slot, claimed: Option<&Origin>) {
         let node = &self.front.node;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -11,6 +11,12 @@
 use clem_boot::Readiness;
 use clem_direct::Node;
 use clem_policy::dispatch::RouteTimeouts;
+use clem_types::Time;
+use tokio::sync::watch;
+
+/// Part of the grace period reserved for the last answers, so that callers get them before their
+/// connections are closed.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 
 /// Shared state of all requests.
 pub(crate) struct Front {
@@ -19,7 +25,8 @@
     /// Maximum number of requests running at once, derived from the memory limit.
     pub(crate) running_max: usize,
     timeouts: Mutex<RouteTimeouts>,
-    stopping: AtomicBool,
+    /// Until when this process answers requests; `None` while it isn't stopping.
+    ends: watch::Sender<Option<Time>>,
     running: AtomicUsize,
 }
 
@@ -33,18 +40,35 @@
             readiness: Readiness::default(),
             running_max,
             timeouts: Mutex::default(),
-            stopping: AtomicBool::new(false),
+            ends: watch::Sender::new(None),
             running: AtomicUsize::new(0),
         }
     }
 
-    pub(crate) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Begins the grace period, which ends at `end`.
+    pub(crate) fn stop(&self, end: Time) {
+        let last = self.node.now() + end.since(self.node.now()).saturating_sub(ANSWER_TIME);
+        self.ends.send_replace(Some(last));
         self.readiness.set(false);
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.ends().is_some()
+    }
+
+    /// Until when this process answers requests; `None` while it isn't stopping.
+    pub(crate) fn ends(&self) -> Option<Time> {
+        *self.ends.borrow()
+    }
+
+    /// Waits for the moment at which a stopping process gives its last answers.
+    pub(crate) async fn ended(&self) {
+        let mut ends = self.ends.subscribe();
+        let Ok(Some(last)) = ends.wait_for(Option::is_some).await.map(|ends| *ends) else {
+            // The sender lives as long as this front.
+            return std::future::pending().await;
+        };
+        tokio::time::sleep(last.since(self.node.now())).await;
     }
 
     pub(crate) fn running(&self) -> usize {
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    attempt::{self, millis},
+    attempt::{self, STOPPING_RETRY, millis},
     batch,
     body::{ResponseBody, full_body},
     caller::CallerLink,
@@ -79,7 +79,8 @@
             return Err(early.refuse(Refusal::new(Cause::NotFound)));
         }
         let customer = authenticate(&rules, key, &early)?;
-        return batch::answer(front, customer, kind).await;
+        let not_answered = Refusal::after(Cause::NotReady, STOPPING_RETRY);
+        return before_end(front, batch::answer(front, customer, kind), not_answered).await;
     }
     let Some(route) = rules.route(&info.host, path) else {
         log::info!(request = early.id, host = info.host.as_str(), path; "no route");
@@ -90,6 +91,14 @@
     } else {
         Some(authenticate(&rules, info.key.as_deref(), &early)?)
     };
+    let until = arrived + info.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let until = match front.ends() {
+        Some(end) if end < until && !route.is_retryable() => {
+            return Err(early.refuse(Refusal::after(Cause::Stopping, STOPPING_RETRY)));
+        }
+        Some(end) => until.min(end),
+        None => until,
+    };
     let Some(running) = front.start() else {
         return Err(early.refuse(Refusal::after(Cause::Busy, FULL_RETRY)));
     };
@@ -99,7 +108,9 @@
         let (Some(customer), Some(id)) = (customer, info.id.as_deref()) else {
             return Err(early.refuse(Refusal::new(Cause::Malformed)));
         };
-        return batch::submit(front, &rules, route, customer, id, &body).await;
+        let submitting = batch::submit(front, &rules, route, customer, id, &body);
+        // The batch may have been accepted.
+        return before_end(front, submitting, Refusal::new(Cause::OutOfTime)).await;
     }
     let Some(id) = info.id.clone() else {
         return Err(early.refuse(Refusal::new(Cause::Malformed)));
@@ -125,12 +136,24 @@
             body,
         },
         arrived,
-        until: arrived + info.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout),
+        until,
         info,
     };
     attempt::run(front, request, running).await
 }
 
+/// Answers with a refusal if this process has to give its last answers meanwhile.
+async fn before_end(
+    front: &Front,
+    answering: impl Future<Output = Result<Response<ResponseBody>, Refusal>>,
+    otherwise: Refusal,
+) -> Result<Response<ResponseBody>, Refusal> {
+    tokio::select! {
+        answer = answering => answer,
+        () = front.ended() => Err(otherwise),
+    }
+}
+
 /// Fields of the log line for a request that is refused before it is placed.
 struct EarlyRefusal<'a> {
     id: &'a str,
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -77,8 +77,9 @@
         stopped = &mut stop => stopped?,
     }
     log::info!(vm = node.vm.as_str(), running = front.running(); "front stopping");
-    let end = tokio::time::Instant::now() + settings.grace.saturating_sub(GRACE_MARGIN);
-    front.stop();
+    let grace = settings.grace.saturating_sub(GRACE_MARGIN);
+    let end = tokio::time::Instant::now() + grace;
+    front.stop(node.now() + grace);
     let lame_duck = tokio::time::timeout(LAME_DUCK, accept(&front, &socket, &graceful)).await;
     debug_assert!(lame_duck.is_err(), "accept never returns");
     drop(socket);
