Hubs and batch keepers listen where a proxy can stand before them

--listen-internal (CLEM_LISTEN_INTERNAL) sets where a hub or batch keeper accepts the calls of other processes; it announces the address of its settings file as before. Fronts serve no such calls, so they don't have it.

--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -22,8 +22,10 @@
 pub struct BatchSettings {
     /// Settings of the client side of the direct path.
     pub node: NodeSettings,
-    /// Address for calls from members and fronts.
+    /// Address at which members and fronts reach this process.
     pub address: SocketAddr,
+    /// Address on which it accepts their calls; differs from `address` behind a proxy.
+    pub listen: SocketAddr,
     /// Directory for persistent data.
     pub data_dir: PathBuf,
     /// Number of disks that may be lost at once.
@@ -43,7 +45,7 @@
     settings: BatchSettings,
     seeds: watch::Receiver<Vec<SocketAddr>>,
 ) -> eyre::Result<()> {
-    let internal = listen(settings.address)?;
+    let internal = listen(settings.listen)?;
     let node = Arc::new(Node::new(settings.node));
     log::info!(vm = node.vm.as_str(), address:% = settings.address; "batch keeper started");
     tokio::spawn(follow(Arc::clone(&node), seeds));
