Items are placed without the hub once it has been silent for long

What callers saw: while the hub's leader could not be called, though it went on leading, items of accepted batches did not run, and ended as errored when they were given up. Online requests were served.

Cause: without the leader no items are placed, so that online requests have the targets to themselves; an election takes a second, but a cut in one direction lasts as long as it lasts.

Why the fix works: after 5 s without an answer of the hub, longer than any election, a batch keeper places items as fronts place requests, but one at each target at most.

--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -279,6 +279,13 @@
             .count()
     }
 
+    /// Whether this process holds a slot for a batch item at a target.
+    pub(crate) fn holds_item_at(&self, target: &str) -> bool {
+        let held = lock(&self.held);
+        let mut grants = held.values().map(|held| &held.grant);
+        grants.any(|grant| grant.batch && grant.target == target)
+    }
+
     pub(crate) fn release_slot(&self, ticket: Ticket, ended: GrantOutcome) {
         if let Some(held) = lock(&self.held).remove(&ticket) {
             let now = self.now();
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -14,6 +14,9 @@
 
 use crate::Node;
 
+/// How long the hub has been silent when batch items are placed without it, one at each target. Before
+/// that online requests have the targets to themselves.
+const ITEMS_ALONE_AFTER: Duration = Duration::from_secs(5);
 /// How long released slots are collected before they are reported in one message.
 const RELEASE_DELAY: Duration = Duration::from_millis(2);
 /// Time allowed for the network and the leader, on top of the time that it may hold a request.
@@ -312,7 +315,12 @@
         if self.view().blocked.iter().any(|b| b.blocks(&want.parts)) {
             return SlotOutcome::Harmful;
         }
-        if matches!(want.urgency, Urgency::Batch { .. }) {
+        let is_item = matches!(want.urgency, Urgency::Batch { .. });
+        if is_item
+            && self
+                .hub_silence()
+                .is_none_or(|silence| silence < ITEMS_ALONE_AFTER)
+        {
             return SlotOutcome::Busy {
                 retry: NO_TARGET_RETRY,
                 wait: Duration::ZERO,
@@ -350,6 +358,9 @@
             if !self.limits().is_open(now, &target.id, fronts) {
                 continue;
             }
+            if is_item && self.holds_item_at(&target.id) {
+                continue;
+            }
             // The load from other fronts is not known here, so only the slots that this process
             // holds count; the random part breaks ties.
             let load = self.held_at(&target.id) as f64 + self.random() / 2.0;
