A leaving leader takes proposals between two tries to hand over

What callers saw: a member that is to be replaced and leads (its vm is being retired) rejected all proposals for as long as no successor had the whole log, for example behind slow disks: submissions and changes of rules got 503.

Cause: each tick began the transfer anew and set a new deadline, so that it was never given up.

Why the fix works: a transfer that is running is left alone, and one that was given up is begun again only after another election timeout, in which proposals are taken and a successor can catch up.

--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -169,6 +169,7 @@
             peers,
             term_start: next,
             transfer: None,
+            transfer_after: now,
             reads: Vec::new(),
             joins: BTreeMap::new(),
         }));
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -115,13 +115,16 @@
             self.become_follower(now, self.term, None);
             return;
         }
-        if let Role::Leader(lead) = &mut self.role
-            && lead.transfer.is_some_and(|t| t.deadline <= now)
-        {
-            lead.transfer = None;
+        let mut may_transfer = false;
+        if let Role::Leader(lead) = &mut self.role {
+            if lead.transfer.is_some_and(|t| t.deadline <= now) {
+                lead.transfer = None;
+                lead.transfer_after = now + election;
+            }
+            may_transfer = lead.transfer.is_none() && lead.transfer_after <= now;
         }
         self.reconcile_members(now);
-        if self.leaving.contains(&self.id) {
+        if may_transfer && self.leaving.contains(&self.id) {
             // Without another voter this fails; the next tick tries again.
             let _ = self.transfer(now, None);
         }
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -144,6 +144,8 @@
     /// The index of the first entry of its term; reads wait until it is committed.
     term_start: LogIndex,
     transfer: Option<Transfer>,
+    /// When a leaving member may begin the next transfer; proposals are accepted until then.
+    transfer_after: Time,
     reads: Vec<PendingRead>,
     /// New members that asked to join.
     joins: BTreeMap<MemberId, JoinRequest>,
--- a/crates/log/tests/handover.rs
+++ b/crates/log/tests/handover.rs
@@ -10,6 +10,8 @@
 
 /// The maximum duration of a transfer in steps of 100 ms; an election timeout is at least ten.
 const TRANSFER_STEPS: usize = 2;
+/// Several tries to hand over, in steps of 100 ms.
+const LEAVING_STEPS: usize = 40;
 
 #[test]
 fn a_lost_campaign_message_is_repeated() {
@@ -85,3 +87,27 @@
     let leader = Some(MemberId(1));
     assert_eq!(asked, Err(NodeError::NotLeader { leader }));
 }
+
+/// A leaving leader began its transfer anew at each tick, and rejected all proposals for as long as no
+/// successor had caught up.
+#[test]
+fn a_leaving_leader_takes_proposals_between_two_tries() {
+    let mut trio = Trio::elected();
+    // No member has the whole log from now on.
+    trio.sync_entries = false;
+    let proposed = trio.nodes[0].propose(trio.now, b"x"[..].into());
+    proposed.expect("it leads");
+    trio.nodes[0].set_leaving(&["127.0.0.1:7001".to_owned()]);
+    let mut taken = 0;
+    for _ in 0..LEAVING_STEPS {
+        trio.pass(1);
+        let proposed = trio.nodes[0].propose(trio.now, b"x"[..].into());
+        taken += usize::from(proposed.is_ok());
+    }
+    assert!(trio.nodes[0].is_leader());
+    assert!(
+        taken > LEAVING_STEPS / 4,
+        "{taken} of {LEAVING_STEPS} taken"
+    );
+    assert!(taken < LEAVING_STEPS, "it never tried to hand over");
+}
