--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -47,7 +47,8 @@
 
     /// Begins the grace period, which ends at `end`.
     pub(crate) fn stop(&self, end: Time) {
-        let last = self.node.now() + end.since(self.node.now()).saturating_sub(ANSWER_TIME);
+        let now = self.node.now();
+        let last = now + end.since(now).saturating_sub(ANSWER_TIME);
         self.ends.send_replace(Some(last));
         self.readiness.set(false);
     }
--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -1,6 +1,6 @@
 //! What the leader does next with each learner, and what it waits for.
 
-use std::{fmt, time::Duration};
+use std::time::Duration;
 
 use clem_types::Time;
 
@@ -44,12 +44,6 @@
     }
 }
 
-impl fmt::Display for Hold {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
 /// A learner as its leader sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LearnerStatus {
