Crashes that a sound answer refuted don't count for a new leader

Cause: a whole answer clears the parts of its request of the crashes before it, at the leader and at the process that got it. Every other process remembers the crashes that it saw, or was told of, as they were, and tells them to the next leader, which adds up what had been refuted one by one: from the fourth on, the part is blocked until a trial 30 s later. The log of the new leader counts a part 3 times that the former one had at 1. Fix: the leader publishes which parts were cleared and since when; processes drop them from what they tell a new leader.

--- a/crates/direct/src/crash_log.rs
+++ b/crates/direct/src/crash_log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use clem_policy::dispatch::{Admission, CrashParts, CrashReport, GrantOutcome, Ticket};
+use clem_policy::dispatch::{Admission, CrashParts, CrashReport, GrantOutcome, SoundPart, Ticket};
 use clem_types::{Epoch, PartId, Time};
 
 use crate::node::HeldSlot;
@@ -89,10 +89,17 @@
     }
 
     /// Takes over what the leader of an epoch knows.
-    pub(crate) fn note_reports(&mut self, now: Time, epoch: Epoch, reports: &[CrashReport]) {
+    pub(crate) fn note_reports(
+        &mut self,
+        now: Time,
+        epoch: Epoch,
+        reports: &[CrashReport],
+        sound: &[SoundPart],
+    ) {
         for report in reports {
             self.parts.note_crash(now, report);
         }
+        self.parts.note_sound_parts(now, sound);
         self.parts.take_news();
         self.note_told(now, epoch, reports);
     }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -152,7 +152,7 @@
         let (epoch, change, batch) = (list.seen.epoch.0, list.seen.change, list.batch.len());
         let update = list.update.as_ref().map(kind_of);
         node.crashes()
-            .note_reports(now, list.seen.epoch, &list.crashes);
+            .note_reports(now, list.seen.epoch, &list.crashes, &list.sound);
         let mut view = node.view();
         node.limits().note_published(&view.limits, &list.limits);
         readable = view.set_list(now, list);
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -31,8 +31,8 @@
 /// founders: they should span as many data centres as possible.
 const FOUNDING_DELAY: Duration = Duration::from_millis(600);
 
-/// Minimum time between two lists that differ in their processes only: when a fleet starts, each
-/// process that joins would otherwise have the list sent to all others.
+/// Minimum time between two lists that differ in their processes or in what is sound only: when a fleet
+/// starts, each process that joins would otherwise have the list sent to all others.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Initial state of a new leader.
@@ -95,9 +95,9 @@
     crashes: Vec<CrashReport>,
     /// Whether limits of targets have changed since the last tick, which publishes them.
     limits_changed: bool,
-    /// Whether processes have come or gone since they were last published.
-    processes_changed: bool,
-    /// When processes were last published.
+    /// Whether processes have come or gone, or parts have been cleared, since they were last published.
+    unpublished: bool,
+    /// When they were last published.
     published: Time,
 }
 
@@ -140,7 +140,7 @@
             spread: RulesSpread::default(),
             crashes: Vec::new(),
             limits_changed: false,
-            processes_changed: false,
+            unpublished: false,
             published: Time::ZERO,
         }
     }
@@ -301,7 +301,7 @@
             .insert(follow.holder.clone(), process)
             .is_none()
         {
-            self.processes_changed = true;
+            self.unpublished = true;
         }
         if follow.role == ProcessRole::Front {
             self.record_front(now, follow);
@@ -440,9 +440,13 @@
         let before = self.processes.len();
         self.processes
             .retain(|_, process| now.since(process.heard) < PROCESS_TIMEOUT);
-        self.processes_changed |= self.processes.len() != before;
-        if self.processes_changed && now.since(self.published) >= PUBLISH_INTERVAL {
-            self.processes_changed = false;
+        self.unpublished |= self.processes.len() != before;
+        if self.dispatcher.take_sound_news() {
+            self.crashes = self.dispatcher.crash_reports(now);
+            self.unpublished = true;
+        }
+        if self.unpublished && now.since(self.published) >= PUBLISH_INTERVAL {
+            self.unpublished = false;
             self.published = now;
             self.change += 1;
         }
@@ -495,7 +499,12 @@
     }
 
     /// The update for a follower; `None` if it is up to date.
-    pub fn updates(&mut self, follow: &Follow, hub: Vec<SocketAddr>) -> Option<FollowReply> {
+    pub fn updates(
+        &mut self,
+        now: Time,
+        follow: &Follow,
+        hub: Vec<SocketAddr>,
+    ) -> Option<FollowReply> {
         let seen = FleetListVersion {
             epoch: self.epoch,
             change: self.change,
@@ -518,6 +527,7 @@
             fronts: self.fronts(),
             blocked: self.dispatcher.blocked_parts(),
             crashes: self.crashes.clone(),
+            sound: self.dispatcher.sound_parts(now),
             limits: self.dispatcher.limits(),
         });
         let recalls = self.dispatcher.take_recalls(&follow.holder);
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -54,7 +54,7 @@
     let deadline = tokio::time::Instant::now() + wait;
     loop {
         let members = hub.members();
-        if let Some(reply) = hub.with_leader(|leader, _| leader.updates(follow, members))? {
+        if let Some(reply) = hub.with_leader(|leader, now| leader.updates(now, follow, members))? {
             if let Some(rules) = &reply.rules {
                 log::info!(
                     vm = follow.vm.as_str(), version = rules.version.0, known = follow.rules.0,
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -53,7 +53,7 @@
 
 fn list(leader: &mut LeaderState, follow: &Follow) -> Option<FleetList> {
     leader.record_report(Time::ZERO, follow);
-    leader.updates(follow, Vec::new())?.fleet
+    leader.updates(Time::ZERO, follow, Vec::new())?.fleet
 }
 
 /// Guards against quadratic traffic when a fleet restarts after a power loss: each process that
@@ -204,7 +204,8 @@
     }
     // The first of the requests that are withdrawn has an item more recalled.
     assert!(woken <= 2, "{woken} polls were woken");
-    let reply = leader.updates(&follow(0, FleetListVersion::default()), Vec::new());
+    let asked = follow(0, FleetListVersion::default());
+    let reply = leader.updates(Time::from_millis(1), &asked, Vec::new());
     assert!(reply.is_some_and(|reply| !reply.recalls.is_empty()));
 }
 
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -33,7 +33,9 @@
 use serde::{Deserialize, Serialize};
 use shares::RateBuckets;
 
-pub use crashes::{Admission, BlockedParts, CrashParts, CrashReport, PartNews, SUSPECT_CRASHES};
+pub use crashes::{
+    Admission, BlockedParts, CrashParts, CrashReport, PartNews, SUSPECT_CRASHES, SoundPart,
+};
 pub use fallback::{Fallback, least_share};
 pub use leaving::LeavingTargets;
 pub use limit::{Budget, LimitReport, LimitedTargets, TargetLimit};
@@ -498,6 +500,16 @@
         self.crash_parts.reports(now, SUSPECT_CRASHES)
     }
 
+    /// The parts that were cleared of crashes, for other processes.
+    pub fn sound_parts(&self, now: Time) -> Vec<SoundPart> {
+        self.crash_parts.sound_parts(now)
+    }
+
+    /// Whether parts have been cleared of all their crashes since the last call.
+    pub fn take_sound_news(&mut self) -> bool {
+        self.crash_parts.take_sound_news()
+    }
+
     /// Takes over crashes that another process knows of; those that are known already don't count
     /// again.
     pub fn note_crashes(&mut self, now: Time, reports: &[CrashReport]) {
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -43,6 +43,8 @@
 const REQUESTS_MAX: usize = 64;
 /// Maximum number of crashed requests that a process tells another one of.
 const REPORTS_MAX: usize = 32;
+/// Maximum number of parts of sound requests that a process tells another one of.
+const SOUND_MAX: usize = 64;
 /// How long a cut counts as a possible crash of its target: longer than a list is out of date.
 const CUT_KEEP: Duration = Duration::from_secs(10);
 /// Maximum number of cuts that are remembered; beyond it the oldest is dropped.
@@ -126,6 +128,16 @@
     pub age_ms: u32,
 }
 
+/// A part of a request that got a whole answer, as processes tell each other: crashes before that request
+/// was sent say nothing of the part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoundPart {
+    /// The part.
+    pub part: PartId,
+    /// Time since the request was sent, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// A change of what is suspected, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PartNews {
@@ -167,6 +179,15 @@
     },
 }
 
+/// The crashes that a part was in flight at.
+#[derive(Debug, Default)]
+struct Sightings {
+    /// Number of requests with it.
+    requests: usize,
+    /// The latest crash.
+    last: Time,
+}
+
 /// A target that ended while requests waited for their answers to begin.
 #[derive(Debug)]
 struct Crash {
@@ -216,15 +237,16 @@
 pub struct CrashParts {
     crashes: VecDeque<Crash>,
     cuts: VecDeque<Cut>,
-    /// Number of requests of `crashes` that have each part, so that a request without suspects costs
-    /// no search.
-    in_flight: HashMap<PartId, usize>,
+    /// The parts of the requests of `crashes`, so that a request without suspects costs no search.
+    in_flight: HashMap<PartId, Sightings>,
     /// For parts that were in flight at a crash, the latest start of a request with a whole answer.
     cleared: HashMap<PartId, Time>,
     blocks: Vec<Block>,
     /// Requests with suspected parts that were admitted, with those parts.
     probes: BTreeMap<Ticket, Vec<PartId>>,
     news: Vec<PartNews>,
+    /// Whether parts have been cleared since [`take_sound_news`](Self::take_sound_news) was called last.
+    sound_news: bool,
 }
 
 impl CrashParts {
@@ -313,7 +335,9 @@
             }
         };
         for part in &parts {
-            *self.in_flight.entry(*part).or_default() += 1;
+            let sightings = self.in_flight.entry(*part).or_default();
+            sightings.requests += 1;
+            sightings.last = sightings.last.max(at);
         }
         let counts = parts.iter().map(|part| (*part, self.count(*part)));
         self.news.push(PartNews::Crashed {
@@ -376,10 +400,12 @@
                 if reports.len() >= REPORTS_MAX {
                     return reports;
                 }
+                let mut parts = request.parts.clone();
+                parts.retain(|part| !self.is_cleared(*part, crash.at));
                 reports.push(CrashReport {
                     ticket: request.ticket,
                     target: crash.target.clone(),
-                    parts: request.parts.clone(),
+                    parts,
                     age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
                 });
             }
@@ -387,6 +413,35 @@
         reports
     }
 
+    /// The parts that were cleared of crashes, the newest first, for other processes.
+    pub fn sound_parts(&self, now: Time) -> Vec<SoundPart> {
+        let mut cleared: Vec<(PartId, Time)> =
+            self.cleared.iter().map(|(p, at)| (*p, *at)).collect();
+        cleared.sort_unstable_by_key(|(part, at)| (std::cmp::Reverse(*at), *part));
+        cleared.truncate(SOUND_MAX);
+        let age = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        let parts = cleared.into_iter();
+        parts
+            .map(|(part, at)| SoundPart {
+                part,
+                age_ms: age(at),
+            })
+            .collect()
+    }
+
+    /// Takes over what another process knows to be sound.
+    pub fn note_sound_parts(&mut self, now: Time, parts: &[SoundPart]) {
+        for sound in parts {
+            let since = now - Duration::from_millis(sound.age_ms.into());
+            self.note_sound(since, &[sound.part]);
+        }
+    }
+
+    /// Whether parts have been cleared of all their crashes since the last call.
+    pub fn take_sound_news(&mut self) -> bool {
+        std::mem::take(&mut self.sound_news)
+    }
+
     /// Records that a target crashed under a request whose slot is not known.
     pub fn note_uncounted(&mut self, ticket: Ticket) {
         self.news.push(PartNews::Uncounted { ticket });
@@ -399,10 +454,15 @@
         }
         let parts = &parts[..parts.len().min(PARTS_MAX)];
         for part in parts {
-            if self.in_flight.contains_key(part) {
-                let cleared = self.cleared.entry(*part).or_insert(since);
-                *cleared = since.max(*cleared);
+            let Some(sightings) = self.in_flight.get(part) else {
+                continue;
+            };
+            let before = self.cleared.get(part).copied();
+            if before.is_none_or(|at| at < sightings.last) && since >= sightings.last {
+                self.sound_news = true;
             }
+            self.cleared
+                .insert(*part, before.map_or(since, |at| at.max(since)));
         }
         for mut block in std::mem::take(&mut self.blocks) {
             let before = block.blocked.parts.clone();
@@ -529,7 +589,7 @@
                 .flat_map(|request| request.parts.iter().copied())
                 .collect();
             for part in parts {
-                if self.cleared.get(&part).is_some_and(|at| crash.at <= *at) {
+                if self.is_cleared(part, crash.at) {
                     continue;
                 }
                 *counts.entry(part).or_default() += 1;
@@ -539,10 +599,15 @@
     }
 
     fn counted(&self, part: PartId) -> impl Iterator<Item = &Crash> {
-        let cleared = self.cleared.get(&part).copied();
-        self.crashes.iter().filter(move |crash| {
-            cleared.is_none_or(|cleared| crash.at > cleared) && crash.has_part(part)
-        })
+        let crashes = self.crashes.iter();
+        crashes.filter(move |crash| !self.is_cleared(part, crash.at) && crash.has_part(part))
+    }
+
+    /// Whether a sound request has cleared a part of a crash at `at`.
+    fn is_cleared(&self, part: PartId, at: Time) -> bool {
+        self.cleared
+            .get(&part)
+            .is_some_and(|cleared| at <= *cleared)
     }
 
     /// The parts that all requests had that had `part` in flight at a crash, without cleared ones.
@@ -586,11 +651,11 @@
             return;
         };
         for part in oldest.requests.into_iter().flat_map(|r| r.parts) {
-            let Some(count) = self.in_flight.get_mut(&part) else {
+            let Some(sightings) = self.in_flight.get_mut(&part) else {
                 continue;
             };
-            *count -= 1;
-            if *count == 0 {
+            sightings.requests -= 1;
+            if sightings.requests == 0 {
                 self.in_flight.remove(&part);
                 self.cleared.remove(&part);
             }
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use clem_policy::dispatch::{
-    BlockedParts, CrashParts, CrashReport, Dispatcher, GrantOutcome, SlotRequest, TargetSlots,
-    Ticket, Verdict,
+    Admission, BlockedParts, CrashParts, CrashReport, Dispatcher, GrantOutcome, SlotRequest,
+    TargetSlots, Ticket, Verdict,
 };
 use clem_types::{PartId, Time};
 use loads::{SERVICE, want};
@@ -358,6 +358,47 @@
     }
 }
 
+/// Guards against sound requests that a new leader refuses: each process remembers the crashes that it saw,
+/// whatever sound answers other processes got since.
+#[test]
+fn crashes_that_a_sound_answer_refuted_do_not_count_for_a_new_leader() {
+    let at = Time::from_millis;
+    let part = first(0);
+    let mut leader = CrashParts::default();
+    let mut follower = CrashParts::default();
+    for number in 0..8 {
+        let now = number * 1000;
+        let report = CrashReport {
+            ticket: Ticket(number),
+            target: format!("t{number}"),
+            parts: vec![part, own(number)],
+            age_ms: 0,
+        };
+        leader.note_crash(at(now), &report);
+        follower.note_crash(at(now), &report);
+        // Another process got this answer.
+        leader.note_sound(at(now + 100), &[part]);
+        assert!(leader.take_sound_news());
+        leader.note_sound(at(now + 200), &[part]);
+        assert!(!leader.take_sound_news(), "the part was cleared before");
+        follower.note_sound_parts(at(now + 300), &leader.sound_parts(at(now + 300)));
+    }
+    let mut next = CrashParts::default();
+    for report in follower.reports(at(9000), 1) {
+        next.note_crash(at(9000), &report);
+    }
+    for ticket in [100, 101] {
+        let admission = next.admit(at(9000), Ticket(ticket), &[part]);
+        assert_eq!(admission, Admission::Free, "ticket {ticket}");
+    }
+    let again = next.admit(at(9000), Ticket(102), &[own(1)]);
+    assert_eq!(
+        again,
+        Admission::Free,
+        "one crash under a part is no suspicion"
+    );
+}
+
 #[test]
 fn a_new_leader_keeps_what_its_followers_know() {
     for seed in SEEDS {
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -6,7 +6,7 @@
 use clem_edge::TargetVm;
 use clem_policy::dispatch::{
     BlockedParts, CrashReport, GrantOutcome, HeldGrant, LimitReport, OriginReport, SlotRequest,
-    TargetLimit, Ticket, Verdict,
+    SoundPart, TargetLimit, Ticket, Verdict,
 };
 use clem_types::{Epoch, Version};
 use serde::{Deserialize, Serialize};
@@ -183,6 +183,9 @@
     /// Crashes of targets that make parts of requests suspected.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
+    /// Parts of requests that were cleared of crashes.
+    #[serde(default)]
+    pub sound: Vec<SoundPart>,
     /// The limited targets.
     #[serde(default)]
     pub limits: Vec<TargetLimit>,
