All slots of a silent holder are released, however new they are

Callers saw: by the tests, a slot that stays taken, and requests with a suspected part that are refused, for as long as a hub leader leads. By reading, each further holder that ends so takes another slot. Cause: a holder counts as gone 1.2 s after its last message. Its slots were released by comparing with an empty report, which spares those granted in the last 0.6 s, since a reply may be on its way; then the holder was forgotten, so nothing looked at them again. A request that waits in the queue is granted late in just that span. While the part of such a request is suspected, it counts as the one that runs. Fix: what a forgotten holder has is released whatever its age; a holder that was only silent reports what it uses, as before.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -611,12 +611,22 @@
                 };
                 self.refuse(now, &want, refused);
             }
-            self.report(now, &holder, &[]);
+            self.revoke(now, &holder);
             self.last_heard.remove(&holder);
         }
         self.schedule(now);
     }
 
+    /// Releases all slots of a holder, however new: nobody looks for them once it is forgotten. A holder
+    /// that was only silent reports those that it uses.
+    fn revoke(&mut self, now: Time, holder: &str) {
+        let held = self.grants.iter().filter(|(_, g)| g.holder == holder);
+        let tickets: Vec<Ticket> = held.map(|(ticket, _)| *ticket).collect();
+        for ticket in tickets {
+            self.release(now, ticket, GrantOutcome::Lost);
+        }
+    }
+
     /// Removes and returns the verdicts reached since the last call.
     pub fn take_decided(&mut self) -> Vec<(Ticket, Verdict)> {
         std::mem::take(&mut self.decided)
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -2,11 +2,14 @@
 
 mod loads;
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use clem_policy::dispatch::{
     Admission, BlockedParts, CrashParts, CrashReport, Dispatcher, GrantOutcome, SlotRequest,
-    TargetSlots, Ticket, Verdict,
+    TargetSlots, Ticket, Urgency, Verdict,
 };
 use clem_types::{PartId, Time};
 use loads::{SERVICE, want};
@@ -358,6 +361,51 @@
     }
 }
 
+/// Guards against accepted items that are refused for as long as a leader leads: the holder of the only
+/// request with their part that may run is gone.
+#[test]
+fn a_suspected_request_of_a_silent_holder_holds_up_no_other() {
+    let mut dispatcher = Dispatcher::default();
+    let at = Time::from_millis;
+    let slots = TargetSlots {
+        target: "t0".to_owned(),
+        data_centre: "dc".to_owned(),
+        slots: 1,
+        version: None,
+    };
+    dispatcher.set_targets(at(0), SERVICE, &[slots]);
+    let part = first(0);
+    let reports = [1, 2].map(|number| CrashReport {
+        ticket: Ticket(number),
+        target: format!("gone-{number}"),
+        parts: vec![part],
+        age_ms: 0,
+    });
+    dispatcher.note_crashes(at(0), &reports);
+    dispatcher.request_slot(at(10), want(3));
+    let asked = |ticket: u64, holder: &str| SlotRequest {
+        holder: holder.to_owned(),
+        urgency: Urgency::Batch {
+            due: Duration::from_secs(10),
+        },
+        queue_timeout: Duration::from_millis(1200),
+        parts: vec![part],
+        ..want(ticket)
+    };
+    dispatcher.request_slot(at(10), asked(4, "lost"));
+    // The slot becomes free when the holder of the queued request has been silent for a while.
+    dispatcher.release(at(800), Ticket(3), GrantOutcome::Answered);
+    for now in (800..3000).step_by(20) {
+        dispatcher.report(at(now), "next", &[]);
+        dispatcher.tick(at(now));
+    }
+    dispatcher.take_decided();
+    dispatcher.request_slot(at(3000), asked(5, "next"));
+    let decided = dispatcher.take_decided();
+    let granted = matches!(decided[..], [(Ticket(5), Verdict::Granted { .. })]);
+    assert!(granted, "{decided:?}");
+}
+
 /// Guards against sound requests that a new leader refuses: each process remembers the crashes that it saw,
 /// whatever sound answers other processes got since.
 #[test]
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -268,6 +268,23 @@
     assert!(is_granted(&verdict(&mut dispatcher, 2)));
 }
 
+/// Guards against slots that stay taken for as long as a leader leads: the holder went silent while its
+/// request was queued.
+#[test]
+fn a_slot_granted_to_a_silent_holder_is_released() {
+    let mut dispatcher = dispatcher(1, 1);
+    dispatcher.request_slot(at(0), want(1));
+    dispatcher.request_slot(at(0), item(2, 10_000));
+    dispatcher.release(at(800), Ticket(1), GrantOutcome::Answered);
+    assert!(is_granted(&verdict(&mut dispatcher, 2)));
+    for now in (800..3000).step_by(20) {
+        dispatcher.report(at(now), "front", &[]);
+        dispatcher.tick(at(now));
+    }
+    dispatcher.request_slot(at(3000), want(3));
+    assert!(is_granted(&verdict(&mut dispatcher, 3)));
+}
+
 /// Guards against a long holder timeout: a frozen batch keeper occupied 101 of 144 slots for four
 /// seconds (botez-cluj).
 #[test]
