Items whose parts are blocked are tried again in time, for as long as they are owed

Callers saw: by the test, an accepted item that gets no target for 30 s after crashes that it did not cause, though all targets are free; after trials that hit a crashing or a silent target, none until the item is given up. Cause: trials were made for online requests, which their callers send again and which may be refused for good. Items asked by the same rule, but nobody sends an item again. Fix: an item's first trial is due 5 s after the block, later ones 10 to 80 s after the last that failed, without end; a silent target does not count.

--- a/crates/direct/src/crash_log.rs
+++ b/crates/direct/src/crash_log.rs
@@ -2,8 +2,10 @@
 
 use std::collections::HashSet;
 
-use clem_policy::dispatch::{Admission, CrashParts, CrashReport, GrantOutcome, SoundPart, Ticket};
-use clem_types::{Epoch, PartId, Time};
+use clem_policy::dispatch::{
+    Admission, CrashParts, CrashReport, GrantOutcome, SlotRequest, SoundPart, Ticket,
+};
+use clem_types::{Epoch, Time};
 
 use crate::node::HeldSlot;
 
@@ -22,8 +24,9 @@
 
 impl CrashLog {
     /// Whether a request may be placed without a leader; if so, the slot's release ends the attempt.
-    pub(crate) fn admit(&mut self, now: Time, ticket: Ticket, parts: &[PartId]) -> Admission {
-        self.parts.admit(now, ticket, parts)
+    pub(crate) fn admit(&mut self, now: Time, want: &SlotRequest) -> Admission {
+        self.parts
+            .admit(now, want.ticket, want.urgency, &want.parts)
     }
 
     /// Records how the request in a slot ended.
@@ -41,13 +44,13 @@
                 self.parts.note_crash(now, &report);
             }
             GrantOutcome::Cut => {
-                self.parts.fail_trial(now, grant.ticket);
+                self.parts.fail_trial(now, grant.ticket, ended);
                 self.parts
                     .note_cut(now, grant.ticket, &grant.target, &grant.parts);
             }
             GrantOutcome::Replaced => self.parts.note_gone(now, &grant.target),
             GrantOutcome::Broken | GrantOutcome::Silent => {
-                self.parts.fail_trial(now, grant.ticket);
+                self.parts.fail_trial(now, grant.ticket, ended);
             }
             GrantOutcome::Failed
             | GrantOutcome::Full
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -384,7 +384,7 @@
                 wait: want.on_time,
             };
         }
-        let admission = self.crashes().admit(now, want.ticket, &want.parts);
+        let admission = self.crashes().admit(now, want);
         match admission {
             Admission::Free => {
                 self.limits().take(now, &target.id);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -410,13 +410,13 @@
                 self.crash_parts.note_crash(now, &report);
             }
             GrantOutcome::Cut => {
-                self.crash_parts.fail_trial(now, ticket);
+                self.crash_parts.fail_trial(now, ticket, ended);
                 self.crash_parts
                     .note_cut(now, ticket, &grant.target, &grant.parts);
             }
             GrantOutcome::Replaced => self.crash_parts.note_gone(now, &grant.target),
             GrantOutcome::Broken | GrantOutcome::Silent => {
-                self.crash_parts.fail_trial(now, ticket);
+                self.crash_parts.fail_trial(now, ticket, ended);
             }
             GrantOutcome::NotRun => {
                 // The holder may have gone on with a slot of its own choice.
@@ -529,7 +529,8 @@
 
     /// The verdict on a request whose parts crash targets, or may do so.
     fn reject_parts(&mut self, now: Time, want: &SlotRequest) -> Option<Verdict> {
-        match self.crash_parts.admit(now, want.ticket, &want.parts) {
+        let parts = &mut self.crash_parts;
+        match parts.admit(now, want.ticket, want.urgency, &want.parts) {
             Admission::Free => None,
             Admission::Later => Some(Verdict::Busy {
                 retry: SUSPECT_RETRY,
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -10,7 +10,8 @@
 //!   costs one request and tells one thing.
 //! - From [`BLOCK_CRASHES`] on they are refused, if they have all parts that the requests of all these
 //!   crashes had in common: a part that came with the bad one only is not held against others.
-//! - A blocked request is tried again seldom, and a few times at most while such requests come.
+//! - A blocked request is tried again seldom, and a few times at most while such requests come. A batch item
+//!   is tried for as long as it asks: it was accepted, so nobody sends it again.
 //! - A whole request is told apart from others by its id alone, so fewer crashes suffice for it.
 //!
 //! See `docs/design/platform.md`, "Requests that crash targets".
@@ -23,7 +24,7 @@
 use clem_types::{PartId, Time};
 use serde::{Deserialize, Serialize};
 
-use super::Ticket;
+use super::{GrantOutcome, Ticket, Urgency};
 
 /// Crashes from which on requests with a part run one at a time.
 pub const SUSPECT_CRASHES: usize = 2;
@@ -55,9 +56,13 @@
 const PARTS_MAX: usize = 16;
 /// Time from a block to its first trial; each later trial waits twice as long as the one before.
 const TRIAL_DELAY: Duration = Duration::from_secs(30);
+/// The same for batch items, which must run soon when targets have crashed for another reason.
+const ITEM_TRIAL_DELAY: Duration = Duration::from_secs(5);
+/// How often the delay of items is doubled at most.
+const ITEM_DOUBLINGS: u32 = 4;
 /// Time from a trial that told nothing to the next one.
 const TRIAL_RETRY: Duration = Duration::from_secs(5);
-/// Trials that may crash targets while blocked requests still come.
+/// Trials that may crash targets while blocked online requests still come.
 const TRIALS_MAX: u32 = 2;
 /// The same for a whole request.
 const TRIALS_MAX_WHOLE: u32 = 1;
@@ -90,7 +95,7 @@
         !self.parts.is_empty() && self.parts.iter().all(|part| parts.contains(part))
     }
 
-    /// Whether no trial may run any more while such requests come.
+    /// Whether no online request may be a trial any more while such requests come.
     fn is_final(&self) -> bool {
         let whole = self.parts.iter().any(|part| part.is_whole());
         self.trials >= if whole { TRIALS_MAX_WHOLE } else { TRIALS_MAX }
@@ -226,10 +231,33 @@
     crashed: Time,
     /// When the last request with them came.
     seen: Time,
-    /// When the next trial may run.
-    trial_at: Time,
+    /// When it began, or when the last trial that counts failed.
+    since: Time,
+    /// When the last trial began.
+    tried: Option<Time>,
     /// The trial that runs.
-    trial: Option<Ticket>,
+    trial: Option<Trial>,
+}
+
+impl Block {
+    /// When the next trial may run.
+    fn trial_at(&self, is_item: bool) -> Time {
+        let (delay, doublings) = if is_item {
+            (ITEM_TRIAL_DELAY, ITEM_DOUBLINGS)
+        } else {
+            (TRIAL_DELAY, TRIALS_MAX)
+        };
+        let doublings = self.blocked.trials.min(doublings);
+        let due = self.since + delay * 2_u32.pow(doublings);
+        self.tried.map_or(due, |tried| due.max(tried + TRIAL_RETRY))
+    }
+}
+
+/// A blocked request that was let through.
+#[derive(Debug, Clone, Copy)]
+struct Trial {
+    ticket: Ticket,
+    is_item: bool,
 }
 
 /// Finds the parts of requests that crash targets.
@@ -252,7 +280,13 @@
 impl CrashParts {
     /// Decides on a request before it is queued. A request that is admitted must be reported with
     /// [`end`](Self::end).
-    pub fn admit(&mut self, now: Time, ticket: Ticket, parts: &[PartId]) -> Admission {
+    pub fn admit(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        urgency: Urgency,
+        parts: &[PartId],
+    ) -> Admission {
         if self.crashes.is_empty() && self.blocks.is_empty() || self.probes.contains_key(&ticket) {
             return Admission::Free;
         }
@@ -262,11 +296,13 @@
         if let Some(block) = self.blocks.iter_mut().find(|b| b.blocked.blocks(parts)) {
             block.seen = now;
             let probed = block.blocked.parts.iter().any(is_probed);
-            if probed || now < block.trial_at || block.blocked.is_final() {
+            let is_item = matches!(urgency, Urgency::Batch { .. });
+            let is_over = block.blocked.is_final() && !is_item;
+            if probed || now < block.trial_at(is_item) || is_over {
                 return Admission::Blocked;
             }
-            block.trial_at = now + TRIAL_RETRY;
-            block.trial = Some(ticket);
+            block.tried = Some(now);
+            block.trial = Some(Trial { ticket, is_item });
             self.probes.insert(ticket, block.blocked.parts.clone());
             return Admission::Free;
         }
@@ -291,7 +327,7 @@
             return;
         }
         for block in &mut self.blocks {
-            block.trial.take_if(|trial| *trial == ticket);
+            block.trial.take_if(|trial| trial.ticket == ticket);
         }
     }
 
@@ -303,7 +339,7 @@
         if self.crashes.iter().any(is_known) {
             return;
         }
-        self.fail_trial(now, ticket);
+        self.fail_trial(now, ticket, GrantOutcome::Crashed);
         let at = now - Duration::from_millis(report.age_ms.into());
         let parts: Vec<PartId> = report.parts.iter().take(PARTS_MAX).copied().collect();
         let request = CrashedRequest {
@@ -522,15 +558,19 @@
         }
     }
 
-    /// Counts a trial that its target did not answer.
-    pub fn fail_trial(&mut self, now: Time, ticket: Ticket) {
-        let is_trial = |block: &&mut Block| block.trial == Some(ticket);
+    /// Counts a trial that its target did not answer. A silent target says too little to keep an item waiting
+    /// for longer.
+    pub fn fail_trial(&mut self, now: Time, ticket: Ticket, ended: GrantOutcome) {
+        let is_it = |trial: Trial| trial.ticket == ticket;
+        let is_trial = |block: &&mut Block| block.trial.is_some_and(is_it);
         let Some(block) = self.blocks.iter_mut().find(is_trial) else {
             return;
         };
+        if ended == GrantOutcome::Silent && block.trial.is_some_and(|trial| trial.is_item) {
+            return;
+        }
         block.blocked.trials += 1;
-        let doublings = block.blocked.trials.min(TRIALS_MAX);
-        block.trial_at = now + TRIAL_DELAY * 2_u32.pow(doublings);
+        block.since = now;
         let blocked = block.blocked.clone();
         self.tell_block(&blocked);
     }
@@ -566,7 +606,8 @@
             blocked,
             crashed: now,
             seen: now,
-            trial_at: now + TRIAL_DELAY,
+            since: now,
+            tried: None,
             trial: None,
         });
     }
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -27,6 +27,11 @@
 const DOWN: u64 = 2500;
 /// Bad requests that may reach targets in all: five crashes, and three later.
 const REACHED_MAX: usize = 8;
+/// Pause between two requests for a slot for one item, in milliseconds.
+const ITEM_PAUSE: usize = 2000;
+/// How long an item may be at no target when nothing is in trouble, by the platform's rules: it looks at the
+/// last 5 s of the 18 s in which items must end.
+const IDLE_MAX: Duration = Duration::from_secs(18 - 5);
 /// Different first parts of prompts.
 const FIRSTS: u64 = 8;
 /// Different second parts of prompts.
@@ -361,6 +366,76 @@
     }
 }
 
+/// Asks for a slot for one item again and again until one is granted; returns when that was.
+fn until_granted(dispatcher: &mut Dispatcher, item: &SlotRequest, from: u64) -> u64 {
+    for now in (from..from + 600_000).step_by(ITEM_PAUSE) {
+        let request = SlotRequest {
+            ticket: Ticket(now),
+            ..item.clone()
+        };
+        dispatcher.report(Time::from_millis(now), "front", &[]);
+        dispatcher.request_slot(Time::from_millis(now), request);
+        let decided = dispatcher.take_decided();
+        if matches!(decided[..], [(_, Verdict::Granted { .. })]) {
+            return now;
+        }
+    }
+    panic!("the item got no slot in ten minutes");
+}
+
+/// Guards against accepted items that nobody works on although targets are free: their parts were in
+/// flight at crashes that they did not cause.
+#[test]
+fn an_item_is_tried_again_in_time_after_crashes_that_it_did_not_cause() {
+    let whole = PartId::of_whole(&[b"item"]);
+    let parts = [vec![first(0)], vec![whole]];
+    for parts in parts {
+        for failed in [
+            vec![],
+            vec![GrantOutcome::Crashed],
+            vec![GrantOutcome::Silent; 6],
+        ] {
+            let case = format!("{parts:?} {failed:?}");
+            let mut dispatcher = Dispatcher::default();
+            let mut targets = Vec::new();
+            for number in 0..TARGETS {
+                targets.push(TargetSlots {
+                    target: format!("t{number}"),
+                    data_centre: "dc".to_owned(),
+                    slots: 8,
+                    version: None,
+                });
+            }
+            dispatcher.set_targets(Time::ZERO, SERVICE, &targets);
+            for number in 0..4 {
+                let report = CrashReport {
+                    ticket: Ticket(number),
+                    target: format!("t{number}"),
+                    parts: parts.clone(),
+                    age_ms: 0,
+                };
+                dispatcher.note_crashes(Time::ZERO, &[report]);
+            }
+            let item = SlotRequest {
+                urgency: Urgency::Batch {
+                    due: Duration::from_secs(10),
+                },
+                parts: parts.clone(),
+                ..want(0)
+            };
+            let mut calm = 1;
+            for ended in failed {
+                let granted = until_granted(&mut dispatcher, &item, calm);
+                calm = granted + 400;
+                dispatcher.release(Time::from_millis(calm), Ticket(granted), ended);
+            }
+            let granted = until_granted(&mut dispatcher, &item, calm + 1);
+            let waited = Duration::from_millis(granted - calm);
+            assert!(waited <= IDLE_MAX, "{case}: {waited:?}");
+        }
+    }
+}
+
 /// Guards against accepted items that are refused for as long as a leader leads: the holder of the only
 /// request with their part that may run is gone.
 #[test]
@@ -436,10 +511,10 @@
         next.note_crash(at(9000), &report);
     }
     for ticket in [100, 101] {
-        let admission = next.admit(at(9000), Ticket(ticket), &[part]);
+        let admission = next.admit(at(9000), Ticket(ticket), Urgency::Online, &[part]);
         assert_eq!(admission, Admission::Free, "ticket {ticket}");
     }
-    let again = next.admit(at(9000), Ticket(102), &[own(1)]);
+    let again = next.admit(at(9000), Ticket(102), Urgency::Online, &[own(1)]);
     assert_eq!(
         again,
         Admission::Free,
