Show what accepted items wait for, and what suspected requests and silent slots hold them up

Operators saw: an accepted item without a result, and no line that names it: whether it was queued, refused a slot and why, at a target, or ended and not recorded can't be told. Cause: only ends and failures are logged; refused slots from the 16th on without a reason, and commits never. Change, on the leader of the batch keepers: every 5 s, while there are such items, one line and gauges with their number by state and the age of the oldest; items at no target for 5 s are named with what they wait for, ever more rarely, 8 at once at most; a command that is uncommitted for a second says what it waits for. On the hub's leader: suspected requests that count as running for 5 s, with their holder, and slots of holders that were silent for a second. Counting is done once a report over the taken items, not for each request. Evidence: clem-batch item_watch, clem-hub suspect_watch, clem-policy suspects. Not shown on processes yet.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -16,7 +16,7 @@
     time::Instant,
 };
 
-use crate::{keeper::Keeper, placement::Placement, queue::ReadyItem};
+use crate::{item_watch::ItemState, keeper::Keeper, placement::Placement, queue::ReadyItem};
 
 /// How long the hub may hold a request for a slot.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -25,8 +25,6 @@
 /// How often an item that has begun is refused a slot at its version before it begins anew at another
 /// one.
 const WAITS_MAX: u32 = 4;
-/// Consecutive refusals of a slot from which on they are logged.
-const WAITS_LOGGED_MIN: u32 = 16;
 /// Delay before asking again for an item with parts that crash targets.
 const HARMFUL_DELAY: Duration = Duration::from_secs(2);
 /// Delay before the next run after a failed one.
@@ -145,6 +143,8 @@
                 run = self.run_once() => run,
                 () = wait_closed(&keeper, &mut closed, job) => RunEnd::Closed,
             };
+            let now = keeper.node.now();
+            keeper.with_watch(|watch| watch.end_run(now, job, self.ready.item));
             match run {
                 RunEnd::Completed => {
                     self.end(ItemStatus::Completed, "completed");
@@ -183,28 +183,23 @@
             Placement::At(service) => service,
             Placement::Gone => return RunEnd::Gone,
         };
-        let mut slot = match self.place(service.clone()).await {
+        let mut slot = match self.place(service).await {
             SlotOutcome::Slot(slot) => {
                 self.waits = 0;
+                self.set_state(ItemState::Running);
                 slot
             }
-            SlotOutcome::OverRate(_) | SlotOutcome::Busy { .. } => {
-                tokio::time::sleep(BUSY_DELAY).await;
-                self.avoid.clear();
-                self.waits += 1;
-                self.log_wait(&service);
-                if self.began.is_some() && self.waits >= WAITS_MAX {
-                    self.log_failure("", "begun anew", "no slot at its version");
-                    self.reset();
-                }
-                return RunEnd::Retry;
-            }
+            // Items have no rate of a customer.
+            SlotOutcome::OverRate(_) => return self.wait_busy(ItemState::Busy).await,
+            SlotOutcome::Busy { cause, .. } => return self.wait_busy(cause.into()).await,
             SlotOutcome::Unresumable => {
+                self.set_state(ItemState::Unresumable);
                 self.log_failure("", "begun anew", "no target of its version");
                 self.reset();
                 return RunEnd::Retry;
             }
             SlotOutcome::Harmful => {
+                self.set_state(ItemState::Blocked);
                 self.log_failure("", "harmful", "");
                 tokio::time::sleep(HARMFUL_DELAY).await;
                 return RunEnd::Retry;
@@ -243,6 +238,19 @@
         }
     }
 
+    /// Waits before the next request for a slot.
+    async fn wait_busy(&mut self, state: ItemState) -> RunEnd {
+        self.set_state(state);
+        tokio::time::sleep(BUSY_DELAY).await;
+        self.avoid.clear();
+        self.waits += 1;
+        if self.began.is_some() && self.waits >= WAITS_MAX {
+            self.log_failure("", "begun anew", "no slot at its version");
+            self.reset();
+        }
+        RunEnd::Retry
+    }
+
     fn stall_timeout(&self) -> Duration {
         STALL_TIMEOUT * 2_u32.pow(self.stalls.min(STALL_DOUBLINGS))
     }
@@ -537,16 +545,8 @@
         RunEnd::Closed
     }
 
-    /// Logs a refused slot, ever more rarely.
-    fn log_wait(&self, service: &str) {
-        if self.waits < WAITS_LOGGED_MIN || !self.waits.is_power_of_two() {
-            return;
-        }
-        log::info!(
-            item = self.spec.id.as_str(), batch = self.ready.job.name.id.as_str(), service,
-            waits = self.waits, seen = self.last_event;
-            "item waits for a slot"
-        );
+    fn set_state(&self, state: ItemState) {
+        self.keeper.set_state(&self.ready, state);
     }
 
     fn log_failure(&self, target: &str, outcome: &str, reason: &str) {
--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -2,7 +2,9 @@
 
 use std::{
     collections::HashMap,
+    pin::pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use clem_control::{
@@ -15,10 +17,16 @@
     Command, Outcome,
     jobs::{self, EndedItem, JobCommand, JobOutcome},
 };
-use clem_types::{Epoch, ItemIndex};
+use clem_types::{Epoch, ItemIndex, Time};
 use tokio::sync::{Notify, oneshot, watch};
 
-use crate::queue::ItemQueue;
+use crate::{
+    item_watch::{ItemState, ItemWatch},
+    queue::{ItemQueue, ReadyItem},
+};
+
+/// How long a command may wait until that is logged; each pause is twice the one before.
+pub(crate) const COMMIT_LOGGED: Duration = Duration::from_secs(1);
 
 /// Shared state of the request handlers and item runs. The runtime has one thread, so the mutexes
 /// are never contended.
@@ -31,6 +39,7 @@
     pub(crate) ended_ready: Notify,
     queue: Mutex<Option<(Epoch, ItemQueue)>>,
     ended: Mutex<Vec<EndedItem>>,
+    watch: Mutex<ItemWatch>,
     recalls: Mutex<HashMap<Ticket, oneshot::Sender<()>>>,
     recorded: watch::Sender<u64>,
     closed: watch::Sender<u64>,
@@ -38,6 +47,7 @@
 
 impl Keeper {
     pub(crate) fn new(node: Arc<Node>, replica: Replica) -> Self {
+        let watch = Mutex::new(ItemWatch::new(node.now()));
         Self {
             node,
             replica,
@@ -45,6 +55,7 @@
             ended_ready: Notify::new(),
             queue: Mutex::new(None),
             ended: Mutex::default(),
+            watch,
             recalls: Mutex::default(),
             recorded: watch::Sender::new(0),
             closed: watch::Sender::new(0),
@@ -62,6 +73,7 @@
             if queue.take().is_some() {
                 log::warn!("lost leadership");
                 lock(&self.ended).clear();
+                lock(&self.watch).clear();
                 self.closed.send_modify(|count| *count += 1);
                 self.node.view().members = None;
             }
@@ -76,6 +88,7 @@
             log::info!(epoch = epoch.0, items = fresh.waiting(); "became leader");
             *queue = Some((epoch, fresh));
             lock(&self.ended).clear();
+            lock(&self.watch).clear();
             self.items_ready.notify_one();
         }
         let Some((_, queue)) = queue.as_mut() else {
@@ -86,15 +99,54 @@
 
     /// Proposes a job command and waits for its outcome.
     pub(crate) async fn propose_job(&self, command: JobCommand) -> Result<JobOutcome> {
-        let outcome = self.propose(Command::Job(command)).await?;
+        let kind = kind(&command);
+        let begun = self.node.now();
+        let mut pause = COMMIT_LOGGED;
+        let mut proposed = pin!(self.propose(Command::Job(command)));
+        let outcome = loop {
+            tokio::select! {
+                outcome = &mut proposed => break outcome?,
+                () = tokio::time::sleep(pause) => {}
+            }
+            pause *= 2;
+            self.log_uncommitted(kind, "commit", begun);
+        };
         let Outcome::Job(outcome) = outcome else {
             return Err(ServeError::Unknown);
         };
         Ok(outcome)
     }
 
+    /// Logs that a command was proposed first at `begun` and is not committed, and what it `waits` for.
+    pub(crate) fn log_uncommitted(&self, kind: &str, waits: &str, begun: Time) {
+        let members: Vec<String> = self
+            .replica
+            .members()
+            .iter()
+            .map(|member| format!("{}:{}", member.address, member.matched))
+            .collect();
+        log::warn!(
+            kind, waits, waited_ms = self.node.now().since(begun).as_millis() as u64,
+            members = members.join(",").as_str(), free_bytes = self.replica.free_bytes();
+            "command not committed"
+        );
+    }
+
+    /// Runs `work` on what is known of the items that this process runs.
+    pub(crate) fn with_watch<T>(&self, work: impl FnOnce(&mut ItemWatch) -> T) -> T {
+        work(&mut lock(&self.watch))
+    }
+
+    /// Notes what an item does.
+    pub(crate) fn set_state(&self, item: &ReadyItem, state: ItemState) {
+        let now = self.node.now();
+        self.with_watch(|watch| watch.set(now, item.job.number, item.item, state));
+    }
+
     /// Queues an item's result; the next command records it.
     pub(crate) fn end_item(&self, item: EndedItem) {
+        let now = self.node.now();
+        self.with_watch(|watch| watch.set(now, item.job, item.item, ItemState::Ended));
         lock(&self.ended).push(item);
         self.ended_ready.notify_one();
     }
@@ -145,6 +197,7 @@
     }
 
     pub(crate) fn finish(&self, job: jobs::JobNumber, item: ItemIndex) {
+        self.with_watch(|watch| watch.remove(job, item));
         // If this process is no longer the leader, it has no queue.
         let _ = self.with_leader(|queue| queue.finish(job, item));
         self.items_ready.notify_one();
@@ -157,6 +210,16 @@
     }
 }
 
+/// The name of a command in the log.
+fn kind(command: &JobCommand) -> &'static str {
+    match command {
+        JobCommand::Submit { .. } => "submission",
+        JobCommand::List(_) => "results",
+        JobCommand::End(_) => "deletion",
+        JobCommand::Forget(_) => "expiry",
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -3,6 +3,7 @@
 //! See `docs/design/platform.md`, "What is kept where".
 
 mod item;
+mod item_watch;
 mod keeper;
 mod placement;
 mod program;
@@ -10,6 +11,7 @@
 mod serve;
 mod tasks;
 
+pub use item_watch::{IdleItem, ItemCounts, ItemState, ItemWatch};
 pub use placement::Placement;
 pub use program::{BatchSettings, run};
 pub use queue::{ItemQueue, ReadyItem};
--- a/crates/batch/src/queue.rs
+++ b/crates/batch/src/queue.rs
@@ -140,7 +140,28 @@
 
     /// Number of queued items, including delayed ones.
     pub fn waiting(&self) -> usize {
-        self.waiting.len() + self.delayed.len()
+        self.queued() + self.delayed()
+    }
+
+    /// Number of queued items that may be taken.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Number of queued items that may not be taken yet.
+    pub fn delayed(&self) -> usize {
+        self.delayed.len()
+    }
+
+    /// The queued item with the earliest due time.
+    pub fn first(&self) -> Option<(Arc<Job>, ItemIndex)> {
+        let (_, number, item) = self.waiting.first()?;
+        Some((Arc::clone(self.jobs.get(number)?), *item))
+    }
+
+    /// When the oldest job with items that have no result was accepted.
+    pub fn oldest_accepted(&self) -> Option<UnixMillis> {
+        self.jobs.values().map(|job| job.accepted).min()
     }
 
     /// Number of taken items, which run or wait for a slot.
--- a/crates/batch/src/tasks.rs
+++ b/crates/batch/src/tasks.rs
@@ -2,11 +2,19 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clem_control::endpoint::ServeError;
+use clem_policy::LogPace;
 use clem_state::jobs::{self, Job, JobCommand};
 use clem_types::UnixMillis;
 use tokio::task::JoinSet;
 
-use crate::{item::ItemRun, keeper::Keeper, placement, queue::ENDING_MAX};
+use crate::{
+    item::ItemRun,
+    item_watch::{ItemCounts, ItemState},
+    keeper::{COMMIT_LOGGED, Keeper},
+    placement,
+    queue::ENDING_MAX,
+};
 
 /// How often the queue is checked, in addition to when an item is added.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -46,6 +54,7 @@
             continue;
         }
         report_members(&keeper);
+        report_items(&keeper);
         loop {
             let now = keeper.node.now();
             let wall = keeper.node.clock.wall_time();
@@ -60,6 +69,7 @@
                 keeper.finish(ready.job.number, ready.item);
                 continue;
             };
+            keeper.with_watch(|watch| watch.take(now, &ready.job, ready.item));
             runs.spawn(ItemRun::new(Arc::clone(&keeper), ready, spec).run());
         }
     }
@@ -70,6 +80,59 @@
     keeper.node.view().members = Some(keeper.replica.voters());
 }
 
+/// Reports at intervals what the items without a recorded result do.
+fn report_items(keeper: &Keeper) {
+    let now = keeper.node.now();
+    if !keeper.with_watch(|watch| watch.take_due(now)) {
+        return;
+    }
+    let wall = keeper.node.clock.wall_time();
+    let report = keeper.with_leader(|queue| {
+        keeper.with_watch(|watch| (watch.counts(now, wall, queue), watch.take_idle(now, queue)))
+    });
+    let Ok((counts, idle)) = report else {
+        return;
+    };
+    set_gauges(&counts);
+    if counts.total() == 0 {
+        return;
+    }
+    log_counts(&counts);
+    for item in idle {
+        log::info!(
+            item = item.item.as_str(), batch = item.batch.as_str(),
+            state = item.state.map_or("queued", ItemState::as_str),
+            idle_ms = item.idle.as_millis() as u64;
+            "item at no target"
+        );
+    }
+}
+
+fn set_gauges(counts: &ItemCounts) {
+    metrics::gauge!("clem_batch_items", "state" => "queued").set(counts.queued as f64);
+    metrics::gauge!("clem_batch_items", "state" => "delayed").set(counts.delayed as f64);
+    for state in ItemState::ALL {
+        let gauge = metrics::gauge!("clem_batch_items", "state" => state.as_str());
+        gauge.set(counts.of(state) as f64);
+    }
+    metrics::gauge!("clem_batch_oldest_seconds").set(counts.oldest.as_secs_f64());
+    metrics::gauge!("clem_batch_oldest_ended_seconds").set(counts.oldest_ended.as_secs_f64());
+}
+
+fn log_counts(counts: &ItemCounts) {
+    let taken: Vec<String> = counts
+        .taken
+        .iter()
+        .map(|(state, items)| format!("{}:{items}", state.as_str()))
+        .collect();
+    log::info!(
+        queued = counts.queued, delayed = counts.delayed, taken = taken.join(",").as_str(),
+        oldest_ms = counts.oldest.as_millis() as u64,
+        oldest_ended_ms = counts.oldest_ended.as_millis() as u64;
+        "items without a result"
+    );
+}
+
 /// The number of items of a job's route that may run or wait for a slot at once: the slots of the
 /// targets that may run them, and none without a target.
 fn places(keeper: &Keeper, job: &Job) -> usize {
@@ -107,17 +170,22 @@
             continue;
         }
         let done: Vec<_> = ended.iter().map(|item| (item.job, item.item)).collect();
+        let begun = keeper.node.now();
+        let mut pace = LogPace::new(begun, COMMIT_LOGGED);
         while keeper.with_leader(|_| ()).is_ok() {
-            if keeper
-                .propose_job(JobCommand::List(ended.clone()))
-                .await
-                .is_ok()
-            {
-                for (job, item) in done {
-                    keeper.finish(job, item);
+            let waits = match keeper.propose_job(JobCommand::List(ended.clone())).await {
+                Ok(_) => {
+                    for (job, item) in done {
+                        keeper.finish(job, item);
+                    }
+                    keeper.note_recorded();
+                    break;
                 }
-                keeper.note_recorded();
-                break;
+                Err(ServeError::NotLeader) => "acceptance",
+                Err(ServeError::Unknown) => "outcome",
+            };
+            if pace.take_due(keeper.node.now()) {
+                keeper.log_uncommitted("results", waits, begun);
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,5 +20,5 @@
 pub use follow::follow;
 pub use list::{ListReader, poll_without_hub};
 pub use node::{Node, NodeSettings};
-pub use slot::{Slot, SlotOutcome, release_loop};
+pub use slot::{BusyCause, Slot, SlotOutcome, release_loop};
 pub use view::View;
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -54,6 +54,8 @@
         retry: Duration,
         /// How long the request would have waited for a slot.
         wait: Duration,
+        /// Why no slot is free.
+        cause: BusyCause,
     },
     /// The request has parts that crash targets.
     Harmful,
@@ -61,6 +63,19 @@
     Unresumable,
 }
 
+/// Why no slot is free for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BusyCause {
+    /// Other requests have them.
+    Full,
+    /// Another request with a suspected part runs.
+    Suspected,
+    /// No target is known that may run it.
+    NoTarget,
+    /// The hub was heard too recently to place batch items without it.
+    Leaderless,
+}
+
 impl Slot {
     /// Records how the request ended; until then it counts as not sent.
     pub fn set_ended(&mut self, ended: GrantOutcome) {
@@ -112,6 +127,7 @@
                 return SlotOutcome::Busy {
                     retry: NO_TARGET_RETRY,
                     wait: Duration::ZERO,
+                    cause: BusyCause::NoTarget,
                 };
             }
             let outcome = self.place_once(want.clone(), limit).await;
@@ -128,6 +144,7 @@
         SlotOutcome::Busy {
             retry: NO_TARGET_RETRY,
             wait: Duration::ZERO,
+            cause: BusyCause::NoTarget,
         }
     }
 
@@ -182,6 +199,11 @@
         };
         pending.ticket = None;
         self.note_leader();
+        let cause = if verdict.waits_for_suspect() {
+            BusyCause::Suspected
+        } else {
+            BusyCause::Full
+        };
         match verdict {
             Verdict::Granted {
                 target,
@@ -199,7 +221,7 @@
                 }
                 SlotOutcome::OverRate(retry)
             }
-            Verdict::Busy { retry, wait } => SlotOutcome::Busy { retry, wait },
+            Verdict::Busy { retry, wait } => SlotOutcome::Busy { retry, wait, cause },
             Verdict::Harmful => SlotOutcome::Harmful,
             Verdict::Unresumable => SlotOutcome::Unresumable,
             // A new leader may not have read the target list yet.
@@ -239,6 +261,7 @@
             return SlotOutcome::Busy {
                 retry: NO_TARGET_RETRY,
                 wait: Duration::ZERO,
+                cause: BusyCause::NoTarget,
             };
         };
         let key = want.stream.as_ref().and_then(|stream| stream.key);
@@ -324,6 +347,7 @@
             return SlotOutcome::Busy {
                 retry: NO_TARGET_RETRY,
                 wait: Duration::ZERO,
+                cause: BusyCause::Leaderless,
             };
         }
         let fronts = self.view().fronts;
@@ -376,12 +400,14 @@
             return SlotOutcome::Busy {
                 retry: NO_TARGET_RETRY,
                 wait: Duration::ZERO,
+                cause: BusyCause::NoTarget,
             };
         };
         if load >= f64::from(target.slots) {
             return SlotOutcome::Busy {
                 retry: want.on_time.max(NO_TARGET_RETRY),
                 wait: want.on_time,
+                cause: BusyCause::Full,
             };
         }
         let admission = self.crashes().admit(now, want);
@@ -393,6 +419,7 @@
             Admission::Later => SlotOutcome::Busy {
                 retry: SUSPECT_RETRY,
                 wait: Duration::ZERO,
+                cause: BusyCause::Suspected,
             },
             Admission::Blocked => SlotOutcome::Harmful,
         }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -226,7 +226,7 @@
                 );
                 Err(failed(Cause::Unresumable))
             }
-            SlotOutcome::Busy { retry, wait } => {
+            SlotOutcome::Busy { retry, wait, .. } => {
                 self.placement.expected = wait;
                 let left = self.request.left(node.now());
                 Err(self.not_run(node.retry_after(retry.max(BUSY_RETRY_MIN), left)))
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -581,7 +581,7 @@
 }
 
 /// A list of parts, for log lines.
-fn join(parts: &[PartId]) -> String {
+pub(crate) fn join(parts: &[PartId]) -> String {
     let texts: Vec<String> = parts.iter().map(PartId::to_string).collect();
     texts.join(",")
 }
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -9,6 +9,7 @@
 mod program;
 mod serve;
 mod spread;
+mod suspect_watch;
 mod targets;
 mod tasks;
 
@@ -17,4 +18,5 @@
 pub use polls::{HeldPoll, Polls};
 pub use program::{HubSettings, consensus_settings, run};
 pub use spread::{RulesSpread, SpreadReport};
+pub use suspect_watch::{OldSuspect, SuspectWatch};
 pub use targets::TargetList;
--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -6,7 +6,7 @@
 use clem_direct::ListReader;
 use clem_state::{Command, batch_group::BatchGroupChange};
 
-use crate::{Hub, SpreadReport};
+use crate::{Hub, SpreadReport, SuspectWatch, lead::join};
 
 /// How often the list is read; a draining target is listed as such for seconds before it stops.
 const LIST_INTERVAL: Duration = Duration::from_millis(900);
@@ -50,11 +50,16 @@
 
 /// How often slot usage is logged.
 const SLOTS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a message from a holder after which its slots are logged.
+const SILENT_LOGGED: Duration = Duration::from_secs(1);
 
 /// Logs slot usage while this process leads, until it exits.
 pub(crate) async fn log_slots(hub: Arc<Hub>) {
+    let mut suspects = SuspectWatch::default();
     loop {
         tokio::time::sleep(SLOTS_INTERVAL).await;
+        log_silent(&hub);
+        log_suspects(&hub, &mut suspects);
         let views = hub.with_leader(|leader, now| {
             let services = leader.dispatcher.services().cloned().collect::<Vec<_>>();
             let dispatcher = &leader.dispatcher;
@@ -76,6 +81,36 @@
     }
 }
 
+/// Logs how many slots belong to holders that are silent.
+fn log_silent(hub: &Hub) {
+    let silent = hub.with_leader(|leader, now| leader.dispatcher.silent_slots(now, SILENT_LOGGED));
+    // A process that does not lead grants no slots.
+    let slots = silent.unwrap_or_default();
+    metrics::gauge!("clem_hub_slots_silent").set(slots as f64);
+    if slots > 0 {
+        log::info!(slots; "slots of silent holders");
+    }
+}
+
+/// Logs the requests with suspected parts that others have waited for for long.
+fn log_suspects(hub: &Hub, watch: &mut SuspectWatch) {
+    let running = hub.with_leader(|leader, now| (now, leader.dispatcher.running_suspects()));
+    let Ok((now, running)) = running else {
+        watch.clear();
+        return;
+    };
+    metrics::gauge!("clem_hub_suspects").set(running.len() as f64);
+    for old in watch.take_old(now, running) {
+        let suspect = old.suspect;
+        log::warn!(
+            ticket = suspect.ticket.0, holder = suspect.holder.as_deref(),
+            target = suspect.target.as_deref(), parts = join(&suspect.parts),
+            age_ms = old.age.as_millis() as u64;
+            "suspected request still counts as running"
+        );
+    }
+}
+
 /// A tick that is this late is logged: calls wait for as long, and members may think that the leader is
 /// lost.
 const STALL_LOGGED: Duration = Duration::from_millis(60);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -165,6 +165,18 @@
     Unresumable,
 }
 
+impl Verdict {
+    /// Whether the request must wait until another one with a suspected part has ended.
+    pub fn waits_for_suspect(&self) -> bool {
+        // Only such a request is refused as busy without an expected wait.
+        let refused = Self::Busy {
+            retry: SUSPECT_RETRY,
+            wait: Duration::ZERO,
+        };
+        *self == refused
+    }
+}
+
 /// A grant as its holder reports it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HeldGrant {
@@ -215,6 +227,19 @@
     stream_news: Vec<StreamNews>,
 }
 
+/// A request with suspected parts that counts as running, so that others with these parts wait.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunningSuspect {
+    /// Id of its slot request.
+    pub ticket: Ticket,
+    /// The process that holds its slot or waits for one; `None` if there is no such slot request.
+    pub holder: Option<String>,
+    /// The target of its slot; `None` while it waits for one.
+    pub target: Option<String>,
+    /// The suspected parts.
+    pub parts: Vec<PartId>,
+}
+
 /// How a stream was judged whose attempt nobody remembers, for the log.
 #[derive(Debug)]
 pub struct StreamNews {
@@ -527,6 +552,31 @@
         self.crash_parts.take_news()
     }
 
+    /// The requests with suspected parts that count as running.
+    pub fn running_suspects(&self) -> Vec<RunningSuspect> {
+        let suspect = |(ticket, parts): (Ticket, &[PartId])| {
+            let grant = self.grants.get(&ticket);
+            let queued = || self.pools.values().find_map(|pool| pool.holder(ticket));
+            let holder = grant.map(|grant| grant.holder.as_str()).or_else(queued);
+            RunningSuspect {
+                ticket,
+                holder: holder.map(str::to_owned),
+                target: grant.map(|grant| grant.target.clone()),
+                parts: parts.to_vec(),
+            }
+        };
+        self.crash_parts.running().map(suspect).collect()
+    }
+
+    /// Number of slots whose holders were not heard for a `span` or longer.
+    pub fn silent_slots(&self, now: Time, span: Duration) -> usize {
+        let is_silent = |grant: &&Grant| {
+            let heard = self.last_heard.get(&grant.holder);
+            heard.is_none_or(|at| now.since(*at) >= span)
+        };
+        self.grants.values().filter(is_silent).count()
+    }
+
     /// The verdict on a request whose parts crash targets, or may do so.
     fn reject_parts(&mut self, now: Time, want: &SlotRequest) -> Option<Verdict> {
         let parts = &mut self.crash_parts;
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -321,6 +321,13 @@
         Admission::Free
     }
 
+    /// The admitted requests with suspected parts, which others with these parts wait for.
+    pub fn running(&self) -> impl Iterator<Item = (Ticket, &[PartId])> {
+        self.probes
+            .iter()
+            .map(|(ticket, parts)| (*ticket, parts.as_slice()))
+    }
+
     /// Ends a request that was admitted, whatever became of it.
     pub fn end(&mut self, ticket: Ticket) {
         if self.probes.remove(&ticket).is_none() {
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -250,6 +250,12 @@
         });
     }
 
+    /// The process that waits for a slot with this ticket.
+    pub(super) fn holder(&self, ticket: Ticket) -> Option<&str> {
+        let waiting = self.waiting.iter().find(|w| w.want.ticket == ticket)?;
+        Some(&waiting.want.holder)
+    }
+
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<SlotRequest> {
         let index = self.waiting.iter().position(|w| w.want.ticket == ticket)?;
         Some(self.waiting.remove(index).want)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,9 +16,11 @@
 mod admission;
 mod balance;
 mod cost_model;
+mod log_pace;
 mod retention;
 mod tail;
 
 pub use admission::{Admission, JobAction, JobId, OnlineRequest, QueueFull, Settings};
 pub use balance::Balance;
 pub use cost_model::CostModel;
+pub use log_pace::LogPace;
