Room that comes back is seen without a write

What callers saw: after a disk had been short of room for a few seconds, configs and batches were refused (503, after the whole time of the call) until the process ended or another one led, though there was room again and all processes ran.

Cause: the leader learned of its free room only from a write that had ended. While it thought the disk full it proposed nothing, so it wrote nothing and never learned otherwise. Nothing logged it.

Fix: the writer thread, which may block, reads the room when it starts and whenever it has written nothing for 500 ms. It asks a probe, so that tests set the room.

--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -6,7 +6,7 @@
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_direct::{Node, NodeSettings, follow, poll_without_hub, release_loop};
 use clem_hub::consensus_settings;
-use clem_log::disk::read_identity;
+use clem_log::disk::{FileSystem, read_identity};
 use clem_wire::{FleetSecret, Guard};
 use salvo::{Router, Server};
 use tokio::sync::watch;
@@ -71,6 +71,7 @@
         // it as a founder.
         bootstrap: true,
         reserve_bytes: settings.reserve_bytes,
+        probe: Arc::new(FileSystem),
         consensus: consensus_settings(settings.tolerance),
     })?;
     replica.set_live(&node.view().batch);
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use clem_boot::{Clock, Metrics, Readiness, acceptor, admin_routes, stop_signal};
+use clem_log::disk::FileSystem;
 use clem_wire::Guard;
 use salvo::{Router, Server};
 
@@ -36,6 +37,7 @@
         clock,
         bootstrap: true,
         reserve_bytes: RESERVE_BYTES,
+        probe: Arc::new(FileSystem),
         consensus: clem_log::Settings::default(),
     })?;
     let control = Arc::new(Control::new(replica.clone(), clock, settings.limits));
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -16,7 +16,7 @@
 use clem_wire::codec;
 use tokio::sync::oneshot;
 
-use super::{ProposalResult, fatal};
+use super::{ProposalResult, fatal, room::RoomState};
 
 /// Maximum number of queued messages for one member. Further ones are dropped; the protocol
 /// retransmits them.
@@ -48,9 +48,7 @@
     snapshot_requests: Vec<MemberId>,
     /// When the timers of the node ran last.
     ticked: Time,
-    free_bytes: u64,
-    /// Free disk space below which all proposals are refused, in bytes.
-    reserve_bytes: u64,
+    room: RoomState,
     /// The term in which this member, as leader, has applied everything committed before that term.
     caught_up: Option<Term>,
     /// The addresses of the voters as of the last applied membership change.
@@ -84,8 +82,7 @@
             outbox: BTreeMap::new(),
             snapshot_requests: Vec::new(),
             ticked: Time::ZERO,
-            free_bytes: u64::MAX,
-            reserve_bytes,
+            room: RoomState::new(reserve_bytes),
             caught_up: None,
             applied_voters: None,
         }
@@ -132,9 +129,9 @@
         self.ticked
     }
 
-    /// Free disk space as of the last write to the log, in bytes.
+    /// Free disk space as last read, in bytes.
     pub(super) fn free_bytes(&self) -> u64 {
-        self.free_bytes
+        self.room.free_bytes()
     }
 
     // ------------------------------------------------------------------------
@@ -206,11 +203,16 @@
 
     /// Handles the completion of a log write: everything up to it is synced.
     pub(super) fn log_synced(&mut self, now: Time, number: WriteNumber, free_bytes: u64) {
-        self.free_bytes = free_bytes;
-        self.node.set_disk_full(free_bytes < self.reserve_bytes);
+        self.note_room(now, free_bytes);
         self.node.synced(now, number);
     }
 
+    /// Notes how much room the disk has.
+    pub(super) fn note_room(&mut self, now: Time, free_bytes: u64) {
+        self.room.note(now, free_bytes, self.node.is_leader());
+        self.node.set_disk_full(self.room.is_short());
+    }
+
     // ------------------------------------------------------------------------
     // Processing.
 
--- a/crates/control/src/replica/event_loop.rs
+++ b/crates/control/src/replica/event_loop.rs
@@ -71,6 +71,12 @@
                 core.log_synced(now, number, free_bytes);
             }
         }
+        Some(DiskEvent::Idle { free_bytes }) => {
+            let now = shared.clock.now();
+            if let Some(core) = shared.core().as_mut() {
+                core.note_room(now, free_bytes);
+            }
+        }
         Some(DiskEvent::Identified(_)) => {}
         Some(DiskEvent::Failed(error)) => fatal::exit("failed to write the log", &error),
         None => fatal::exit("failed to write the log", &"the writer thread has stopped"),
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -47,7 +47,7 @@
         None => form(&shared, &mut folder).await,
     };
     let node = Node::new(shared.clock.now(), start, shared.consensus);
-    let (writer, events) = match Writer::start(folder) {
+    let (writer, events) = match Writer::start(folder, Arc::clone(&shared.probe)) {
         Ok(started) => started,
         Err(error) => fatal::exit("failed to start the log writer thread", &error),
     };
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -6,7 +6,7 @@
 use clem_boot::Clock;
 use clem_log::{
     Change, MemberId, MemberKind, NodeError,
-    disk::{Folder, Identity},
+    disk::{Folder, Identity, RoomProbe},
 };
 use clem_state::Command;
 use clem_store::{RedbStore, Store};
@@ -57,6 +57,8 @@
     pub bootstrap: bool,
     /// Free disk space below which all proposals are refused, in bytes.
     pub reserve_bytes: u64,
+    /// Tells the room on the disk.
+    pub probe: Arc<dyn RoomProbe>,
     /// Timeouts and limits of the consensus protocol.
     pub consensus: clem_log::Settings,
 }
@@ -86,6 +88,7 @@
             clock,
             bootstrap,
             reserve_bytes,
+            probe,
             consensus,
         } = settings;
         let client = Client::new(secret);
@@ -103,6 +106,7 @@
                 store,
                 bootstrap: false,
                 reserve_bytes,
+                probe,
                 consensus,
             }));
             tokio::spawn(formation::discover(Arc::clone(&shared)));
@@ -133,6 +137,7 @@
             store,
             bootstrap,
             reserve_bytes,
+            probe,
             consensus,
         }));
         tokio::spawn(formation::run(Arc::clone(&shared), folder, recovered));
@@ -211,7 +216,7 @@
         self.shared.core().as_ref()?.leading_epoch(now)
     }
 
-    /// Free disk space as of the last write to the log, in bytes; `u64::MAX` before the first one.
+    /// Free disk space as last read, in bytes; `u64::MAX` before that.
     pub fn free_bytes(&self) -> u64 {
         let core = self.shared.core();
         core.as_ref()
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -6,6 +6,7 @@
 //! - `peers` sends messages to other members,
 //! - `formation` bootstraps a group or joins one,
 //! - `joining` and `learners` report how far that is,
+//! - `room` keeps how much room the disk has,
 //! - `send_snapshot` and `install_snapshot` bring a lagging member up to date.
 //!
 //! See `docs/DESIGN.md`, "Agreement".
@@ -21,6 +22,7 @@
 mod joining;
 mod learners;
 mod peers;
+mod room;
 mod routes;
 mod send_snapshot;
 mod shared;
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -4,11 +4,11 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use clem_boot::Clock;
-use clem_log::MemberId;
+use clem_log::{MemberId, disk::RoomProbe};
 use clem_store::RedbStore;
 use clem_types::Epoch;
 use clem_wire::Client;
@@ -33,6 +33,8 @@
     pub(super) bootstrap: bool,
     /// Free disk space below which all proposals are refused, in bytes.
     pub(super) reserve_bytes: u64,
+    /// Tells the room on the disk.
+    pub(super) probe: Arc<dyn RoomProbe>,
     /// Timeouts and limits of the consensus protocol.
     pub(super) consensus: clem_log::Settings,
     /// This process's member id.
@@ -60,6 +62,7 @@
     pub(super) store: RedbStore,
     pub(super) bootstrap: bool,
     pub(super) reserve_bytes: u64,
+    pub(super) probe: Arc<dyn RoomProbe>,
     pub(super) consensus: clem_log::Settings,
 }
 
@@ -73,6 +76,7 @@
             live: Mutex::default(),
             bootstrap: parts.bootstrap,
             reserve_bytes: parts.reserve_bytes,
+            probe: parts.probe,
             consensus: parts.consensus,
             data_dir: parts.data_dir,
             clock: parts.clock,
--- a/crates/control/tests/handover.rs
+++ b/crates/control/tests/handover.rs
@@ -2,10 +2,11 @@
 
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_boot::{Clock, Listener, acceptor, listen};
 use clem_control::replica::{RESERVE_BYTES, Replica, ReplicaSettings};
+use clem_log::disk::FileSystem;
 use clem_wire::{FleetSecret, Guard};
 use salvo::{Router, Server};
 use tempfile::TempDir;
@@ -31,6 +32,7 @@
         clock,
         bootstrap: true,
         reserve_bytes: RESERVE_BYTES,
+        probe: Arc::new(FileSystem),
         consensus,
     })
     .unwrap();
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -2,10 +2,11 @@
 
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_boot::{Clock, Listener, acceptor, listen};
 use clem_control::replica::{RESERVE_BYTES, Replica, ReplicaSettings};
+use clem_log::disk::FileSystem;
 use clem_state::Command;
 use clem_wire::{FleetSecret, Guard, admin::MemberRole};
 use salvo::{Router, Server};
@@ -43,6 +44,7 @@
         clock: Clock::start(),
         bootstrap: true,
         reserve_bytes: RESERVE_BYTES,
+        probe: Arc::new(FileSystem),
         consensus: clem_log::Settings {
             voters: 3,
             ..clem_log::Settings::default()
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -5,6 +5,7 @@
 use clem_boot::{Clock, acceptor, listen, stop_signal};
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_edge::Dialect;
+use clem_log::disk::FileSystem;
 use clem_wire::{
     Client, FleetSecret, Guard, LeaderClient,
     fleet::{ELECTION_JITTER, ELECTION_TIMEOUT, LEADER_LOSS_NOTICED},
@@ -81,6 +82,7 @@
         clock,
         bootstrap: settings.bootstrap,
         reserve_bytes: settings.reserve_bytes,
+        probe: Arc::new(FileSystem),
         consensus: consensus_settings(settings.tolerance),
     })?;
     let mut peers = vec![settings.address];
--- a/crates/log/benches/commit.rs
+++ b/crates/log/benches/commit.rs
@@ -3,13 +3,13 @@
 //! The nodes run in one process and exchange messages directly, so this is the cost of consensus
 //! and disk without the network. `docs/design/agreement.md` has the results.
 
-use std::{hint::black_box, path::Path, thread};
+use std::{hint::black_box, path::Path, sync::Arc, thread};
 
 use bytes::Bytes;
 use clem_log::{
     InitialState, LogIndex, Member, MemberId, MemberKind, Members, Message, Node, Settings,
     SnapshotMetadata, Write,
-    disk::{DiskEvent, Folder, Identity, Writer},
+    disk::{DiskEvent, FileSystem, Folder, Identity, Writer},
 };
 use clem_types::Time;
 use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
@@ -95,7 +95,7 @@
             while let Ok(event) = host.events.try_recv() {
                 match event {
                     DiskEvent::Synced { number, .. } => host.node.synced(now, number),
-                    DiskEvent::Identified(_) => {}
+                    DiskEvent::Idle { .. } | DiskEvent::Identified(_) => {}
                     DiskEvent::Failed(error) => panic!("{error}"),
                 }
             }
@@ -145,7 +145,7 @@
         ..Write::default()
     };
     folder.write(vec![reset]).expect("a new log");
-    let (writer, events) = Writer::start(folder).expect("a thread");
+    let (writer, events) = Writer::start(folder, Arc::new(FileSystem)).expect("a thread");
     let start = InitialState {
         base: base.clone(),
         applied: base.index,
--- a/crates/log/src/disk.rs
+++ b/crates/log/src/disk.rs
@@ -17,10 +17,12 @@
 mod frame;
 mod identity;
 mod recover;
+mod room;
 mod segment;
 mod writer;
 
 pub use error::{DiskError, Result};
 pub use folder::{Folder, Recovered};
 pub use identity::{Identity, read as read_identity};
+pub use room::{FileSystem, RoomProbe};
 pub use writer::{DiskEvent, Writer};
--- a/crates/log/src/disk/folder.rs
+++ b/crates/log/src/disk/folder.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    DiskError, Identity, Result,
+    DiskError, Identity, Result, RoomProbe,
     frame::{self, FORMAT, Record, Start},
     identity,
     recover::{Last, replay},
@@ -179,14 +179,14 @@
         Ok(())
     }
 
-    /// Returns the bytes available on the file system.
+    /// Returns the bytes available to the folder, by `probe`.
     ///
     /// # Errors
     /// The system call fails.
-    pub fn free_bytes(&self) -> Result<u64> {
-        let free = nix::sys::statvfs::statvfs(&self.path)
-            .map_err(|error| DiskError::io("get the free space of", &self.path)(error.into()))?;
-        Ok(free.blocks_available().saturating_mul(free.fragment_size()))
+    pub fn free_bytes(&self, probe: &dyn RoomProbe) -> Result<u64> {
+        probe
+            .free_bytes(&self.path)
+            .map_err(DiskError::io("get the free space of", &self.path))
     }
 
     fn append(&mut self, records: &[Record]) -> Result<()> {
--- a/crates/log/src/disk/writer.rs
+++ b/crates/log/src/disk/writer.rs
@@ -2,17 +2,23 @@
 
 use std::{
     io,
-    sync::mpsc::{Receiver, Sender, channel},
+    sync::{
+        Arc,
+        mpsc::{Receiver, RecvTimeoutError, Sender, channel},
+    },
     thread,
+    time::Duration,
 };
 
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-use super::{DiskError, Folder, Identity, Result};
+use super::{DiskError, Folder, Identity, Result, RoomProbe};
 use crate::{SnapshotMetadata, Write, WriteNumber};
 
 /// The maximum number of writes in one group commit.
 const MAX_GROUP: usize = 4096;
+/// How long nothing is written before the free room is read without a write.
+const ROOM_INTERVAL: Duration = Duration::from_millis(500);
 
 /// An event reported by the writer thread.
 #[derive(Debug)]
@@ -24,6 +30,11 @@
         /// The bytes available on the file system.
         free_bytes: u64,
     },
+    /// Nothing was written for a while.
+    Idle {
+        /// The bytes available on the file system.
+        free_bytes: u64,
+    },
     /// The identity is written and synced.
     Identified(Identity),
     /// An operation failed; the thread has stopped and the process must exit.
@@ -49,12 +60,20 @@
     ///
     /// # Errors
     /// The thread can't be created.
-    pub fn start(folder: Folder) -> io::Result<(Self, UnboundedReceiver<DiskEvent>)> {
+    pub fn start(
+        folder: Folder,
+        probe: Arc<dyn RoomProbe>,
+    ) -> io::Result<(Self, UnboundedReceiver<DiskEvent>)> {
         let (jobs, incoming) = channel();
         let (outgoing, events) = unbounded_channel();
+        let mut thread = Thread {
+            folder,
+            probe,
+            events: outgoing,
+        };
         thread::Builder::new()
             .name("log-writer".to_owned())
-            .spawn(move || run_jobs(folder, &incoming, &outgoing))?;
+            .spawn(move || thread.run(&incoming))?;
         Ok((Self { jobs }, events))
     }
 
@@ -79,56 +98,77 @@
     }
 }
 
-fn run_jobs(mut folder: Folder, jobs: &Receiver<Job>, events: &UnboundedSender<DiskEvent>) {
-    while let Ok(first) = jobs.recv() {
-        if let Err(error) = run_batch(&mut folder, first, jobs, events) {
-            let _ = events.send(DiskEvent::Failed(error));
-            return;
+/// What the thread works with.
+struct Thread {
+    folder: Folder,
+    probe: Arc<dyn RoomProbe>,
+    events: UnboundedSender<DiskEvent>,
+}
+
+impl Thread {
+    fn run(&mut self, jobs: &Receiver<Job>) {
+        // A new thread may have nothing to write for long.
+        self.read_room();
+        loop {
+            match jobs.recv_timeout(ROOM_INTERVAL) {
+                Ok(first) => {
+                    if let Err(error) = self.run_batch(first, jobs) {
+                        self.report(DiskEvent::Failed(error));
+                        return;
+                    }
+                }
+                // Whoever is short of room writes nothing, and must learn that there is some again.
+                Err(RecvTimeoutError::Timeout) => self.read_room(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
         }
     }
-}
 
-/// Runs `first` and all jobs already queued behind it; consecutive writes share one sync.
-fn run_batch(
-    folder: &mut Folder,
-    first: Job,
-    jobs: &Receiver<Job>,
-    events: &UnboundedSender<DiskEvent>,
-) -> Result<()> {
-    let mut group = Vec::new();
-    let mut next = Some(first);
-    while let Some(job) = next {
-        match job {
-            Job::Write(write) => group.push(write),
-            Job::Compact(base) => {
-                commit(folder, &mut group, events)?;
-                folder.compact(base)?;
+    fn read_room(&self) {
+        // The next write reports an error.
+        if let Ok(free_bytes) = self.folder.free_bytes(&*self.probe) {
+            self.report(DiskEvent::Idle { free_bytes });
+        }
+    }
+
+    /// Runs `first` and all jobs already queued behind it; consecutive writes share one sync.
+    fn run_batch(&mut self, first: Job, jobs: &Receiver<Job>) -> Result<()> {
+        let mut group = Vec::new();
+        let mut next = Some(first);
+        while let Some(job) = next {
+            match job {
+                Job::Write(write) => group.push(write),
+                Job::Compact(base) => {
+                    self.commit(&mut group)?;
+                    self.folder.compact(base)?;
+                }
+                Job::Identify(identity) => {
+                    self.commit(&mut group)?;
+                    self.folder.set_identity(identity)?;
+                    self.report(DiskEvent::Identified(identity));
+                }
             }
-            Job::Identify(identity) => {
-                commit(folder, &mut group, events)?;
-                folder.set_identity(identity)?;
-                let _ = events.send(DiskEvent::Identified(identity));
+            if group.len() >= MAX_GROUP {
+                break;
             }
+            next = jobs.try_recv().ok();
         }
-        if group.len() >= MAX_GROUP {
-            break;
-        }
-        next = jobs.try_recv().ok();
+        self.commit(&mut group)
+    }
+
+    fn commit(&mut self, group: &mut Vec<Write>) -> Result<()> {
+        let Some(last) = group.last() else {
+            return Ok(());
+        };
+        let number = last.number;
+        self.folder.write(std::mem::take(group))?;
+        let free_bytes = self.folder.free_bytes(&*self.probe)?;
+        self.report(DiskEvent::Synced { number, free_bytes });
+        Ok(())
     }
-    commit(folder, &mut group, events)
-}
 
-fn commit(
-    folder: &mut Folder,
-    group: &mut Vec<Write>,
-    events: &UnboundedSender<DiskEvent>,
-) -> Result<()> {
-    let Some(last) = group.last() else {
-        return Ok(());
-    };
-    let number = last.number;
-    folder.write(std::mem::take(group))?;
-    let free_bytes = folder.free_bytes()?;
-    let _ = events.send(DiskEvent::Synced { number, free_bytes });
-    Ok(())
+    fn report(&self, event: DiskEvent) {
+        // Nobody listens once the process ends.
+        let _ = self.events.send(event);
+    }
 }
--- a/crates/log/tests/disk.rs
+++ b/crates/log/tests/disk.rs
@@ -2,17 +2,22 @@
 
 use std::{
     fs::{self, OpenOptions},
-    io::Write as _,
+    io::{self, Write as _},
     path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use clem_log::{
     Entry, HardState, LogIndex, MemberId, Members, Payload, SnapshotMetadata, Term, Write,
     WriteNumber,
-    disk::{DiskError, DiskEvent, Folder, Identity, Recovered, Writer},
+    disk::{DiskError, DiskEvent, FileSystem, Folder, Identity, Recovered, RoomProbe, Writer},
 };
 use proptest::prelude::*;
 use tempfile::TempDir;
+use tokio::sync::mpsc::UnboundedReceiver;
 
 const FRESH: Identity = Identity {
     member: MemberId(7),
@@ -347,11 +352,21 @@
     );
 }
 
+/// The next event that is not about room alone.
+async fn next_event(events: &mut UnboundedReceiver<DiskEvent>) -> Option<DiskEvent> {
+    loop {
+        match events.recv().await {
+            Some(DiskEvent::Idle { free_bytes }) => assert!(free_bytes > 0),
+            event => return event,
+        }
+    }
+}
+
 #[tokio::test]
 async fn the_writer_syncs_in_order_and_reports_failure() {
     let dir = TempDir::new().unwrap();
     let (folder, _) = open(dir.path());
-    let (writer, mut events) = Writer::start(folder).unwrap();
+    let (writer, mut events) = Writer::start(folder, Arc::new(FileSystem)).unwrap();
     for number in 1..=100 {
         writer.write(Write {
             number: WriteNumber(number),
@@ -360,7 +375,7 @@
     }
     let mut synced = 0;
     while synced < 100 {
-        match events.recv().await {
+        match next_event(&mut events).await {
             Some(DiskEvent::Synced { number, free_bytes }) => {
                 assert!(number.0 > synced && free_bytes > 0);
                 synced = number.0;
@@ -376,15 +391,83 @@
     };
     writer.write(large);
     assert!(matches!(
-        events.recv().await,
+        next_event(&mut events).await,
         Some(DiskEvent::Failed(DiskError::Io { .. }))
     ));
     assert!(
-        events.recv().await.is_none(),
+        next_event(&mut events).await.is_none(),
         "nothing is written after a failure"
     );
 }
 
+/// A disk whose room the test sets.
+#[derive(Debug)]
+struct Room(AtomicU64);
+
+impl RoomProbe for Room {
+    fn free_bytes(&self, _folder: &Path) -> io::Result<u64> {
+        Ok(self.0.load(Ordering::SeqCst))
+    }
+}
+
+/// Waits until the writer reports this much room.
+async fn until_room(events: &mut UnboundedReceiver<DiskEvent>, wanted: u64) {
+    loop {
+        match events.recv().await {
+            Some(DiskEvent::Idle { free_bytes }) if free_bytes == wanted => return,
+            Some(DiskEvent::Idle { .. }) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// Room was read after writes only, and whoever is short of room writes nothing.
+#[tokio::test]
+async fn the_writer_reports_room_without_a_write() {
+    let dir = TempDir::new().unwrap();
+    let (folder, _) = open(dir.path());
+    let room = Arc::new(Room(AtomicU64::new(3)));
+    let probe: Arc<dyn RoomProbe> = room.clone();
+    let (_writer, mut events) = Writer::start(folder, probe).unwrap();
+    until_room(&mut events, 3).await;
+    room.0.store(7, Ordering::SeqCst);
+    until_room(&mut events, 7).await;
+}
+
+/// A process that ended since a write failed is started again until there is room.
+#[tokio::test]
+async fn a_log_whose_write_failed_goes_on_once_there_is_room() {
+    let dir = TempDir::new().unwrap();
+    let (folder, _) = open(dir.path());
+    let (writer, mut events) = Writer::start(folder, Arc::new(FileSystem)).unwrap();
+    writer.write(entries(1..=3, 1));
+    assert!(matches!(
+        next_event(&mut events).await,
+        Some(DiskEvent::Synced { .. })
+    ));
+    // The next segment can't be created, as a folder has its name.
+    let obstacle = dir.path().join("segment-000000000002");
+    fs::create_dir(&obstacle).unwrap();
+    writer.write(Write {
+        entries: vec![entry(4, 1, 9 << 20)],
+        ..Write::default()
+    });
+    assert!(matches!(
+        next_event(&mut events).await,
+        Some(DiskEvent::Failed(_))
+    ));
+    drop(writer);
+    assert!(next_event(&mut events).await.is_none());
+    for _ in 0..3 {
+        Folder::open(dir.path(), FRESH).unwrap_err();
+    }
+    fs::remove_dir(&obstacle).unwrap();
+    let (mut folder, recovered) = open(dir.path());
+    assert!(recovered.entries.len() >= 3, "what was synced is kept");
+    let next = recovered.entries.len() as u64 + 1;
+    folder.write(vec![entries(next..=next, 1)]).unwrap();
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
