A leader without room says so at once

What callers saw: while the leader's disk was short of room, a config was refused only after 917 ms, when the call to the leader had timed out, with the reason "no control leader was reached in time"; each caller asked all members over and over.

Cause: the refusal was answered as NotLeader, so callers went on looking for one. Nothing counted it.

Fix: replies have a fourth kind, NoRoom: the call had no effect, and the leader leads. A client returns it at once as not run (or as unknown if an earlier try may have arrived); operators and callers of batches get 503. Counted in clem_control_proposals_without_room. A process of an earlier release can't read the new reply and takes it for a lost one.

--- a/crates/checks/tests/agreement/mod.rs
+++ b/crates/checks/tests/agreement/mod.rs
@@ -147,7 +147,7 @@
         let reply = clem_wire::codec::decode(&reply.await.ok()?).ok()?;
         match reply {
             LeaderReply::Done(reply) => Some(reply),
-            LeaderReply::NotLeader { .. } | LeaderReply::Unknown => None,
+            LeaderReply::NotLeader { .. } | LeaderReply::Unknown | LeaderReply::NoRoom => None,
         }
     }
 
--- a/crates/control/src/endpoint.rs
+++ b/crates/control/src/endpoint.rs
@@ -14,6 +14,8 @@
 pub enum ServeError {
     /// This process is not the leader; the call had no effect.
     NotLeader,
+    /// This process leads, but its disk is short of room; the call had no effect.
+    NoRoom,
     /// It is unknown whether the call takes effect, for example because leadership was lost while
     /// it was in progress.
     Unknown,
@@ -43,12 +45,13 @@
     /// Proposes a command and waits until it is applied here.
     ///
     /// # Errors
-    /// This process is not the leader, or lost leadership before the command was applied.
+    /// This process is not the leader, has no room, or lost leadership before the command was applied.
     fn propose(&self, command: Command) -> impl Future<Output = Result<Outcome>> + Send {
         async {
             match self.replica().propose(command).await {
                 ProposalResult::Done(outcome) => Ok(outcome),
                 ProposalResult::NotLeader => Err(ServeError::NotLeader),
+                ProposalResult::NoRoom => Err(ServeError::NoRoom),
                 ProposalResult::Unknown => Err(ServeError::Unknown),
             }
         }
@@ -122,6 +125,7 @@
         Err(ServeError::NotLeader) => LeaderReply::NotLeader {
             leader: replica.leader(),
         },
+        Err(ServeError::NoRoom) => LeaderReply::NoRoom,
         Err(ServeError::Unknown) => LeaderReply::Unknown,
     }
 }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -168,12 +168,13 @@
                     return answer.await.unwrap_or(ProposalResult::Unknown);
                 }
                 Err(NodeError::Busy) if now < end => tokio::time::sleep(RETRY_PAUSE).await,
-                Err(
-                    NodeError::Busy
-                    | NodeError::NotLeader { .. }
-                    | NodeError::DiskFull
-                    | NodeError::ChangeRefused,
-                ) => return ProposalResult::NotLeader,
+                Err(NodeError::DiskFull) => {
+                    metrics::counter!("clem_control_proposals_without_room").increment(1);
+                    return ProposalResult::NoRoom;
+                }
+                Err(NodeError::Busy | NodeError::NotLeader { .. } | NodeError::ChangeRefused) => {
+                    return ProposalResult::NotLeader;
+                }
             }
         }
     }
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -41,9 +41,11 @@
 pub enum ProposalResult {
     /// The command is committed and applied, with this outcome.
     Done(Outcome),
-    /// The command was not added to the log: this process is not the leader, or its disk or
-    /// proposal queue is full.
+    /// The command was not added to the log: this process is not the leader, or its proposal queue is
+    /// full.
     NotLeader,
+    /// The command was not added to the log of this leader, whose disk is short of room.
+    NoRoom,
     /// Leadership was lost before the command was committed; it may still be committed later.
     Unknown,
 }
--- a/crates/control/src/serve/admin.rs
+++ b/crates/control/src/serve/admin.rs
@@ -220,6 +220,7 @@
             LeaderReply::Done(reply) => Ok(reply),
             LeaderReply::NotLeader { .. } => Err(ServeError::NotLeader),
             LeaderReply::Unknown => Err(ServeError::Unknown),
+            LeaderReply::NoRoom => Err(ServeError::NoRoom),
         }
     }
 }
--- a/crates/control/tests/room.rs
+++ b/crates/control/tests/room.rs
@@ -150,3 +150,45 @@
 
     assert!(is_taken(&members, ACK_TIME).await);
 }
+
+/// Waits until a leader refuses new work for lack of room.
+async fn until_refused(leader: &Member) {
+    let refused = async {
+        while leader.replica.propose(Command::Nothing).await != ProposalResult::NoRoom {
+            sleep(PAUSE).await;
+        }
+    };
+    timeout(ACK_TIME, refused).await.unwrap();
+}
+
+/// The leader said that it didn't lead, so that callers went on asking until their time was over.
+#[tokio::test]
+async fn a_leader_without_room_says_so() {
+    let members = group();
+    assert!(is_taken(&members, BOOTSTRAP_TIMEOUT).await);
+    let leader = leader(&members);
+    leader.disk.set(0);
+    until_refused(leader).await;
+}
+
+/// Only the leader's room counts, so that others pass callers on to it.
+#[tokio::test]
+async fn a_member_without_room_that_does_not_lead_says_who_does() {
+    let members = group();
+    assert!(is_taken(&members, BOOTSTRAP_TIMEOUT).await);
+    let leader = leader(&members);
+    for member in &members {
+        if !std::ptr::eq(member, leader) {
+            member.disk.set(0);
+        }
+    }
+    sleep(SHORT_TIME).await;
+    for member in &members {
+        let proposed = member.replica.propose(Command::Nothing).await;
+        if std::ptr::eq(member, leader) {
+            assert!(matches!(proposed, ProposalResult::Done(_)));
+        } else {
+            assert_eq!(proposed, ProposalResult::NotLeader);
+        }
+    }
+}
--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -80,7 +80,7 @@
                     node.note_change();
                 }
             }
-            Ok(LeaderReply::NotLeader { .. } | LeaderReply::Unknown) => {}
+            Ok(LeaderReply::NotLeader { .. } | LeaderReply::Unknown | LeaderReply::NoRoom) => {}
             Err(error) => log::debug!(member:% = member, error:% = error; "member not asked"),
         }
     }
@@ -107,7 +107,9 @@
             for member in members {
                 match node.hub.call_member(member, &call, STALL, TIMEOUT).await {
                     Ok(LeaderReply::Done(rules)) => return rules,
-                    Ok(LeaderReply::NotLeader { .. } | LeaderReply::Unknown) => {
+                    Ok(
+                        LeaderReply::NotLeader { .. } | LeaderReply::Unknown | LeaderReply::NoRoom,
+                    ) => {
                         log::debug!(member:% = member, wanted = wanted.0; "member lacks the rules");
                     }
                     Err(error) => {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -34,6 +34,8 @@
     },
     /// The process lost leadership while handling the call, which may or may not have taken effect.
     Unknown,
+    /// The leader's disk is short of room for a while; the call had no effect.
+    NoRoom,
 }
 
 /// Why a call failed.
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -18,6 +18,8 @@
 const QUICK_FAILURE: Duration = Duration::from_millis(100);
 /// Number of processes that [`LeaderClient::ask_leader`] tries.
 const LEADER_TRIES: usize = 3;
+/// Why a leader refuses a call for now.
+const NO_ROOM: &str = "the leader's disk is short of room";
 
 type Result<T> = std::result::Result<T, CallError>;
 
@@ -119,6 +121,14 @@
                         arrived = true;
                         self.leader().note_follower(Instant::now(), address, None);
                     }
+                    Ok(LeaderReply::NoRoom) => {
+                        self.leader().note_leader(address);
+                        log_retries::<C>(start, tries, true);
+                        if arrived {
+                            return Err(unknown_error(NO_ROOM));
+                        }
+                        return Err(no_room());
+                    }
                     Err(error @ CallError::Refused { .. }) if arrived => {
                         return Err(unknown_error(&error.to_string()));
                     }
@@ -167,6 +177,10 @@
                     self.leader().note_follower(Instant::now(), address, None);
                     return Err(timeout_error(true));
                 }
+                Ok(LeaderReply::NoRoom) => {
+                    self.leader().note_leader(address);
+                    return Err(no_room());
+                }
                 Err(error) => {
                     self.note_error::<C>(sent, address, &error);
                     return Err(error);
@@ -258,6 +272,14 @@
     CallError::NotSent("no control leader was reached in time".to_owned())
 }
 
+/// The error of a call that a leader without room has refused.
+fn no_room() -> CallError {
+    CallError::Refused {
+        status: 503,
+        message: NO_ROOM.to_owned(),
+    }
+}
+
 /// The error of a call of which a try may have been executed.
 fn unknown_error(reason: &str) -> CallError {
     CallError::MayHaveArrived(reason.to_owned())
