Results, deletions and moves are stored while room is short

What callers saw: items of accepted batches that ended while the leader's disk was short of room weren't listed, and deletions, which make room, were refused as new work was. The group of batch keepers was not founded either.

Cause: below the reserve every command was refused, whatever it does.

Fix: a command says whether it only adds work. Below the reserve those are refused, below a quarter of it (FLOOR_DIVISOR) all commands; changes of the members and the first entry of a new leader go through as before. Cost: up to three quarters of the reserve may be filled with results.

--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -137,12 +137,18 @@
     // ------------------------------------------------------------------------
     // Inputs.
 
-    /// Appends a command to the log; the receiver gets the result.
+    /// Appends a command to the log; the receiver gets the result. `is_new` is set for a command that
+    /// only adds work.
     pub(super) fn propose(
         &mut self,
         now: Time,
         data: Bytes,
+        is_new: bool,
     ) -> Result<oneshot::Receiver<ProposalResult>, NodeError> {
+        // Others may have room: only the leader refuses for lack of it.
+        if is_new && self.room.is_short() && self.node.is_leader() {
+            return Err(NodeError::DiskFull);
+        }
         let index = self.node.propose(now, data)?;
         metrics::counter!("clem_control_proposals").increment(1);
         let (reply, receiver) = oneshot::channel();
@@ -210,7 +216,8 @@
     /// Notes how much room the disk has.
     pub(super) fn note_room(&mut self, now: Time, free_bytes: u64) {
         self.room.note(now, free_bytes, self.node.is_leader());
-        self.node.set_disk_full(self.room.is_short());
+        self.node
+            .set_disk_full(free_bytes < self.room.floor_bytes());
     }
 
     // ------------------------------------------------------------------------
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -55,7 +55,7 @@
     /// Whether a process with an empty disk may bootstrap a new group; if not, it can only join
     /// one.
     pub bootstrap: bool,
-    /// Free disk space below which all proposals are refused, in bytes.
+    /// Free disk space below which new work is refused, in bytes.
     pub reserve_bytes: u64,
     /// Tells the room on the disk.
     pub probe: Arc<dyn RoomProbe>,
@@ -155,11 +155,12 @@
             Ok(data) => data.into(),
             Err(error) => fatal::exit("failed to encode a command", &error),
         };
+        let is_new = command.is_new();
         let end = self.shared.clock.now() + BUSY_TIMEOUT;
         loop {
             let now = self.shared.clock.now();
             let tried = match self.shared.core().as_mut() {
-                Some(core) => core.propose(now, data.clone()),
+                Some(core) => core.propose(now, data.clone(), is_new),
                 None => return ProposalResult::NotLeader,
             };
             match tried {
--- a/crates/control/src/replica/room.rs
+++ b/crates/control/src/replica/room.rs
@@ -1,7 +1,10 @@
-//! The room on the disk: how much there is, and what the log says of it.
+//! The room on the disk: what is refused without it, and what the log says of it.
 
 use clem_types::Time;
 
+/// The part of the reserve below which nothing but changes of the members is written.
+const FLOOR_DIVISOR: u64 = 4;
+
 /// What is known of the room on this process's disk.
 #[derive(Debug)]
 pub(super) struct RoomState {
@@ -25,11 +28,16 @@
         self.free_bytes
     }
 
-    /// Whether proposals are refused.
+    /// Whether new work is refused.
     pub(super) fn is_short(&self) -> bool {
         self.short_since.is_some()
     }
 
+    /// Free disk space below which results aren't written either, in bytes.
+    pub(super) fn floor_bytes(&self) -> u64 {
+        self.reserve_bytes / FLOOR_DIVISOR
+    }
+
     /// Notes the free room, and logs if it becomes short or is no longer.
     pub(super) fn note(&mut self, now: Time, free_bytes: u64, leads: bool) {
         self.free_bytes = free_bytes;
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -31,7 +31,7 @@
     pub(super) client: Client,
     /// Whether this process may bootstrap a new group.
     pub(super) bootstrap: bool,
-    /// Free disk space below which all proposals are refused, in bytes.
+    /// Free disk space below which new work is refused, in bytes.
     pub(super) reserve_bytes: u64,
     /// Tells the room on the disk.
     pub(super) probe: Arc<dyn RoomProbe>,
--- a/crates/control/tests/room.rs
+++ b/crates/control/tests/room.rs
@@ -16,7 +16,8 @@
 use clem_boot::{Clock, Listener, acceptor, listen};
 use clem_control::replica::{ProposalResult, RESERVE_BYTES, Replica, ReplicaSettings};
 use clem_log::disk::RoomProbe;
-use clem_state::Command;
+use clem_state::{Command, jobs::JobCommand};
+use clem_types::UnixMillis;
 use clem_wire::{FleetSecret, Guard};
 use salvo::{Router, Server};
 use tempfile::TempDir;
@@ -171,6 +172,39 @@
     until_refused(leader).await;
 }
 
+/// Deletes old jobs, which makes room.
+async fn forget(leader: &Member) -> ProposalResult {
+    let command = Command::Job(JobCommand::Forget(UnixMillis(0)));
+    leader.replica.propose(command).await
+}
+
+/// Results of items that had run, and deletions, were refused together with new work.
+#[tokio::test]
+async fn what_ends_work_is_stored_while_room_is_short() {
+    let members = group();
+    assert!(is_taken(&members, BOOTSTRAP_TIMEOUT).await);
+    let leader = leader(&members);
+    leader.disk.set(RESERVE_BYTES / 2);
+    until_refused(leader).await;
+
+    let list = Command::Job(JobCommand::List(Vec::new()));
+    let listed = leader.replica.propose(list).await;
+    assert!(matches!(listed, ProposalResult::Done(_)), "{listed:?}");
+    let forgotten = forget(leader).await;
+    assert!(matches!(forgotten, ProposalResult::Done(_)));
+
+    // Below the floor nothing may grow the log, and above it everything may again.
+    leader.disk.set(0);
+    let refused = async {
+        while forget(leader).await != ProposalResult::NoRoom {
+            sleep(PAUSE).await;
+        }
+    };
+    timeout(ACK_TIME, refused).await.unwrap();
+    leader.disk.set(2 * RESERVE_BYTES);
+    assert!(is_taken(&members, ACK_TIME).await);
+}
+
 /// Only the leader's room counts, so that others pass callers on to it.
 #[tokio::test]
 async fn a_member_without_room_that_does_not_lead_says_who_does() {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -130,6 +130,30 @@
 }
 
 impl Command {
+    /// Whether the command only adds work. The others finish or free something, or change where things
+    /// are kept, and so are needed while the disk is short of room.
+    pub fn is_new(&self) -> bool {
+        match self {
+            Self::Nothing
+            | Self::Apply(_)
+            | Self::Order(_)
+            | Self::OnceBegin { .. }
+            | Self::BatchBegin(_)
+            | Self::BatchChunk { .. }
+            | Self::BatchSeal { .. }
+            | Self::Document(_) => true,
+            Self::Job(command) => command.is_new(),
+            Self::EndOrders(_)
+            | Self::OnceFinish(_)
+            | Self::Crash { .. }
+            | Self::BatchCancel { .. }
+            | Self::Lease(_)
+            | Self::Finish { .. }
+            | Self::Expire { .. }
+            | Self::BatchGroup(_) => false,
+        }
+    }
+
     /// The command id under which the first answer is remembered; only rules files and orders have
     /// one.
     pub fn id(&self) -> Option<&CommandId> {
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -45,6 +45,16 @@
     Forget(UnixMillis),
 }
 
+impl JobCommand {
+    /// Whether the command only adds work.
+    pub(crate) fn is_new(&self) -> bool {
+        match self {
+            Self::Submit { .. } => true,
+            Self::List(_) | Self::End(_) | Self::Forget(_) => false,
+        }
+    }
+}
+
 /// A finished item.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedItem {
