The item of a run that panics is run again, and a process without a vital loop exits

Operators would see: an accepted item that no target works on until the leader changes, or a keeper that leads and runs or records nothing, without any line. Cause: what tokio returns of an ended task was dropped. An item whose run panicked stayed among the taken ones; a panic while a run was set up, or in any loop of a program, ended that loop alone. By tests only, no panic was seen in a run. Fix: runs are kept with their item; one that panicked is logged, and its item goes back to the queue for 2 s. Runs are set up in their own task. Loops of hub, batch keeper, front, control and entry are spawned so that a panic is logged and the process exits. Not covered: tasks that crates/control/src/replica spawns, and the agent's.

--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -196,6 +196,14 @@
             .unwrap_or(false)
     }
 
+    /// Returns an item without a result to the queue, which may be taken again after a `delay`.
+    pub(crate) fn put_back(&self, job: jobs::JobNumber, item: ItemIndex, delay: Duration) {
+        let from = self.node.now() + delay;
+        self.with_watch(|watch| watch.remove(job, item));
+        // If this process is no longer the leader, the next one runs the item.
+        let _ = self.with_leader(|queue| queue.put_back(from, job, item));
+    }
+
     pub(crate) fn finish(&self, job: jobs::JobNumber, item: ItemIndex) {
         self.with_watch(|watch| watch.remove(job, item));
         // If this process is no longer the leader, it has no queue.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod program;
 mod queue;
+mod run_set;
 mod serve;
 mod tasks;
 
@@ -15,3 +16,4 @@
 pub use placement::Placement;
 pub use program::{BatchSettings, run};
 pub use queue::{ItemQueue, ReadyItem};
+pub use run_set::{PanickedRun, RunSet};
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use clem_boot::{acceptor, listen, stop_signal};
+use clem_boot::{acceptor, listen, spawn_vital, stop_signal};
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_direct::{Node, NodeSettings, follow, poll_without_hub, release_loop};
 use clem_hub::consensus_settings;
@@ -48,9 +48,9 @@
     let internal = listen(settings.listen)?;
     let node = Arc::new(Node::new(settings.node));
     log::info!(vm = node.vm.as_str(), address:% = settings.address; "batch keeper started");
-    tokio::spawn(follow(Arc::clone(&node), seeds));
-    tokio::spawn(poll_without_hub(Arc::clone(&node)));
-    tokio::spawn(release_loop(Arc::clone(&node)));
+    spawn_vital("follow", follow(Arc::clone(&node), seeds));
+    spawn_vital("poll_without_hub", poll_without_hub(Arc::clone(&node)));
+    spawn_vital("release_loop", release_loop(Arc::clone(&node)));
     let stop = stop_signal();
     tokio::pin!(stop);
     // A disk that already belongs to a group can start without the hub.
@@ -82,12 +82,15 @@
         .append(&mut replica.routes());
     let server = Server::new(acceptor(internal)?);
     let handle = server.handle();
-    let serving = tokio::spawn(server.serve(router));
-    tokio::spawn(tasks::run_items(Arc::clone(&keeper)));
-    tokio::spawn(tasks::record_results(Arc::clone(&keeper)));
-    tokio::spawn(tasks::handle_recalls(Arc::clone(&keeper)));
-    tokio::spawn(tasks::delete_old(Arc::clone(&keeper)));
-    tokio::spawn(follow_members(Arc::clone(&node), replica.clone()));
+    let serving = spawn_vital("server", server.serve(router));
+    spawn_vital("run_items", tasks::run_items(Arc::clone(&keeper)));
+    spawn_vital("record_results", tasks::record_results(Arc::clone(&keeper)));
+    spawn_vital("handle_recalls", tasks::handle_recalls(Arc::clone(&keeper)));
+    spawn_vital("delete_old", tasks::delete_old(Arc::clone(&keeper)));
+    spawn_vital(
+        "follow_members",
+        follow_members(Arc::clone(&node), replica.clone()),
+    );
     stop.await?;
     log::info!(vm = node.vm.as_str(); "batch keeper stopping");
     replica.transfer_leadership().await;
--- a/crates/batch/src/queue.rs
+++ b/crates/batch/src/queue.rs
@@ -17,8 +17,6 @@
 const KEEP_MARGIN_MS: u64 = 3000;
 /// Number of items of a route that may end at once without a run, or whose path decides where they run.
 pub(crate) const ENDING_MAX: usize = 256;
-/// Delay before a failed item is retried.
-const FAILED_DELAY: Duration = Duration::from_millis(200);
 
 /// The queue of items to run.
 #[derive(Debug, Default)]
@@ -96,12 +94,12 @@
         })
     }
 
-    /// Returns a taken item that has no result yet; it becomes available after a short delay.
-    pub fn put_back(&mut self, now: Time, job: JobNumber, item: ItemIndex) {
+    /// Returns a taken item that has no result yet; it becomes available at `from`.
+    pub fn put_back(&mut self, from: Time, job: JobNumber, item: ItemIndex) {
         if !self.running.remove(&(job, item)) || !self.jobs.contains_key(&job) {
             return;
         }
-        self.delayed.insert((now + FAILED_DELAY, job, item), ());
+        self.delayed.insert((from, job, item), ());
     }
 
     /// Removes a taken item that has a result or is no longer needed.
--- a/crates/batch/src/tasks.rs
+++ b/crates/batch/src/tasks.rs
@@ -6,7 +6,6 @@
 use clem_policy::LogPace;
 use clem_state::jobs::{self, Job, JobCommand};
 use clem_types::UnixMillis;
-use tokio::task::JoinSet;
 
 use crate::{
     item::ItemRun,
@@ -14,6 +13,7 @@
     keeper::{COMMIT_LOGGED, Keeper},
     placement,
     queue::ENDING_MAX,
+    run_set::RunSet,
 };
 
 /// How often the queue is checked, in addition to when an item is added.
@@ -24,6 +24,8 @@
 const RECORD_DELAY: Duration = Duration::from_millis(10);
 /// Delay before a command that was not committed is proposed again.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Delay before an item is run again whose run panicked.
+const PANIC_DELAY: Duration = Duration::from_secs(2);
 /// Lower bound for the number of items of a route that may run or wait for a slot at once, if it has
 /// targets.
 const RUNNING_MIN: usize = 8;
@@ -35,14 +37,14 @@
 
 /// Runs items while this process leads, until it exits.
 pub(crate) async fn run_items(keeper: Arc<Keeper>) {
-    let mut runs = JoinSet::new();
+    let mut runs = RunSet::default();
     let mut logged = keeper.node.now();
     loop {
         tokio::select! {
             () = keeper.items_ready.notified() => {}
             () = tokio::time::sleep(INTERVAL) => {}
         }
-        while runs.try_join_next().is_some() {}
+        put_back_panicked(&keeper, &mut runs);
         let now = keeper.node.now();
         if now.since(logged) >= WAITING_INTERVAL {
             logged = now;
@@ -70,11 +72,26 @@
                 continue;
             };
             keeper.with_watch(|watch| watch.take(now, &ready.job, ready.item));
-            runs.spawn(ItemRun::new(Arc::clone(&keeper), ready, spec).run());
+            let (job, item) = (ready.job.number, ready.item);
+            let keeper = Arc::clone(&keeper);
+            runs.spawn(job, item, async move {
+                ItemRun::new(keeper, ready, spec).run().await;
+            });
         }
     }
 }
 
+/// Returns the items whose runs have panicked to the queue.
+fn put_back_panicked(keeper: &Keeper, runs: &mut RunSet) {
+    for run in runs.take_panicked() {
+        log::error!(
+            job = run.job.0, item = run.item.0, message = run.message.as_str();
+            "run of an item panicked"
+        );
+        keeper.put_back(run.job, run.item, PANIC_DELAY);
+    }
+}
+
 /// Includes the member list in the next report to the hub.
 fn report_members(keeper: &Keeper) {
     keeper.node.view().members = Some(keeper.replica.voters());
--- a/crates/batch/tests/item_watch.rs
+++ b/crates/batch/tests/item_watch.rs
@@ -66,7 +66,7 @@
     set(&mut watch, at(1), &taken[2], ItemState::Blocked);
     set(&mut watch, at(1), &taken[3], ItemState::Ended);
     set(&mut watch, at(4), &taken[0], ItemState::Ended);
-    queue.put_back(at(4), JobNumber(1), taken[4].item);
+    queue.put_back(at(8), JobNumber(1), taken[4].item);
     watch.remove(JobNumber(1), taken[4].item);
     let wall = UnixMillis(ACCEPTED.0 + 9000);
     let counts = watch.counts(at(7), wall, &queue);
--- a/crates/boot/src/lib.rs
+++ b/crates/boot/src/lib.rs
@@ -31,6 +31,7 @@
 mod settings;
 mod stdout;
 mod stop;
+mod vital;
 
 pub use admin::{Metrics, Readiness, admin_routes};
 pub use clock::Clock;
@@ -42,3 +43,4 @@
 pub use settings::{Finding, Findings, Settings};
 pub use stdout::start_stdout_logs;
 pub use stop::stop_signal;
+pub use vital::{panic_message, spawn_vital};
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clem_boot::{Clock, Metrics, Readiness, acceptor, admin_routes, stop_signal};
+use clem_boot::{Clock, Metrics, Readiness, acceptor, admin_routes, spawn_vital, stop_signal};
 use clem_log::disk::FileSystem;
 use clem_wire::Guard;
 use salvo::{Router, Server};
@@ -51,16 +51,19 @@
     }
     let server = Server::new(acceptor(settings.common.listener)?);
     let stop = server.handle();
-    let serving = tokio::spawn(server.serve(router));
+    let serving = spawn_vital("server", server.serve(router));
     if let Some(listener) = settings.admin {
         let routes = Router::new().append(&mut admin_routes(readiness.clone(), metrics));
-        tokio::spawn(Server::new(acceptor(listener)?).serve(routes));
+        spawn_vital("admin", Server::new(acceptor(listener)?).serve(routes));
     }
-    tokio::spawn(maintenance::refresh_fleet(Arc::clone(&control)));
-    tokio::spawn(maintenance::run(Arc::clone(&control)));
-    tokio::spawn(placement::run(Arc::clone(&control)));
+    spawn_vital(
+        "refresh_fleet",
+        maintenance::refresh_fleet(Arc::clone(&control)),
+    );
+    spawn_vital("maintenance", maintenance::run(Arc::clone(&control)));
+    spawn_vital("placement", placement::run(Arc::clone(&control)));
     if let Some(platform) = settings.platform {
-        tokio::spawn(platform::poll(Arc::clone(&control), platform));
+        spawn_vital("platform", platform::poll(Arc::clone(&control), platform));
     }
     readiness.set(true);
     log::info!(listen:% = address, data_centre:% = settings.common.data_centre; "started");
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -8,7 +8,7 @@
 
 use clem_boot::{
     CliAction, CommonSettings, Flag, Listener, Metrics, Program, Readiness, Settings, acceptor,
-    admin_routes, bind, start_logs, stop_signal, take_level,
+    admin_routes, bind, spawn_vital, start_logs, stop_signal, take_level,
 };
 use log::LevelFilter;
 use salvo::{Router, Server, Service};
@@ -119,13 +119,13 @@
         holder = entry.holder.id.as_str();
         "entry started"
     );
-    tokio::spawn(sync::run(entry.clone()));
-    tokio::spawn(sync::update_readiness(entry.clone()));
-    tokio::spawn(gate::run(entry.clone()));
+    spawn_vital("sync", sync::run(entry.clone()));
+    spawn_vital("update_readiness", sync::update_readiness(entry.clone()));
+    spawn_vital("gate", gate::run(entry.clone()));
     if let Some(listener) = options.admin {
         let routes = admin_routes(readiness.clone(), metrics.clone());
         let server = Server::new(acceptor(listener)?);
-        tokio::spawn(server.serve(Router::new().append(&mut { routes })));
+        spawn_vital("admin", server.serve(Router::new().append(&mut { routes })));
     }
     let mut routes = admin_routes(readiness, metrics);
     routes.push(caller_routes(&entry));
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
-use clem_boot::{Metrics, listen, stop_signal};
+use clem_boot::{Metrics, listen, spawn_vital, stop_signal};
 use clem_direct::{Node, NodeSettings, follow, poll_without_hub, release_loop};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -58,15 +58,14 @@
     let balancer = listen(settings.ready)?;
     let node = Arc::new(Node::new(settings.node));
     let front = Arc::new(Front::new(Arc::clone(&node), settings.running_max));
-    tokio::spawn(follow(Arc::clone(&node), seeds));
-    tokio::spawn(poll_without_hub(Arc::clone(&node)));
-    tokio::spawn(release_loop(Arc::clone(&node)));
-    tokio::spawn(ready::update(Arc::clone(&front)));
-    tokio::spawn(ready::serve(
-        Arc::clone(&front),
-        metrics,
-        balancer.into_socket(),
-    ));
+    spawn_vital("follow", follow(Arc::clone(&node), seeds));
+    spawn_vital("poll_without_hub", poll_without_hub(Arc::clone(&node)));
+    spawn_vital("release_loop", release_loop(Arc::clone(&node)));
+    spawn_vital("update_readiness", ready::update(Arc::clone(&front)));
+    spawn_vital(
+        "readiness",
+        ready::serve(Arc::clone(&front), metrics, balancer.into_socket()),
+    );
     log::info!(vm = node.vm.as_str(), callers:% = settings.callers; "front started");
     let graceful = GracefulShutdown::new();
     let socket = callers.into_socket();
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use clem_boot::{Clock, acceptor, listen, stop_signal};
+use clem_boot::{Clock, acceptor, listen, spawn_vital, stop_signal};
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_edge::Dialect;
 use clem_log::disk::FileSystem;
@@ -104,12 +104,15 @@
         .append(&mut replica.routes());
     let server = Server::new(acceptor(internal)?);
     let stop = server.handle();
-    let serving = tokio::spawn(server.serve(router));
-    tokio::spawn(operator::serve(Arc::clone(&hub), operator.into_socket()));
-    tokio::spawn(add_seeds(replica.clone(), seeds));
-    tokio::spawn(tasks::poll(Arc::clone(&hub)));
-    tokio::spawn(tasks::tick(Arc::clone(&hub)));
-    tokio::spawn(tasks::log_slots(Arc::clone(&hub)));
+    let serving = spawn_vital("server", server.serve(router));
+    spawn_vital(
+        "operator",
+        operator::serve(Arc::clone(&hub), operator.into_socket()),
+    );
+    spawn_vital("add_seeds", add_seeds(replica.clone(), seeds));
+    spawn_vital("poll", tasks::poll(Arc::clone(&hub)));
+    spawn_vital("tick", tasks::tick(Arc::clone(&hub)));
+    spawn_vital("log_slots", tasks::log_slots(Arc::clone(&hub)));
     log::info!(
         vm = settings.vm.as_str(), address:% = settings.address, has_disk;
         "hub started"
