--- /dev/null
+++ b/crates/hub/tests/review_sound.rs
@@ -0,0 +1,121 @@
+//! What the leader publishes of crashes and of sound parts.
+
+mod support;
+
+use std::time::Duration;
+
+use clem_edge::TargetVm;
+use clem_hub::{LeaderInit, LeaderState};
+use clem_policy::dispatch::{CrashParts, GrantOutcome, SlotRequest, Ticket, Urgency};
+use clem_state::batch_group::BatchGroup;
+use clem_types::{Epoch, PartId, Time, Version};
+use clem_wire::fleet::{FleetList, FleetListVersion, Follow, ProcessRole};
+use support::target;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn leader() -> LeaderState {
+    let mut leader = LeaderState::new(LeaderInit {
+        epoch: Epoch(3),
+        batch_group: BatchGroup::default(),
+        allowance: 10.0,
+    });
+    let targets: Vec<TargetVm> = (0..30).map(target).collect();
+    leader.set_targets(Time::ZERO, targets);
+    leader
+}
+
+fn follow(place: usize) -> Follow {
+    Follow {
+        holder: format!("front-{place}"),
+        vm: format!("front-{place}"),
+        address: None,
+        role: ProcessRole::Front,
+        rules: Version(0),
+        announced: Some(Version(0)),
+        seen: FleetListVersion::default(),
+        targets: None,
+        leaving: Vec::new(),
+        blocked: Vec::new(),
+        crashes: Vec::new(),
+        limits: Vec::new(),
+        streams: Vec::new(),
+        held: Vec::new(),
+        spent: Vec::new(),
+        fronts: 0,
+        members: None,
+        wait_ms: 400,
+    }
+}
+
+fn want(ticket: u64, parts: &[PartId]) -> SlotRequest {
+    SlotRequest {
+        ticket: Ticket(ticket),
+        holder: "front-0".to_owned(),
+        service: target(0).service,
+        customer: None,
+        rank: 0,
+        urgency: Urgency::Online,
+        final_try: true,
+        on_time: Duration::from_millis(240),
+        queue_timeout: Duration::from_millis(800),
+        data_centre: "a".to_owned(),
+        avoid: Vec::new(),
+        parts: parts.to_vec(),
+        stream: None,
+    }
+}
+
+fn ask(leader: &mut LeaderState, now: u64, ticket: u64, parts: &[PartId]) {
+    leader.dispatcher.request_slot(at(now), want(ticket, parts));
+    leader.dispatcher.take_decided();
+    leader.publish_parts(at(now));
+}
+
+fn end(leader: &mut LeaderState, now: u64, ticket: u64, ended: GrantOutcome) {
+    leader.dispatcher.release(at(now), Ticket(ticket), ended);
+    leader.dispatcher.take_decided();
+    leader.publish_parts(at(now));
+    leader.tick(at(now));
+}
+
+fn learn(parts: &mut CrashParts, now: u64, list: &FleetList) {
+    for report in &list.crashes {
+        parts.note_crash(at(now), report);
+    }
+    parts.note_sound_parts(at(now), &list.sound);
+}
+
+#[test]
+fn a_process_that_joins_learns_when_the_crashes_were() {
+    let part = PartId::of(&[b"shared"]);
+    let mut leader = leader();
+    ask(&mut leader, 0, 1, &[part]);
+    end(&mut leader, 0, 1, GrantOutcome::Crashed);
+    ask(&mut leader, 500, 2, &[part]);
+    end(&mut leader, 1000, 2, GrantOutcome::Crashed);
+    ask(&mut leader, 2000, 3, &[part]);
+    // A process joins while the answer is on its way.
+    let mut joined = CrashParts::default();
+    leader.record_report(at(5000), &follow(7));
+    let list = leader.updates(at(5000), &follow(7), Vec::new());
+    learn(
+        &mut joined,
+        5000,
+        &list.expect("an update").fleet.expect("a list"),
+    );
+    end(&mut leader, 6000, 3, GrantOutcome::Answered);
+    leader.record_report(at(6200), &follow(7));
+    leader.tick(at(6200));
+    let list = leader.updates(at(6200), &follow(7), Vec::new());
+    learn(
+        &mut joined,
+        6200,
+        &list.expect("an update").fleet.expect("a list"),
+    );
+    assert!(leader.dispatcher.crash_reports(at(6200)).is_empty());
+    let reports = joined.reports(at(6200), 1);
+    assert!(reports.is_empty(), "{reports:?}");
+}
