Items run at targets that are probed or limited when no online request comes

Callers saw: by the tests, accepted items that get no slot in 60 s though nothing else runs, until an online request comes. Cause: a twelfth of all slots is kept free for online requests. A target that is probed after a failure has one slot to give, a limited one its budget, but all their slots counted for the reserve: with twelve slots a target the reserve is as large as what is free. Nothing probes the targets then: a state that only what it forbids can end. Fix: the reserve is a part of the slots that may be in use now; limited targets keep a part of their budgets instead, as before.

--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -342,11 +342,12 @@
         granted
     }
 
-    /// Number of slots that batch items must leave free.
+    /// Number of slots that batch items must leave free. Limited targets keep a part of their budgets for
+    /// online requests instead.
     fn reserve(&self, now: Time) -> u32 {
-        let up = self.targets.values().filter(|t| t.is_up(now));
-        let slots: u32 = up.map(|t| t.slots.slots).sum();
-        slots / RESERVE_SHARE
+        let unlimited = self.targets.values().filter(|t| t.budget.is_none());
+        let usable: u32 = unlimited.map(|t| t.usable(now)).sum();
+        usable / RESERVE_SHARE
     }
 
     /// Chooses the target with the fewest slots in use, with a bonus for the holder's data centre.
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -94,18 +94,22 @@
         self.online + self.batch
     }
 
-    /// Number of slots that may be granted now.
-    pub(super) fn free(&self, now: Time) -> u32 {
-        if !self.listed || now < self.cooldown_until {
+    /// Number of slots that may be in use now: one while the target is probed.
+    pub(super) fn usable(&self, now: Time) -> u32 {
+        if !self.is_up(now) {
             return 0;
         }
         let passed = self.probed.is_some_and(|at| now.since(at) >= PROBE_SPAN);
-        let limit = if self.probing && !passed {
+        if self.probing && !passed {
             1
         } else {
             self.slots.slots
-        };
-        let free = limit.saturating_sub(self.used());
+        }
+    }
+
+    /// Number of slots that may be granted now.
+    pub(super) fn free(&self, now: Time) -> u32 {
+        let free = self.usable(now).saturating_sub(self.used());
         match &self.budget {
             Some(budget) => free.min(budget.available(now)),
             None => free,
