Blocks and crashes don't outlive what refuted them, and items get few trials that crash targets

Causes and fixes: a block that a process reports is passed over if its parts were cleared here since; of two reports of one crash the parts count that both name; an answer clears crashes only if it is known when its request was sent; ages beyond a process's start are passed over; trials of items are counted apart from those of online requests, three with short delays and then one every 5 minutes; a trial that got no slot is still due.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -201,6 +201,8 @@
     target: String,
     batch: bool,
     since: Time,
+    /// When it was granted; `None` if a former leader did.
+    granted: Option<Time>,
     recalled: bool,
     parts: Vec<PartId>,
     /// The attempt at a stream that it was given to.
@@ -378,7 +380,7 @@
         }
         let taken = self.rates.take(now, want.customer.as_ref(), &want.holder);
         if let Err(retry) = taken {
-            self.crash_parts.end(want.ticket);
+            self.crash_parts.refuse(want.ticket);
             self.decided
                 .push((want.ticket, Verdict::OverRate { retry }));
             return;
@@ -402,7 +404,7 @@
             let Some(want) = pool.remove(ticket) else {
                 continue;
             };
-            self.crash_parts.end(ticket);
+            self.crash_parts.refuse(ticket);
             self.rates.refund(want.customer.as_ref());
             return;
         }
@@ -424,7 +426,12 @@
             pool.release(now, &grant.target, grant.batch, grant.since, ended);
         }
         match ended {
-            GrantOutcome::Answered => self.crash_parts.note_sound(grant.since, &grant.parts),
+            GrantOutcome::Answered => {
+                // A request that a former leader placed may have been sent before the last crashes.
+                if let Some(sent) = grant.granted {
+                    self.crash_parts.note_sound(sent, &grant.parts);
+                }
+            }
             GrantOutcome::Crashed => {
                 let report = CrashReport {
                     ticket,
@@ -629,6 +636,7 @@
                     target: grant.target.clone(),
                     batch: grant.batch,
                     since: now,
+                    granted: None,
                     recalled: false,
                     parts: grant.parts.clone(),
                     stream: None,
@@ -705,7 +713,7 @@
 
     fn refuse(&mut self, now: Time, want: &SlotRequest, verdict: Verdict) {
         debug_assert!(now >= Time::ZERO, "time starts at zero");
-        self.crash_parts.end(want.ticket);
+        self.crash_parts.refuse(want.ticket);
         self.rates.refund(want.customer.as_ref());
         self.decided.push((want.ticket, verdict));
     }
@@ -732,6 +740,7 @@
                     target: target.clone(),
                     batch: matches!(want.urgency, Urgency::Batch { .. }),
                     since: now,
+                    granted: Some(now),
                     recalled: false,
                     parts: want.parts,
                     stream: key,
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -56,10 +56,15 @@
 const PARTS_MAX: usize = 16;
 /// Time from a block to its first trial; each later trial waits twice as long as the one before.
 const TRIAL_DELAY: Duration = Duration::from_secs(30);
-/// The same for batch items, which must run soon when targets have crashed for another reason.
-const ITEM_TRIAL_DELAY: Duration = Duration::from_secs(5);
-/// How often the delay of items is doubled at most.
-const ITEM_DOUBLINGS: u32 = 4;
+/// Times to the first trials of batch items, which must run soon when targets have crashed for another
+/// reason.
+const ITEM_TRIAL_DELAYS: [Duration; 3] = [
+    Duration::from_secs(5),
+    Duration::from_secs(10),
+    Duration::from_secs(10),
+];
+/// Time to each later trial of an item: it has crashed so many targets that it hardly is sound.
+const ITEM_TRIAL_DELAY_LATE: Duration = Duration::from_secs(300);
 /// Time from a trial that told nothing to the next one.
 const TRIAL_RETRY: Duration = Duration::from_secs(5);
 /// Trials that may crash targets while blocked online requests still come.
@@ -237,18 +242,20 @@
     tried: Option<Time>,
     /// The trial that runs.
     trial: Option<Trial>,
+    /// Trials of items that failed; those of online requests are shared with other processes.
+    item_trials: usize,
 }
 
 impl Block {
     /// When the next trial may run.
     fn trial_at(&self, is_item: bool) -> Time {
-        let (delay, doublings) = if is_item {
-            (ITEM_TRIAL_DELAY, ITEM_DOUBLINGS)
+        let delay = if is_item {
+            let delay = ITEM_TRIAL_DELAYS.get(self.item_trials);
+            delay.copied().unwrap_or(ITEM_TRIAL_DELAY_LATE)
         } else {
-            (TRIAL_DELAY, TRIALS_MAX)
+            TRIAL_DELAY * 2_u32.pow(self.blocked.trials.min(TRIALS_MAX))
         };
-        let doublings = self.blocked.trials.min(doublings);
-        let due = self.since + delay * 2_u32.pow(doublings);
+        let due = self.since + delay;
         self.tried.map_or(due, |tried| due.max(tried + TRIAL_RETRY))
     }
 }
@@ -338,12 +345,22 @@
         }
     }
 
-    /// Records that a target crashed before the answer to a request had begun; does nothing for a report
-    /// that came before.
+    /// Ends a request that was admitted and got no slot; its trial, if it was one, is still due.
+    pub fn refuse(&mut self, ticket: Ticket) {
+        for block in &mut self.blocks {
+            if block.trial.is_some_and(|trial| trial.ticket == ticket) {
+                block.tried = None;
+            }
+        }
+        self.end(ticket);
+    }
+
+    /// Records that a target crashed before the answer to a request had begun. Of a report that came before,
+    /// only the parts are kept that both have: the others were cleared at one of the processes.
     pub fn note_crash(&mut self, now: Time, report: &CrashReport) {
         let ticket = report.ticket;
-        let is_known = |crash: &Crash| crash.requests.iter().any(|r| r.ticket == ticket);
-        if self.crashes.iter().any(is_known) {
+        if self.is_known(ticket) {
+            self.narrow(ticket, &report.parts);
             return;
         }
         self.fail_trial(now, ticket, GrantOutcome::Crashed);
@@ -425,6 +442,52 @@
         }
     }
 
+    fn is_known(&self, ticket: Ticket) -> bool {
+        let mut requests = self.crashes.iter().flat_map(|crash| &crash.requests);
+        requests.any(|request| request.ticket == ticket)
+    }
+
+    /// Clears a request's parts but `kept` of its crash and of those before.
+    fn narrow(&mut self, ticket: Ticket, kept: &[PartId]) {
+        let mut cleared = Vec::new();
+        for crash in &self.crashes {
+            let request = crash.requests.iter().find(|r| r.ticket == ticket);
+            for part in request.iter().flat_map(|request| &request.parts) {
+                if !kept.contains(part) && !self.is_cleared(*part, crash.at) {
+                    cleared.push((*part, crash.at));
+                }
+            }
+        }
+        for (part, at) in cleared {
+            self.note_sound(at, &[part]);
+            self.drop_refuted(part);
+        }
+    }
+
+    /// Takes a part that no crash counts for any more out of the blocks.
+    fn drop_refuted(&mut self, part: PartId) {
+        if self.count(part) > 0 {
+            return;
+        }
+        for mut block in std::mem::take(&mut self.blocks) {
+            let before = block.blocked.parts.clone();
+            block.blocked.parts.retain(|other| *other != part);
+            self.keep_block(block, before);
+        }
+    }
+
+    /// Keeps a block that had the parts `before`, if it still has any.
+    fn keep_block(&mut self, block: Block, before: Vec<PartId>) {
+        if block.blocked.parts.is_empty() {
+            self.news.push(PartNews::Unblocked { parts: before });
+            return;
+        }
+        if block.blocked.parts != before {
+            self.tell_block(&block.blocked);
+        }
+        self.blocks.push(block);
+    }
+
     /// The crashes under requests with a part that has `least` or more of them, the newest first, for
     /// other processes.
     pub fn reports(&self, now: Time, least: usize) -> Vec<CrashReport> {
@@ -475,8 +538,12 @@
     /// Takes over what another process knows to be sound.
     pub fn note_sound_parts(&mut self, now: Time, parts: &[SoundPart]) {
         for sound in parts {
-            let since = now - Duration::from_millis(sound.age_ms.into());
-            self.note_sound(since, &[sound.part]);
+            let age = Duration::from_millis(sound.age_ms.into());
+            // What was before this process started can't be told apart.
+            if age >= now.since(Time::ZERO) {
+                continue;
+            }
+            self.note_sound(now - age, &[sound.part]);
         }
     }
 
@@ -512,14 +579,7 @@
             if since > block.crashed {
                 block.blocked.parts.retain(|part| !parts.contains(part));
             }
-            if block.blocked.parts.is_empty() {
-                self.news.push(PartNews::Unblocked { parts: before });
-                continue;
-            }
-            if block.blocked.parts != before {
-                self.tell_block(&block.blocked);
-            }
-            self.blocks.push(block);
+            self.keep_block(block, before);
         }
     }
 
@@ -528,10 +588,15 @@
         self.blocks.iter().map(|b| b.blocked.clone()).collect()
     }
 
-    /// Takes over what another process knows to be blocked, after a change of leader.
+    /// Takes over what another process knows to be blocked, after a change of leader. A process that was away
+    /// may know of blocks that sound answers have lifted since.
     pub fn restore(&mut self, now: Time, known: &[BlockedParts]) {
         for blocked in known.iter().take(BLOCKS_MAX) {
-            self.block(now, blocked.clone());
+            let is_refuted =
+                |part: &PartId| self.cleared.contains_key(part) && self.count(*part) == 0;
+            if !blocked.parts.iter().any(is_refuted) {
+                self.block(now, blocked.clone());
+            }
         }
     }
 
@@ -568,15 +633,19 @@
     /// Counts a trial that its target did not answer. A silent target says too little to keep an item waiting
     /// for longer.
     pub fn fail_trial(&mut self, now: Time, ticket: Ticket, ended: GrantOutcome) {
-        let is_it = |trial: Trial| trial.ticket == ticket;
-        let is_trial = |block: &&mut Block| block.trial.is_some_and(is_it);
+        let is_trial = |block: &&mut Block| block.trial.is_some_and(|t| t.ticket == ticket);
         let Some(block) = self.blocks.iter_mut().find(is_trial) else {
             return;
         };
-        if ended == GrantOutcome::Silent && block.trial.is_some_and(|trial| trial.is_item) {
+        let is_item = block.trial.is_some_and(|trial| trial.is_item);
+        if is_item && ended == GrantOutcome::Silent {
             return;
         }
-        block.blocked.trials += 1;
+        if is_item {
+            block.item_trials += 1;
+        } else {
+            block.blocked.trials += 1;
+        }
         block.since = now;
         let blocked = block.blocked.clone();
         self.tell_block(&blocked);
@@ -616,6 +685,7 @@
             since: now,
             tried: None,
             trial: None,
+            item_trials: 0,
         });
     }
 
