Published crashes carry their present ages, and what is sound is published once a second at most

Callers saw: by the test, a process that joins dates crashes by when it was told of them, so that a later answer doesn't refute them. Cause: the list of crashes was kept with the ages of the time when it was made. Fix: the time is kept with the list.

--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -31,8 +31,11 @@
 /// founders: they should span as many data centres as possible.
 const FOUNDING_DELAY: Duration = Duration::from_millis(600);
 
-/// Minimum time between two lists that differ in their processes or in what is sound only: when a fleet
-/// starts, each process that joins would otherwise have the list sent to all others.
+/// Minimum time between two lists that differ in what is sound only: after many crashes at once, parts are
+/// cleared one by one.
+const SOUND_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum time between two lists that differ in their processes only: when a fleet starts, each
+/// process that joins would otherwise have the list sent to all others.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Initial state of a new leader.
@@ -91,13 +94,15 @@
     /// When this leader was first asked to do something.
     started: Option<Time>,
     spread: RulesSpread,
-    /// The crashes that make parts suspected, as the processes get them.
-    crashes: Vec<CrashReport>,
+    /// The crashes that make parts suspected, as the processes get them, and when that was determined.
+    crashes: (Time, Vec<CrashReport>),
     /// Whether limits of targets have changed since the last tick, which publishes them.
     limits_changed: bool,
-    /// Whether processes have come or gone, or parts have been cleared, since they were last published.
+    /// Whether parts have been cleared of crashes since that was last published.
+    sound_changed: bool,
+    /// Whether there is something to publish with the next list.
     unpublished: bool,
-    /// When they were last published.
+    /// When a list was last published.
     published: Time,
 }
 
@@ -138,8 +143,9 @@
             fronts_before: 0,
             started: None,
             spread: RulesSpread::default(),
-            crashes: Vec::new(),
+            crashes: (Time::ZERO, Vec::new()),
             limits_changed: false,
+            sound_changed: false,
             unpublished: false,
             published: Time::ZERO,
         }
@@ -396,7 +402,7 @@
                         part:% = part, whole_request = part.is_whole(), crashes;
                         "part suspected of crashing targets"
                     );
-                    self.crashes = self.dispatcher.crash_reports(now);
+                    self.crashes = (now, self.dispatcher.crash_reports(now));
                     self.change += 1;
                 }
                 PartNews::Blocked {
@@ -441,8 +447,10 @@
         self.processes
             .retain(|_, process| now.since(process.heard) < PROCESS_TIMEOUT);
         self.unpublished |= self.processes.len() != before;
-        if self.dispatcher.take_sound_news() {
-            self.crashes = self.dispatcher.crash_reports(now);
+        self.sound_changed |= self.dispatcher.take_sound_news();
+        if self.sound_changed && now.since(self.published) >= SOUND_INTERVAL {
+            self.sound_changed = false;
+            self.crashes = (now, self.dispatcher.crash_reports(now));
             self.unpublished = true;
         }
         if self.unpublished && now.since(self.published) >= PUBLISH_INTERVAL {
@@ -526,7 +534,7 @@
             retiring: self.retiring().filter_map(|p| p.address).collect(),
             fronts: self.fronts(),
             blocked: self.dispatcher.blocked_parts(),
-            crashes: self.crashes.clone(),
+            crashes: self.suspect_crashes(now),
             sound: self.dispatcher.sound_parts(now),
             limits: self.dispatcher.limits(),
         });
@@ -560,6 +568,16 @@
         }
     }
 
+    /// The crashes that make parts suspected, with their present ages.
+    fn suspect_crashes(&self, now: Time) -> Vec<CrashReport> {
+        let (determined, mut crashes) = self.crashes.clone();
+        let passed = u32::try_from(now.since(determined).as_millis()).unwrap_or(u32::MAX);
+        for crash in &mut crashes {
+            crash.age_ms = crash.age_ms.saturating_add(passed);
+        }
+        crashes
+    }
+
     fn batch(&self) -> impl Iterator<Item = &Process> {
         self.processes
             .values()
