Items that wait for their parts hold no place, so that sound items of their route run

Callers saw: by the test, an accepted batch none of whose items reaches a target, while targets are free, behind a batch of the same route whose parts crash targets; for as long as those are tried, up to the time for which items are kept. Cause: an item that was refused a slot because its parts are blocked, or because another request with a suspected part runs, waited inside its run, and runs count against the places of their route. Fix: such an item goes back to the queue (2 s if blocked, 0.5 s if suspected), and its run is kept until it is taken again: what it has got so far and its failed attempts count as before. Items that ask for a slot or are at a target are bounded by the places as before. Refusals of blocked items are logged ever more rarely; each was a line.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clem_direct::{EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
+use clem_direct::{BusyCause, EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
 use clem_edge::{Forward, Framing, ItemSpec, ItemStatus, common_parts};
 use clem_policy::dispatch::{
     GrantOutcome, Origin, Resumes, SlotRequest, StreamRequest, Ticket, Urgency,
@@ -25,6 +25,8 @@
 /// How often an item that has begun is refused a slot at its version before it begins anew at another
 /// one.
 const WAITS_MAX: u32 = 4;
+/// Delay before asking again for an item while another request with a suspected part runs.
+const SUSPECT_DELAY: Duration = Duration::from_millis(500);
 /// Delay before asking again for an item with parts that crash targets.
 const HARMFUL_DELAY: Duration = Duration::from_secs(2);
 /// Delay before the next run after a failed one.
@@ -62,6 +64,8 @@
     began: Option<Origin>,
     /// Consecutive refusals of a slot.
     waits: u32,
+    /// Consecutive refusals for parts that crash targets.
+    blocked: u32,
     /// Targets that had nothing to add after the last event, and didn't crash; with runs that end with
     /// their connection the one that sent that event included.
     confirmed: Vec<String>,
@@ -82,6 +86,13 @@
     framing: Option<Framing>,
 }
 
+/// A run of an item whose parts hold it back.
+pub(crate) struct HeldRun {
+    pub(crate) run: ItemRun,
+    /// When it may go on.
+    pub(crate) delay: Duration,
+}
+
 /// How one run ended.
 enum RunEnd {
     Completed,
@@ -93,6 +104,8 @@
     Impossible,
     /// No service may run the item any more.
     Gone,
+    /// The item may run after a delay, and needs no place until then.
+    Held(Duration),
     /// The job was deleted, or this process is no longer the leader.
     Closed,
 }
@@ -108,6 +121,7 @@
             unnumbered: false,
             began: None,
             waits: 0,
+            blocked: 0,
             confirmed: Vec::new(),
             strays: 0,
             failed: 0,
@@ -126,8 +140,9 @@
         run
     }
 
-    /// Runs the item until it has a result or its job is closed.
-    pub(crate) async fn run(mut self) {
+    /// Runs the item until it has a result, its job is closed, or its parts hold it back; returns the run
+    /// in that case.
+    pub(crate) async fn run(mut self) -> Option<HeldRun> {
         let mut closed = self.keeper.closed();
         let job = self.ready.job.number;
         loop {
@@ -136,7 +151,7 @@
             }
             if self.keeper.node.clock.wall_time() >= self.ready.keep {
                 self.end(ItemStatus::Errored, "given up");
-                return;
+                return None;
             }
             let keeper = Arc::clone(&self.keeper);
             let run = tokio::select! {
@@ -148,30 +163,35 @@
             match run {
                 RunEnd::Completed => {
                     self.end(ItemStatus::Completed, "completed");
-                    return;
+                    return None;
                 }
                 RunEnd::Impossible => {
                     self.end(ItemStatus::Errored, "impossible");
-                    return;
+                    return None;
                 }
                 RunEnd::Gone => {
                     self.end(ItemStatus::Errored, "route gone");
-                    return;
+                    return None;
                 }
                 RunEnd::Failed => {
                     self.failed += 1;
                     self.reset();
                     if self.failed >= self.ready.job.options.attempts {
                         self.end(ItemStatus::Errored, "failed");
-                        return;
+                        return None;
                     }
                     tokio::time::sleep(FAILED_DELAY).await;
                 }
                 RunEnd::Retry => {}
+                RunEnd::Held(delay) => {
+                    keeper.items_ready.notify_one();
+                    return Some(HeldRun { run: self, delay });
+                }
                 RunEnd::Closed => break,
             }
         }
         self.keeper.finish(job, self.ready.item);
+        None
     }
 
     async fn run_once(&mut self) -> RunEnd {
@@ -186,11 +206,19 @@
         let mut slot = match self.place(service).await {
             SlotOutcome::Slot(slot) => {
                 self.waits = 0;
+                self.blocked = 0;
                 self.set_state(ItemState::Running);
                 slot
             }
             // Items have no rate of a customer.
             SlotOutcome::OverRate(_) => return self.wait_busy(ItemState::Busy).await,
+            SlotOutcome::Busy {
+                cause: BusyCause::Suspected,
+                ..
+            } => {
+                self.note_refused(ItemState::Suspected);
+                return RunEnd::Held(SUSPECT_DELAY);
+            }
             SlotOutcome::Busy { cause, .. } => return self.wait_busy(cause.into()).await,
             SlotOutcome::Unresumable => {
                 self.set_state(ItemState::Unresumable);
@@ -200,9 +228,12 @@
             }
             SlotOutcome::Harmful => {
                 self.set_state(ItemState::Blocked);
-                self.log_failure("", "harmful", "");
-                tokio::time::sleep(HARMFUL_DELAY).await;
-                return RunEnd::Retry;
+                self.blocked += 1;
+                // It is refused every few seconds, as are others with its parts.
+                if self.blocked.is_power_of_two() {
+                    self.log_failure("", "harmful", "");
+                }
+                return RunEnd::Held(HARMFUL_DELAY);
             }
         };
         let recall = self.keeper.await_recall(slot.ticket());
@@ -240,15 +271,19 @@
 
     /// Waits before the next request for a slot.
     async fn wait_busy(&mut self, state: ItemState) -> RunEnd {
-        self.set_state(state);
+        self.note_refused(state);
         tokio::time::sleep(BUSY_DELAY).await;
+        RunEnd::Retry
+    }
+
+    fn note_refused(&mut self, state: ItemState) {
+        self.set_state(state);
         self.avoid.clear();
         self.waits += 1;
         if self.began.is_some() && self.waits >= WAITS_MAX {
             self.log_failure("", "begun anew", "no slot at its version");
             self.reset();
         }
-        RunEnd::Retry
     }
 
     fn stall_timeout(&self) -> Duration {
--- a/crates/batch/src/item_watch.rs
+++ b/crates/batch/src/item_watch.rs
@@ -112,6 +112,8 @@
     pub delayed: usize,
     /// Taken items by state.
     pub taken: BTreeMap<ItemState, usize>,
+    /// Those of the items in the queue that were taken before, by state.
+    pub held: BTreeMap<ItemState, usize>,
     /// Time since the oldest batch that has such items was accepted.
     pub oldest: Duration,
     /// Time since the first of the ended items ended.
@@ -119,9 +121,10 @@
 }
 
 impl ItemCounts {
-    /// Number of taken items in a state.
+    /// Number of items in a state.
     pub fn of(&self, state: ItemState) -> usize {
-        self.taken.get(&state).copied().unwrap_or_default()
+        let count = |items: &BTreeMap<ItemState, usize>| items.get(&state).copied();
+        count(&self.taken).unwrap_or_default() + count(&self.held).unwrap_or_default()
     }
 
     /// Number of all items.
@@ -143,10 +146,12 @@
     pub idle: Duration,
 }
 
-/// A taken item.
+/// An item that was taken.
 #[derive(Debug)]
 struct Taken {
     job: Arc<Job>,
+    /// Whether it is in the queue again.
+    in_queue: bool,
     state: ItemState,
     /// Since when it has been at no target, or at its present one.
     since: Time,
@@ -174,13 +179,22 @@
 
     /// Notes that an item was taken from the queue.
     pub fn take(&mut self, now: Time, job: &Arc<Job>, item: ItemIndex) {
-        let taken = Taken {
+        let taken = self.taken.entry((job.number, item));
+        let taken = taken.or_insert_with(|| Taken {
             job: Arc::clone(job),
+            in_queue: false,
             state: ItemState::Placing,
             since: now,
             pace: LogPace::new(now, IDLE_LOGGED),
-        };
-        self.taken.insert((job.number, item), taken);
+        });
+        taken.in_queue = false;
+    }
+
+    /// Notes that a taken item is in the queue again.
+    pub fn put_back(&mut self, job: JobNumber, item: ItemIndex) {
+        if let Some(taken) = self.taken.get_mut(&(job, item)) {
+            taken.in_queue = true;
+        }
     }
 
     /// Notes what a taken item does; does nothing for another one.
@@ -203,11 +217,16 @@
         }
     }
 
-    /// Notes that an item has a recorded result, or is in the queue again.
+    /// Notes that an item has a recorded result, or is no longer needed.
     pub fn remove(&mut self, job: JobNumber, item: ItemIndex) {
         self.taken.remove(&(job, item));
     }
 
+    /// Forgets the items of jobs that are not open any more.
+    pub fn retain(&mut self, is_open: impl Fn(JobNumber) -> bool) {
+        self.taken.retain(|(job, _), _| is_open(*job));
+    }
+
     /// Forgets all items.
     pub fn clear(&mut self) {
         self.taken.clear();
@@ -231,7 +250,12 @@
             ..ItemCounts::default()
         };
         for taken in self.taken.values() {
-            *counts.taken.entry(taken.state).or_default() += 1;
+            let items = if taken.in_queue {
+                &mut counts.held
+            } else {
+                &mut counts.taken
+            };
+            *items.entry(taken.state).or_default() += 1;
             if taken.state == ItemState::Ended {
                 counts.oldest_ended = counts.oldest_ended.max(now.since(taken.since));
             }
--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -196,12 +196,18 @@
             .unwrap_or(false)
     }
 
-    /// Returns an item without a result to the queue, which may be taken again after a `delay`.
-    pub(crate) fn put_back(&self, job: jobs::JobNumber, item: ItemIndex, delay: Duration) {
-        let from = self.node.now() + delay;
-        self.with_watch(|watch| watch.remove(job, item));
+    /// Returns an item without a result to the queue, which may be taken again after a `delay`. Returns
+    /// false if it is not needed any more.
+    pub(crate) fn put_back(&self, job: jobs::JobNumber, item: ItemIndex, delay: Duration) -> bool {
+        let now = self.node.now();
+        let from = now + delay;
+        self.with_watch(|watch| {
+            watch.end_run(now, job, item);
+            watch.put_back(job, item);
+        });
         // If this process is no longer the leader, the next one runs the item.
-        let _ = self.with_leader(|queue| queue.put_back(from, job, item));
+        self.with_leader(|queue| queue.put_back(from, job, item))
+            .unwrap_or(false)
     }
 
     pub(crate) fn finish(&self, job: jobs::JobNumber, item: ItemIndex) {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -16,4 +16,4 @@
 pub use placement::Placement;
 pub use program::{BatchSettings, run};
 pub use queue::{ItemQueue, ReadyItem};
-pub use run_set::{PanickedRun, RunSet};
+pub use run_set::{EndedRun, RunSet};
--- a/crates/batch/src/queue.rs
+++ b/crates/batch/src/queue.rs
@@ -94,12 +94,14 @@
         })
     }
 
-    /// Returns a taken item that has no result yet; it becomes available at `from`.
-    pub fn put_back(&mut self, from: Time, job: JobNumber, item: ItemIndex) {
+    /// Returns a taken item that has no result yet; it becomes available at `from`. Does nothing and
+    /// returns false if it was not taken, or its job has ended.
+    pub fn put_back(&mut self, from: Time, job: JobNumber, item: ItemIndex) -> bool {
         if !self.running.remove(&(job, item)) || !self.jobs.contains_key(&job) {
-            return;
+            return false;
         }
         self.delayed.insert((from, job, item), ());
+        true
     }
 
     /// Removes a taken item that has a result or is no longer needed.
--- a/crates/batch/src/run_set.rs
+++ b/crates/batch/src/run_set.rs
@@ -7,43 +7,52 @@
 use clem_types::ItemIndex;
 use tokio::task::{Id, JoinError, JoinSet};
 
-/// A run that panicked, so that its item has no result.
+/// A run that has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PanickedRun {
+pub struct EndedRun<T> {
     /// The job of its item.
     pub job: JobNumber,
     /// Index of its item in the job.
     pub item: ItemIndex,
-    /// The message of the panic.
-    pub message: String,
+    /// What it returned; the message if it panicked.
+    pub result: Result<T, String>,
 }
 
 /// Runs of items, each a task.
-#[derive(Debug, Default)]
-pub struct RunSet {
-    runs: JoinSet<()>,
+#[derive(Debug)]
+pub struct RunSet<T> {
+    runs: JoinSet<T>,
     items: HashMap<Id, (JobNumber, ItemIndex)>,
 }
 
-impl RunSet {
+impl<T> Default for RunSet<T> {
+    fn default() -> Self {
+        Self {
+            runs: JoinSet::new(),
+            items: HashMap::new(),
+        }
+    }
+}
+
+impl<T: Send + 'static> RunSet<T> {
     /// Begins a run.
     pub fn spawn(
         &mut self,
         job: JobNumber,
         item: ItemIndex,
-        run: impl Future<Output = ()> + Send + 'static,
+        run: impl Future<Output = T> + Send + 'static,
     ) {
         let id = self.runs.spawn(run).id();
         self.items.insert(id, (job, item));
     }
 
-    /// Removes the runs that have ended, and returns those that panicked.
-    pub fn take_panicked(&mut self) -> Vec<PanickedRun> {
-        let mut panicked = Vec::new();
+    /// Removes and returns the runs that have ended; those that were stopped are left out.
+    pub fn take_ended(&mut self) -> Vec<EndedRun<T>> {
+        let mut runs = Vec::new();
         while let Some(ended) = self.runs.try_join_next_with_id() {
-            panicked.extend(self.panicked(ended));
+            runs.extend(self.ended(ended));
         }
-        panicked
+        runs
     }
 
     /// Stops all runs.
@@ -51,18 +60,16 @@
         self.runs.abort_all();
     }
 
-    fn panicked(&mut self, ended: Result<(Id, ()), JoinError>) -> Option<PanickedRun> {
+    fn ended(&mut self, ended: Result<(Id, T), JoinError>) -> Option<EndedRun<T>> {
         let id = match &ended {
-            Ok((id, ())) => *id,
+            Ok((id, _)) => *id,
             Err(error) => error.id(),
         };
         let (job, item) = self.items.remove(&id)?;
-        // A run that was stopped is no error.
-        let payload = ended.err()?.try_into_panic().ok()?;
-        Some(PanickedRun {
-            job,
-            item,
-            message: panic_message(payload.as_ref()),
-        })
+        let result = match ended {
+            Ok((_, returned)) => Ok(returned),
+            Err(error) => Err(panic_message(error.try_into_panic().ok()?.as_ref())),
+        };
+        Some(EndedRun { job, item, result })
     }
 }
--- a/crates/batch/src/tasks.rs
+++ b/crates/batch/src/tasks.rs
@@ -1,19 +1,23 @@
 //! Background tasks of the leader: running items, recording results, deleting old jobs.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use clem_control::endpoint::ServeError;
 use clem_policy::LogPace;
-use clem_state::jobs::{self, Job, JobCommand};
-use clem_types::UnixMillis;
+use clem_state::jobs::{self, Job, JobCommand, JobNumber};
+use clem_types::{ItemIndex, UnixMillis};
 
 use crate::{
-    item::ItemRun,
+    item::{HeldRun, ItemRun},
     item_watch::{ItemCounts, ItemState},
     keeper::{COMMIT_LOGGED, Keeper},
     placement,
     queue::ENDING_MAX,
-    run_set::RunSet,
+    run_set::{EndedRun, RunSet},
 };
 
 /// How often the queue is checked, in addition to when an item is added.
@@ -35,24 +39,30 @@
 /// can be read.
 const DELETE_AFTER_MS: u64 = 600_000;
 
+/// Runs of items that are in the queue again.
+type HeldRuns = HashMap<(JobNumber, ItemIndex), ItemRun>;
+
 /// Runs items while this process leads, until it exits.
 pub(crate) async fn run_items(keeper: Arc<Keeper>) {
     let mut runs = RunSet::default();
+    let mut held = HeldRuns::new();
     let mut logged = keeper.node.now();
     loop {
         tokio::select! {
             () = keeper.items_ready.notified() => {}
             () = tokio::time::sleep(INTERVAL) => {}
         }
-        put_back_panicked(&keeper, &mut runs);
+        put_back_ended(&keeper, runs.take_ended(), &mut held);
         let now = keeper.node.now();
         if now.since(logged) >= WAITING_INTERVAL {
             logged = now;
+            held.retain(|(job, _), _| keeper.is_open(*job));
             log_waiting(&keeper);
         }
         if keeper.with_leader(|_| ()).is_err() {
             // The next leader runs them again.
             runs.abort_all();
+            held.clear();
             continue;
         }
         report_members(&keeper);
@@ -74,21 +84,33 @@
             keeper.with_watch(|watch| watch.take(now, &ready.job, ready.item));
             let (job, item) = (ready.job.number, ready.item);
             let keeper = Arc::clone(&keeper);
+            let before = held.remove(&(job, item));
             runs.spawn(job, item, async move {
-                ItemRun::new(keeper, ready, spec).run().await;
+                let run = before.unwrap_or_else(|| ItemRun::new(keeper, ready, spec));
+                run.run().await
             });
         }
     }
 }
 
-/// Returns the items whose runs have panicked to the queue.
-fn put_back_panicked(keeper: &Keeper, runs: &mut RunSet) {
-    for run in runs.take_panicked() {
-        log::error!(
-            job = run.job.0, item = run.item.0, message = run.message.as_str();
-            "run of an item panicked"
-        );
-        keeper.put_back(run.job, run.item, PANIC_DELAY);
+/// Returns the items whose runs were held back, or have panicked, to the queue.
+fn put_back_ended(keeper: &Keeper, ended: Vec<EndedRun<Option<HeldRun>>>, held: &mut HeldRuns) {
+    for EndedRun { job, item, result } in ended {
+        match result {
+            Ok(None) => {}
+            Ok(Some(HeldRun { run, delay })) => {
+                if keeper.put_back(job, item, delay) {
+                    held.insert((job, item), run);
+                }
+            }
+            Err(message) => {
+                log::error!(
+                    job = job.0, item = item.0, message = message.as_str();
+                    "run of an item panicked"
+                );
+                keeper.put_back(job, item, PANIC_DELAY);
+            }
+        }
     }
 }
 
@@ -105,7 +127,10 @@
     }
     let wall = keeper.node.clock.wall_time();
     let report = keeper.with_leader(|queue| {
-        keeper.with_watch(|watch| (watch.counts(now, wall, queue), watch.take_idle(now, queue)))
+        keeper.with_watch(|watch| {
+            watch.retain(|job| queue.is_open(job));
+            (watch.counts(now, wall, queue), watch.take_idle(now, queue))
+        })
     });
     let Ok((counts, idle)) = report else {
         return;
@@ -137,13 +162,15 @@
 }
 
 fn log_counts(counts: &ItemCounts) {
-    let taken: Vec<String> = counts
-        .taken
-        .iter()
-        .map(|(state, items)| format!("{}:{items}", state.as_str()))
-        .collect();
+    let join = |items: &BTreeMap<ItemState, usize>| {
+        let texts = items
+            .iter()
+            .map(|(state, n)| format!("{}:{n}", state.as_str()));
+        texts.collect::<Vec<_>>().join(",")
+    };
     log::info!(
-        queued = counts.queued, delayed = counts.delayed, taken = taken.join(",").as_str(),
+        queued = counts.queued, delayed = counts.delayed, taken = join(&counts.taken).as_str(),
+        held = join(&counts.held).as_str(),
         oldest_ms = counts.oldest.as_millis() as u64,
         oldest_ended_ms = counts.oldest_ended.as_millis() as u64;
         "items without a result"
--- a/crates/batch/tests/item_watch.rs
+++ b/crates/batch/tests/item_watch.rs
@@ -66,19 +66,21 @@
     set(&mut watch, at(1), &taken[2], ItemState::Blocked);
     set(&mut watch, at(1), &taken[3], ItemState::Ended);
     set(&mut watch, at(4), &taken[0], ItemState::Ended);
+    set(&mut watch, at(4), &taken[4], ItemState::Blocked);
     queue.put_back(at(8), JobNumber(1), taken[4].item);
-    watch.remove(JobNumber(1), taken[4].item);
+    watch.put_back(JobNumber(1), taken[4].item);
     let wall = UnixMillis(ACCEPTED.0 + 9000);
     let counts = watch.counts(at(7), wall, &queue);
     assert_eq!((counts.queued, counts.delayed), (3, 1));
     assert_eq!(counts.of(ItemState::Suspected), 1);
-    assert_eq!(counts.of(ItemState::Blocked), 1);
+    assert_eq!(counts.of(ItemState::Blocked), 2);
+    assert_eq!(counts.held.get(&ItemState::Blocked), Some(&1));
     assert_eq!(counts.of(ItemState::Running), 0);
     assert_eq!(counts.of(ItemState::Ended), 2);
     assert_eq!(counts.total(), 8);
     assert_eq!(counts.oldest, Duration::from_secs(8));
     assert_eq!(counts.oldest_ended, Duration::from_secs(6));
-    for ready in &taken {
+    for ready in &taken[..4] {
         queue.finish(ready.job.number, ready.item);
         watch.remove(ready.job.number, ready.item);
     }
@@ -94,8 +96,13 @@
     let ready = take(&mut queue, &mut watch, at(0));
     let mut named = Vec::new();
     for second in 0..80 {
-        // Each request for a slot is refused anew.
+        // Each request for a slot is refused anew, and the item waits in the queue meanwhile.
         set(&mut watch, at(second), &ready, ItemState::Blocked);
+        if second % 2 == 0 {
+            watch.put_back(JobNumber(1), ready.item);
+        } else {
+            watch.take(at(second), &ready.job, ready.item);
+        }
         let idle = watch.take_idle(at(second), &queue);
         for item in idle {
             assert_eq!((item.item.as_str(), item.batch.as_str()), ("i0", "lot1"));
@@ -155,3 +162,17 @@
         .collect();
     assert_eq!(due, [5, 10]);
 }
+
+#[test]
+fn items_of_deleted_jobs_are_not_counted() {
+    let mut queue = ItemQueue::default();
+    let mut watch = ItemWatch::new(at(0));
+    add(&mut queue, 1, 1);
+    let ready = take(&mut queue, &mut watch, at(0));
+    queue.put_back(at(1), JobNumber(1), ready.item);
+    watch.put_back(JobNumber(1), ready.item);
+    queue.end(JobNumber(1));
+    watch.retain(|job| queue.is_open(job));
+    assert_eq!(watch.counts(at(2), ACCEPTED, &queue).held.len(), 0);
+    assert_eq!(watch.take_idle(at(60), &queue), []);
+}
--- a/crates/batch/tests/queue.rs
+++ b/crates/batch/tests/queue.rs
@@ -110,3 +110,31 @@
         assert!(ready.due > NOW && ready.keep > NOW, "{span:?}: {ready:?}");
     }
 }
+
+#[test]
+fn an_item_that_was_put_back_leaves_its_place_to_others() {
+    let mut queue = ItemQueue::default();
+    add(&mut queue, 1, "first", 1);
+    add(&mut queue, 2, "first", 2);
+    let take_at = |queue: &mut ItemQueue, millis: u64| {
+        let ready = queue.take(Time::from_millis(millis), UnixMillis(0), |_| 2)?;
+        Some((ready.job.number.0, ready.item.0))
+    };
+    assert_eq!(take_at(&mut queue, 0), Some((1, 0)));
+    assert_eq!(take_at(&mut queue, 0), Some((1, 1)));
+    assert_eq!(take_at(&mut queue, 0), None, "no place is left");
+    for item in 0..2 {
+        let from = Time::from_millis(500);
+        assert!(queue.put_back(from, JobNumber(1), ItemIndex(item)));
+        assert!(!queue.put_back(from, JobNumber(1), ItemIndex(item)));
+    }
+    assert_eq!(take_at(&mut queue, 499), Some((2, 0)));
+    assert_eq!(take_at(&mut queue, 500), Some((1, 0)), "it is due first");
+    assert_eq!(take_at(&mut queue, 500), None, "two are taken");
+    queue.finish(JobNumber(2), ItemIndex(0));
+    assert_eq!(take_at(&mut queue, 500), Some((1, 1)));
+    queue.end(JobNumber(1));
+    let from = Time::from_millis(900);
+    assert!(!queue.put_back(from, JobNumber(1), ItemIndex(1)), "deleted");
+    assert_eq!(take_at(&mut queue, 900), Some((2, 1)));
+}
--- a/crates/policy/tests/blocks.rs
+++ b/crates/policy/tests/blocks.rs
@@ -230,7 +230,7 @@
     present.note_sound(at(4000), &[part]);
     for present_first in [true, false] {
         let mut next = CrashParts::default();
-        let mut reports = vec![present.reports(at(9000), 1), away.reports(at(9000), 1)];
+        let mut reports = [present.reports(at(9000), 1), away.reports(at(9000), 1)];
         if !present_first {
             reports.reverse();
         }
