Hubs pass an operator's call on to the leader that their replica knows

Cause: the hub's client for its own group learns who leads from replies only, and calls only when an operator does. It presumed the former leader, also in the hub that led. Fix: when the replica hears from another leader, the client presumes that one. Only a change counts, so a leader that stops replying is still left for the next member.

--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -126,6 +126,7 @@
             log::warn!(late_ms = late.as_millis() as u64; "event loop stalled");
         }
         hub.peers.set_addresses(&hub.members());
+        hub.peers.note_elected(hub.replica.leader());
         if !hub.has_disk {
             hub.peers.add_addresses(&hub.replica.peers());
         }
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -21,6 +21,8 @@
     /// Processes that timed out, and until when they are avoided.
     unresponsive: Vec<(SocketAddr, Instant)>,
     election_timeout: Duration,
+    /// The last leader passed to [`note_elected`](Self::note_elected).
+    elected: Option<SocketAddr>,
 }
 
 impl LeaderTracker {
@@ -31,6 +33,7 @@
             members,
             unresponsive: Vec::new(),
             election_timeout: ELECTION_TIMEOUT,
+            elected: None,
         }
     }
 
@@ -88,6 +91,19 @@
         self.unresponsive.retain(|(other, _)| *other != address);
     }
 
+    /// Notes the leader that a member of the group has heard from in the current term, if any. Only
+    /// a change counts: later calls may show that this leader no longer replies.
+    pub fn note_elected(&mut self, leader: Option<SocketAddr>) {
+        if self.elected == leader {
+            return;
+        }
+        self.elected = leader;
+        if let Some(leader) = leader {
+            self.unresponsive.retain(|(other, _)| *other != leader);
+            self.current = Some(leader);
+        }
+    }
+
     /// Notes that a process replied that it is not the leader, and which process it named instead.
     pub fn note_follower(&mut self, now: Instant, address: SocketAddr, named: Option<SocketAddr>) {
         self.unresponsive.retain(|(other, _)| *other != address);
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -63,6 +63,11 @@
         self.leader().add_members(addresses);
     }
 
+    /// Notes the group's leader, for clients in a member; see [`LeaderTracker::note_elected`].
+    pub fn note_elected(&self, leader: Option<SocketAddr>) {
+        self.leader().note_elected(leader);
+    }
+
     /// The addresses of the group's processes.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.leader().members().to_vec()
--- a/crates/wire/tests/leader.rs
+++ b/crates/wire/tests/leader.rs
@@ -82,3 +82,19 @@
     tracker.note_follower(late, address(2), Some(address(1)));
     assert_eq!(tracker.presumed(), Some(address(1)));
 }
+
+#[test]
+fn an_elected_leader_is_presumed_once() {
+    let now = Instant::now();
+    let mut tracker = tracker();
+    tracker.note_timeout(now, now, address(3));
+    tracker.note_elected(Some(address(3)));
+    assert_eq!(tracker.presumed(), Some(address(3)));
+    tracker.note_timeout(now, now, address(3));
+    tracker.note_elected(Some(address(3)));
+    assert_eq!(tracker.presumed(), Some(address(1)));
+    tracker.note_elected(None);
+    assert_eq!(tracker.presumed(), Some(address(1)));
+    tracker.note_elected(Some(address(3)));
+    assert_eq!(tracker.presumed(), Some(address(3)));
+}
