Items whose parts are blocked are tried after 10 s, three times soon

Cause: the first trial after 5 s came on top of the runs that had begun before the block. Fix: 10 s for each of the first three trials, which keeps within the 13 s that an item may be at no target.

--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -56,14 +56,12 @@
 const PARTS_MAX: usize = 16;
 /// Time from a block to its first trial; each later trial waits twice as long as the one before.
 const TRIAL_DELAY: Duration = Duration::from_secs(30);
-/// Times to the first trials of batch items, which must run soon when targets have crashed for another
-/// reason.
-const ITEM_TRIAL_DELAYS: [Duration; 3] = [
-    Duration::from_secs(5),
-    Duration::from_secs(10),
-    Duration::from_secs(10),
-];
-/// Time to each later trial of an item: it has crashed so many targets that it hardly is sound.
+/// Time to each of the first [`ITEM_TRIALS`] trials of a batch item, which must run soon when targets have
+/// crashed for another reason.
+const ITEM_TRIAL_DELAY: Duration = Duration::from_secs(10);
+/// Trials of an item after which it hardly is sound.
+const ITEM_TRIALS: u32 = 3;
+/// Time to each later trial of an item.
 const ITEM_TRIAL_DELAY_LATE: Duration = Duration::from_secs(300);
 /// Time from a trial that told nothing to the next one.
 const TRIAL_RETRY: Duration = Duration::from_secs(5);
@@ -243,17 +241,17 @@
     /// The trial that runs.
     trial: Option<Trial>,
     /// Trials of items that failed; those of online requests are shared with other processes.
-    item_trials: usize,
+    item_trials: u32,
 }
 
 impl Block {
     /// When the next trial may run.
     fn trial_at(&self, is_item: bool) -> Time {
-        let delay = if is_item {
-            let delay = ITEM_TRIAL_DELAYS.get(self.item_trials);
-            delay.copied().unwrap_or(ITEM_TRIAL_DELAY_LATE)
-        } else {
-            TRIAL_DELAY * 2_u32.pow(self.blocked.trials.min(TRIALS_MAX))
+        let trials = self.blocked.trials.min(TRIALS_MAX);
+        let delay = match (is_item, self.item_trials) {
+            (true, ..ITEM_TRIALS) => ITEM_TRIAL_DELAY,
+            (true, ITEM_TRIALS..) => ITEM_TRIAL_DELAY_LATE,
+            (false, _) => TRIAL_DELAY * 2_u32.pow(trials),
         };
         let due = self.since + delay;
         self.tried.map_or(due, |tried| due.max(tried + TRIAL_RETRY))
