Results that end at once are recorded in commands that members accept

Callers saw: nothing yet; by the reviewer's reading, all results that wait were recorded by one command without a bound. Members refuse calls over 8 MiB, so such an entry is replicated to nobody, and the leader goes on leading: accepted items that nobody works on. Cause: an entry's size followed from what ended while the last command was under way. Fix: a command records texts of 1 MiB at most, or one longer result. Test: clem-batch ended_items, for the new type; not run on the code before, which had none. Also: results refused for lack of room are named so in 'command not committed'.

--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -21,8 +21,11 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use crate::{
-    item_watch::{ItemState, ItemWatch},
-    queue::{ItemQueue, ReadyItem},
+    ended_items::EndedItems,
+    {
+        item_watch::{ItemState, ItemWatch},
+        queue::{ItemQueue, ReadyItem},
+    },
 };
 
 /// How long a command may wait until that is logged; each pause is twice the one before.
@@ -38,7 +41,7 @@
     /// Notified when an item has ended whose result is not recorded yet.
     pub(crate) ended_ready: Notify,
     queue: Mutex<Option<(Epoch, ItemQueue)>>,
-    ended: Mutex<Vec<EndedItem>>,
+    ended: Mutex<EndedItems>,
     watch: Mutex<ItemWatch>,
     recalls: Mutex<HashMap<Ticket, oneshot::Sender<()>>>,
     recorded: watch::Sender<u64>,
@@ -151,8 +154,9 @@
         self.ended_ready.notify_one();
     }
 
+    /// Removes and returns ended items for one command.
     pub(crate) fn take_ended(&self) -> Vec<EndedItem> {
-        std::mem::take(&mut *lock(&self.ended))
+        lock(&self.ended).take()
     }
 
     /// Subscribes to a counter that increases when results are recorded or a job is closed.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/design/platform.md`, "What is kept where".
 
+mod ended_items;
 mod item;
 mod item_watch;
 mod keeper;
@@ -12,6 +13,7 @@
 mod serve;
 mod tasks;
 
+pub use ended_items::EndedItems;
 pub use item_watch::{IdleItem, ItemCounts, ItemState, ItemWatch};
 pub use placement::Placement;
 pub use program::{BatchSettings, run};
--- a/crates/batch/src/tasks.rs
+++ b/crates/batch/src/tasks.rs
@@ -213,6 +213,8 @@
         if ended.is_empty() {
             continue;
         }
+        // There may be more than one command records.
+        keeper.ended_ready.notify_one();
         let done: Vec<_> = ended.iter().map(|item| (item.job, item.item)).collect();
         let begun = keeper.node.now();
         let mut pace = LogPace::new(begun, COMMIT_LOGGED);
@@ -226,6 +228,7 @@
                     break;
                 }
                 Err(ServeError::NotLeader) => "acceptance",
+                Err(ServeError::NoRoom) => "room",
                 Err(ServeError::Unknown) => "outcome",
             };
             if pace.take_due(keeper.node.now()) {
