--- a/crates/batch/tests/queue.rs
+++ b/crates/batch/tests/queue.rs
@@ -138,3 +138,29 @@
     assert!(!queue.put_back(from, JobNumber(1), ItemIndex(1)), "deleted");
     assert_eq!(take_at(&mut queue, 900), Some((2, 1)));
 }
+
+/// After a lapse of the lease within one term the queue is built anew, and runs of before go on.
+#[test]
+fn a_result_of_a_run_from_before_a_lapse_takes_no_other_item_out_of_the_queue() {
+    let mut queue = ItemQueue::default();
+    add(&mut queue, 1, "first", 1);
+    let (job, first, second) = (JobNumber(1), ItemIndex(0), ItemIndex(1));
+    // The new run of the first item has begun when that of before is recorded.
+    assert_eq!(take(&mut queue, UnixMillis(0), |_| 1), Some(1));
+    queue.finish(job, first);
+    assert!(queue.is_open(job), "the second item is owed");
+    assert_eq!(take(&mut queue, UnixMillis(0), |_| 1), Some(1));
+    // The new run ends, too, or is held back.
+    queue.finish(job, first);
+    assert!(!queue.put_back(Time::ZERO, job, first));
+    assert!(queue.is_open(job), "the second item is taken");
+    assert_eq!((queue.waiting(), queue.running()), (0, 1));
+    // The second item is held back by its parts, and another run of it is recorded.
+    assert!(queue.put_back(Time::ZERO, job, second));
+    queue.finish(job, second);
+    assert!(queue.is_open(job), "its item is looked up when it is taken");
+    assert_eq!(take(&mut queue, UnixMillis(0), |_| 1), Some(1));
+    queue.finish(job, second);
+    assert!(!queue.is_open(job));
+    assert_eq!((queue.waiting(), queue.running()), (0, 0));
+}
