A refusal says whether another request with a suspected part must end first

Found on reading: a batch keeper told such refusals from others by their retry delay and a wait of zero, and decided by it whether an item keeps its place. A change of either figure would have broken that without a test. Fix: Verdict::Busy says so; from a leader of an earlier release it is false, and the item waits as for a slot.

--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -199,11 +199,6 @@
         };
         pending.ticket = None;
         self.note_leader();
-        let cause = if verdict.waits_for_suspect() {
-            BusyCause::Suspected
-        } else {
-            BusyCause::Full
-        };
         match verdict {
             Verdict::Granted {
                 target,
@@ -221,7 +216,19 @@
                 }
                 SlotOutcome::OverRate(retry)
             }
-            Verdict::Busy { retry, wait } => SlotOutcome::Busy { retry, wait, cause },
+            Verdict::Busy {
+                retry,
+                wait,
+                suspected,
+            } => SlotOutcome::Busy {
+                retry,
+                wait,
+                cause: if suspected {
+                    BusyCause::Suspected
+                } else {
+                    BusyCause::Full
+                },
+            },
             Verdict::Harmful => SlotOutcome::Harmful,
             Verdict::Unresumable => SlotOutcome::Unresumable,
             // A new leader may not have read the target list yet.
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -124,6 +124,7 @@
             Err(_) => Ok(Verdict::Busy {
                 retry: Duration::from_millis(500),
                 wait: held,
+                suspected: false,
             }),
         }
     }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -155,6 +155,9 @@
         retry: Duration,
         /// Expected queueing time, or the time that the request has waited.
         wait: Duration,
+        /// Whether it must wait until another request with a suspected part has ended.
+        #[serde(default)]
+        suspected: bool,
     },
     /// The service has no listed target.
     NoTarget,
@@ -165,18 +168,6 @@
     Unresumable,
 }
 
-impl Verdict {
-    /// Whether the request must wait until another one with a suspected part has ended.
-    pub fn waits_for_suspect(&self) -> bool {
-        // Only such a request is refused as busy without an expected wait.
-        let refused = Self::Busy {
-            retry: SUSPECT_RETRY,
-            wait: Duration::ZERO,
-        };
-        *self == refused
-    }
-}
-
 /// A grant as its holder reports it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HeldGrant {
@@ -592,6 +583,7 @@
             Admission::Later => Some(Verdict::Busy {
                 retry: SUSPECT_RETRY,
                 wait: Duration::ZERO,
+                suspected: true,
             }),
             Admission::Blocked => Some(Verdict::Harmful),
         }
@@ -667,6 +659,7 @@
                 let refused = Verdict::Busy {
                     retry: TIMEOUT_RETRY,
                     wait: HOLDER_TIMEOUT,
+                    suspected: false,
                 };
                 self.refuse(now, &want, refused);
             }
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -131,7 +131,11 @@
             return None;
         }
         let retry = (wait - limit).clamp(RETRY_MIN, RETRY_MAX);
-        Some(Verdict::Busy { retry, wait })
+        Some(Verdict::Busy {
+            retry,
+            wait,
+            suspected: false,
+        })
     }
 
     /// Whether the platform lists any target for new work.
@@ -299,7 +303,12 @@
                 .service_time
                 .unwrap_or(SERVICE_START)
                 .clamp(RETRY_MIN, RETRY_MAX);
-            expired.push((want, Verdict::Busy { retry, wait }));
+            let refused = Verdict::Busy {
+                retry,
+                wait,
+                suspected: false,
+            };
+            expired.push((want, refused));
         }
         expired
     }
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clem_policy::dispatch::{
-    CrashReport, Dispatcher, RunningSuspect, SlotRequest, TargetSlots, Ticket, Urgency,
+    CrashReport, Dispatcher, RunningSuspect, SlotRequest, TargetSlots, Ticket, Urgency, Verdict,
 };
 use clem_types::{PartId, Time};
 use loads::{SERVICE, want};
@@ -52,6 +52,11 @@
         suspect(101, "waits", None, parts[1]),
     ];
     assert_eq!(dispatcher.running_suspects(), expected);
+    dispatcher.take_decided();
+    dispatcher.request_slot(at(10), asked(102, "waits", parts[0]));
+    let decided = dispatcher.take_decided();
+    let told = matches!(decided[..], [(Ticket(102), Verdict::Busy { suspected, .. })] if suspected);
+    assert!(told, "{decided:?}");
     assert_eq!(dispatcher.silent_slots(at(999), SECOND), 0);
     assert_eq!(dispatcher.silent_slots(at(1000), SECOND), 1);
     dispatcher.tick(at(1300));
