--- a/crates/log/src/disk/writer.rs
+++ b/crates/log/src/disk/writer.rs
@@ -125,9 +125,10 @@
     }
 
     fn read_room(&self) {
-        // The next write reports an error.
-        if let Ok(free_bytes) = self.folder.free_bytes(&*self.probe) {
-            self.report(DiskEvent::Idle { free_bytes });
+        match self.folder.free_bytes(&*self.probe) {
+            Ok(free_bytes) => self.report(DiskEvent::Idle { free_bytes }),
+            // The next write fails for the same reason, and ends the process.
+            Err(error) => log::warn!(error:% = error; "free room not read"),
         }
     }
 
