--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -22,10 +22,8 @@
 
 use crate::{
     ended_items::EndedItems,
-    {
-        item_watch::{ItemState, ItemWatch},
-        queue::{ItemQueue, ReadyItem},
-    },
+    item_watch::{ItemState, ItemWatch},
+    queue::{ItemQueue, ReadyItem},
 };
 
 /// How long a command may wait until that is logged; each pause is twice the one before.
--- a/crates/hub/tests/lead.rs
+++ b/crates/hub/tests/lead.rs
@@ -9,9 +9,9 @@
 use clem_hub::{LeaderInit, LeaderState, Polls, Wakes};
 use clem_policy::dispatch::{RateLimit, SHARE_LIFE, SlotRequest, Ticket, Urgency};
 use clem_state::batch_group::BatchGroup;
-use clem_types::{Epoch, Time, Version};
-use clem_wire::fleet::{FleetList, FleetListVersion, Follow, ProcessRole};
-use support::target;
+use clem_types::{Epoch, Time};
+use clem_wire::fleet::{FleetList, FleetListVersion, Follow};
+use support::{follow, target};
 
 const FOLLOWERS: usize = 37;
 const TARGETS: usize = 58;
@@ -28,29 +28,6 @@
     (0..TARGETS).map(target).collect()
 }
 
-fn follow(place: usize, seen: FleetListVersion) -> Follow {
-    Follow {
-        holder: format!("front-{place}"),
-        vm: format!("front-{place}"),
-        address: None,
-        role: ProcessRole::Front,
-        rules: Version(0),
-        announced: Some(Version(0)),
-        seen,
-        targets: None,
-        leaving: Vec::new(),
-        blocked: Vec::new(),
-        crashes: Vec::new(),
-        limits: Vec::new(),
-        streams: Vec::new(),
-        held: Vec::new(),
-        spent: Vec::new(),
-        fronts: 0,
-        members: None,
-        wait_ms: 400,
-    }
-}
-
 fn list(leader: &mut LeaderState, follow: &Follow) -> Option<FleetList> {
     leader.record_report(Time::ZERO, follow);
     leader.updates(Time::ZERO, follow, Vec::new())?.fleet
--- a/crates/hub/tests/sound.rs
+++ b/crates/hub/tests/sound.rs
@@ -8,9 +8,9 @@
 use clem_hub::{LeaderInit, LeaderState};
 use clem_policy::dispatch::{CrashParts, GrantOutcome, SlotRequest, Ticket, Urgency};
 use clem_state::batch_group::BatchGroup;
-use clem_types::{Epoch, PartId, Time, Version};
-use clem_wire::fleet::{FleetList, FleetListVersion, Follow, ProcessRole};
-use support::target;
+use clem_types::{Epoch, PartId, Time};
+use clem_wire::fleet::{FleetList, FleetListVersion, Follow};
+use support::{follow, target};
 
 fn at(ms: u64) -> Time {
     Time::from_millis(ms)
@@ -27,27 +27,9 @@
     leader
 }
 
-fn follow(place: usize) -> Follow {
-    Follow {
-        holder: format!("front-{place}"),
-        vm: format!("front-{place}"),
-        address: None,
-        role: ProcessRole::Front,
-        rules: Version(0),
-        announced: Some(Version(0)),
-        seen: FleetListVersion::default(),
-        targets: None,
-        leaving: Vec::new(),
-        blocked: Vec::new(),
-        crashes: Vec::new(),
-        limits: Vec::new(),
-        streams: Vec::new(),
-        held: Vec::new(),
-        spent: Vec::new(),
-        fronts: 0,
-        members: None,
-        wait_ms: 400,
-    }
+/// A process that has seen no list yet.
+fn joining() -> Follow {
+    follow(7, FleetListVersion::default())
 }
 
 fn want(ticket: u64, parts: &[PartId]) -> SlotRequest {
@@ -99,17 +81,17 @@
     ask(&mut leader, 2000, 3, &[part]);
     // A process joins while the answer is on its way.
     let mut joined = CrashParts::default();
-    leader.record_report(at(5000), &follow(7));
-    let list = leader.updates(at(5000), &follow(7), Vec::new());
+    leader.record_report(at(5000), &joining());
+    let list = leader.updates(at(5000), &joining(), Vec::new());
     learn(
         &mut joined,
         5000,
         &list.expect("an update").fleet.expect("a list"),
     );
     end(&mut leader, 6000, 3, GrantOutcome::Answered);
-    leader.record_report(at(6200), &follow(7));
+    leader.record_report(at(6200), &joining());
     leader.tick(at(6200));
-    let list = leader.updates(at(6200), &follow(7), Vec::new());
+    let list = leader.updates(at(6200), &joining(), Vec::new());
     learn(
         &mut joined,
         6200,
