A new leader takes over how long blocked items have waited, and their failed trials

Callers saw: while leaders of the hub are lost more often than every 10 s, no accepted item with a blocked part is run (LOST). Targets saw: an item that really crashes them came back three times after each change of leader. Cause: reports of blocked parts carried neither age nor the trials of items, so that each new leader began both anew. Fix: reports carry both, brought up to date when they are sent; a leader reads them before the crashes of the same report. Of two reports of the same parts the one by which an item is tried sooner counts, so that a process which was away makes no item wait for an earlier block. Not covered: a trial that runs while the leader is lost isn't known to the next one as a trial.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -100,10 +100,11 @@
 }
 
 fn call(node: &Node) -> Follow {
-    let spent = node.fallback().spent(node.now());
+    let now = node.now();
+    let spent = node.fallback().spent(now);
     let view = node.view();
-    let crashes = node.crashes().untold(node.now(), view.seen.epoch);
-    let streams = node.streams().untold(node.now(), view.seen.epoch);
+    let crashes = node.crashes().untold(now, view.seen.epoch);
+    let streams = node.streams().untold(now, view.seen.epoch);
     Follow {
         holder: node.holder.clone(),
         vm: node.vm.clone(),
@@ -114,7 +115,7 @@
         seen: view.seen,
         targets: Some(view.digest),
         leaving: node.leaving(),
-        blocked: view.blocked.clone(),
+        blocked: view.blocked_parts(now),
         crashes,
         limits: node.limits().limits(),
         streams,
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -36,8 +36,10 @@
     pub members: Option<Vec<SocketAddr>>,
     /// Number of fronts that report to the hub's leader.
     pub fronts: u32,
-    /// Parts of requests that crash targets.
+    /// Parts of requests that crash targets, as they were at `listed`.
     pub blocked: Vec<BlockedParts>,
+    /// When the last list from the hub was installed.
+    listed: Time,
     /// The limited targets, as the leader has published them.
     pub limits: BTreeMap<String, Rate>,
     /// When the hub's leader last responded; `None` if never.
@@ -101,11 +103,18 @@
         self.retiring = list.retiring;
         self.fronts = list.fronts;
         self.blocked = list.blocked;
+        self.listed = now;
         let limits = list.limits.into_iter();
         self.limits = limits.map(|l| (l.target, l.rate)).collect();
         readable
     }
 
+    /// Parts of requests that crash targets, for a new leader.
+    pub(crate) fn blocked_parts(&self, now: Time) -> Vec<BlockedParts> {
+        let passed = now.since(self.listed);
+        self.blocked.iter().map(|b| b.aged(passed)).collect()
+    }
+
     pub(crate) fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) {
         let pairs = targets
             .into_iter()
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -292,6 +292,10 @@
 
     /// Records a report of a process.
     pub fn record_report(&mut self, now: Time, follow: &Follow) {
+        // Before the crashes, which alone tell of no trial.
+        if follow.seen.epoch != self.epoch {
+            self.dispatcher.restore_blocked(now, &follow.blocked);
+        }
         self.dispatcher.note_crashes(now, &follow.crashes);
         self.restore_limits(now, &follow.vm, &follow.limits);
         self.dispatcher.restore_streams(now, &follow.streams);
@@ -319,9 +323,6 @@
             self.members.clone_from(members);
         }
         self.dispatcher.report(now, &follow.holder, &follow.held);
-        if follow.seen.epoch != self.epoch {
-            self.dispatcher.restore_blocked(now, &follow.blocked);
-        }
     }
 
     fn record_front(&mut self, now: Time, follow: &Follow) {
@@ -533,7 +534,7 @@
             batch: self.batch().filter_map(|p| p.address).collect(),
             retiring: self.retiring().filter_map(|p| p.address).collect(),
             fronts: self.fronts(),
-            blocked: self.dispatcher.blocked_parts(),
+            blocked: self.dispatcher.blocked_parts(now),
             crashes: self.suspect_crashes(now),
             sound: self.dispatcher.sound_parts(now),
             limits: self.dispatcher.limits(),
--- a/crates/hub/tests/sound.rs
+++ b/crates/hub/tests/sound.rs
@@ -1,4 +1,4 @@
-//! What the leader publishes of crashes and of sound parts.
+//! What the leader publishes of crashes and of sound parts, and what a new leader takes over.
 
 mod support;
 
@@ -6,7 +6,9 @@
 
 use clem_edge::TargetVm;
 use clem_hub::{LeaderInit, LeaderState};
-use clem_policy::dispatch::{CrashParts, GrantOutcome, SlotRequest, Ticket, Urgency};
+use clem_policy::dispatch::{
+    BlockedParts, CrashParts, CrashReport, GrantOutcome, SlotRequest, Ticket, Urgency,
+};
 use clem_state::batch_group::BatchGroup;
 use clem_types::{Epoch, PartId, Time};
 use clem_wire::fleet::{FleetList, FleetListVersion, Follow};
@@ -101,3 +103,31 @@
     let reports = joined.reports(at(6200), 1);
     assert!(reports.is_empty(), "{reports:?}");
 }
+
+#[test]
+fn a_new_leader_knows_of_the_trials_under_a_block_whose_crashes_it_is_told_of() {
+    let part = PartId::of(&[b"bad"]);
+    let known = BlockedParts {
+        parts: vec![part],
+        trials: 1,
+        item_trials: 3,
+        age_ms: 20_000,
+    };
+    let crash = |number: u64| CrashReport {
+        ticket: Ticket(number),
+        target: format!("gone-{number}"),
+        parts: vec![part],
+        age_ms: 20_000,
+    };
+    let follow = Follow {
+        blocked: vec![known.clone()],
+        crashes: (0..6).map(crash).collect(),
+        ..joining()
+    };
+    let mut leader = leader();
+    leader.record_report(at(60_000), &follow);
+    let taken = leader.dispatcher.blocked_parts(at(60_000));
+    assert_eq!(taken, std::slice::from_ref(&known));
+    let later = known.aged(Duration::from_secs(7));
+    assert_eq!(leader.dispatcher.blocked_parts(at(67_000)), [later]);
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -503,8 +503,8 @@
     }
 
     /// The parts that crash targets, for other processes.
-    pub fn blocked_parts(&self) -> Vec<BlockedParts> {
-        self.crash_parts.blocked()
+    pub fn blocked_parts(&self, now: Time) -> Vec<BlockedParts> {
+        self.crash_parts.blocked(now)
     }
 
     /// Takes over what another process knows to be blocked, after a change of leader.
--- a/crates/policy/src/dispatch/crashes.rs
+++ b/crates/policy/src/dispatch/crashes.rs
@@ -90,14 +90,58 @@
     pub parts: Vec<PartId>,
     /// Number of trials that crashed a target, or that it did not answer.
     pub trials: u32,
+    /// The same for batch items, which are tried at times of their own.
+    #[serde(default)]
+    pub item_trials: u32,
+    /// Time since the block began, or since the last of these trials, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u32,
 }
 
 impl BlockedParts {
+    /// The same when `passed` more time has passed.
+    pub fn aged(&self, passed: Duration) -> Self {
+        let passed = u32::try_from(passed.as_millis()).unwrap_or(u32::MAX);
+        Self {
+            age_ms: self.age_ms.saturating_add(passed),
+            ..self.clone()
+        }
+    }
+
     /// Whether a request with these parts is blocked.
     pub fn blocks(&self, parts: &[PartId]) -> bool {
         !self.parts.is_empty() && self.parts.iter().all(|part| parts.contains(part))
     }
 
+    /// Takes over what another process knows of the same parts. It may know of an earlier block, which must not
+    /// make an item wait for longer.
+    fn merge(&mut self, other: &Self) {
+        self.trials = self.trials.max(other.trials);
+        if other.item_wait() < self.item_wait() {
+            self.item_trials = other.item_trials;
+            self.age_ms = other.age_ms;
+        }
+    }
+
+    /// Time to the next trial of an item.
+    fn item_wait(&self) -> Duration {
+        let delay = match self.item_trials {
+            ..ITEM_TRIALS => ITEM_TRIAL_DELAY,
+            ITEM_TRIALS.. => ITEM_TRIAL_DELAY_LATE,
+        };
+        delay.saturating_sub(self.age())
+    }
+
+    /// Time to the next trial of an online request.
+    fn online_wait(&self) -> Duration {
+        let delay = TRIAL_DELAY * 2_u32.pow(self.trials.min(TRIALS_MAX));
+        delay.saturating_sub(self.age())
+    }
+
+    fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms.into())
+    }
+
     /// Whether no online request may be a trial any more while such requests come.
     fn is_final(&self) -> bool {
         let whole = self.parts.iter().any(|part| part.is_whole());
@@ -229,31 +273,29 @@
 /// Parts that are blocked.
 #[derive(Debug)]
 struct Block {
+    /// What was known at `since`.
     blocked: BlockedParts,
     /// When the last crash under them was reported.
     crashed: Time,
     /// When the last request with them came.
     seen: Time,
-    /// When it began, or when the last trial that counts failed.
+    /// When it began, when the last trial that counts failed, or when another process told of it.
     since: Time,
     /// When the last trial began.
     tried: Option<Time>,
     /// The trial that runs.
     trial: Option<Trial>,
-    /// Trials of items that failed; those of online requests are shared with other processes.
-    item_trials: u32,
 }
 
 impl Block {
     /// When the next trial may run.
     fn trial_at(&self, is_item: bool) -> Time {
-        let trials = self.blocked.trials.min(TRIALS_MAX);
-        let delay = match (is_item, self.item_trials) {
-            (true, ..ITEM_TRIALS) => ITEM_TRIAL_DELAY,
-            (true, ITEM_TRIALS..) => ITEM_TRIAL_DELAY_LATE,
-            (false, _) => TRIAL_DELAY * 2_u32.pow(trials),
+        let wait = if is_item {
+            self.blocked.item_wait()
+        } else {
+            self.blocked.online_wait()
         };
-        let due = self.since + delay;
+        let due = self.since + wait;
         self.tried.map_or(due, |tried| due.max(tried + TRIAL_RETRY))
     }
 }
@@ -582,8 +624,9 @@
     }
 
     /// The blocked parts, for other processes.
-    pub fn blocked(&self) -> Vec<BlockedParts> {
-        self.blocks.iter().map(|b| b.blocked.clone()).collect()
+    pub fn blocked(&self, now: Time) -> Vec<BlockedParts> {
+        let blocks = self.blocks.iter();
+        blocks.map(|b| b.blocked.aged(now.since(b.since))).collect()
     }
 
     /// Takes over what another process knows to be blocked, after a change of leader. A process that was away
@@ -620,6 +663,8 @@
                 let blocked = BlockedParts {
                     parts: group,
                     trials: 0,
+                    item_trials: 0,
+                    age_ms: 0,
                 };
                 self.block(now, blocked);
                 continue;
@@ -639,11 +684,13 @@
         if is_item && ended == GrantOutcome::Silent {
             return;
         }
-        if is_item {
-            block.item_trials += 1;
+        let trials = if is_item {
+            &mut block.blocked.item_trials
         } else {
-            block.blocked.trials += 1;
-        }
+            &mut block.blocked.trials
+        };
+        *trials = trials.saturating_add(1);
+        block.blocked.age_ms = 0;
         block.since = now;
         let blocked = block.blocked.clone();
         self.tell_block(&blocked);
@@ -659,6 +706,13 @@
     }
 
     fn block(&mut self, now: Time, blocked: BlockedParts) {
+        let same = |block: &&mut Block| block.blocked.parts == blocked.parts;
+        if let Some(block) = self.blocks.iter_mut().find(same) {
+            block.blocked = block.blocked.aged(now.since(block.since));
+            block.blocked.merge(&blocked);
+            block.since = now;
+            return;
+        }
         let covered = self
             .blocks
             .iter()
@@ -683,7 +737,6 @@
             since: now,
             tried: None,
             trial: None,
-            item_trials: 0,
         });
     }
 
--- a/crates/policy/tests/blocks.rs
+++ b/crates/policy/tests/blocks.rs
@@ -190,14 +190,14 @@
 fn a_part_unblocked_meanwhile_is_not_blocked_by_a_process_that_was_away() {
     let part = PartId::of(&[b"first"]);
     let mut dispatcher = blocked(18, part);
-    let away = dispatcher.blocked_parts();
+    let away = dispatcher.blocked_parts(Time::ZERO);
     let mut item = Item::new(part);
     let slot = item.granted(&mut dispatcher, 600_000).expect("a trial");
     item.end(&mut dispatcher, slot, GrantOutcome::Answered);
-    assert!(dispatcher.blocked_parts().is_empty());
+    assert!(dispatcher.blocked_parts(at(item.now)).is_empty());
     // Its first poll since: it has seen the list of another leader.
     dispatcher.restore_blocked(at(item.now + 1000), &away);
-    assert!(dispatcher.blocked_parts().is_empty());
+    assert!(dispatcher.blocked_parts(at(item.now)).is_empty());
 }
 
 #[test]
@@ -208,6 +208,8 @@
         let known = BlockedParts {
             parts: vec![part],
             trials,
+            item_trials: 0,
+            age_ms: 0,
         };
         dispatcher.restore_blocked(Time::ZERO, &[known]);
         let mut item = Item::new(part);
@@ -284,3 +286,56 @@
     assert_eq!(told(crashes), 3);
     assert_eq!(told(started.reports(at(1000), 1)), 3);
 }
+
+#[test]
+fn a_blocked_item_is_tried_in_time_though_leaders_are_lost_again_and_again() {
+    let part = PartId::of(&[b"first"]);
+    let mut leader = blocked(18, part);
+    let mut item = Item::new(part);
+    for lost in (6000..60_000).step_by(6000) {
+        if item.granted(&mut leader, lost).is_some() {
+            let waited = Duration::from_millis(item.now);
+            assert!(waited <= IDLE_MAX, "{waited:?}");
+            return;
+        }
+        let known = leader.blocked_parts(at(lost));
+        leader = dispatcher(18);
+        leader.restore_blocked(at(lost), &known);
+    }
+    panic!("no trial in 60 s");
+}
+
+#[test]
+fn an_item_that_crashes_targets_reaches_few_in_five_minutes_though_leaders_are_lost() {
+    let part = PartId::of(&[b"bad"]);
+    let mut leader = dispatcher(18);
+    let mut item = Item::new(part);
+    let mut crashes = 0;
+    for lost in (40_000..=300_000).step_by(40_000) {
+        while let Some(slot) = item.granted(&mut leader, lost) {
+            item.end(&mut leader, slot, GrantOutcome::Crashed);
+            crashes += 1;
+        }
+        let known = leader.blocked_parts(at(lost));
+        leader = dispatcher(18);
+        leader.restore_blocked(at(lost), &known);
+    }
+    assert!(crashes <= 8, "{crashes} crashes");
+}
+
+#[test]
+fn a_process_that_was_away_makes_no_item_wait_for_an_earlier_block() {
+    let part = PartId::of(&[b"first"]);
+    let earlier = BlockedParts {
+        parts: vec![part],
+        trials: 2,
+        item_trials: 4,
+        age_ms: 5000,
+    };
+    let mut dispatcher = blocked(18, part);
+    dispatcher.restore_blocked(at(1), &[earlier]);
+    let mut item = Item::new(part);
+    item.granted(&mut dispatcher, 600_000).expect("a trial");
+    let waited = Duration::from_millis(item.now);
+    assert!(waited <= IDLE_MAX, "{waited:?}");
+}
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -108,10 +108,10 @@
 
     /// A new leader knows what its followers report.
     fn change_leader(&mut self) {
-        let blocked = self.dispatcher.blocked_parts();
+        let at = self.at();
+        let blocked = self.dispatcher.blocked_parts(at);
         self.dispatcher = Dispatcher::default();
         self.list_targets();
-        let at = self.at();
         self.dispatcher.restore_blocked(at, &blocked);
     }
 
@@ -557,7 +557,7 @@
     let (asked, served) = (fleet.sound_asked, fleet.sound_served);
     fleet.run(20, ask(false));
     assert!(fleet.sound_served - served > (fleet.sound_asked - asked) * 9 / 10);
-    assert_eq!(fleet.dispatcher.blocked_parts(), []);
+    assert_eq!(fleet.dispatcher.blocked_parts(fleet.at()), []);
 }
 
 #[test]
@@ -578,10 +578,12 @@
         &vec![
             BlockedParts {
                 parts: vec![own(1)],
-                trials: 0
+                trials: 0,
+                item_trials: 0,
+                age_ms: 0,
             };
             1000
         ],
     );
-    assert!(parts.blocked().len() <= 64);
+    assert!(parts.blocked(Time::from_millis(10_000)).len() <= 64);
 }
--- a/crates/policy/tests/repeats.rs
+++ b/crates/policy/tests/repeats.rs
@@ -108,7 +108,7 @@
     /// A new leader knows what its followers report.
     fn change_leader(&mut self) {
         let at = self.at();
-        let blocked = self.dispatcher.blocked_parts();
+        let blocked = self.dispatcher.blocked_parts(at);
         let crashes = self.holder.reports(at, 1);
         self.dispatcher = Dispatcher::default();
         self.list_targets();
