Members without a leader say whom they reach, leaders why a voter stays

While a group had no leader, no line or metric told whether too few voters replied or elections failed, and a leader didn't say why it kept a voter that was gone. Each member now notes when it heard each other one, and reports: 'group without a leader' with the voters reachable and needed, 'voter not replaced' with what the next change waits for, and four gauges. No logic is changed.

--- a/crates/control/src/replica/gauges.rs
+++ b/crates/control/src/replica/gauges.rs
@@ -4,7 +4,7 @@
 
 use metrics::gauge;
 
-use super::{learners::Learners, shared::Shared};
+use super::{group_report::GroupReport, learners::Learners, shared::Shared};
 
 /// Time between two updates of the gauges.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -13,14 +13,15 @@
 pub(super) async fn report(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(INTERVAL);
     let mut learners = Learners::default();
+    let mut group = GroupReport::default();
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        update(&shared, &mut learners);
+        update(&shared, &mut learners, &mut group);
     }
 }
 
-fn update(shared: &Shared, learners: &mut Learners) {
+fn update(shared: &Shared, learners: &mut Learners, group: &mut GroupReport) {
     let now = shared.clock.now();
     let applied = shared.store().applied();
     gauge!("clem_control_applied_index").set(applied as f64);
@@ -31,6 +32,7 @@
     };
     let node = core.node();
     learners.report(now, &node.learners(now), core.ticked());
+    group.report(now, &node.status(now));
     let voters = node.members().voters().count();
     gauge!("clem_control_seated").set(1.0);
     gauge!("clem_control_leads").set(f64::from(u8::from(core.leased_epoch(now).is_some())));
--- /dev/null
+++ b/crates/control/src/replica/group_report.rs
@@ -0,0 +1,60 @@
+//! Reports why this process's group has no leader, or a voter that should be replaced.
+
+use std::time::Duration;
+
+use clem_log::{GroupStatus, VoterStatus};
+use clem_types::Time;
+use metrics::gauge;
+
+use super::LOG_INTERVAL;
+
+/// How long a group may be without a leader before that is logged; elections take less.
+const LEADERLESS_LOGGED: Duration = Duration::from_secs(2);
+
+/// When the state of the group was logged.
+#[derive(Debug, Default)]
+pub(super) struct GroupReport {
+    logged: Option<Time>,
+}
+
+impl GroupReport {
+    /// Reports the group at `now`.
+    pub(super) fn report(&mut self, now: Time, status: &GroupStatus) {
+        let leaderless = status.leaderless.unwrap_or_default();
+        gauge!("clem_control_leaderless_seconds").set(leaderless.as_secs_f64());
+        gauge!("clem_control_voters_reachable").set(status.reachable as f64);
+        gauge!("clem_control_voters_needed").set(status.quorum as f64);
+        let vacancies = if status.vacancy.is_some() { 1.0 } else { 0.0 };
+        gauge!("clem_control_vacancies").set(vacancies);
+        let without_leader = leaderless >= LEADERLESS_LOGGED;
+        if !without_leader && status.vacancy.is_none() {
+            return;
+        }
+        if self.logged.is_some_and(|at| now.since(at) < LOG_INTERVAL) {
+            return;
+        }
+        self.logged = Some(now);
+        let voters: Vec<String> = status.voters.iter().map(describe).collect();
+        if without_leader {
+            log::warn!(
+                leaderless_ms = leaderless.as_millis() as u64, reachable = status.reachable,
+                needed = status.quorum, unheard_ms = voters.join(" ").as_str();
+                "group without a leader"
+            );
+        }
+        if let Some(vacancy) = &status.vacancy {
+            log::info!(
+                member:% = vacancy.id, hold = vacancy.hold.as_str(),
+                needed = status.quorum, unheard_ms = voters.join(" ").as_str();
+                "voter not replaced"
+            );
+        }
+    }
+}
+
+/// A voter and the milliseconds since its last message, as `IDENTITY@IP:PORT=MILLISECONDS`.
+fn describe(voter: &VoterStatus) -> String {
+    let unheard = voter.unheard.map(|unheard| unheard.as_millis().to_string());
+    let unheard = unheard.unwrap_or_else(|| "never".to_owned());
+    format!("{}@{}={unheard}", voter.id, voter.address)
+}
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -5,7 +5,7 @@
 //! - `event_loop` handles timers, disk events and outgoing messages,
 //! - `peers` sends messages to other members,
 //! - `formation` bootstraps a group or joins one,
-//! - `joining` and `learners` report how far that is,
+//! - `joining`, `learners` and `group_report` report how far that is,
 //! - `room` keeps how much room the disk has,
 //! - `send_snapshot` and `install_snapshot` bring a lagging member up to date.
 //!
@@ -17,6 +17,7 @@
 mod fatal;
 mod formation;
 mod gauges;
+mod group_report;
 mod handle;
 mod install_snapshot;
 mod joining;
--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -7,7 +7,7 @@
 use super::{LeaderState, Node, Role};
 use crate::{Change, LogIndex, Member, MemberId, MemberKind, progress::Progress};
 
-/// Why a learner is not promoted yet.
+/// Why a learner is not promoted, or a voter not replaced yet.
 ///
 /// See `docs/design/agreement.md`, "The node".
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,6 +25,10 @@
     Unsettled,
     /// The leader transfers its leadership.
     Transfer,
+    /// The voter to replace has not been silent for long enough.
+    Recent,
+    /// No process asks to join.
+    Alone,
     /// Nothing; the change is due.
     Nothing,
 }
@@ -39,6 +43,8 @@
             Self::Unneeded => "unneeded",
             Self::Unsettled => "unsettled",
             Self::Transfer => "transfer",
+            Self::Recent => "recent",
+            Self::Alone => "alone",
             Self::Nothing => "nothing",
         }
     }
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod learner;
 mod output;
 mod read;
+mod status;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -17,6 +18,7 @@
 pub use learner::{Hold, LearnerStatus};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+pub use status::{GroupStatus, Vacancy, VoterStatus};
 
 use crate::{
     Body, Entry, HardState, LogIndex, MemberId, Members, Message, Payload, ReadId, ReadReady,
@@ -106,6 +108,8 @@
     configs: VecDeque<(LogIndex, Members)>,
     /// When this member last heard from a leader, or was started.
     last_contact: Time,
+    /// When each other member was last heard from.
+    contacts: BTreeMap<MemberId, Time>,
     /// When the next election starts, unless a leader is heard from before.
     deadline: Time,
     /// The index up to which the log is known to match the current leader's.
@@ -241,6 +245,7 @@
             disk,
             configs,
             last_contact: now,
+            contacts: BTreeMap::new(),
             deadline: now,
             matched: LogIndex::default(),
             pending_reply: None,
@@ -261,6 +266,7 @@
         let Message {
             from, term, body, ..
         } = message;
+        self.note_contact(now, from);
         match body {
             Body::PreVote(ballot) => self.on_pre_vote(now, from, term, ballot),
             Body::PreVoteReply { granted } => self.on_pre_vote_reply(now, from, term, granted),
@@ -449,6 +455,17 @@
         self.disk.hard_changed = true;
     }
 
+    fn note_contact(&mut self, now: Time, from: MemberId) {
+        let (_, members) = &self.configs[self.configs.len() - 1];
+        if members.get(from).is_none() {
+            return;
+        }
+        self.contacts.insert(from, now);
+        if self.contacts.len() > members.iter().count() {
+            self.contacts.retain(|id, _| members.get(*id).is_some());
+        }
+    }
+
     /// Becomes a follower of `leader` in `term`, or of a leader that isn't known yet.
     fn become_follower(&mut self, now: Time, term: Term, leader: Option<MemberId>) {
         if term > self.term {
