A new leader knows how long members have been silent for those before it

Cause: each leader counted a member's silence from its own start and replaced it after 2 s. With a leader lost every few seconds no voter was ever replaced, and the next loss left fewer than a quorum.

Appends now carry the members that the leader hasn't heard from for an election timeout, and for how long; a follower that becomes the leader goes on from there, counts the former leader's silence from its last message, and waits only for an election timeout of its own. A member that has come back answers within that. The field is left out while nobody is silent, and releases that don't know it ignore it.

Evidence: clem-log spares a_lost_voter_is_replaced_though_no_leader_waits_for_it_long_enough failed before (voters 1, 2, 3 after 6 s and four changes of leader).

--- a/crates/log/src/message.rs
+++ b/crates/log/src/message.rs
@@ -81,4 +81,16 @@
     /// The send time on the leader's clock in microseconds; the reply echoes it, so that the leader
     /// can extend its lease from then.
     pub sent: u64,
+    /// The members that the leader has not heard from for an election timeout or more.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<Silence>,
+}
+
+/// How long a member has been silent, so that the next leader need not wait that long again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Silence {
+    /// The member.
+    pub id: MemberId,
+    /// The time since its last reply to a leader, in milliseconds.
+    pub ms: u64,
 }
--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -184,12 +184,16 @@
     }
 
     /// Returns whether a member has been unreachable for so long that a new member may replace it.
+    ///
+    /// What former leaders have waited counts, but not without an election timeout of this leader's
+    /// own: the member may have come back meanwhile.
     pub(super) fn is_lost(&self, now: Time, id: MemberId) -> bool {
         let Role::Leader(lead) = &self.role else {
             return false;
         };
-        lead.peers
-            .get(&id)
-            .is_some_and(|peer| peer.heard + self.settings.lost_after <= now)
+        lead.peers.get(&id).is_some_and(|peer| {
+            let asked = peer.heard + self.settings.election <= now;
+            asked && peer.silence(now) >= self.settings.lost_after
+        })
     }
 }
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -1,6 +1,9 @@
 //! Elections: pre-vote, vote and leadership transfer.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use clem_types::Time;
 
@@ -155,12 +158,27 @@
         }
     }
 
+    /// Returns how long a member is known to have been silent when this member becomes the leader.
+    ///
+    /// The time without a leader doesn't count, as only voters are asked for anything then.
+    fn known_silence(&self, now: Time, id: MemberId) -> Duration {
+        let contact = self.contacts.get(&id).copied();
+        if let Some(contact) = contact.filter(|at| *at > self.last_contact) {
+            return now.since(contact);
+        }
+        if self.last_leader == Some(id) {
+            return now.since(self.last_contact);
+        }
+        self.silences.get(&id).copied().unwrap_or_default()
+    }
+
     fn become_leader(&mut self, now: Time) {
         let next = self.log.last().next();
         let mut peers = BTreeMap::new();
         for member in self.members().iter() {
             if member.id != self.id {
-                peers.insert(member.id, Progress::new(next, now));
+                let carried = self.known_silence(now, member.id);
+                peers.insert(member.id, Progress::new(next, now, carried));
             }
         }
         self.leader = Some(self.id);
--- a/crates/log/src/node/follower.rs
+++ b/crates/log/src/node/follower.rs
@@ -1,5 +1,7 @@
 //! Replication on followers.
 
+use std::time::Duration;
+
 use clem_types::Time;
 
 use super::{Node, Role};
@@ -24,6 +26,11 @@
         }
         self.last_contact = now;
         self.reset_deadline(now);
+        self.last_leader = Some(from);
+        let silences = append.silent.iter();
+        self.silences = silences
+            .map(|silence| (silence.id, Duration::from_millis(silence.ms)))
+            .collect();
         self.accept_entries(from, append);
     }
 
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -1,11 +1,13 @@
 //! Replication on the leader.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use clem_types::Time;
 
 use super::{LeaderState, Node, Role, Successor, Transfer};
 use crate::{
-    Append, Body, LogIndex, MemberId, NodeError, Payload, Result, Settings, Term,
+    Append, Body, LogIndex, MemberId, NodeError, Payload, Result, Settings, Silence, Term,
     memlog::MemLog,
     progress::{Flow, Progress},
 };
@@ -156,7 +158,23 @@
             }
             bodies.push((*id, heartbeat_for(peer, &self.log, self.commit, now)));
         }
-        for (id, body) in bodies {
+        self.send_appends(now, bodies);
+    }
+
+    /// Sends appends, each with the members that are silent.
+    fn send_appends(&mut self, now: Time, bodies: Vec<(MemberId, Append)>) {
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        let silences = lead.silences(now, self.settings.election);
+        let silent: Vec<Silence> = silences
+            .map(|(id, span)| Silence {
+                id,
+                ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
+            })
+            .collect();
+        for (id, mut body) in bodies {
+            body.silent.clone_from(&silent);
             self.send(id, Body::Append(body));
         }
     }
@@ -188,9 +206,7 @@
                 }
             }
         }
-        for (id, body) in bodies {
-            self.send(id, Body::Append(body));
-        }
+        self.send_appends(now, bodies);
     }
 
     /// Reports that a member has received the snapshot at `index`, or with `None` that sending
@@ -233,6 +249,7 @@
         }
         let peer = self.peer_mut(from)?;
         peer.heard = now;
+        peer.carried = Duration::ZERO;
         // An unsolicited reply has no send time, and must not extend the lease.
         if sent > Time::ZERO {
             peer.acked = peer.acked.max(Some(sent));
@@ -317,13 +334,26 @@
 }
 
 impl LeaderState {
+    /// The members that have been silent for `least` or longer, and how long.
+    pub(super) fn silences(
+        &self,
+        now: Time,
+        least: Duration,
+    ) -> impl Iterator<Item = (MemberId, Duration)> {
+        let spans = self
+            .peers
+            .iter()
+            .map(move |(id, peer)| (*id, peer.silence(now)));
+        spans.filter(move |(_, span)| *span >= least)
+    }
+
     /// Tracks the progress of exactly the members in `ids`.
     pub(super) fn sync_peers(&mut self, ids: &[MemberId], next: LogIndex, now: Time) {
         self.peers.retain(|id, _| ids.contains(id));
         for id in ids {
             self.peers
                 .entry(*id)
-                .or_insert_with(|| Progress::new(next, now));
+                .or_insert_with(|| Progress::new(next, now, Duration::ZERO));
         }
     }
 }
@@ -342,6 +372,7 @@
         entries: Vec::new(),
         commit,
         sent: now.as_micros(),
+        silent: Vec::new(),
     }
 }
 
@@ -368,6 +399,7 @@
             entries,
             commit,
             sent: now.as_micros(),
+            silent: Vec::new(),
         });
     }
 }
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -12,6 +12,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     fmt,
+    time::Duration,
 };
 
 use clem_types::Time;
@@ -110,6 +111,10 @@
     last_contact: Time,
     /// When each other member was last heard from.
     contacts: BTreeMap<MemberId, Time>,
+    /// The leader that this member heard from last.
+    last_leader: Option<MemberId>,
+    /// How long members had been silent for that leader, or for this member when it led.
+    silences: BTreeMap<MemberId, Duration>,
     /// When the next election starts, unless a leader is heard from before.
     deadline: Time,
     /// The index up to which the log is known to match the current leader's.
@@ -246,6 +251,8 @@
             configs,
             last_contact: now,
             contacts: BTreeMap::new(),
+            last_leader: None,
+            silences: BTreeMap::new(),
             deadline: now,
             matched: LogIndex::default(),
             pending_reply: None,
@@ -434,7 +441,7 @@
     fn reset_deadline(&mut self, now: Time) {
         let jitter = self.settings.jitter.as_micros();
         let jitter = u64::try_from(jitter).unwrap_or(u64::MAX);
-        let extra = std::time::Duration::from_micros(self.rng.random_range(0..=jitter));
+        let extra = Duration::from_micros(self.rng.random_range(0..=jitter));
         self.deadline = now + self.settings.election + extra;
     }
 
@@ -443,7 +450,7 @@
     fn reset_retry_deadline(&mut self, now: Time) {
         let pause = self.settings.election / 4;
         let span = u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
-        let extra = std::time::Duration::from_micros(self.rng.random_range(0..=span));
+        let extra = Duration::from_micros(self.rng.random_range(0..=span));
         self.deadline = now + pause + extra;
     }
 
@@ -477,6 +484,9 @@
         if let Role::Leader(lead) = role {
             let lost = lead.reads.iter().map(|read| read.id);
             self.output.failed_reads.extend(lost);
+            let silent = lead.silences(now, self.settings.election);
+            self.silences = silent.collect();
+            self.last_leader = None;
             self.matched = LogIndex::default();
             self.last_contact = now;
             self.reset_deadline(now);
--- a/crates/log/src/progress.rs
+++ b/crates/log/src/progress.rs
@@ -1,6 +1,6 @@
 //! Replication progress of a follower or learner, as the leader tracks it.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use clem_types::Time;
 
@@ -29,6 +29,8 @@
     pub(crate) acked: Option<Time>,
     /// The time of the last reply, or of the start of tracking.
     pub(crate) heard: Time,
+    /// How long the member had been silent for former leaders; zero once it has replied.
+    pub(crate) carried: Duration,
     /// The time of the last message sent, if any in the current mode.
     pub(crate) sent: Option<Time>,
     /// The last index of each unanswered message with entries.
@@ -36,18 +38,24 @@
 }
 
 impl Progress {
-    pub(crate) fn new(next: LogIndex, now: Time) -> Self {
+    pub(crate) fn new(next: LogIndex, now: Time, carried: Duration) -> Self {
         Self {
             next,
             matched: LogIndex::default(),
             flow: Flow::Probe,
             acked: None,
             heard: now,
+            carried,
             sent: None,
             inflight: VecDeque::new(),
         }
     }
 
+    /// How long the member has been silent, for this leader and those before it.
+    pub(crate) fn silence(&self, now: Time) -> Duration {
+        now.since(self.heard) + self.carried
+    }
+
     /// Switches to probing from `next`.
     pub(crate) fn probe_from(&mut self, next: LogIndex) {
         self.flow = Flow::Probe;
--- a/crates/log/tests/node.rs
+++ b/crates/log/tests/node.rs
@@ -225,6 +225,7 @@
         entries: vec![entry],
         commit: LogIndex(2),
         sent: 1,
+        silent: Vec::new(),
     };
     let now = Time::from_millis(10);
     node.step(
@@ -269,6 +270,7 @@
                 entries: vec![entry],
                 commit: LogIndex(1),
                 sent: 1,
+                silent: Vec::new(),
             }),
         }
     };
--- a/crates/log/tests/spares.rs
+++ b/crates/log/tests/spares.rs
@@ -124,3 +124,45 @@
     assert!(!trio.nodes[0].is_leader());
     assert!(trio.nodes[1].is_leader() || trio.nodes[2].is_leader());
 }
+
+/// Passes leadership back and forth between the first two nodes every 1.5 s, while the spare asks to join.
+fn join_while_leaders_change(trio: &mut Trio, turns: usize) -> Vec<u64> {
+    for turn in 0..turns {
+        let leader = turn % 2;
+        for _ in 0..15 {
+            let _ = trio.nodes[leader].join(trio.now, MemberId(4), SPARE);
+            trio.pass(1);
+        }
+        let next = trio.nodes[1 - leader].id();
+        let passed = trio.nodes[leader].transfer(trio.now, Some(next));
+        assert!(passed.is_ok(), "{}", trio.nodes[leader]);
+        trio.deliver();
+    }
+    voters(trio)
+}
+
+/// Each leader counted a member's silence from its own start, so that nothing was replaced while leaders
+/// changed.
+#[test]
+fn a_lost_voter_is_replaced_though_no_leader_waits_for_it_long_enough() {
+    let mut trio = with_spare();
+    trio.lose(2);
+    assert_eq!(join_while_leaders_change(&mut trio, 4), [1, 2, 4]);
+}
+
+#[test]
+fn a_voter_that_is_back_is_not_replaced_for_what_former_leaders_waited() {
+    let mut trio = with_spare();
+    trio.lose(2);
+    let seen = join(&mut trio, 15);
+    assert_eq!(seen, [[1, 2, 3]]);
+    trio.find();
+    let passed = trio.nodes[0].transfer(trio.now, Some(MemberId(2)));
+    assert!(passed.is_ok());
+    trio.deliver();
+    for _ in 0..40 {
+        let _ = trio.nodes[1].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
--- a/crates/log/tests/trio/mod.rs
+++ b/crates/log/tests/trio/mod.rs
@@ -86,6 +86,11 @@
         self.lost = Some(node);
     }
 
+    /// Brings the lost node back.
+    pub(crate) fn find(&mut self) {
+        self.lost = None;
+    }
+
     /// Replaces a lost node by a new one.
     pub(crate) fn replace(&mut self, node: usize, fresh: Node) {
         self.nodes[node] = fresh;
