A new disk at a member's address is proof that the old one is gone

A member that lost its disk and was back at its address waited, like one that was gone, until the old identity had been silent for 2 s, again for each leader.

A process that replies at the address of a member which has missed two heartbeats has replaced it: two processes can't listen there. So the old identity is removed as soon as the new one has caught up.

Evidence: clem-log spares a_member_with_a_new_disk_at_its_address_is_replaced_at_once failed before (voters 1, 2, 3 after 1.2 s); a_member_that_replies_is_not_replaced_by_another_one_at_its_address guards the other side.

--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -7,6 +7,10 @@
 use super::{LeaderState, Node, Role};
 use crate::{Change, LogIndex, Member, MemberId, MemberKind, progress::Progress};
 
+/// How many heartbeats a member has missed when another one at its address counts as its successor; a
+/// process that runs rarely misses one.
+const HEARTBEATS_MISSED: u32 = 2;
+
 /// Why a learner is not promoted, or a voter not replaced yet.
 ///
 /// See `docs/design/agreement.md`, "The node".
@@ -139,7 +143,8 @@
         let Some(other) = other else {
             return self.spare_step(now, learner, hold);
         };
-        if hold.is_none() && self.is_lost(now, other.id) {
+        let gone = self.has_succeeded(now, peer, other.id) || self.is_lost(now, other.id);
+        if hold.is_none() && gone {
             return LearnerStep::Due(Change::Remove(other.id));
         }
         // The learner is lost itself, and the member that it should replace is alive.
@@ -150,6 +155,19 @@
         LearnerStep::Held(hold.unwrap_or(Hold::Occupied))
     }
 
+    /// Returns whether the learner with this progress has replied to a message sent after the last reply
+    /// of `other`, a member at the same address that has missed heartbeats: its disk is gone then.
+    fn has_succeeded(&self, now: Time, learner: &Progress, other: MemberId) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let Some(other) = lead.peers.get(&other) else {
+            return false;
+        };
+        let silent = other.heard + self.settings.heartbeat * HEARTBEATS_MISSED <= now;
+        silent && learner.acked.is_some_and(|sent| sent > other.heard)
+    }
+
     /// Returns the change that is due for a learner with an address that no other member has, or what
     /// it waits for.
     fn spare_step(&self, now: Time, learner: &Member, hold: Option<Hold>) -> LearnerStep {
--- a/crates/log/tests/spares.rs
+++ b/crates/log/tests/spares.rs
@@ -166,3 +166,20 @@
     }
     assert_eq!(voters(&trio), [1, 2, 3]);
 }
+
+/// A disk that was lost was waited for, though the process at its address had another one.
+#[test]
+fn a_member_with_a_new_disk_at_its_address_is_replaced_at_once() {
+    let mut trio = with_spare();
+    trio.lose(2);
+    let seen = join_at(&mut trio, "127.0.0.1:7003", 12);
+    assert_eq!(seen.last(), Some(&vec![1, 2, 4]), "{seen:?}");
+}
+
+/// A message of a member that runs proves that its disk is there.
+#[test]
+fn a_member_that_replies_is_not_replaced_by_another_one_at_its_address() {
+    let mut trio = with_spare();
+    let seen = join_at(&mut trio, "127.0.0.1:7003", 30);
+    assert_eq!(seen, [[1, 2, 3]]);
+}
