A member that is stopped as planned leaves when its group can do without it

A member that got the stop signal handed over its leadership and exited, though another voter was gone and its replacement not promoted yet; or it was gone for good, and its replacement, which ran already, was let in only after 2 s of silence.

A voter that is about to stop now asks the leader, for as long as its grace period allows. The leader treats it as one that leaves: a process that asks to join takes its place first. Without one it waits only while the others have no quorum, and not if the whole group is being stopped. Hubs, batch keepers and own control stop in the same way.

Evidence: clem-log departure, new with the call: a_member_that_stops_is_replaced_first_if_a_process_asks_to_join and a_member_whose_vote_is_needed_waits can't be expressed on the code before.

--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -15,6 +15,8 @@
 
 /// How long calls in progress may take after a stop signal.
 const STOP_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Part of the grace period left unused, so that the process exits before it is killed.
+const STOP_MARGIN: Duration = Duration::from_millis(1000);
 /// How often the state received from the hub is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -28,6 +30,8 @@
     pub listen: SocketAddr,
     /// Directory for persistent data.
     pub data_dir: PathBuf,
+    /// How long a planned stop may take.
+    pub grace: Duration,
     /// Number of disks that may be lost at once.
     pub tolerance: usize,
     /// Free disk space below which writes are refused, in bytes.
@@ -46,6 +50,7 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
 ) -> eyre::Result<()> {
     let internal = listen(settings.listen)?;
+    let grace = settings.grace;
     let node = Arc::new(Node::new(settings.node));
     log::info!(vm = node.vm.as_str(), address:% = settings.address; "batch keeper started");
     spawn_vital("follow", follow(Arc::clone(&node), seeds));
@@ -93,7 +98,9 @@
     );
     stop.await?;
     log::info!(vm = node.vm.as_str(); "batch keeper stopping");
-    replica.transfer_leadership().await;
+    replica
+        .prepare_stop(grace.saturating_sub(STOP_TIMEOUT + STOP_MARGIN))
+        .await;
     handle.stop_graceful(STOP_TIMEOUT);
     serving.await?;
     Ok(())
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -17,6 +17,8 @@
 
 /// How long calls in progress may take after a stop signal.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a planned stop waits until the group can do without this process.
+const DEPART_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs the program until it receives a stop signal.
 ///
@@ -70,7 +72,7 @@
     stop_signal().await?;
     readiness.set(false);
     log::info!(listen:% = address; "stopping");
-    replica.transfer_leadership().await;
+    replica.prepare_stop(DEPART_TIMEOUT).await;
     stop.stop_graceful(STOP_TIMEOUT);
     serving.await?;
     Ok(())
--- a/crates/control/src/replica/calls.rs
+++ b/crates/control/src/replica/calls.rs
@@ -87,6 +87,31 @@
     Refused,
 }
 
+/// Tells the leader that a member is about to stop. The call is repeated until it may.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct Depart {
+    /// The group.
+    pub(super) cluster: ClusterId,
+    /// The member.
+    pub(super) member: MemberId,
+}
+
+impl Call for Depart {
+    const PATH: &'static str = "/internal/group/depart";
+    type Reply = DepartReply;
+}
+
+/// Reply to [`Depart`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum DepartReply {
+    /// The member may stop.
+    Go,
+    /// The group still needs it.
+    Wait,
+    /// The process is not the leader of that group.
+    NotLeader,
+}
+
 /// One page of a snapshot of the state.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct SnapshotPage {
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use clem_log::{
-    Change, ClusterId, Entry, LogIndex, MemberId, MemberKind, Members, Message, Node, NodeError,
-    Payload, ReadId, Ready, SnapshotMetadata, Term, WriteNumber, disk::Writer,
+    Change, ClusterId, Departure, Entry, LogIndex, MemberId, MemberKind, Members, Message, Node,
+    NodeError, Payload, ReadId, Ready, SnapshotMetadata, Term, WriteNumber, disk::Writer,
 };
 use clem_state::Command;
 use clem_store::RedbStore;
@@ -16,7 +16,7 @@
 use clem_wire::codec;
 use tokio::sync::oneshot;
 
-use super::{ProposalResult, fatal, room::RoomState};
+use super::{ProposalResult, calls::DepartReply, fatal, room::RoomState};
 
 /// Maximum number of queued messages for one member. Further ones are dropped; the protocol
 /// retransmits them.
@@ -180,6 +180,15 @@
         self.node.join(now, id, address)
     }
 
+    /// Notes that a member is about to stop, and returns whether it may.
+    pub(super) fn depart(&mut self, now: Time, id: MemberId) -> DepartReply {
+        match self.node.depart(now, id) {
+            Ok(Departure::Go) => DepartReply::Go,
+            Ok(Departure::Wait) => DepartReply::Wait,
+            Err(_) => DepartReply::NotLeader,
+        }
+    }
+
     pub(super) fn set_leaving(&mut self, addresses: &[String]) {
         self.node.set_leaving(addresses);
     }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -69,7 +69,7 @@
 /// A handle to this process's replica; clones refer to the same replica.
 #[derive(Clone)]
 pub struct Replica {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
 }
 
 impl Replica {
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -6,6 +6,7 @@
 //! - `peers` sends messages to other members,
 //! - `formation` bootstraps a group or joins one,
 //! - `joining`, `learners` and `group_report` report how far that is,
+//! - `depart` prepares a planned stop,
 //! - `room` keeps how much room the disk has,
 //! - `send_snapshot` and `install_snapshot` bring a lagging member up to date.
 //!
@@ -13,6 +14,7 @@
 
 mod calls;
 mod core;
+mod depart;
 mod event_loop;
 mod fatal;
 mod formation;
--- a/crates/control/src/replica/routes.rs
+++ b/crates/control/src/replica/routes.rs
@@ -6,7 +6,10 @@
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 
 use super::{
-    calls::{Exchange, ExchangeReply, Group, Hello, HelloReply, Join, JoinReply, SnapshotPage},
+    calls::{
+        Depart, DepartReply, Exchange, ExchangeReply, Group, Hello, HelloReply, Join, JoinReply,
+        SnapshotPage,
+    },
     install_snapshot,
     shared::Shared,
 };
@@ -20,6 +23,7 @@
         Router::with_path(Exchange::PATH).post(OnExchange(Arc::clone(shared))),
         Router::with_path(Hello::PATH).post(OnHello(Arc::clone(shared))),
         Router::with_path(Join::PATH).post(OnJoin(Arc::clone(shared))),
+        Router::with_path(Depart::PATH).post(OnDepart(Arc::clone(shared))),
         Router::with_path(SnapshotPage::PATH).post(OnSnapshot(Arc::clone(shared))),
     ]
 }
@@ -116,6 +120,24 @@
     }
 }
 
+struct OnDepart(Arc<Shared>);
+
+#[async_trait]
+impl Handler for OnDepart {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let Some(depart) = read_call::<Depart>(req, res).await else {
+            return;
+        };
+        let now = self.0.clock.now();
+        let reply = match self.0.core().as_mut() {
+            Some(core) if core.cluster == depart.cluster => core.depart(now, depart.member),
+            Some(_) | None => DepartReply::NotLeader,
+        };
+        self.0.work.notify_one();
+        answer(res, &reply);
+    }
+}
+
 struct OnSnapshot(Arc<Shared>);
 
 #[async_trait]
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -17,6 +17,8 @@
 
 /// How long calls in progress may take after a stop signal.
 const STOP_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Part of the grace period left unused, so that the process exits before it is killed.
+const STOP_MARGIN: Duration = Duration::from_millis(1000);
 
 /// Validated settings.
 pub struct HubSettings {
@@ -35,6 +37,8 @@
     pub data_dir: Option<PathBuf>,
     /// Whether this process may found a new group.
     pub bootstrap: bool,
+    /// How long a planned stop may take.
+    pub grace: Duration,
     /// Number of disks that may be lost at once.
     pub tolerance: usize,
     /// Free disk space below which writes are refused, in bytes.
@@ -71,6 +75,7 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
 ) -> eyre::Result<()> {
     let clock = Clock::start();
+    let grace = settings.grace;
     let has_disk = settings.data_dir.is_some();
     let internal = listen(settings.listen)?;
     let operator = listen(settings.operator)?;
@@ -119,7 +124,9 @@
     );
     stop_signal().await?;
     log::info!(vm = settings.vm.as_str(); "hub stopping");
-    replica.transfer_leadership().await;
+    replica
+        .prepare_stop(grace.saturating_sub(STOP_TIMEOUT + STOP_MARGIN))
+        .await;
     stop.stop_graceful(STOP_TIMEOUT);
     serving.await?;
     Ok(())
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -48,6 +48,8 @@
 pub use id::{ClusterId, LogIndex, MemberId, Term};
 pub use members::{Change, Member, MemberKind, Members};
 pub use message::{Append, Ballot, Body, Message, Silence};
-pub use node::{GroupStatus, Hold, InitialState, LearnerStatus, Node, Vacancy, VoterStatus};
+pub use node::{
+    Departure, GroupStatus, Hold, InitialState, LearnerStatus, Node, Vacancy, VoterStatus,
+};
 pub use ready::{ReadId, ReadReady, Ready, Write, WriteNumber};
 pub use settings::Settings;
--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -2,9 +2,14 @@
 
 use clem_types::Time;
 
+use std::time::Duration;
+
 use super::{JoinRequest, Node, Role, learner::LearnerStep};
 use crate::{Change, LogIndex, MemberId, MemberKind, NodeError, Payload, Result};
 
+/// How long a request to join is kept; a process that wants to join repeats it more often.
+pub(super) const JOIN_KEPT: Duration = Duration::from_secs(2);
+
 impl Node {
     /// Proposes a membership change.
     ///
@@ -73,10 +78,9 @@
         let Role::Leader(lead) = &mut self.role else {
             return Err(NodeError::NotLeader { leader });
         };
-        if !open {
-            return Err(NodeError::ChangeRefused);
-        }
         let address = address.to_owned();
+        // Kept even if it is refused: a member that stops looks for a replacement among them.
+        lead.joins.retain(|_, join| now < join.asked + JOIN_KEPT);
         lead.joins.insert(
             id,
             JoinRequest {
@@ -84,6 +88,9 @@
                 asked: now,
             },
         );
+        if !open {
+            return Err(NodeError::ChangeRefused);
+        }
         self.reconcile_members(now);
         Ok(())
     }
@@ -179,8 +186,9 @@
 
     /// Returns a voter that should be replaced because it is lost or leaving.
     fn voter_to_replace(&self, now: Time) -> Option<MemberId> {
-        let mut others = self.members().voters().filter(|id| *id != self.id);
-        others.find(|id| self.is_lost(now, *id) || self.leaving.contains(id))
+        let others = || self.members().voters().filter(|id| *id != self.id);
+        let lost = others().find(|id| self.is_lost(now, *id));
+        lost.or_else(|| others().find(|id| self.leaves(now, *id)))
     }
 
     /// Returns whether a member has been unreachable for so long that a new member may replace it.
--- /dev/null
+++ b/crates/log/src/node/departure.rs
@@ -0,0 +1,96 @@
+//! Planned stops: a voter that is about to stop is replaced first, as far as that is possible.
+
+use clem_types::Time;
+
+use super::{Node, Role};
+use crate::{MemberId, MemberKind, NodeError, Result};
+
+/// What a member that is about to stop should do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Departure {
+    /// Stop: the group doesn't need it, or waiting would not help.
+    Go,
+    /// Wait: a replacement is on its way, or the others have no quorum without it.
+    Wait,
+}
+
+impl Node {
+    /// Notes that a member is about to stop, and returns whether it should wait.
+    ///
+    /// The member repeats the request until it may stop. Others replace it meanwhile as if it were
+    /// lost.
+    ///
+    /// # Errors
+    /// This member isn't the leader.
+    pub fn depart(&mut self, now: Time, id: MemberId) -> Result<Departure> {
+        let leader = self.leader;
+        let Role::Leader(lead) = &mut self.role else {
+            return Err(NodeError::NotLeader { leader });
+        };
+        lead.departures.insert(id, now);
+        let members = self.members();
+        if !members.is_voter(id) {
+            return Ok(Departure::Go);
+        }
+        let wanted = self.settings.voters;
+        let is_replaced = wanted > 0 && members.voters().count() > wanted;
+        if is_replaced || self.has_spare(now) {
+            self.reconcile_members(now);
+            return Ok(Departure::Wait);
+        }
+        let staying = |other: &MemberId| *other != id && !self.departs(now, *other);
+        let voters = || members.voters().filter(staying);
+        let running = voters().filter(|other| self.replies(now, *other)).count();
+        let quorum = members.quorum();
+        // Too few stay even if those that are silent return: the whole group is being stopped.
+        if running >= quorum || voters().count() < quorum {
+            return Ok(Departure::Go);
+        }
+        Ok(Departure::Wait)
+    }
+
+    /// Returns whether a member is about to stop, or has stopped after it said so.
+    pub(super) fn departs(&self, now: Time, id: MemberId) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let Some(said) = lead.departures.get(&id) else {
+            return false;
+        };
+        // One that still replies but no longer repeats it has been started again.
+        now < *said + self.settings.election || !self.replies(now, id)
+    }
+
+    /// Returns whether a member is to be replaced although it may be alive.
+    pub(super) fn leaves(&self, now: Time, id: MemberId) -> bool {
+        self.leaving.contains(&id) || self.departs(now, id)
+    }
+
+    /// Returns whether a member has replied within an election timeout.
+    fn replies(&self, now: Time, id: MemberId) -> bool {
+        if id == self.id {
+            return true;
+        }
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let peer = lead.peers.get(&id);
+        peer.is_some_and(|peer| now < peer.heard + self.settings.election)
+    }
+
+    /// Returns whether a process that isn't a voter is ready to replace one.
+    fn has_spare(&self, now: Time) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let members = self.members();
+        let mut learners = members.iter().filter(|m| m.kind == MemberKind::Learner);
+        let mut joins = lead.joins.iter();
+        let wants_spares = self.settings.voters > 0;
+        wants_spares
+            && (learners.any(|learner| !self.is_lost(now, learner.id))
+                || joins.any(|(id, join)| {
+                    members.get(*id).is_none() && now < join.asked + super::change::JOIN_KEPT
+                }))
+    }
+}
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -57,7 +57,7 @@
     /// # Errors
     /// This member isn't the leader, or the successor isn't another voter.
     pub fn transfer(&mut self, now: Time, to: Option<MemberId>) -> Result<()> {
-        let successor = to.or_else(|| self.best_successor());
+        let successor = to.or_else(|| self.best_successor(now));
         let voter = successor.filter(|id| *id != self.id && self.members().is_voter(*id));
         let deadline = now + self.settings.election;
         let leader = self.leader;
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A member of the cluster as a state machine: no I/O, and the time is an argument.
 
 mod change;
+mod departure;
 mod election;
 mod follower;
 mod leader;
@@ -16,6 +17,7 @@
 };
 
 use clem_types::Time;
+pub use departure::Departure;
 pub use learner::{Hold, LearnerStatus};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -158,6 +160,8 @@
     reads: Vec<PendingRead>,
     /// New members that asked to join.
     joins: BTreeMap<MemberId, JoinRequest>,
+    /// When members said last that they are about to stop.
+    departures: BTreeMap<MemberId, Time>,
 }
 
 /// The latest request of a new member to join.
--- a/crates/log/src/node/status.rs
+++ b/crates/log/src/node/status.rs
@@ -86,7 +86,7 @@
             peer.is_some_and(|peer| peer.heard + self.settings.election <= now)
         };
         let mut others = self.members().voters().filter(|id| *id != self.id);
-        let id = others.find(|id| silent(id) || self.leaving.contains(id))?;
+        let id = others.find(|id| silent(id) || self.leaves(now, *id))?;
         let hold = self.vacancy_hold(now, lead, id);
         Some(Vacancy { id, hold })
     }
@@ -101,7 +101,7 @@
         match step {
             Some(LearnerStep::Due(_)) => Hold::Nothing,
             Some(LearnerStep::Held(hold)) => hold,
-            None if !self.is_lost(now, id) && !self.leaving.contains(&id) => Hold::Recent,
+            None if !self.is_lost(now, id) && !self.leaves(now, id) => Hold::Recent,
             None => Hold::Alone,
         }
     }
--- /dev/null
+++ b/crates/log/tests/departure.rs
@@ -0,0 +1,108 @@
+//! Members that are about to stop for good, or are started again.
+
+mod trio;
+
+use clem_log::{Departure, InitialState, MemberId, Node, Settings};
+use clem_types::Time;
+use trio::Trio;
+
+const SPARE: &str = "127.0.0.1:7004";
+const THIRD: MemberId = MemberId(3);
+
+fn settings() -> Settings {
+    Settings {
+        voters: 3,
+        ..Settings::default()
+    }
+}
+
+fn elected() -> Trio {
+    let mut trio = Trio::with(settings());
+    trio.deliver();
+    trio.heartbeat();
+    trio
+}
+
+fn with_spare() -> Trio {
+    let mut trio = elected();
+    let spare = Node::new(Time::ZERO, InitialState::new(MemberId(4), 4), settings());
+    trio.nodes.push(spare);
+    trio.receiver = Some(3);
+    let refused = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+    assert!(refused.is_err(), "no voter is missing");
+    trio
+}
+
+fn voters(trio: &Trio) -> Vec<u64> {
+    trio.nodes[0].members().voters().map(|id| id.0).collect()
+}
+
+/// Asks for a member until it may stop, for at most 40 steps; returns whether it may.
+fn depart(trio: &mut Trio, id: MemberId) -> bool {
+    for _ in 0..40 {
+        if trio.nodes[0].depart(trio.now, id) == Ok(Departure::Go) {
+            return true;
+        }
+        let _ = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    false
+}
+
+#[test]
+fn a_member_that_nobody_can_replace_stops_at_once_if_the_others_have_a_quorum() {
+    let mut trio = elected();
+    trio.pass(5);
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+}
+
+/// A planned stop took the vote that the group needed while another member was lost.
+#[test]
+fn a_member_whose_vote_is_needed_waits() {
+    let mut trio = elected();
+    trio.lose(1);
+    trio.pass(12);
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Wait));
+    trio.find();
+    trio.pass(12);
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+}
+
+#[test]
+fn members_that_stop_together_do_not_wait_for_each_other() {
+    let mut trio = elected();
+    trio.pass(5);
+    assert_eq!(
+        trio.nodes[0].depart(trio.now, MemberId(2)),
+        Ok(Departure::Go)
+    );
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+    assert_eq!(
+        trio.nodes[0].depart(trio.now, MemberId(1)),
+        Ok(Departure::Go)
+    );
+}
+
+/// A member that stopped for good stayed a voter until it was silent for long enough.
+#[test]
+fn a_member_that_stops_is_replaced_first_if_a_process_asks_to_join() {
+    let mut trio = with_spare();
+    assert!(depart(&mut trio, THIRD), "it waits for ever");
+    assert_eq!(voters(&trio), [1, 2, 4]);
+}
+
+#[test]
+fn a_member_that_was_started_again_is_no_longer_replaced() {
+    let mut trio = elected();
+    trio.pass(5);
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+    trio.pass(20);
+    let spare = Node::new(Time::ZERO, InitialState::new(MemberId(4), 4), settings());
+    trio.nodes.push(spare);
+    trio.receiver = Some(3);
+    for _ in 0..30 {
+        let _ = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
