Spares catch up as soon as a voter is silent, not only when it counts as lost

A process that could replace a lost voter began to copy the state only after the voter had been silent for 2 s, and one replacement at a time was let in, however many voters were gone.

A learner costs no vote, so the leader now takes as many as there are voters missing, leaving, or silent for an election timeout. They are promoted as before, only once a voter counts as lost or leaves.

Evidence: clem-log spares a_spare_catches_up_while_a_voter_is_not_lost_yet failed before (no learner after 1.6 s).

--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -74,7 +74,7 @@
     pub fn join(&mut self, now: Time, id: MemberId, address: &str) -> Result<()> {
         let leader = self.leader;
         let known = self.members().iter().any(|m| m.address == address);
-        let open = known || self.lacks_voter(now);
+        let open = known || self.vacancies(now) > 0;
         let Role::Leader(lead) = &mut self.role else {
             return Err(NodeError::NotLeader { leader });
         };
@@ -142,8 +142,8 @@
                 continue;
             }
             let known = members.iter().any(|m| m.address == join.address);
-            let has_learner = members.iter().any(|m| m.kind == MemberKind::Learner);
-            if !known && (has_learner || !self.lacks_voter(now)) {
+            let learners = members.iter().filter(|m| m.kind == MemberKind::Learner);
+            if !known && learners.count() >= self.vacancies(now) {
                 continue;
             }
             let mut same = members.iter().filter(|m| m.address == join.address);
@@ -177,6 +177,26 @@
         self.voter_to_replace(now)
     }
 
+    /// Returns how many learners the cluster needs, for voters that are missing, leaving or may be lost.
+    /// A learner costs no vote, so that it can begin to catch up before a voter counts as lost.
+    fn vacancies(&self, now: Time) -> usize {
+        let wanted = self.settings.voters;
+        let Role::Leader(lead) = &self.role else {
+            return 0;
+        };
+        if wanted == 0 {
+            return 0;
+        }
+        let members = self.members();
+        let may_be_lost = |id: &MemberId| {
+            let peer = lead.peers.get(id);
+            self.leaves(now, *id)
+                || peer.is_some_and(|peer| peer.silence(now) >= self.settings.election)
+        };
+        let missing = wanted.saturating_sub(members.voters().count());
+        missing + members.voters().filter(may_be_lost).count()
+    }
+
     /// Returns whether there are fewer voters than desired, or one that should be replaced.
     pub(super) fn lacks_voter(&self, now: Time) -> bool {
         let wanted = self.settings.voters;
--- a/crates/log/tests/spares.rs
+++ b/crates/log/tests/spares.rs
@@ -183,3 +183,13 @@
     let seen = join_at(&mut trio, "127.0.0.1:7003", 30);
     assert_eq!(seen, [[1, 2, 3]]);
 }
+
+/// A spare began to copy the state only when a voter counted as lost.
+#[test]
+fn a_spare_catches_up_while_a_voter_is_not_lost_yet() {
+    let mut trio = with_spare();
+    trio.lose(2);
+    let seen = join(&mut trio, 16);
+    assert_eq!(seen, [[1, 2, 3]]);
+    assert_eq!(trio.nodes[0].learners(trio.now)[0].lag, 0);
+}
