--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -161,3 +161,31 @@
     eventually("the second member votes", || is_voter(&leader, address)).await;
     work.abort();
 }
+
+/// A member that was stopped for good stayed a voter, though the process that could replace it ran.
+#[tokio::test]
+async fn a_member_that_stops_is_replaced_before_it_may_stop() {
+    let [first, second, third, spare] = listeners();
+    let founders = [first.address(), second.address(), third.address()];
+    let members = [first, second, third].map(|one| start(one, &founders, &[]));
+    eventually("the group has a leader", || {
+        members.iter().any(|one| one.replica.leader().is_some())
+    })
+    .await;
+    let led = |member: &&Member| member.replica.leader() == Some(member.address);
+    let stopping = members.iter().find(led).unwrap_or(&members[0]);
+    let staying = members.iter().find(|one| one.address != stopping.address);
+    let staying = staying.unwrap();
+    let address = spare.address();
+    let _spare = start(spare, &[staying.address], &founders);
+    tokio::time::sleep(ROUNDS).await;
+    assert!(!is_voter(staying, address), "no voter is missing");
+
+    stopping.replica.prepare_stop(BOUND).await;
+
+    assert!(is_voter(staying, address), "the spare has no vote");
+    eventually("the member that stops has no vote", || {
+        !is_voter(staying, stopping.address)
+    })
+    .await;
+}
