All members keep the requests to join, so that a new leader knows its spares

A leader that is stopped hands over its leadership first. The new leader had heard of no process that asks to join, so it answered that the member may stop, and its replacement was let in only later.

--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -73,22 +73,21 @@
     /// This member isn't the leader, or the cluster needs no new member at that address.
     pub fn join(&mut self, now: Time, id: MemberId, address: &str) -> Result<()> {
         let leader = self.leader;
-        let known = self.members().iter().any(|m| m.address == address);
-        let open = known || self.vacancies(now) > 0;
-        let Role::Leader(lead) = &mut self.role else {
-            return Err(NodeError::NotLeader { leader });
-        };
-        let address = address.to_owned();
-        // Kept even if it is refused: a member that stops looks for a replacement among them.
-        lead.joins.retain(|_, join| now < join.asked + JOIN_KEPT);
-        lead.joins.insert(
+        // Kept on all members, and even if it is refused: a leader that has just been elected must know
+        // the processes that can replace a member that stops.
+        self.joins.retain(|_, join| now < join.asked + JOIN_KEPT);
+        self.joins.insert(
             id,
             JoinRequest {
-                address,
+                address: address.to_owned(),
                 asked: now,
             },
         );
-        if !open {
+        if !self.is_leader() {
+            return Err(NodeError::NotLeader { leader });
+        }
+        let known = self.members().iter().any(|m| m.address == address);
+        if !known && self.vacancies(now) == 0 {
             return Err(NodeError::ChangeRefused);
         }
         self.reconcile_members(now);
@@ -107,8 +106,8 @@
         if self.change(now, &change).is_err() {
             return;
         }
-        if let (Change::AddLearner { id, .. }, Role::Leader(lead)) = (&change, &mut self.role) {
-            lead.joins.remove(id);
+        if let Change::AddLearner { id, .. } = &change {
+            self.joins.remove(id);
         }
     }
 
@@ -136,7 +135,7 @@
                 return Some(change);
             }
         }
-        for (id, join) in &lead.joins {
+        for (id, join) in &self.joins {
             let recent = now < join.asked + self.settings.election;
             if !recent || members.get(*id).is_some() {
                 continue;
--- a/crates/log/src/node/departure.rs
+++ b/crates/log/src/node/departure.rs
@@ -80,12 +80,9 @@
 
     /// Returns whether a process that isn't a voter is ready to replace one.
     fn has_spare(&self, now: Time) -> bool {
-        let Role::Leader(lead) = &self.role else {
-            return false;
-        };
         let members = self.members();
         let mut learners = members.iter().filter(|m| m.kind == MemberKind::Learner);
-        let mut joins = lead.joins.iter();
+        let mut joins = self.joins.iter();
         let wants_spares = self.settings.voters > 0;
         wants_spares
             && (learners.any(|learner| !self.is_lost(now, learner.id))
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -189,7 +189,6 @@
             transfer: None,
             transfer_after: now,
             reads: Vec::new(),
-            joins: BTreeMap::new(),
             departures: BTreeMap::new(),
         }));
         self.append_entry(Payload::Noop);
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -125,6 +125,8 @@
     /// reply.
     pending_reply: Option<u64>,
     disk_full: bool,
+    /// New members that asked to join.
+    joins: BTreeMap<MemberId, JoinRequest>,
     /// Members that are to be replaced although they are alive.
     leaving: BTreeSet<MemberId>,
     /// The member to which this one transferred its leadership, until a newer term is known.
@@ -158,8 +160,6 @@
     /// When a leaving member may begin the next transfer; proposals are accepted until then.
     transfer_after: Time,
     reads: Vec<PendingRead>,
-    /// New members that asked to join.
-    joins: BTreeMap<MemberId, JoinRequest>,
     /// When members said last that they are about to stop.
     departures: BTreeMap<MemberId, Time>,
 }
@@ -261,6 +261,7 @@
             matched: LogIndex::default(),
             pending_reply: None,
             disk_full: false,
+            joins: BTreeMap::new(),
             leaving: BTreeSet::new(),
             successor: None,
             output: Output::default(),
