Silence counts while there is no leader, too

Voters ask for votes and answer those who do while there is no leader, so that one which was not heard from then has been silent all the time. Only the time under a leader counted, which was little while leaders were lost again and again. Learners take no part in elections; for them only what leaders have seen counts.

--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -160,16 +160,17 @@
 
     /// Returns how long a member is known to have been silent when this member becomes the leader.
     ///
-    /// The time without a leader doesn't count, as only voters are asked for anything then.
+    /// The time without a leader counts for voters: they ask for votes, and answer those who do.
     fn known_silence(&self, now: Time, id: MemberId) -> Duration {
         let contact = self.contacts.get(&id).copied();
         if let Some(contact) = contact.filter(|at| *at > self.last_contact) {
             return now.since(contact);
         }
-        if self.last_leader == Some(id) {
-            return now.since(self.last_contact);
+        let told = self.silences.get(&id).copied().unwrap_or_default();
+        if !self.members().is_voter(id) {
+            return told;
         }
-        self.silences.get(&id).copied().unwrap_or_default()
+        told + now.since(self.last_contact)
     }
 
     fn become_leader(&mut self, now: Time) {
--- a/crates/log/src/node/follower.rs
+++ b/crates/log/src/node/follower.rs
@@ -26,7 +26,6 @@
         }
         self.last_contact = now;
         self.reset_deadline(now);
-        self.last_leader = Some(from);
         let silences = append.silent.iter();
         self.silences = silences
             .map(|silence| (silence.id, Duration::from_millis(silence.ms)))
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -113,9 +113,7 @@
     last_contact: Time,
     /// When each other member was last heard from.
     contacts: BTreeMap<MemberId, Time>,
-    /// The leader that this member heard from last.
-    last_leader: Option<MemberId>,
-    /// How long members had been silent for that leader, or for this member when it led.
+    /// How long members had been silent for the last leader, or for this member when it led.
     silences: BTreeMap<MemberId, Duration>,
     /// When the next election starts, unless a leader is heard from before.
     deadline: Time,
@@ -255,7 +253,6 @@
             configs,
             last_contact: now,
             contacts: BTreeMap::new(),
-            last_leader: None,
             silences: BTreeMap::new(),
             deadline: now,
             matched: LogIndex::default(),
@@ -491,7 +488,6 @@
             self.output.failed_reads.extend(lost);
             let silent = lead.silences(now, self.settings.election);
             self.silences = silent.collect();
-            self.last_leader = None;
             self.matched = LogIndex::default();
             self.last_contact = now;
             self.reset_deadline(now);
