--- a/crates/control/src/replica/depart.rs
+++ b/crates/control/src/replica/depart.rs
@@ -35,17 +35,19 @@
     /// good leaves the group unable to bear a lost disk until it is replaced, which is done
     /// before it stops if a process asks to join.
     pub async fn prepare_stop(&self, limit: Duration) {
-        let start = self.shared.clock.now();
-        self.transfer_leadership().await;
-        while !self.may_stop().await {
-            let waited = self.shared.clock.now().since(start);
-            if waited + PAUSE >= limit {
-                log::warn!(waited_ms = waited.as_millis() as u64; "stopping while the group needs this member");
+        if tokio::time::timeout(limit, self.depart()).await.is_err() {
+            log::warn!(waited_ms = limit.as_millis() as u64; "stopping while the group needs this member");
+        }
+    }
+
+    async fn depart(&self) {
+        loop {
+            // Again in each turn, as this member may have been elected once more.
+            self.transfer_leadership().await;
+            if self.may_stop().await {
                 return;
             }
             tokio::time::sleep(PAUSE).await;
-            // Has an effect only if this member has been elected again.
-            self.transfer_leadership().await;
         }
     }
 
