A leader that decides about a stop counts only members that replied to it

What callers saw: none; found by the review. A leader that has just been elected took every member for one that runs, so a leader that stopped while another member was gone was let go at once by its successor. And members that had stopped earlier made the next stop look like one of the whole group.

A member counts as running once it has replied to this leader, and the whole group is being stopped only if all others have said so within an election timeout. The test of members that stop together expected an early answer that rested on the fault; it now asks all three, as strictly.

--- a/crates/log/src/node/departure.rs
+++ b/crates/log/src/node/departure.rs
@@ -38,27 +38,33 @@
             self.reconcile_members(now);
             return Ok(Departure::Wait);
         }
-        let staying = |other: &MemberId| *other != id && !self.departs(now, *other);
+        let staying = |other: &MemberId| *other != id && !self.is_stopping(now, *other);
         let voters = || members.voters().filter(staying);
         let running = voters().filter(|other| self.replies(now, *other)).count();
-        let quorum = members.quorum();
-        // Too few stay even if those that are silent return: the whole group is being stopped.
-        if running >= quorum || voters().count() < quorum {
+        let whole_group = voters().next().is_none();
+        if running >= members.quorum() || whole_group {
             return Ok(Departure::Go);
         }
         Ok(Departure::Wait)
     }
 
-    /// Returns whether a member is about to stop, or has stopped after it said so.
-    pub(super) fn departs(&self, now: Time, id: MemberId) -> bool {
+    /// Returns whether a member has said within an election timeout that it is about to stop.
+    fn is_stopping(&self, now: Time, id: MemberId) -> bool {
         let Role::Leader(lead) = &self.role else {
             return false;
         };
-        let Some(said) = lead.departures.get(&id) else {
+        let said = lead.departures.get(&id);
+        said.is_some_and(|said| now < *said + self.settings.election)
+    }
+
+    /// Returns whether a member is about to stop, or has stopped after it said so.
+    pub(super) fn departs(&self, now: Time, id: MemberId) -> bool {
+        let Role::Leader(lead) = &self.role else {
             return false;
         };
         // One that still replies but no longer repeats it has been started again.
-        now < *said + self.settings.election || !self.replies(now, id)
+        let said = lead.departures.contains_key(&id);
+        said && (self.is_stopping(now, id) || !self.replies(now, id))
     }
 
     /// Returns whether a member is to be replaced although it may be alive.
@@ -66,8 +72,8 @@
         self.leaving.contains(&id) || self.departs(now, id)
     }
 
-    /// Returns whether a member has replied within an election timeout.
-    fn replies(&self, now: Time, id: MemberId) -> bool {
+    /// Returns whether a member has replied to this leader within an election timeout.
+    pub(super) fn replies(&self, now: Time, id: MemberId) -> bool {
         if id == self.id {
             return true;
         }
@@ -75,7 +81,7 @@
             return false;
         };
         let peer = lead.peers.get(&id);
-        peer.is_some_and(|peer| now < peer.heard + self.settings.election)
+        peer.is_some_and(|peer| peer.acked.is_some() && now < peer.heard + self.settings.election)
     }
 
     /// Returns whether a process that isn't a voter is ready to replace one.
--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -76,11 +76,43 @@
         trio.nodes[0].depart(trio.now, MemberId(2)),
         Ok(Departure::Go)
     );
-    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Wait));
     assert_eq!(
         trio.nodes[0].depart(trio.now, MemberId(1)),
         Ok(Departure::Go)
     );
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+}
+
+/// A member that had stopped earlier made the next stop look like one of the whole group.
+#[test]
+fn a_member_whose_vote_is_needed_waits_after_another_one_stopped() {
+    let mut trio = elected();
+    trio.pass(5);
+    assert_eq!(
+        trio.nodes[0].depart(trio.now, MemberId(2)),
+        Ok(Departure::Go)
+    );
+    trio.lose(1);
+    trio.pass(40);
+    assert!(trio.nodes[0].is_leader());
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Wait));
+}
+
+/// A leader that has just been elected took members for running that it had not heard from.
+#[test]
+fn a_leader_that_stops_waits_if_its_vote_is_needed() {
+    let mut trio = elected();
+    trio.lose(1);
+    trio.pass(12);
+    let passed = trio.nodes[0].transfer(trio.now, Some(THIRD));
+    assert!(passed.is_ok());
+    trio.deliver();
+    assert!(trio.nodes[2].is_leader());
+    assert_eq!(
+        trio.nodes[2].depart(trio.now, MemberId(1)),
+        Ok(Departure::Wait)
+    );
 }
 
 /// A member that stopped for good stayed a voter until it was silent for long enough.
