Leadership is handed to a member that runs

A member that was gone was preferred to one that runs and is about to stop itself, so that nobody led for an election timeout.

--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -138,3 +138,18 @@
     }
     assert_eq!(voters(&trio), [1, 2, 3]);
 }
+
+/// A member that was gone got the leadership, as the one that ran was about to stop.
+#[test]
+fn leadership_goes_to_a_member_that_runs() {
+    let mut trio = elected();
+    trio.lose(2);
+    trio.pass(20);
+    assert_eq!(
+        trio.nodes[0].depart(trio.now, MemberId(2)),
+        Ok(Departure::Wait)
+    );
+    assert!(trio.nodes[0].transfer(trio.now, None).is_ok());
+    trio.deliver();
+    assert!(trio.nodes[1].is_leader());
+}
