A learner that is lost keeps no spare out

A machine that came back with an empty disk and was lost for good before its copy was complete left a voter and a learner at one address, both silent; neither was removed, and no other process was let in.

A learner that is lost is removed whether or not the member at its address runs.

--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -147,9 +147,8 @@
         if hold.is_none() && gone {
             return LearnerStep::Due(Change::Remove(other.id));
         }
-        // The learner is lost itself, and the member that it should replace is alive.
-        let other_alive = other.id == self.id || lead.peers.get(&other.id).is_some_and(heard);
-        if other_alive && self.is_lost(now, learner.id) {
+        // If the machine of both is lost, a spare at another address can take its place.
+        if self.is_lost(now, learner.id) {
             return LearnerStep::Due(Change::Remove(learner.id));
         }
         LearnerStep::Held(hold.unwrap_or(Hold::Occupied))
--- a/crates/log/tests/spares.rs
+++ b/crates/log/tests/spares.rs
@@ -193,3 +193,26 @@
     assert_eq!(seen, [[1, 2, 3]]);
     assert_eq!(trio.nodes[0].learners(trio.now)[0].lag, 0);
 }
+
+/// A learner that was lost with the machine of the voter that it should replace kept spares out for ever.
+#[test]
+fn a_spare_replaces_a_voter_whose_new_disk_is_lost_as_well() {
+    let mut trio = with_spare();
+    trio.receiver = None;
+    trio.lose(2);
+    join_at(&mut trio, "127.0.0.1:7003", 8);
+    assert!(trio.nodes[0].members().get(MemberId(4)).is_some());
+    trio.nodes.pop();
+    let settings = Settings {
+        voters: 3,
+        ..Settings::default()
+    };
+    let spare = Node::new(Time::ZERO, InitialState::new(MemberId(5), 5), settings);
+    trio.nodes.push(spare);
+    trio.receiver = Some(3);
+    for _ in 0..60 {
+        let _ = trio.nodes[0].join(trio.now, MemberId(5), "127.0.0.1:7005");
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 5]);
+}
