--- a/crates/control/src/replica/depart.rs
+++ b/crates/control/src/replica/depart.rs
@@ -1,6 +1,6 @@
 //! Prepares a planned stop: this process's group must be able to do without it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use clem_wire::CallError;
 
@@ -35,6 +35,7 @@
     /// good leaves the group unable to bear a lost disk until it is replaced, which is done
     /// before it stops if a process asks to join.
     pub async fn prepare_stop(&self, limit: Duration) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
         if tokio::time::timeout(limit, self.depart()).await.is_err() {
             log::warn!(waited_ms = limit.as_millis() as u64; "stopping while the group needs this member");
         }
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -12,7 +12,11 @@
 //!
 //! See `docs/DESIGN.md`, "Agreement".
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use clem_log::{
     ClusterId, InitialState, LogIndex, Member, MemberId, MemberKind, Members, Node,
@@ -240,6 +244,9 @@
     let mut joining = Joining::default();
     loop {
         tokio::time::sleep(JOIN_INTERVAL).await;
+        if shared.stopping.load(Ordering::Relaxed) {
+            return;
+        }
         let now = shared.clock.now();
         let (join, is_member) = {
             let core = shared.core();
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -4,7 +4,7 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
 };
 
 use clem_boot::Clock;
@@ -43,6 +43,8 @@
     pub(super) votes: bool,
     /// The epoch (term) in which this process leads; `None` while it does not.
     pub(super) epoch: watch::Sender<Option<Epoch>>,
+    /// Whether this process is about to stop, so that it asks no longer to join.
+    pub(super) stopping: AtomicBool,
     /// Wakes the event loop when there is something to send or to apply.
     pub(super) work: Notify,
     core: Mutex<Option<Core>>,
@@ -84,6 +86,7 @@
             member: parts.member,
             votes: parts.votes,
             epoch,
+            stopping: AtomicBool::new(false),
             work: Notify::new(),
             core: Mutex::new(None),
             store: Mutex::new(parts.store),
