Spares that are no longer needed are removed after 10 s

Since spares are let in when a voter is silent for half a second, one that came back left a learner that got the whole log for ever.

--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -178,7 +178,7 @@
 
     /// Returns how many learners the cluster needs, for voters that are missing, leaving or may be lost.
     /// A learner costs no vote, so that it can begin to catch up before a voter counts as lost.
-    fn vacancies(&self, now: Time) -> usize {
+    pub(super) fn vacancies(&self, now: Time) -> usize {
         let wanted = self.settings.voters;
         let Role::Leader(lead) = &self.role else {
             return 0;
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -190,6 +190,7 @@
             transfer: None,
             transfer_after: now,
             reads: Vec::new(),
+            vacant: now,
             departures: BTreeMap::new(),
         }));
         self.append_entry(Payload::Noop);
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -117,8 +117,12 @@
             self.become_follower(now, self.term, None);
             return;
         }
+        let is_vacant = self.vacancies(now) > 0;
         let mut may_transfer = false;
         if let Role::Leader(lead) = &mut self.role {
+            if is_vacant {
+                lead.vacant = now;
+            }
             if lead.transfer.is_some_and(|t| t.deadline <= now) {
                 lead.transfer = None;
                 lead.transfer_after = now + election;
--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -7,6 +7,8 @@
 use super::{LeaderState, Node, Role};
 use crate::{Change, LogIndex, Member, MemberId, MemberKind, progress::Progress};
 
+/// How long a spare is kept after the last vacancy; each one costs a copy of the log.
+const SPARE_KEPT: Duration = Duration::from_secs(10);
 /// How many heartbeats a member has missed when another one at its address counts as its successor; a
 /// process that runs rarely misses one.
 const HEARTBEATS_MISSED: u32 = 2;
@@ -154,6 +156,14 @@
         LearnerStep::Held(hold.unwrap_or(Hold::Occupied))
     }
 
+    /// Returns when a spare was needed last, as far as this leader knows.
+    fn spare_needed(&self, now: Time) -> Time {
+        match &self.role {
+            Role::Leader(lead) => lead.vacant,
+            Role::Follower | Role::PreCandidate { .. } | Role::Candidate { .. } => now,
+        }
+    }
+
     /// Returns whether the learner with this progress has replied to a message sent after the last reply
     /// of `other`, a member at the same address that has missed heartbeats: its disk is gone then.
     fn has_succeeded(&self, now: Time, learner: &Progress, other: MemberId) -> bool {
@@ -186,6 +196,9 @@
             None => {}
         }
         if wanted > 0 && !self.lacks_voter(now) {
+            if self.spare_needed(now) + SPARE_KEPT <= now {
+                return LearnerStep::Due(Change::Remove(learner.id));
+            }
             return LearnerStep::Held(Hold::Unneeded);
         }
         // The spare is promoted before the voter that it replaces is removed. In the opposite
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -158,6 +158,8 @@
     /// When a leaving member may begin the next transfer; proposals are accepted until then.
     transfer_after: Time,
     reads: Vec<PendingRead>,
+    /// When a voter was missing, leaving or silent last.
+    vacant: Time,
     /// When members said last that they are about to stop.
     departures: BTreeMap<MemberId, Time>,
 }
--- a/crates/log/tests/spares.rs
+++ b/crates/log/tests/spares.rs
@@ -216,3 +216,17 @@
     }
     assert_eq!(voters(&trio), [1, 2, 5]);
 }
+
+/// A spare that was let in for a voter that came back got the whole log for ever.
+#[test]
+fn a_spare_that_is_no_longer_needed_is_removed() {
+    let mut trio = with_spare();
+    trio.lose(2);
+    join(&mut trio, 16);
+    trio.find();
+    trio.pass(20);
+    assert_eq!(trio.nodes[0].learners(trio.now).len(), 1);
+    join(&mut trio, 120);
+    assert!(trio.nodes[0].learners(trio.now).is_empty());
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
