The texts of all batch items share one budget of memory

What callers saw: in the report of other operators, a machine that called a faulty target kept bytes without end and ran out of memory. Here a batch keeper did: with 100 endless targets and 400 items it grew beyond limits.memory_mb, and a machine that enforces the limit would have ended it, with all its items' runs.

Cause: each running item keeps its text up to 4 MiB, in a buffer of up to 8 MiB, and nothing bounded the sum. An item given up as too long kept its buffer until its next run.

An item may grow as long as it takes no more than what is left then, so the largest are refused first and small ones find room however many endless ones there are. An item without room gives up its run and place and runs again after 0.5 s to 4 s. An item over its own 4 MiB is treated as before.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -16,7 +16,10 @@
     time::Instant,
 };
 
-use crate::{item_watch::ItemState, keeper::Keeper, placement::Placement, queue::ReadyItem};
+use crate::{
+    item_watch::ItemState, keeper::Keeper, placement::Placement, queue::ReadyItem,
+    text_budget::TextShare,
+};
 
 /// How long the hub may hold a request for a slot.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -37,6 +40,9 @@
 const STRAYS_MAX: u32 = 2;
 /// Maximum size of an item's result; targets in trouble may send events without end.
 const TEXT_BYTES_MAX: usize = 4 * 1024 * 1024;
+/// Lower bound for the memory of all texts, so that the longest one finds room: its buffer may be twice as
+/// long, and a [`TextBudget`](crate::TextBudget) wants as much left.
+pub(crate) const BUDGET_BYTES_MIN: usize = 5 * TEXT_BYTES_MAX;
 /// Longest pause in a stream before it counts as stalled; engines emit many events per second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How often [`STALL_TIMEOUT`] is doubled for an item whose runs stalled: all targets may be that slow.
@@ -49,6 +55,12 @@
 /// the one before.
 const CRASH_DELAY_MAX: Duration = Duration::from_secs(2);
 
+/// First delay before the next run of an item that had no room for its text; each later one is twice the
+/// one before.
+const ROOM_DELAY: Duration = Duration::from_millis(500);
+/// How often [`ROOM_DELAY`] is doubled.
+const ROOM_DOUBLINGS: u32 = 3;
+
 /// The state of an item being run.
 pub(crate) struct ItemRun {
     keeper: Arc<Keeper>,
@@ -56,6 +68,10 @@
     spec: ItemSpec,
     /// The data of the events received so far.
     text: String,
+    /// What the text, and the part of an event after it, take of the memory for all texts.
+    share: TextShare,
+    /// Number of runs given up since there was no room for the text.
+    roomless: u32,
     /// Id of the last event received.
     last_event: Option<u64>,
     /// Whether an event came without an id, after which no other run is known to go on.
@@ -112,11 +128,14 @@
 
 impl ItemRun {
     pub(crate) fn new(keeper: Arc<Keeper>, ready: ReadyItem, spec: ItemSpec) -> Self {
+        let share = TextShare::new(Arc::clone(&keeper.texts));
         let mut run = Self {
             keeper,
             ready,
             spec,
             text: String::new(),
+            share,
+            roomless: 0,
             last_event: None,
             unnumbered: false,
             began: None,
@@ -158,6 +177,8 @@
                 run = self.run_once() => run,
                 () = wait_closed(&keeper, &mut closed, job) => RunEnd::Closed,
             };
+            // The part of an event that it had buffered is gone.
+            self.share.shrink(self.text.capacity());
             let now = keeper.node.now();
             keeper.with_watch(|watch| watch.end_run(now, job, self.ready.item));
             match run {
@@ -449,6 +470,11 @@
                         self.crashes += 1;
                         return self.retry(&target, "too long", "");
                     }
+                    let bytes = self.text.capacity() + events.buffered_bytes();
+                    if !self.share.resize(bytes) {
+                        node.end_unread(slot, frames);
+                        return self.give_up_text(target);
+                    }
                 }
                 Ok(None) if !events.holds_part() && framing == Framing::Close => {
                     return self.read_closed(slot, seen, frames).await;
@@ -560,9 +586,30 @@
         true
     }
 
+    /// Discards the text of a run for which there is no room.
+    fn give_up_text(&mut self, target: String) -> RunEnd {
+        self.roomless += 1;
+        // Targets in trouble may have it happen again and again.
+        if self.roomless.is_power_of_two() {
+            let budget = self.share.budget();
+            log::warn!(
+                item = self.spec.id.as_str(), batch = self.ready.job.name.id.as_str(),
+                target = target.as_str(), text_bytes = self.text.len(),
+                used_bytes = budget.used_bytes(), max_bytes = budget.max_bytes(),
+                times = self.roomless;
+                "no room for the text of an item"
+            );
+        }
+        self.reset();
+        self.avoid.push(target);
+        let doublings = (self.roomless - 1).min(ROOM_DOUBLINGS);
+        RunEnd::Held(ROOM_DELAY * 2_u32.pow(doublings))
+    }
+
     /// Discards the output, so that the next run starts from the beginning.
     fn reset(&mut self) {
-        self.text.clear();
+        // Clearing it would keep its memory.
+        self.text = String::new();
         self.last_event = None;
         self.unnumbered = false;
         self.confirmed.clear();
@@ -606,16 +653,20 @@
             framing = self.framing.map(Framing::as_str), seen = self.last_event;
             "item ended"
         );
-        let text = match state {
-            ItemStatus::Completed => self.text,
-            ItemStatus::Errored => String::new(),
+        let (text, share) = match state {
+            ItemStatus::Completed => (self.text, self.share),
+            ItemStatus::Errored => {
+                let none = TextShare::new(Arc::clone(&self.keeper.texts));
+                (String::new(), none)
+            }
         };
-        self.keeper.end_item(EndedItem {
+        let ended = EndedItem {
             job: self.ready.job.number,
             item: self.ready.item,
             state,
             text,
-        });
+        };
+        self.keeper.end_item(ended, share);
     }
 }
 
--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -24,6 +24,7 @@
     ended_items::EndedItems,
     item_watch::{ItemState, ItemWatch},
     queue::{ItemQueue, ReadyItem},
+    text_budget::{TextBudget, TextShare},
 };
 
 /// How long a command may wait until that is logged; each pause is twice the one before.
@@ -38,8 +39,12 @@
     pub(crate) items_ready: Notify,
     /// Notified when an item has ended whose result is not recorded yet.
     pub(crate) ended_ready: Notify,
+    /// Memory for the texts of items that are not recorded.
+    pub(crate) texts: Arc<TextBudget>,
     queue: Mutex<Option<(Epoch, ItemQueue)>>,
     ended: Mutex<EndedItems>,
+    /// What the texts of ended items take until they are recorded.
+    ended_shares: Mutex<HashMap<(jobs::JobNumber, ItemIndex), TextShare>>,
     watch: Mutex<ItemWatch>,
     recalls: Mutex<HashMap<Ticket, oneshot::Sender<()>>>,
     recorded: watch::Sender<u64>,
@@ -47,15 +52,17 @@
 }
 
 impl Keeper {
-    pub(crate) fn new(node: Arc<Node>, replica: Replica) -> Self {
+    pub(crate) fn new(node: Arc<Node>, replica: Replica, texts: Arc<TextBudget>) -> Self {
         let watch = Mutex::new(ItemWatch::new(node.now()));
         Self {
             node,
             replica,
             items_ready: Notify::new(),
             ended_ready: Notify::new(),
+            texts,
             queue: Mutex::new(None),
             ended: Mutex::default(),
+            ended_shares: Mutex::default(),
             watch,
             recalls: Mutex::default(),
             recorded: watch::Sender::new(0),
@@ -73,7 +80,7 @@
         let Some(epoch) = self.replica.leading_epoch(self.node.now()) else {
             if queue.take().is_some() {
                 log::warn!("lost leadership");
-                lock(&self.ended).clear();
+                self.clear_ended();
                 lock(&self.watch).clear();
                 self.closed.send_modify(|count| *count += 1);
                 self.node.view().members = None;
@@ -88,7 +95,7 @@
             }
             log::info!(epoch = epoch.0, items = fresh.waiting(); "became leader");
             *queue = Some((epoch, fresh));
-            lock(&self.ended).clear();
+            self.clear_ended();
             lock(&self.watch).clear();
             self.items_ready.notify_one();
         }
@@ -144,14 +151,20 @@
         self.with_watch(|watch| watch.set(now, item.job.number, item.item, state));
     }
 
-    /// Queues an item's result; the next command records it.
-    pub(crate) fn end_item(&self, item: EndedItem) {
+    /// Queues an item's result, whose text has this share of the memory; the next command records it.
+    pub(crate) fn end_item(&self, item: EndedItem, share: TextShare) {
         let now = self.node.now();
+        lock(&self.ended_shares).insert((item.job, item.item), share);
         self.with_watch(|watch| watch.set(now, item.job, item.item, ItemState::Ended));
         lock(&self.ended).push(item);
         self.ended_ready.notify_one();
     }
 
+    fn clear_ended(&self) {
+        lock(&self.ended).clear();
+        lock(&self.ended_shares).clear();
+    }
+
     /// Removes and returns ended items for one command.
     pub(crate) fn take_ended(&self) -> Vec<EndedItem> {
         lock(&self.ended).take()
@@ -214,6 +227,7 @@
 
     pub(crate) fn finish(&self, job: jobs::JobNumber, item: ItemIndex) {
         self.with_watch(|watch| watch.remove(job, item));
+        lock(&self.ended_shares).remove(&(job, item));
         // If this process is no longer the leader, it has no queue.
         let _ = self.with_leader(|queue| queue.finish(job, item));
         self.items_ready.notify_one();
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -11,7 +11,7 @@
 use salvo::{Router, Server};
 use tokio::sync::watch;
 
-use crate::{keeper::Keeper, serve, tasks};
+use crate::{item::BUDGET_BYTES_MIN, keeper::Keeper, serve, tasks, text_budget::TextBudget};
 
 /// How long calls in progress may take after a stop signal.
 const STOP_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -36,6 +36,9 @@
     pub tolerance: usize,
     /// Free disk space below which writes are refused, in bytes.
     pub reserve_bytes: u64,
+    /// Memory for the texts of all items that run or have ended and are not recorded, in bytes;
+    /// room for the longest one is there whatever this says.
+    pub text_bytes: usize,
     /// The secret that processes of the fleet use to authenticate to each other.
     pub secret: FleetSecret,
 }
@@ -80,7 +83,11 @@
         consensus: consensus_settings(settings.tolerance),
     })?;
     replica.set_live(&node.view().batch);
-    let keeper = Arc::new(Keeper::new(Arc::clone(&node), replica.clone()));
+    let keeper = Arc::new(Keeper::new(
+        Arc::clone(&node),
+        replica.clone(),
+        TextBudget::new(settings.text_bytes.max(BUDGET_BYTES_MIN)),
+    ));
     let router = Router::new()
         .hoop(Guard::new(settings.secret))
         .append(&mut serve::routes(&keeper))
--- a/crates/batch/src/tasks.rs
+++ b/crates/batch/src/tasks.rs
@@ -136,10 +136,12 @@
         return;
     };
     set_gauges(&counts);
+    let text_bytes = keeper.texts.used_bytes();
+    metrics::gauge!("clem_batch_text_bytes").set(text_bytes as f64);
     if counts.total() == 0 {
         return;
     }
-    log_counts(&counts);
+    log_counts(&counts, text_bytes);
     for item in idle {
         log::info!(
             item = item.item.as_str(), batch = item.batch.as_str(),
@@ -161,7 +163,7 @@
     metrics::gauge!("clem_batch_oldest_ended_seconds").set(counts.oldest_ended.as_secs_f64());
 }
 
-fn log_counts(counts: &ItemCounts) {
+fn log_counts(counts: &ItemCounts, text_bytes: usize) {
     let join = |items: &BTreeMap<ItemState, usize>| {
         let texts = items
             .iter()
@@ -172,7 +174,7 @@
         queued = counts.queued, delayed = counts.delayed, taken = join(&counts.taken).as_str(),
         held = join(&counts.held).as_str(),
         oldest_ms = counts.oldest.as_millis() as u64,
-        oldest_ended_ms = counts.oldest_ended.as_millis() as u64;
+        oldest_ended_ms = counts.oldest_ended.as_millis() as u64, text_bytes;
         "items without a result"
     );
 }
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -56,6 +56,11 @@
         self.rest.len() > EVENT_BYTES_MAX
     }
 
+    /// Bytes of the partial event that is buffered.
+    pub fn buffered_bytes(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Whether a part of an event is buffered. Blank lines and comments are none.
     pub fn holds_part(&self) -> bool {
         !is_comment(&self.rest)
