The batch group is founded although a founder is lost before

The remaining founders logged "not in a group yet", phase "search", 2 replies. Found by a soak on real processes.

Cause: the hub names the founders once. Only the lowest one bootstrapped the group, and only when all of them had answered, so one that was lost between its report and the founding was waited for without end.

Repair: a founder's disk counts as original if its process saw one leader of the hub first name no founders and later name them, and has run since. If a majority of the founders answer with original disks, the lowest of these bootstraps the group: at once if all have answered, otherwise after 5 s. It has a voter for each founder; one that does not answer with an original disk gets a random identity that no disk has, and is replaced as a lost voter.

Why two groups never both accept commands: each address has at most one original disk. Two groups founded by majorities have equally many voters at the same addresses, so their quorums share an address and there the same original disk, and a disk never changes its group. Without such a majority all founders must answer, as before.

The proof is in memory, so a founder lost for good together with a restart of another one still leaves the group unfounded. A founder that bootstrapped a group alone must be emptied by hand.

--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -8,11 +8,17 @@
 //! answered and none knows a group. A process that has lost its disk therefore never bootstraps a
 //! second group while a member of the first one answers or is thought to be alive.
 //!
+//! A founder may be lost before that. If a majority of the founders have disks that were empty before any
+//! group of these founders could exist, the lowest of those bootstraps the group instead, at the latest
+//! after [`MAJORITY_DELAY`]. Only such disks, and names that no disk has, are the members of that group.
+//! As it has one member for each founder, the quorums of any two such groups have a disk in common, and a
+//! disk never changes its group.
+//!
 //! A process without a disk answers these queries as well, but never becomes a member.
 //!
 //! See `docs/DESIGN.md`, "Agreement".
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_log::{
     ClusterId, InitialState, LogIndex, Member, MemberId, MemberKind, Members, Node,
@@ -32,6 +38,8 @@
 
 /// Time between two rounds of queries.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
+/// How long a process waits for answers of all founders before a majority may bootstrap a group.
+const MAJORITY_DELAY: Duration = Duration::from_secs(5);
 /// How often a process without a disk queries the others for the group's members.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of one query.
@@ -121,6 +129,7 @@
 /// Queries the other processes until there is a group to join or to bootstrap.
 async fn form(shared: &Shared, folder: &mut Folder) -> (ClusterId, InitialState) {
     let mut joining = Joining::default();
+    let started = shared.clock.now();
     loop {
         let asked = shared.others();
         let answers = query(shared, &asked).await;
@@ -133,7 +142,7 @@
             );
             return (group.cluster, adopt(shared, folder, group));
         }
-        if let Some(group) = bootstrap_group(shared, &answers) {
+        if let Some(group) = bootstrap_group(shared, &answers, now.since(started)) {
             joining.finish(now);
             return (group.cluster, adopt(shared, folder, group));
         }
@@ -176,31 +185,52 @@
     answers
 }
 
-/// Creates a new group, if this process is the one to bootstrap it and all others have answered.
-fn bootstrap_group(shared: &Shared, answers: &[PeerReply]) -> Option<Group> {
+/// Creates a new group, if this process is the one to bootstrap it and enough others have answered
+/// after this process has waited for so long.
+fn bootstrap_group(shared: &Shared, answers: &[PeerReply], waited: Duration) -> Option<Group> {
     let named = shared.founders.contains(&shared.address);
     if !shared.bootstrap || !named {
         return None;
     }
     let answered = |address: &SocketAddr| answers.iter().any(|a| a.address == *address);
     let silent = shared.expected().any(|address| !answered(&address));
+    if silent && waited < MAJORITY_DELAY {
+        return None;
+    }
     let founding = answers
         .iter()
         .filter(|a| a.reply.votes && shared.founders.contains(&a.address));
-    let voting: Vec<&PeerReply> = founding.collect();
-    let lowest = voting.iter().all(|answer| shared.address < answer.address);
-    if silent || !lowest {
+    let mut known = BTreeMap::from([(shared.address, (shared.member, shared.predates_group))]);
+    known.extend(founding.map(|a| (a.address, (a.reply.member, a.reply.predates_group))));
+    let mut original = known.clone();
+    original.retain(|_, (_, predates_group)| *predates_group);
+    let by_majority = original.len() > shared.founders.len() / 2;
+    if by_majority {
+        known = original;
+    } else if silent {
         return None;
     }
-    let mut members = vec![voter(shared.member, shared.address)];
-    for answer in voting {
-        members.push(voter(answer.reply.member, answer.address));
+    if known.keys().next() != Some(&shared.address) {
+        return None;
+    }
+    let mut members: Vec<Member> = known
+        .iter()
+        .map(|(address, (member, _))| voter(*member, *address))
+        .collect();
+    if by_majority {
+        // Without a voter for each founder, a smaller quorum would do, and that of another group
+        // might have no disk in common with it.
+        let lacking = shared.founders.iter().filter(|a| !known.contains_key(*a));
+        members.extend(lacking.map(|address| voter(MemberId(rand::random()), *address)));
     }
     let group = Group {
         cluster: ClusterId(rand::random()),
         members: Members::new(members),
     };
-    log::info!(cluster:% = group.cluster, members = group.members.iter().count(); "bootstrapping new group");
+    log::info!(
+        cluster:% = group.cluster, members = group.members.iter().count(), known = known.len();
+        "bootstrapping new group"
+    );
     Some(group)
 }
 
--- a/crates/control/src/replica/routes.rs
+++ b/crates/control/src/replica/routes.rs
@@ -86,6 +86,7 @@
             &HelloReply {
                 member: self.0.member,
                 votes: self.0.votes,
+                predates_group: self.0.predates_group,
                 group,
                 known,
             },
