--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -1,9 +1,9 @@
 //! Membership changes, one at a time, and the automatic replacement of lost members.
 
-use clem_types::Time;
-
 use std::time::Duration;
 
+use clem_types::Time;
+
 use super::{JoinRequest, Node, Role, learner::LearnerStep};
 use crate::{Change, LogIndex, MemberId, MemberKind, NodeError, Payload, Result};
 
