Connections to targets read 32 KiB at once, as fronts hold chunks for slow callers

A front with nearly as many callers as it takes by its memory limit, none of which reads, and targets that send without end, grew beyond that limit.

Cause: a connection to a target read up to 408 KiB at once (hyper's default), and a front holds up to 8 such chunks for a caller; it counts with 64 KiB for a request when it derives how many it takes.

Connections to targets now read 32 KiB at once, so that each chunk that is held is smaller. This also bounds heads of responses to 32 KiB, twice what callers' heads may have by the usual rules.

--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -16,7 +16,7 @@
     body::Incoming,
     client::conn::{
         TrySendError,
-        http1::{SendRequest, handshake},
+        http1::{Builder, SendRequest},
     },
 };
 use hyper_util::rt::TokioIo;
@@ -24,6 +24,8 @@
 
 /// Timeout for setting up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Most bytes read from a connection at once, and the largest response head.
+const READ_BYTES_MAX: usize = 32 * 1024;
 /// How long an idle connection is kept; targets close theirs after some seconds.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// The most idle connections per target.
@@ -155,7 +157,9 @@
     let late = |_| ConnectError::Failed("no connection in time".to_owned());
     let stream = connected.map_err(late)??;
     stream.set_nodelay(true)?;
-    let (sender, connection) = handshake(TokioIo::new(stream))
+    let (sender, connection) = Builder::new()
+        .max_buf_size(READ_BYTES_MAX)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| ConnectError::Failed(error.to_string()))?;
     tokio::spawn(async move {
