Tests: a voter that stops is replaced instead of one that is gone, known red

Reproduced on real processes with the logic of: a follower is lost for good, its successor has just joined as a learner, and the leader is stopped or retired. The learner takes the place of the leader, whose disk comes back, and the voter that is gone stays. Once the successor has had 4.5 s, the next leader is lost: of three voters one runs.

Three tests of clem-log departure show the same without processes.

--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -153,3 +153,51 @@
     trio.deliver();
     assert!(trio.nodes[1].is_leader());
 }
+
+/// Lets the spare catch up while the third member is gone but does not count as lost yet.
+fn with_spare_while_the_third_is_gone() -> Trio {
+    let mut trio = with_spare();
+    trio.lose(2);
+    for _ in 0..15 {
+        let _ = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 3]);
+    assert_eq!(trio.nodes[0].learners(trio.now).len(), 1);
+    trio
+}
+
+/// A member whose disk comes back was removed in place of one that was gone, which left two of three.
+#[test]
+fn a_member_that_stops_is_not_replaced_before_one_that_is_gone() {
+    let mut trio = with_spare_while_the_third_is_gone();
+    for _ in 0..20 {
+        let _ = trio.nodes[0].depart(trio.now, MemberId(2));
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 4]);
+}
+
+#[test]
+fn a_leader_that_stops_is_not_replaced_before_a_member_that_is_gone() {
+    let mut trio = with_spare_while_the_third_is_gone();
+    let passed = trio.nodes[0].transfer(trio.now, Some(MemberId(2)));
+    assert!(passed.is_ok());
+    trio.deliver();
+    for _ in 0..30 {
+        let _ = trio.nodes[1].depart(trio.now, MemberId(1));
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 4]);
+}
+
+/// The machine of a retired member is taken away with its disk, so that the same left two of three.
+#[test]
+fn a_member_that_is_retired_is_not_replaced_before_one_that_is_gone() {
+    let mut trio = with_spare_while_the_third_is_gone();
+    for node in &mut trio.nodes {
+        node.set_leaving(&["127.0.0.1:7002".to_owned()]);
+    }
+    trio.pass(20);
+    assert_eq!(voters(&trio), [1, 2, 4]);
+}
