Members say how they answer to requests for votes, and leaders whom they remove

A member without a leader said whom it reaches, but neither whether it is a voter itself nor what the others answer to its requests for votes, and why. A leader that removed a voter said nothing of the other voters.

The line 'group without a leader' has these answers now, the gauges clem_control_own_vote and clem_control_votes_refused are new, and a leader logs 'removing member' with how long it has been silent and how many of the remaining voters reply. No decision changes.

--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -278,6 +278,14 @@
             let _ = reply.send(false);
         }
         self.snapshot_requests.extend(ready.snapshots);
+        for removal in ready.removals {
+            log::info!(
+                member:% = removal.id, votes = removal.votes, leaves = removal.leaves,
+                silent_ms = removal.silence.as_millis() as u64, remaining = removal.remaining,
+                replying = removal.replying;
+                "removing member"
+            );
+        }
     }
 
     fn apply(&mut self, store: &mut RedbStore) {
--- a/crates/control/src/replica/group_report.rs
+++ b/crates/control/src/replica/group_report.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use clem_log::{GroupStatus, VoterStatus};
+use clem_log::{GroupStatus, MemberKind, VoterStatus};
 use clem_types::Time;
 use metrics::gauge;
 
@@ -26,6 +26,11 @@
         gauge!("clem_control_voters_needed").set(status.quorum as f64);
         let vacancies = if status.vacancy.is_some() { 1.0 } else { 0.0 };
         gauge!("clem_control_vacancies").set(vacancies);
+        let own = status.own == Some(MemberKind::Voter);
+        gauge!("clem_control_own_vote").set(f64::from(u8::from(own)));
+        let refused = |voter: &&VoterStatus| voter.granted == Some(false);
+        let refused = status.voters.iter().filter(refused).count();
+        gauge!("clem_control_votes_refused").set(refused as f64);
         let without_leader = leaderless >= LEADERLESS_LOGGED;
         if !without_leader && status.vacancy.is_none() {
             return;
@@ -38,7 +43,8 @@
         if without_leader {
             log::warn!(
                 leaderless_ms = leaderless.as_millis() as u64, reachable = status.reachable,
-                needed = status.quorum, unheard_ms = voters.join(" ").as_str();
+                needed = status.quorum, unheard_ms = voters.join(" ").as_str(), own,
+                received = received(status).as_str(), answered = answered(status).as_str();
                 "group without a leader"
             );
         }
@@ -52,6 +58,26 @@
     }
 }
 
+/// How the voters answered when this member last asked for their votes, as `IDENTITY=ANSWER`.
+fn received(status: &GroupStatus) -> String {
+    let answers = status.voters.iter().map(|voter| {
+        let answer = match voter.granted {
+            Some(true) => "granted",
+            Some(false) => "refused",
+            None => "none",
+        };
+        format!("{}={answer}", voter.id)
+    });
+    answers.collect::<Vec<_>>().join(" ")
+}
+
+/// What this member last answered to those that asked for its vote, as `IDENTITY=ANSWER`.
+fn answered(status: &GroupStatus) -> String {
+    let answers = status.answers.iter();
+    let answers = answers.map(|(id, answer)| format!("{id}={}", answer.as_str()));
+    answers.collect::<Vec<_>>().join(" ")
+}
+
 /// A voter and the milliseconds since its last message, as `IDENTITY@IP:PORT=MILLISECONDS`.
 fn describe(voter: &VoterStatus) -> String {
     let unheard = voter.unheard.map(|unheard| unheard.as_millis().to_string());
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -49,7 +49,8 @@
 pub use members::{Change, Member, MemberKind, Members};
 pub use message::{Append, Ballot, Body, Message, Silence};
 pub use node::{
-    Departure, GroupStatus, Hold, InitialState, LearnerStatus, Node, Vacancy, VoterStatus,
+    Departure, GroupStatus, Hold, InitialState, LearnerStatus, Node, Vacancy, VoteAnswer,
+    VoterStatus,
 };
-pub use ready::{ReadId, ReadReady, Ready, Write, WriteNumber};
+pub use ready::{ReadId, ReadReady, Ready, Removal, Write, WriteNumber};
 pub use settings::Settings;
--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -5,7 +5,7 @@
 use clem_types::Time;
 
 use super::{JoinRequest, Node, Role, learner::LearnerStep};
-use crate::{Change, LogIndex, MemberId, MemberKind, NodeError, Payload, Result};
+use crate::{Change, LogIndex, MemberId, MemberKind, NodeError, Payload, Removal, Result};
 
 /// How long a request to join is kept; a process that wants to join repeats it more often.
 pub(super) const JOIN_KEPT: Duration = Duration::from_secs(2);
@@ -103,14 +103,35 @@
         let Some(change) = self.next_change(now) else {
             return;
         };
+        let removal = self.removal(now, &change);
         if self.change(now, &change).is_err() {
             return;
         }
-        if let Change::AddLearner { id, .. } = &change {
-            self.joins.remove(id);
+        match &change {
+            Change::AddLearner { id, .. } => {
+                self.joins.remove(id);
+            }
+            Change::Remove(_) => self.output.removals.extend(removal),
+            Change::Promote(_) => {}
         }
     }
 
+    /// Describes a removal before it is proposed, for logs.
+    fn removal(&self, now: Time, change: &Change) -> Option<Removal> {
+        let (Change::Remove(id), Role::Leader(lead)) = (change, &self.role) else {
+            return None;
+        };
+        let voters = || self.members().voters().filter(|other| other != id);
+        Some(Removal {
+            id: *id,
+            votes: self.members().is_voter(*id),
+            leaves: self.leaves(now, *id),
+            silence: lead.peers.get(id)?.silence(now),
+            remaining: voters().count(),
+            replying: voters().filter(|id| self.replies(now, *id)).count(),
+        })
+    }
+
     /// Promotes a learner if that is the next change, so that no pause follows the removal of the voter
     /// that it replaces.
     pub(super) fn promote_learner(&mut self, now: Time) {
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -7,7 +7,7 @@
 
 use clem_types::Time;
 
-use super::{LeaderState, Node, Role};
+use super::{LeaderState, Node, Role, VoteAnswer};
 use crate::{Ballot, Body, MemberId, Payload, Term, progress::Progress};
 
 impl Node {
@@ -65,11 +65,18 @@
 
     pub(super) fn on_pre_vote(&mut self, now: Time, from: MemberId, term: Term, ballot: Ballot) {
         let has_leader = self.is_leader() || self.has_recent_leader(now);
-        if has_leader || term <= self.term || self.has_newer_log(ballot) {
-            self.send(from, Body::PreVoteReply { granted: false });
-            return;
-        }
-        self.send_as(from, term, Body::PreVoteReply { granted: true });
+        let answer = if has_leader {
+            VoteAnswer::Led
+        } else if term <= self.term {
+            VoteAnswer::OldTerm
+        } else if self.has_newer_log(ballot) {
+            VoteAnswer::OldLog
+        } else {
+            VoteAnswer::Granted
+        };
+        let granted = self.note_answer(from, answer);
+        let term = if granted { term } else { self.term };
+        self.send_as(from, term, Body::PreVoteReply { granted });
     }
 
     pub(super) fn on_pre_vote_reply(
@@ -79,6 +86,7 @@
         term: Term,
         granted: bool,
     ) {
+        self.note_received(from, granted);
         if !granted {
             if term > self.term {
                 self.become_follower(now, term, None);
@@ -97,18 +105,26 @@
 
     pub(super) fn on_vote(&mut self, now: Time, from: MemberId, term: Term, ballot: Ballot) {
         if term < self.term {
+            self.note_answer(from, VoteAnswer::OldTerm);
             self.send(from, Body::VoteReply { granted: false });
             return;
         }
         let has_leader = self.is_leader() || self.has_recent_leader(now);
         if has_leader && !ballot.transfer {
+            self.note_answer(from, VoteAnswer::Led);
             return;
         }
         if term > self.term {
             self.become_follower(now, term, None);
         }
-        let free = self.vote.is_none_or(|vote| vote == from);
-        let granted = free && !self.has_newer_log(ballot);
+        let answer = if self.vote.is_some_and(|vote| vote != from) {
+            VoteAnswer::Given
+        } else if self.has_newer_log(ballot) {
+            VoteAnswer::OldLog
+        } else {
+            VoteAnswer::Granted
+        };
+        let granted = self.note_answer(from, answer);
         if granted && self.vote.is_none() {
             self.vote = Some(from);
             self.disk.hard_changed = true;
@@ -118,6 +134,7 @@
     }
 
     pub(super) fn on_vote_reply(&mut self, now: Time, from: MemberId, term: Term, granted: bool) {
+        self.note_received(from, granted);
         if term > self.term {
             self.become_follower(now, term, None);
             return;
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod output;
 mod read;
 mod status;
+mod votes;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -22,10 +23,12 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 pub use status::{GroupStatus, Vacancy, VoterStatus};
+pub use votes::VoteAnswer;
 
 use crate::{
     Body, Entry, HardState, LogIndex, MemberId, Members, Message, Payload, ReadId, ReadReady,
-    Settings, SnapshotMetadata, Term, Write, WriteNumber, memlog::MemLog, progress::Progress,
+    Removal, Settings, SnapshotMetadata, Term, Write, WriteNumber, memlog::MemLog,
+    progress::Progress,
 };
 
 /// The initial state of a member, as read from its disk.
@@ -115,6 +118,7 @@
     contacts: BTreeMap<MemberId, Time>,
     /// How long members had been silent for the last leader, or for this member when it led.
     silences: BTreeMap<MemberId, Duration>,
+    votes: votes::Votes,
     /// When the next election starts, unless a leader is heard from before.
     deadline: Time,
     /// The index up to which the log is known to match the current leader's.
@@ -217,6 +221,7 @@
     reads: Vec<ReadReady>,
     failed_reads: Vec<ReadId>,
     snapshots: Vec<MemberId>,
+    removals: Vec<Removal>,
 }
 
 impl Node {
@@ -256,6 +261,7 @@
             last_contact: now,
             contacts: BTreeMap::new(),
             silences: BTreeMap::new(),
+            votes: votes::Votes::default(),
             deadline: now,
             matched: LogIndex::default(),
             pending_reply: None,
--- a/crates/log/src/node/output.rs
+++ b/crates/log/src/node/output.rs
@@ -19,6 +19,7 @@
             reads: std::mem::take(&mut self.output.reads),
             failed_reads: std::mem::take(&mut self.output.failed_reads),
             snapshots: std::mem::take(&mut self.output.snapshots),
+            removals: std::mem::take(&mut self.output.removals),
         }
     }
 
--- a/crates/log/src/node/status.rs
+++ b/crates/log/src/node/status.rs
@@ -4,7 +4,7 @@
 
 use clem_types::Time;
 
-use super::{Hold, LeaderState, Node, Role, learner::LearnerStep};
+use super::{Hold, LeaderState, Node, Role, VoteAnswer, learner::LearnerStep};
 use crate::{MemberId, MemberKind};
 
 /// The voters of a group, as one of its members knows them.
@@ -15,6 +15,10 @@
     /// The time since this member last knew of a leader; `None` while it does, and in a process that is
     /// no member yet.
     pub leaderless: Option<Duration>,
+    /// What this member is, as far as it knows: it may have been removed without being told.
+    pub own: Option<MemberKind>,
+    /// What this member last answered to those that asked for its vote.
+    pub answers: Vec<(MemberId, VoteAnswer)>,
     /// How many voters a decision needs.
     pub quorum: usize,
     /// All voters but this member.
@@ -35,6 +39,8 @@
     pub address: String,
     /// The time since its last message; `None` if there was none.
     pub unheard: Option<Duration>,
+    /// Whether it granted its vote when this member last asked for it; `None` if it never answered.
+    pub granted: Option<bool>,
 }
 
 /// A voter that does not reply or is leaving, and is still a member.
@@ -60,6 +66,7 @@
                 id: member.id,
                 address: member.address.clone(),
                 unheard: contact.map(|at| now.since(*at)),
+                granted: self.votes.received.get(&member.id).copied(),
             });
         }
         let recent = |voter: &&VoterStatus| {
@@ -70,6 +77,13 @@
         let own = usize::from(members.is_voter(self.id));
         GroupStatus {
             leaderless: leaderless.then(|| now.since(self.last_contact)),
+            own: members.get(self.id).map(|member| member.kind),
+            answers: self
+                .votes
+                .answered
+                .iter()
+                .map(|(id, answer)| (*id, *answer))
+                .collect(),
             quorum: members.quorum(),
             reachable: own + voters.iter().filter(recent).count(),
             voters,
--- a/crates/log/src/ready.rs
+++ b/crates/log/src/ready.rs
@@ -1,5 +1,7 @@
 //! The output of a node for its driver.
 
+use std::time::Duration;
+
 use crate::{Entry, HardState, MemberId, Message, SnapshotMetadata};
 
 /// The work for the driver after a round of steps.
@@ -17,6 +19,25 @@
     pub failed_reads: Vec<ReadId>,
     /// Members that need a snapshot, as the entries that they lack are compacted.
     pub snapshots: Vec<MemberId>,
+    /// Members that this leader has begun to remove by itself, for logs.
+    pub removals: Vec<Removal>,
+}
+
+/// The removal of a member that its leader has proposed by itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Removal {
+    /// The member.
+    pub id: MemberId,
+    /// Whether it is a voter.
+    pub votes: bool,
+    /// Whether it is to be replaced although it may be alive.
+    pub leaves: bool,
+    /// How long it has been silent, for this leader and those before it.
+    pub silence: Duration,
+    /// How many voters remain, and how many of them have replied within an election timeout.
+    pub remaining: usize,
+    /// See [`remaining`](Self::remaining).
+    pub replying: usize,
 }
 
 /// A write to the log on disk; its entries replace any at the index of the first and above.
--- a/crates/log/tests/status.rs
+++ b/crates/log/tests/status.rs
@@ -2,7 +2,11 @@
 
 mod trio;
 
-use clem_log::{Hold, Settings};
+use std::time::Duration;
+
+use clem_log::{
+    Ballot, Body, Hold, LogIndex, MemberId, MemberKind, Message, Settings, Term, VoteAnswer,
+};
 use trio::Trio;
 
 fn elected() -> Trio {
@@ -43,3 +47,36 @@
     assert!(status.leaderless.is_some_and(|span| span.as_secs() >= 4));
     assert_eq!((status.reachable, status.quorum), (1, 2));
 }
+
+/// Nothing told a voter from a member that was removed without being told, nor why votes were refused.
+#[test]
+fn members_report_how_they_answer_to_requests_for_votes() {
+    let mut trio = elected();
+    let ask = |trio: &mut Trio| {
+        let ballot = Ballot {
+            index: LogIndex(0),
+            term: Term(0),
+            transfer: false,
+        };
+        let message = Message {
+            from: MemberId(2),
+            to: MemberId(3),
+            term: trio.nodes[2].term().next(),
+            body: Body::PreVote(ballot),
+        };
+        trio.nodes[2].step(trio.now, message);
+        let status = trio.nodes[2].status(trio.now);
+        let mut answers = status.answers.into_iter();
+        let answer = answers.find(|(id, _)| *id == MemberId(2));
+        (status.own, answer.map(|(_, answer)| answer))
+    };
+    let voter = Some(MemberKind::Voter);
+    assert_eq!(ask(&mut trio), (voter, Some(VoteAnswer::Led)));
+    trio.now = trio.now + Duration::from_secs(5);
+    assert_eq!(ask(&mut trio), (voter, Some(VoteAnswer::OldLog)));
+    trio.lose(0);
+    trio.pass(20);
+    let asked = trio.nodes[1].status(trio.now).voters;
+    let granted = asked.iter().find(|voter| voter.id == MemberId(3));
+    assert!(granted.is_some_and(|voter| voter.granted.is_some()));
+}
