A voter that leaves is replaced only while all others are accounted for

Cause: a spare took the place of the first voter of which the leader knew something. That a voter is about to stop or is being retired is known at once; that another one is gone takes 2 s of silence, and a new leader counts at least an election timeout of its own. So the successor of a lost voter replaced a voter that was about to be restarted, or retired, and the lost one stayed. The group then bore no further loss, though the lost voter's successor had had its time.

Why it works: a leaving voter is replaced only while each other voter has replied to this leader within an election timeout, or leaves as well. One that is silent either replies or counts as lost after 2 s at most, and a lost voter comes first. Of several that leave, one that no longer replies comes first. The leaving one waits meanwhile, as it does for any spare, within its grace period.

--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -224,11 +224,22 @@
         wanted > 0 && (too_few || self.voter_to_replace(now).is_some())
     }
 
-    /// Returns a voter that should be replaced because it is lost or leaving.
+    /// Returns a voter that should be replaced because it is lost, or leaving while no other one may be
+    /// lost.
+    ///
+    /// A spare that takes the place of one that leaves is missing for one that is gone, which needs
+    /// longer to be known.
     fn voter_to_replace(&self, now: Time) -> Option<MemberId> {
         let others = || self.members().voters().filter(|id| *id != self.id);
-        let lost = others().find(|id| self.is_lost(now, *id));
-        lost.or_else(|| others().find(|id| self.leaves(now, *id)))
+        if let Some(lost) = others().find(|id| self.is_lost(now, *id)) {
+            return Some(lost);
+        }
+        let accounted = |id| self.replies(now, id) || self.leaves(now, id);
+        if !others().all(accounted) {
+            return None;
+        }
+        let leaving = others().filter(|id| self.leaves(now, *id));
+        leaving.min_by_key(|id| self.replies(now, *id))
     }
 
     /// Returns whether a member has been unreachable for so long that a new member may replace it.
--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -199,7 +199,8 @@
             if self.spare_needed(now) + SPARE_KEPT <= now {
                 return LearnerStep::Due(Change::Remove(learner.id));
             }
-            return LearnerStep::Held(Hold::Unneeded);
+            let due = self.vacancies(now) > 0;
+            return LearnerStep::Held(if due { Hold::Recent } else { Hold::Unneeded });
         }
         // The spare is promoted before the voter that it replaces is removed. In the opposite
         // order, losing one more disk right after the removal would lose the quorum.
