Tests: the margin of a full disk is a part of what is free

The margin is a quarter of the free room now, and half of that is missing while room is short. What is checked, and within which time, is the same.

--- a/crates/checks/tests/batch_full_disk.rs
+++ b/crates/checks/tests/batch_full_disk.rs
@@ -14,10 +14,10 @@
 /// A reserve in bytes that exceeds any disk, so that every disk counts as full.
 const IMPOSSIBLE_RESERVE: &str = "9223372036854775807";
 
-/// How far the reserve lies below the free room, in bytes.
-const MARGIN_BYTES: u64 = 1 << 30;
-/// How far the free room lies below the reserve while room is short, in bytes.
-const LACK_BYTES: u64 = 1 << 30;
+/// One part in this many of the free room lies above the reserve; others write to the file system, too.
+const MARGIN_DIVISOR: u64 = 4;
+/// One part in this many of that margin is missing from the reserve while room is short.
+const LACK_DIVISOR: u64 = 2;
 /// How long there is no room.
 const SHORT_TIME: Duration = Duration::from_secs(3);
 /// Within this time new work is taken again once there is room.
@@ -81,7 +81,9 @@
 async fn a_disk_that_has_room_again_takes_new_batches() -> Result<()> {
     let mut fleet = Fleet::start(Options::default()).await?;
     let folder = std::env::temp_dir();
-    let reserve = free_bytes(&folder)? - MARGIN_BYTES;
+    let free = free_bytes(&folder)?;
+    let margin = free / MARGIN_DIVISOR;
+    let reserve = free - margin;
     for process in &mut fleet.control {
         process.kill()?;
         let mut args = process.args().to_vec();
@@ -104,7 +106,7 @@
 
     let filler = NamedTempFile::new_in(&folder)?;
     // Others use the file system too, so what is free has changed.
-    let bytes = free_bytes(&folder)? + LACK_BYTES - reserve;
+    let bytes = free_bytes(&folder)? + margin / LACK_DIVISOR - reserve;
     fallocate(
         filler.as_file(),
         FallocateFlags::empty(),
