Simulate members that are lost, stopped, retired and replaced by plan

The simulation of clem-log played three hosts with faults, but no spares, no planned stops with requests to depart, no retirements and no members that are replaced at another address.

--- a/crates/log/tests/sim/host.rs
+++ b/crates/log/tests/sim/host.rs
@@ -24,6 +24,8 @@
     /// Changes with each start and crash; events for an earlier value are dropped.
     pub(crate) incarnation: u64,
     pub(crate) frozen: bool,
+    /// Whether its process got the stop signal.
+    pub(crate) stopping: bool,
     /// How much faster than real time its clock runs, in thousandths; may be negative.
     pub(crate) drift: i64,
     /// The offset of its clock, in microseconds.
@@ -39,6 +41,7 @@
             process: None,
             incarnation: 0,
             frozen: false,
+            stopping: false,
             drift,
             skew,
             slow_disk: false,
@@ -55,6 +58,7 @@
     pub(crate) fn start(&mut self, micros: u64, seed: u64, settings: Settings) {
         self.incarnation += 1;
         self.frozen = false;
+        self.stopping = false;
         let start = self.disk.start(seed);
         let now = self.clock(micros);
         self.process = Some(Process {
@@ -69,6 +73,7 @@
     pub(crate) fn crash(&mut self, survivors: usize) {
         self.incarnation += 1;
         self.frozen = false;
+        self.stopping = false;
         self.syncing = false;
         let Some(process) = self.process.take() else {
             return;
--- a/crates/log/tests/sim/world.rs
+++ b/crates/log/tests/sim/world.rs
@@ -19,9 +19,9 @@
 };
 
 const HOSTS: usize = 3;
-const MILLI: u64 = 1000;
+pub(super) const MILLI: u64 = 1000;
 /// The interval of ticks, in microseconds like all times here.
-const TICK: u64 = 20 * MILLI;
+pub(super) const TICK: u64 = 20 * MILLI;
 const SLOW_SYNC: u64 = 1500 * MILLI;
 /// The time that a cluster without faults may take until all hosts have the same state.
 const HEAL_TIMEOUT: u64 = 60_000 * MILLI;
@@ -53,34 +53,45 @@
     HealNetwork,
 }
 
-/// A simulated cluster of three hosts.
+/// A simulated cluster.
 pub(crate) struct World {
-    rng: ChaCha8Rng,
-    settings: Settings,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) settings: Settings,
     faults: Faults,
-    now: u64,
+    pub(super) now: u64,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     pub(crate) hosts: Vec<Host>,
     /// Pairs of sender and receiver whose messages are dropped.
-    blocked: BTreeSet<(usize, usize)>,
+    pub(super) blocked: BTreeSet<(usize, usize)>,
     pub(crate) checks: Checks,
     last_id: u64,
     /// Whether clients send proposals and reads.
-    clients: bool,
+    pub(super) clients: bool,
     /// Events for a frozen host, which it handles when it continues.
     buffers: Vec<Vec<Event>>,
+    /// The number of ticks between two requests of a host to join.
+    join_ticks: u64,
 }
 
-fn address(host: usize) -> String {
+pub(super) fn address(host: usize) -> String {
     format!("127.0.0.1:{}", 7000 + host)
 }
 
 impl World {
     pub(crate) fn new(seed: u64, faults: Faults) -> Self {
+        Self::with(seed, faults, (HOSTS, Settings::default(), 1))
+    }
+
+    /// Creates a cluster with a number of founders, settings, and ticks between requests to join.
+    pub(super) fn with(
+        seed: u64,
+        faults: Faults,
+        (founders, settings, join_ticks): (usize, Settings, u64),
+    ) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut list = Vec::new();
-        for host in 0..HOSTS {
+        for host in 0..founders {
             list.push(Member {
                 id: MemberId(host as u64 + 1),
                 address: address(host),
@@ -93,7 +104,7 @@
             ..SnapshotMetadata::default()
         };
         let mut hosts = Vec::new();
-        for host in 0..HOSTS {
+        for host in 0..founders {
             let mut disk = Disk::new(MemberId(host as u64 + 1));
             disk.base = base.clone();
             disk.state_base = base.clone();
@@ -103,7 +114,7 @@
         }
         let mut world = Self {
             rng,
-            settings: Settings::default(),
+            settings,
             faults,
             now: 0,
             events: BTreeMap::new(),
@@ -113,9 +124,10 @@
             checks: Checks::default(),
             last_id: 100,
             clients: true,
-            buffers: (0..HOSTS).map(|_| Vec::new()).collect(),
+            buffers: (0..founders).map(|_| Vec::new()).collect(),
+            join_ticks,
         };
-        for host in 0..HOSTS {
+        for host in 0..founders {
             world.start(host);
         }
         world.at(TICK, Event::Tick);
@@ -127,7 +139,7 @@
         self.events.insert((self.now + delay, self.sequence), event);
     }
 
-    fn next_id(&mut self) -> u64 {
+    pub(super) fn next_id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
     }
@@ -136,7 +148,7 @@
         self.rng.random_range(0..1000) < thousandths
     }
 
-    fn start(&mut self, host: usize) {
+    pub(super) fn start(&mut self, host: usize) {
         let seed = self.rng.random();
         self.hosts[host].start(self.now, seed, self.settings);
         self.pump(host);
@@ -167,7 +179,7 @@
             disk: 0,
         };
         self.blocked.clear();
-        for host in 0..HOSTS {
+        for host in 0..self.hosts.len() {
             self.hosts[host].slow_disk = false;
             if self.hosts[host].frozen {
                 self.handle(Event::Unfreeze(host));
@@ -202,7 +214,7 @@
         }
     }
 
-    fn describe(&self) -> String {
+    pub(super) fn describe(&self) -> String {
         let mut text = String::new();
         for host in &self.hosts {
             match &host.process {
@@ -222,7 +234,9 @@
         states.iter().any(|p| p.node.is_leader())
             && states.iter().all(|p| {
                 let voters: BTreeSet<_> = p.node.members().voters().collect();
-                p.state == *first && voters == ids && p.node.members().iter().count() == HOSTS
+                p.state == *first
+                    && voters == ids
+                    && p.node.members().iter().count() == self.hosts.len()
             })
     }
 
@@ -233,13 +247,7 @@
             Event::Tick => self.on_tick(),
             Event::Restart(host) if self.hosts[host].process.is_none() => self.start(host),
             Event::Restart(_) => {}
-            Event::Unfreeze(host) => {
-                self.hosts[host].frozen = false;
-                // Messages have waited in the socket buffers.
-                for event in std::mem::take(&mut self.buffers[host]) {
-                    self.handle(event);
-                }
-            }
+            Event::Unfreeze(host) => self.unfreeze(host),
             Event::HealNetwork => self.blocked.clear(),
             Event::Deliver(host, _)
             | Event::Synced(host, ..)
@@ -278,7 +286,7 @@
 
     fn on_tick(&mut self) {
         self.at(TICK, Event::Tick);
-        for host in 0..HOSTS {
+        for host in 0..self.hosts.len() {
             if self.hosts[host].frozen {
                 continue;
             }
@@ -341,15 +349,18 @@
 
     /// Lets new members ask all reachable hosts to join.
     fn request_joins(&mut self) {
-        for host in 0..HOSTS {
+        for host in 0..self.hosts.len() {
             let id = self.hosts[host].disk.id;
             let Some(process) = &self.hosts[host].process else {
                 continue;
             };
-            if self.hosts[host].frozen || !process.node.wants_join() {
+            if self.hosts[host].frozen || self.hosts[host].stopping || !process.node.wants_join() {
                 continue;
             }
-            for other in 0..HOSTS {
+            if !(self.now / TICK + host as u64).is_multiple_of(self.join_ticks) {
+                continue;
+            }
+            for other in 0..self.hosts.len() {
                 if self.blocked.contains(&(host, other)) || self.hosts[other].frozen {
                     continue;
                 }
@@ -365,7 +376,7 @@
     // ------------------------------------------------------------------------
 
     fn inject_fault(&mut self) {
-        let host = self.rng.random_range(0..HOSTS);
+        let host = self.rng.random_range(0..self.hosts.len());
         let span = self.rng.random_range(10..4000) * MILLI;
         if self.chance(self.faults.disk) && self.may_lose_disk() {
             self.crash(host, 0);
@@ -388,14 +399,14 @@
                 self.at(span, Event::Unfreeze(host));
             }
             2 => {
-                for other in 0..HOSTS {
+                for other in 0..self.hosts.len() {
                     self.blocked.insert((host, other));
                     self.blocked.insert((other, host));
                 }
                 self.at(span, Event::HealNetwork);
             }
             3 => {
-                self.blocked.insert((host, (host + 1) % HOSTS));
+                self.blocked.insert((host, (host + 1) % self.hosts.len()));
                 self.at(span, Event::HealNetwork);
             }
             4 => self.hosts[host].slow_disk = !self.hosts[host].slow_disk,
@@ -412,7 +423,7 @@
         }
     }
 
-    fn crash(&mut self, host: usize, survivors: usize) {
+    pub(super) fn crash(&mut self, host: usize, survivors: usize) {
         self.hosts[host].crash(survivors);
         for event in std::mem::take(&mut self.buffers[host]) {
             if let Event::Snapshot { from, to, .. } = event {
@@ -422,6 +433,39 @@
         }
     }
 
+    pub(super) fn unfreeze(&mut self, host: usize) {
+        self.hosts[host].frozen = false;
+        // Messages have waited in the socket buffers.
+        for event in std::mem::take(&mut self.buffers[host]) {
+            self.handle(event);
+        }
+    }
+
+    /// Adds a host with an empty disk, which is down.
+    pub(super) fn add_host(&mut self) -> usize {
+        let id = MemberId(self.next_id());
+        let drift = self.rng.random_range(-50..=50);
+        let skew = self.rng.random_range(1..1_000_000);
+        self.hosts.push(Host::new(Disk::new(id), drift, skew));
+        self.buffers.push(Vec::new());
+        self.hosts.len() - 1
+    }
+
+    pub(super) fn replace_disk(&mut self, host: usize) {
+        let id = MemberId(self.next_id());
+        self.hosts[host].disk = Disk::new(id);
+    }
+
+    /// Returns the leader of the highest term, of processes that aren't frozen.
+    pub(super) fn leading(&self) -> Option<usize> {
+        let leads = |host: &usize| {
+            let host = &self.hosts[*host];
+            !host.frozen && host.process.as_ref().is_some_and(|p| p.node.is_leader())
+        };
+        let term = |host: &usize| self.hosts[*host].process.as_ref().map(|p| p.node.term());
+        (0..self.hosts.len()).filter(leads).max_by_key(term)
+    }
+
     /// Returns whether a disk may be lost without losing the quorum: the committed voters are
     /// exactly the present disks.
     fn may_lose_disk(&self) -> bool {
@@ -440,7 +484,7 @@
     // ------------------------------------------------------------------------
 
     /// Takes and handles the output of a host's node until there is no more.
-    fn pump(&mut self, host: usize) {
+    pub(super) fn pump(&mut self, host: usize) {
         loop {
             let now = self.hosts[host].clock(self.now);
             let Some(process) = &mut self.hosts[host].process else {
