A new leader knows which members said that they stop

Cause: the requests to depart were known to one leader only (`LeaderState::departures`), and a change of leader is part of most planned stops. The next one saw a member that had stopped for good as one that is silent and may be back, and let a spare replace another that asked it first.

Why it works: appends carry who said so and how long ago, as they do for silent members, and each member keeps it. It counts for 10 s at most, so that a member that was started again and is frozen later isn't taken for one that stopped.

Evidence: clem-log departure a_new_leader_knows_who_has_stopped was red.

--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -47,7 +47,7 @@
 pub use error::{NodeError, Result};
 pub use id::{ClusterId, LogIndex, MemberId, Term};
 pub use members::{Change, Member, MemberKind, Members};
-pub use message::{Append, Ballot, Body, Message, Silence};
+pub use message::{Append, Ballot, Body, Departing, Message, Silence};
 pub use node::{
     Departure, GroupStatus, Hold, InitialState, LearnerStatus, Node, Vacancy, VoteAnswer,
     VoterStatus,
--- a/crates/log/src/message.rs
+++ b/crates/log/src/message.rs
@@ -84,6 +84,9 @@
     /// The members that the leader has not heard from for an election timeout or more.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub silent: Vec<Silence>,
+    /// The members that said that they are about to stop.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub departing: Vec<Departing>,
 }
 
 /// How long a member has been silent, so that the next leader need not wait that long again.
@@ -94,3 +97,12 @@
     /// The time since its last reply to a leader, in milliseconds.
     pub ms: u64,
 }
+
+/// When a member last said that it is about to stop, so that the next leader knows it as well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departing {
+    /// The member.
+    pub id: MemberId,
+    /// The time since then, in milliseconds.
+    pub ms: u64,
+}
--- a/crates/log/src/node/departure.rs
+++ b/crates/log/src/node/departure.rs
@@ -1,9 +1,15 @@
 //! Planned stops: a voter that is about to stop is replaced first, as far as that is possible.
 
+use std::time::Duration;
+
 use clem_types::Time;
 
 use super::{Node, Role};
-use crate::{MemberId, MemberKind, NodeError, Result};
+use crate::{Departing, MemberId, MemberKind, NodeError, Result};
+
+/// How long a member that has said that it is about to stop, and no longer replies, counts as stopped;
+/// longer than a process may take to end.
+const DEPARTURE_KEPT: Duration = Duration::from_secs(10);
 
 /// What a member that is about to stop should do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,10 +30,12 @@
     /// This member isn't the leader.
     pub fn depart(&mut self, now: Time, id: MemberId) -> Result<Departure> {
         let leader = self.leader;
-        let Role::Leader(lead) = &mut self.role else {
+        if !self.is_leader() {
             return Err(NodeError::NotLeader { leader });
-        };
-        lead.departures.insert(id, now);
+        }
+        let departures = &mut self.departures;
+        departures.retain(|_, said| now < *said + DEPARTURE_KEPT);
+        departures.insert(id, now);
         let members = self.members();
         if !members.is_voter(id) {
             return Ok(Departure::Go);
@@ -48,22 +56,38 @@
         Ok(Departure::Wait)
     }
 
+    /// Returns the members that said that they are about to stop, for other members.
+    pub(super) fn departing(&self, now: Time) -> Vec<Departing> {
+        let said = self.departures.iter();
+        said.map(|(id, said)| Departing {
+            id: *id,
+            ms: u64::try_from(now.since(*said).as_millis()).unwrap_or(u64::MAX),
+        })
+        .collect()
+    }
+
+    /// Notes what the leader knows of members that are about to stop.
+    pub(super) fn note_departing(&mut self, now: Time, departing: &[Departing]) {
+        let said = departing.iter().filter_map(|departing| {
+            let said = now
+                .as_micros()
+                .checked_sub(departing.ms.checked_mul(1000)?)?;
+            Some((departing.id, Time::from_micros(said)))
+        });
+        self.departures = said.collect();
+    }
+
     /// Returns whether a member has said within an election timeout that it is about to stop.
     fn is_stopping(&self, now: Time, id: MemberId) -> bool {
-        let Role::Leader(lead) = &self.role else {
-            return false;
-        };
-        let said = lead.departures.get(&id);
+        let said = self.departures.get(&id);
         said.is_some_and(|said| now < *said + self.settings.election)
     }
 
     /// Returns whether a member is about to stop, or has stopped after it said so.
     pub(super) fn departs(&self, now: Time, id: MemberId) -> bool {
-        let Role::Leader(lead) = &self.role else {
-            return false;
-        };
         // One that still replies but no longer repeats it has been started again.
-        let said = lead.departures.contains_key(&id);
+        let said = self.departures.get(&id);
+        let said = said.is_some_and(|said| now < *said + DEPARTURE_KEPT);
         said && (self.is_stopping(now, id) || !self.replies(now, id))
     }
 
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -208,7 +208,6 @@
             transfer_after: now,
             reads: Vec::new(),
             vacant: now,
-            departures: BTreeMap::new(),
         }));
         self.append_entry(Payload::Noop);
     }
--- a/crates/log/src/node/follower.rs
+++ b/crates/log/src/node/follower.rs
@@ -30,6 +30,7 @@
         self.silences = silences
             .map(|silence| (silence.id, Duration::from_millis(silence.ms)))
             .collect();
+        self.note_departing(now, &append.departing);
         self.accept_entries(from, append);
     }
 
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -177,8 +177,10 @@
                 ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
             })
             .collect();
+        let departing = self.departing(now);
         for (id, mut body) in bodies {
             body.silent.clone_from(&silent);
+            body.departing.clone_from(&departing);
             self.send(id, Body::Append(body));
         }
     }
@@ -377,6 +379,7 @@
         commit,
         sent: now.as_micros(),
         silent: Vec::new(),
+        departing: Vec::new(),
     }
 }
 
@@ -404,6 +407,7 @@
             commit,
             sent: now.as_micros(),
             silent: Vec::new(),
+            departing: Vec::new(),
         });
     }
 }
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -118,6 +118,8 @@
     contacts: BTreeMap<MemberId, Time>,
     /// How long members had been silent for the last leader, or for this member when it led.
     silences: BTreeMap<MemberId, Duration>,
+    /// When members said last that they are about to stop.
+    departures: BTreeMap<MemberId, Time>,
     votes: votes::Votes,
     /// When the next election starts, unless a leader is heard from before.
     deadline: Time,
@@ -164,8 +166,6 @@
     reads: Vec<PendingRead>,
     /// When a voter was missing, leaving or silent last.
     vacant: Time,
-    /// When members said last that they are about to stop.
-    departures: BTreeMap<MemberId, Time>,
 }
 
 /// The latest request of a new member to join.
@@ -261,6 +261,7 @@
             last_contact: now,
             contacts: BTreeMap::new(),
             silences: BTreeMap::new(),
+            departures: BTreeMap::new(),
             votes: votes::Votes::default(),
             deadline: now,
             matched: LogIndex::default(),
--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -201,3 +201,24 @@
     trio.pass(20);
     assert_eq!(voters(&trio), [1, 2, 4]);
 }
+
+/// What a member had said to a leader was lost with that leader's office.
+#[test]
+fn a_new_leader_knows_who_has_stopped() {
+    let mut trio = elected();
+    trio.pass(5);
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+    trio.lose(2);
+    trio.pass(5);
+    let passed = trio.nodes[0].transfer(trio.now, Some(MemberId(2)));
+    assert!(passed.is_ok());
+    trio.deliver();
+    let spare = Node::new(Time::ZERO, InitialState::new(MemberId(4), 4), settings());
+    trio.nodes.push(spare);
+    trio.receiver = Some(3);
+    for _ in 0..12 {
+        let _ = trio.nodes[1].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 4]);
+}
--- a/crates/log/tests/node.rs
+++ b/crates/log/tests/node.rs
@@ -226,6 +226,7 @@
         commit: LogIndex(2),
         sent: 1,
         silent: Vec::new(),
+        departing: Vec::new(),
     };
     let now = Time::from_millis(10);
     node.step(
@@ -271,6 +272,7 @@
                 commit: LogIndex(1),
                 sent: 1,
                 silent: Vec::new(),
+                departing: Vec::new(),
             }),
         }
     };
