--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -222,3 +222,26 @@
     }
     assert_eq!(voters(&trio), [1, 2, 4]);
 }
+
+/// Two members that waited to stop passed leadership back and forth, and neither replaced the lost one.
+#[test]
+fn a_lost_member_is_replaced_while_both_others_wait_to_stop() {
+    let mut trio = with_spare();
+    trio.lose(2);
+    trio.pass(12);
+    for _ in 0..40 {
+        for member in 0..2 {
+            let _ = trio.nodes[member].transfer(trio.now, None);
+            trio.deliver();
+            let id = trio.nodes[member].id();
+            for node in &mut trio.nodes[..2] {
+                let _ = node.depart(trio.now, id);
+                let _ = node.join(trio.now, MemberId(4), SPARE);
+            }
+        }
+        trio.pass(1);
+    }
+    let leader = trio.nodes.iter().find(|node| node.is_leader());
+    let members = leader.expect("one leads").members();
+    assert!(!members.is_voter(THIRD), "{members:?}");
+}
