--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -57,7 +57,10 @@
     /// # Errors
     /// This member isn't the leader, or the successor isn't another voter.
     pub fn transfer(&mut self, now: Time, to: Option<MemberId>) -> Result<()> {
-        let successor = to.or_else(|| self.best_successor(now));
+        // Two that are about to stop would pass it back and forth, and neither replace a lost voter.
+        let both = |id: &MemberId| self.departs(now, *id) && self.departs(now, self.id);
+        let best = || self.best_successor(now).filter(|id| !both(id));
+        let successor = to.or_else(best);
         let voter = successor.filter(|id| *id != self.id && self.members().is_voter(*id));
         let deadline = now + self.settings.election;
         let leader = self.leader;
@@ -177,8 +180,10 @@
                 ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
             })
             .collect();
+        let departing = self.departing(now);
         for (id, mut body) in bodies {
             body.silent.clone_from(&silent);
+            body.departing.clone_from(&departing);
             self.send(id, Body::Append(body));
         }
     }
@@ -377,6 +382,7 @@
         commit,
         sent: now.as_micros(),
         silent: Vec::new(),
+        departing: Vec::new(),
     }
 }
 
@@ -404,6 +410,7 @@
             commit,
             sent: now.as_micros(),
             silent: Vec::new(),
+            departing: Vec::new(),
         });
     }
 }
