A process that is being retired takes no other voter's place

What callers would see: 503 for submissions and reads of batches after a single loss. A retired machine is taken away with its disk as soon as its retirement is completed, which doesn't count as a loss.

Cause: only voters could be leaving. A retired process that had lost its vote asked to join again, and a spare that was retired stayed a learner; both were promoted in place of a voter that was gone, after the hub had called the retirement completed, as neither was a voter then. A voter that stopped waited for such a spare as well.

Evidence: three of the four tests of clem-log departure were red on the former logic: voters 1, 3 and 4 with 3 retired; 1, 2 and 4 with 4 retired; a stop that waits. The fourth was green and guards the exception.

Why it works: the addresses are kept, whether they are members' or not. A retired process is neither let in nor promoted while there are as many voters as desired, and a retired learner is removed. It may fill a vote that nobody has, which doesn't raise the quorum above that of the desired number.

Not covered: the hub calls the retirement of a process that is no voter completed at once, before the group's leader knows of it.

--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -87,7 +87,7 @@
             return Err(NodeError::NotLeader { leader });
         }
         let known = self.members().iter().any(|m| m.address == address);
-        if !known && self.vacancies(now) == 0 {
+        if !known && (self.vacancies(now) == 0 || !self.may_vote(address)) {
             return Err(NodeError::ChangeRefused);
         }
         self.reconcile_members(now);
@@ -162,6 +162,9 @@
                 continue;
             }
             let known = members.iter().any(|m| m.address == join.address);
+            if !known && !self.may_vote(&join.address) {
+                continue;
+            }
             let learners = members.iter().filter(|m| m.kind == MemberKind::Learner);
             if !known && learners.count() >= self.vacancies(now) {
                 continue;
@@ -180,11 +183,19 @@
         None
     }
 
-    /// Sets the addresses of members that are to be replaced although they are alive.
+    /// Sets the addresses of processes that are being retired: those that are members are replaced
+    /// although they are alive, and none replaces another one.
     pub fn set_leaving(&mut self, addresses: &[String]) {
-        let members = self.members().iter();
-        let leaving = members.filter(|m| addresses.contains(&m.address));
-        self.leaving = leaving.map(|m| m.id).collect();
+        self.leaving = addresses.iter().cloned().collect();
+    }
+
+    /// Returns whether a process at this address may become a voter.
+    ///
+    /// One that is being retired is taken away with its disk, so that it only fills a vote that nobody
+    /// has.
+    pub(super) fn may_vote(&self, address: &str) -> bool {
+        let lacking = self.members().voters().count() < self.settings.voters;
+        lacking || !self.leaving.contains(address)
     }
 
     /// Returns the voter to remove if there are more voters than desired, as its replacement is
--- a/crates/log/src/node/departure.rs
+++ b/crates/log/src/node/departure.rs
@@ -69,7 +69,13 @@
 
     /// Returns whether a member is to be replaced although it may be alive.
     pub(super) fn leaves(&self, now: Time, id: MemberId) -> bool {
-        self.leaving.contains(&id) || self.departs(now, id)
+        self.is_retired(id) || self.departs(now, id)
+    }
+
+    /// Returns whether a member is being retired.
+    pub(super) fn is_retired(&self, id: MemberId) -> bool {
+        let member = self.members().get(id);
+        member.is_some_and(|member| self.leaving.contains(&member.address))
     }
 
     /// Returns whether a member has replied to this leader within an election timeout.
@@ -91,9 +97,12 @@
         let mut joins = self.joins.iter();
         let wants_spares = self.settings.voters > 0;
         wants_spares
-            && (learners.any(|learner| !self.is_lost(now, learner.id))
+            && (learners
+                .any(|learner| self.may_vote(&learner.address) && !self.is_lost(now, learner.id))
                 || joins.any(|(id, join)| {
-                    members.get(*id).is_none() && now < join.asked + super::change::JOIN_KEPT
+                    members.get(*id).is_none()
+                        && self.may_vote(&join.address)
+                        && now < join.asked + super::change::JOIN_KEPT
                 }))
     }
 }
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -130,7 +130,7 @@
             may_transfer = lead.transfer.is_none() && lead.transfer_after <= now;
         }
         self.reconcile_members(now);
-        if may_transfer && self.leaving.contains(&self.id) {
+        if may_transfer && self.is_retired(self.id) {
             // Without another voter this fails; the next tick tries again.
             let _ = self.transfer(now, None);
         }
--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -187,6 +187,9 @@
             }
             return LearnerStep::Due(Change::Remove(learner.id));
         }
+        if !self.may_vote(&learner.address) {
+            return LearnerStep::Due(Change::Remove(learner.id));
+        }
         // One voter more raises the quorum only if there is an odd number of them. If not, a learner
         // that lags costs nothing, while waiting for it would cost the group at the next lost disk.
         let raises_quorum = self.members().voters().count() % 2 == 1;
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -129,8 +129,8 @@
     disk_full: bool,
     /// New members that asked to join.
     joins: BTreeMap<MemberId, JoinRequest>,
-    /// Members that are to be replaced although they are alive.
-    leaving: BTreeSet<MemberId>,
+    /// The addresses of processes that are being retired.
+    leaving: BTreeSet<String>,
     /// The member to which this one transferred its leadership, until a newer term is known.
     successor: Option<Successor>,
     output: Output,
--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -201,3 +201,69 @@
     trio.pass(20);
     assert_eq!(voters(&trio), [1, 2, 4]);
 }
+
+/// Retires the third member and lets the spare take its place.
+fn with_third_retired() -> Trio {
+    let mut trio = with_spare();
+    for node in &mut trio.nodes {
+        node.set_leaving(&["127.0.0.1:7003".to_owned()]);
+    }
+    for _ in 0..20 {
+        let _ = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 4]);
+    trio
+}
+
+/// Lets the retired member ask to join for some steps.
+fn ask_again(trio: &mut Trio, steps: usize) {
+    for _ in 0..steps {
+        trio.nodes[0].set_leaving(&["127.0.0.1:7003".to_owned()]);
+        let _ = trio.nodes[0].join(trio.now, THIRD, "127.0.0.1:7003");
+        trio.pass(1);
+    }
+}
+
+/// A retired member took the place of a lost one, and its disk was taken away.
+#[test]
+fn a_retired_member_does_not_become_a_voter_again() {
+    let mut trio = with_third_retired();
+    trio.lose(1);
+    ask_again(&mut trio, 40);
+    assert_eq!(voters(&trio), [1, 2, 4]);
+    assert!(trio.nodes[0].learners(trio.now).is_empty());
+}
+
+/// A spare that was retired was promoted, as only the retirement of voters was looked at.
+#[test]
+fn a_spare_that_is_retired_is_not_promoted() {
+    let mut trio = with_spare_while_the_third_is_gone();
+    for _ in 0..20 {
+        trio.nodes[0].set_leaving(&[SPARE.to_owned()]);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
+
+/// A member that stops waited for a spare that never takes its place.
+#[test]
+fn a_member_that_stops_does_not_wait_for_a_retired_spare() {
+    let mut trio = with_third_retired();
+    ask_again(&mut trio, 1);
+    let reply = trio.nodes[0].depart(trio.now, MemberId(2));
+    assert_eq!(reply, Ok(Departure::Go));
+}
+
+/// The group could bear no lost disk, while a process with a good one ran.
+#[test]
+fn a_retired_process_becomes_a_voter_if_voters_are_missing() {
+    let mut trio = elected();
+    trio.lose(2);
+    let removed = trio.nodes[0].change(trio.now, &clem_log::Change::Remove(THIRD));
+    assert!(removed.is_ok());
+    trio.deliver();
+    trio.find();
+    ask_again(&mut trio, 20);
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
