Of several lost voters the one silent for longest is replaced first

What callers would see: groups of five bear a loss less than they could for a while, where one voter is gone for good and another one is only frozen.

Cause: of the lost voters the one with the lowest id was replaced.

--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -242,8 +242,13 @@
     /// longer to be known.
     fn voter_to_replace(&self, now: Time) -> Option<MemberId> {
         let others = || self.members().voters().filter(|id| *id != self.id);
-        if let Some(lost) = others().find(|id| self.is_lost(now, *id)) {
-            return Some(lost);
+        let Role::Leader(lead) = &self.role else {
+            return None;
+        };
+        let silence = |id: &MemberId| lead.peers.get(id).map(|peer| peer.silence(now));
+        let lost = others().filter(|id| self.is_lost(now, *id));
+        if let Some(longest) = lost.max_by_key(silence) {
+            return Some(longest);
         }
         let accounted = |id| self.replies(now, id) || self.leaves(now, id);
         if !others().all(accounted) {
--- a/crates/log/tests/spares.rs
+++ b/crates/log/tests/spares.rs
@@ -230,3 +230,39 @@
     assert!(trio.nodes[0].learners(trio.now).is_empty());
     assert_eq!(voters(&trio), [1, 2, 3]);
 }
+
+/// Of two lost voters the one with the lower id was replaced, though only the other one was gone for good.
+#[test]
+fn the_voter_that_has_been_silent_for_longest_is_replaced_first() {
+    let settings = Settings {
+        voters: 5,
+        ..Settings::default()
+    };
+    let mut trio = Trio::with(settings);
+    trio.deliver();
+    trio.heartbeat();
+    let ask = |trio: &mut Trio, id: u64, steps: usize| {
+        for _ in 0..steps {
+            let address = format!("127.0.0.1:700{id}");
+            let _ = trio.nodes[0].join(trio.now, MemberId(id), &address);
+            trio.pass(1);
+        }
+    };
+    let start = |trio: &mut Trio, id: u64| {
+        let spare = Node::new(Time::ZERO, InitialState::new(MemberId(id), id), settings);
+        trio.nodes.push(spare);
+        trio.receiver = Some(trio.nodes.len() - 1);
+    };
+    start(&mut trio, 4);
+    ask(&mut trio, 4, 20);
+    start(&mut trio, 5);
+    ask(&mut trio, 5, 20);
+    assert_eq!(voters(&trio), [1, 2, 3, 4, 5]);
+    trio.nodes.remove(2);
+    trio.pass(10);
+    trio.lose(1);
+    trio.pass(25);
+    start(&mut trio, 6);
+    ask(&mut trio, 6, 20);
+    assert_eq!(voters(&trio), [1, 2, 4, 5, 6]);
+}
