Tests: parts of the choice of a leaving voter that nothing guarded

Three changes to the logic of left all tests of clem-log departure, spares and status green: counting a voter that leaves as unaccounted for, taking the first leaving voter instead of one that no longer replies, and calling a learner that waits `unneeded` instead of `recent`. With the two tests each of the three is red; on the present logic both are green.

--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -267,3 +267,30 @@
     ask_again(&mut trio, 20);
     assert_eq!(voters(&trio), [1, 2, 3]);
 }
+
+/// Of two members that leave, the one that still runs lost its vote, or both were waited for.
+#[test]
+fn of_members_that_leave_one_that_has_stopped_is_replaced_first() {
+    let mut trio = elected();
+    trio.pass(5);
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+    trio.lose(2);
+    trio.pass(10);
+    let spare = Node::new(Time::ZERO, InitialState::new(MemberId(4), 4), settings());
+    trio.nodes.push(spare);
+    trio.receiver = Some(3);
+    trio.nodes[0].set_leaving(&["127.0.0.1:7002".to_owned()]);
+    for _ in 0..5 {
+        let _ = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 4]);
+}
+
+/// Logs called a spare unneeded that waited until a silent voter counted as lost.
+#[test]
+fn a_spare_that_waits_for_a_voter_to_count_as_lost_is_not_called_unneeded() {
+    let trio = with_spare_while_the_third_is_gone();
+    let learners = trio.nodes[0].learners(trio.now);
+    assert_eq!(learners[0].hold, clem_log::Hold::Recent);
+}
