--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -245,3 +245,96 @@
     let members = leader.expect("one leads").members();
     assert!(!members.is_voter(THIRD), "{members:?}");
 }
+
+/// Retires the third member and lets the spare take its place.
+fn with_third_retired() -> Trio {
+    let mut trio = with_spare();
+    for node in &mut trio.nodes {
+        node.set_leaving(&["127.0.0.1:7003".to_owned()]);
+    }
+    for _ in 0..20 {
+        let _ = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 4]);
+    trio
+}
+
+/// Lets the retired member ask to join for some steps.
+fn ask_again(trio: &mut Trio, steps: usize) {
+    for _ in 0..steps {
+        trio.nodes[0].set_leaving(&["127.0.0.1:7003".to_owned()]);
+        let _ = trio.nodes[0].join(trio.now, THIRD, "127.0.0.1:7003");
+        trio.pass(1);
+    }
+}
+
+/// A retired member took the place of a lost one, and its disk was taken away.
+#[test]
+fn a_retired_member_does_not_become_a_voter_again() {
+    let mut trio = with_third_retired();
+    trio.lose(1);
+    ask_again(&mut trio, 40);
+    assert_eq!(voters(&trio), [1, 2, 4]);
+    assert!(trio.nodes[0].learners(trio.now).is_empty());
+}
+
+/// A spare that was retired was promoted, as only the retirement of voters was looked at.
+#[test]
+fn a_spare_that_is_retired_is_not_promoted() {
+    let mut trio = with_spare_while_the_third_is_gone();
+    for _ in 0..20 {
+        trio.nodes[0].set_leaving(&[SPARE.to_owned()]);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
+
+/// A member that stops waited for a spare that never takes its place.
+#[test]
+fn a_member_that_stops_does_not_wait_for_a_retired_spare() {
+    let mut trio = with_third_retired();
+    ask_again(&mut trio, 1);
+    let reply = trio.nodes[0].depart(trio.now, MemberId(2));
+    assert_eq!(reply, Ok(Departure::Go));
+}
+
+/// The group could bear no lost disk, while a process with a good one ran.
+#[test]
+fn a_retired_process_becomes_a_voter_if_voters_are_missing() {
+    let mut trio = elected();
+    trio.lose(2);
+    let removed = trio.nodes[0].change(trio.now, &clem_log::Change::Remove(THIRD));
+    assert!(removed.is_ok());
+    trio.deliver();
+    trio.find();
+    ask_again(&mut trio, 20);
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
+
+/// Of two members that leave, the one that still runs lost its vote, or both were waited for.
+#[test]
+fn of_members_that_leave_one_that_has_stopped_is_replaced_first() {
+    let mut trio = elected();
+    trio.pass(5);
+    assert_eq!(trio.nodes[0].depart(trio.now, THIRD), Ok(Departure::Go));
+    trio.lose(2);
+    trio.pass(10);
+    let spare = Node::new(Time::ZERO, InitialState::new(MemberId(4), 4), settings());
+    trio.nodes.push(spare);
+    trio.receiver = Some(3);
+    trio.nodes[0].set_leaving(&["127.0.0.1:7002".to_owned()]);
+    for _ in 0..5 {
+        let _ = trio.nodes[0].join(trio.now, MemberId(4), SPARE);
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 4]);
+}
+
+/// Logs called a spare unneeded that waited until a silent voter counted as lost.
+#[test]
+fn a_spare_that_waits_for_a_voter_to_count_as_lost_is_not_called_unneeded() {
+    let trio = with_spare_while_the_third_is_gone();
+    let learners = trio.nodes[0].learners(trio.now);
+    assert_eq!(learners[0].hold, clem_log::Hold::Recent);
+}
