The batch group is founded although a founder is lost before

The remaining founders logged "not in a group yet", phase "search", 2 replies.

Cause: the hub names the founders once. Only the lowest one bootstrapped the group, and only when all of them had answered, so one that was lost between its report and the founding was waited for without end.

Repair, after a review: a founder's disk counts as original if its process saw one leader of the hub first name no founders and later name them, and has run since. If a majority of the founders answer with original disks, the lowest of these bootstraps the group: at once if all have answered, otherwise after 5 s of silence. It has a voter for each founder; one that does not answer with an original disk gets a random identity that no disk has, and is replaced as a lost voter.

Why two groups never both accept commands: each address has at most one original disk. Two groups founded by majorities have equally many voters at the same addresses, so their quorums share an address and there the same original disk, and a disk never changes its group. Without such a majority all founders must answer, as before.

Changed against, both found by the review: - A founder with a group of its own that came back kept every process with an empty disk that asked it first from the group that serves. Now a process that isn't listed as a member joins a group only once it has a leader (HelloReply.leaderless, false from older releases). - The 5 s counted from the start of the search, so a founder that was silent for one round after it had founded was overtaken at once. They count from the beginning of the silence.

A founder that bootstrapped a group alone must be emptied by hand, and the proof is in memory.

--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -69,6 +69,7 @@
         stopped = &mut stop, if !grouped => return Ok(stopped?),
         else => Vec::new(),
     };
+    let saw_founding = !grouped && node.view().saw_founding;
     let replica = Replica::open(ReplicaSettings {
         data_dir: Some(settings.data_dir),
         address: settings.address,
@@ -78,6 +79,7 @@
         // This takes effect only if the process is among its own peers, that is, if the hub named
         // it as a founder.
         bootstrap: true,
+        predates_group: saw_founding,
         reserve_bytes: settings.reserve_bytes,
         probe: Arc::new(FileSystem),
         consensus: consensus_settings(settings.tolerance),
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -38,6 +38,7 @@
         secret: settings.common.secret.clone(),
         clock,
         bootstrap: true,
+        predates_group: false,
         reserve_bytes: RESERVE_BYTES,
         probe: Arc::new(FileSystem),
         consensus: clem_log::Settings::default(),
--- a/crates/control/src/replica/calls.rs
+++ b/crates/control/src/replica/calls.rs
@@ -45,8 +45,14 @@
     pub(super) member: MemberId,
     /// Whether the process has a disk; one without a disk neither votes nor bootstraps a group.
     pub(super) votes: bool,
+    /// Whether its disk was empty before any group of the founders could be bootstrapped.
+    #[serde(default)]
+    pub(super) predates_group: bool,
     /// The group of the process; `None` while it has not joined one.
     pub(super) group: Option<Group>,
+    /// Whether that group has no leader as far as the process knows.
+    #[serde(default)]
+    pub(super) leaderless: bool,
     /// Without a group, the addresses at which the process looks for one.
     #[serde(default)]
     pub(super) known: Vec<SocketAddr>,
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -2,25 +2,31 @@
 //!
 //! A process with an empty disk queries all other processes that it is told of: the initial members
 //! of its settings, the live processes that its owner names, and whom those name in turn. If one of
-//! them knows a group, this process joins it: as an initial member if it is one, otherwise as a
-//! learner that replaces the lost disk at its address. Only the initial member with the lowest
-//! address bootstraps a group, and only when all initial members and all live processes have
+//! them knows a group, this process joins it: as an initial member if it is one, otherwise, once the
+//! group has a leader, as a learner that replaces the lost disk at its address. Only the initial
+//! member with the lowest address bootstraps a group, and only when all initial members and all live processes have
 //! answered and none knows a group. A process that has lost its disk therefore never bootstraps a
 //! second group while a member of the first one answers or is thought to be alive.
 //!
+//! A founder may be lost before that. If a majority of the founders have disks that were empty before any
+//! group of these founders could exist, the lowest of those bootstraps the group instead, even if others
+//! have been silent for [`founding::MAJORITY_DELAY`]. Only such disks, and names that no disk has, are the
+//! members of that group. As it has one member for each founder, the quorums of any two such groups have
+//! a disk in common, and a disk never changes its group.
+//!
 //! A process without a disk answers these queries as well, but never becomes a member.
 //!
 //! See `docs/DESIGN.md`, "Agreement".
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use clem_log::{
-    ClusterId, InitialState, LogIndex, Member, MemberId, MemberKind, Members, Node,
-    SnapshotMetadata, Write,
+    ClusterId, InitialState, LogIndex, MemberId, Members, Node, SnapshotMetadata, Write,
     disk::{DiskEvent, Folder, Identity, Recovered, Writer},
 };
 use futures_util::future;
@@ -29,7 +35,9 @@
 use super::{
     calls::{Group, Hello, HelloReply, Join},
     core::{Core, log_members},
-    event_loop, fatal, gauges, install_snapshot,
+    event_loop, fatal,
+    founding::{self, FounderDisk, Round},
+    gauges, install_snapshot,
     joining::{Joining, Phase},
     shared::Shared,
 };
@@ -125,11 +133,13 @@
 /// Queries the other processes until there is a group to join or to bootstrap.
 async fn form(shared: &Shared, folder: &mut Folder) -> (ClusterId, InitialState) {
     let mut joining = Joining::default();
+    let mut silent_since = None;
     loop {
+        let began = shared.clock.now();
         let asked = shared.others();
         let answers = query(shared, &asked).await;
         let now = shared.clock.now();
-        if let Some((address, group)) = find_group(&answers) {
+        if let Some((address, group)) = find_group(shared.member, &answers) {
             log::info!(
                 cluster:% = group.cluster, address:% = address,
                 waited_ms = joining.finish(now).as_millis() as u64;
@@ -137,7 +147,10 @@
             );
             return (group.cluster, adopt(shared, folder, group));
         }
-        if let Some(group) = bootstrap_group(shared, &answers) {
+        // A founder that has just bootstrapped a group may be silent for a round or two.
+        silent_since = is_incomplete(shared, &answers).then(|| silent_since.unwrap_or(began));
+        let silence = silent_since.map(|since| now.since(since));
+        if let Some(group) = bootstrap_group(shared, &answers, silence) {
             joining.finish(now);
             return (group.cluster, adopt(shared, folder, group));
         }
@@ -146,9 +159,18 @@
     }
 }
 
-fn find_group(answers: &[PeerReply]) -> Option<(SocketAddr, Group)> {
-    let found = answers.iter().find(|answer| answer.reply.group.is_some())?;
-    Some((found.address, found.reply.group.clone()?))
+/// Returns a group that this process may join; of several ones, one with a leader.
+fn find_group(own: MemberId, answers: &[PeerReply]) -> Option<(SocketAddr, Group)> {
+    let found = answers.iter().filter_map(|answer| {
+        let group = answer.reply.group.as_ref()?;
+        Some((answer, group))
+    });
+    let joinable = found.filter(|(answer, group)| {
+        let is_member = group.members.get(own).is_some();
+        founding::may_join(is_member, !answer.reply.leaderless)
+    });
+    let (answer, group) = joinable.min_by_key(|(answer, _)| answer.reply.leaderless)?;
+    Some((answer.address, group.clone()))
 }
 
 /// Keeps the addresses of the group's members up to date in a process without a disk.
@@ -180,42 +202,56 @@
     answers
 }
 
-/// Creates a new group, if this process is the one to bootstrap it and all others have answered.
-fn bootstrap_group(shared: &Shared, answers: &[PeerReply]) -> Option<Group> {
+/// Returns whether a process that must have answered before a group is bootstrapped has not.
+fn is_incomplete(shared: &Shared, answers: &[PeerReply]) -> bool {
+    let answered = |address: SocketAddr| answers.iter().any(|a| a.address == address);
+    shared.expected().any(|address| !answered(address))
+}
+
+/// Creates a new group, if this process is the one to bootstrap it and enough others have answered.
+fn bootstrap_group(
+    shared: &Shared,
+    answers: &[PeerReply],
+    silence: Option<Duration>,
+) -> Option<Group> {
     let named = shared.founders.contains(&shared.address);
-    if !shared.bootstrap || !named {
-        return None;
-    }
-    let answered = |address: &SocketAddr| answers.iter().any(|a| a.address == *address);
-    let silent = shared.expected().any(|address| !answered(&address));
-    let founding = answers
-        .iter()
-        .filter(|a| a.reply.votes && shared.founders.contains(&a.address));
-    let voting: Vec<&PeerReply> = founding.collect();
-    let lowest = voting.iter().all(|answer| shared.address < answer.address);
-    if silent || !lowest {
+    let found = answers.iter().any(|answer| answer.reply.group.is_some());
+    if !shared.bootstrap || !named || found {
         return None;
     }
-    let mut members = vec![voter(shared.member, shared.address)];
-    for answer in voting {
-        members.push(voter(answer.reply.member, answer.address));
+    let own = FounderDisk {
+        member: shared.member,
+        predates_group: shared.predates_group,
+    };
+    let mut known = BTreeMap::from([(shared.address, own)]);
+    for PeerReply { address, reply } in answers {
+        if reply.votes && shared.founders.contains(address) {
+            let disk = FounderDisk {
+                member: reply.member,
+                predates_group: reply.predates_group,
+            };
+            known.insert(*address, disk);
+        }
     }
+    let answered = known.len();
+    let round = Round {
+        own: shared.address,
+        founders: &shared.founders,
+        known,
+        silence,
+    };
+    let voters = founding::voters(round, || MemberId(rand::random()))?;
     let group = Group {
         cluster: ClusterId(rand::random()),
-        members: Members::new(members),
+        members: Members::new(voters),
     };
-    log::info!(cluster:% = group.cluster, members = group.members.iter().count(); "bootstrapping new group");
+    log::info!(
+        cluster:% = group.cluster, members = group.members.iter().count(), answered;
+        "bootstrapping new group"
+    );
     Some(group)
 }
 
-fn voter(id: MemberId, address: SocketAddr) -> Member {
-    Member {
-        id,
-        address: address.to_string(),
-        kind: MemberKind::Voter,
-    }
-}
-
 /// Writes the group to the disk of this process. An initial member starts with the initial members;
 /// any other one starts with none and gets them from the leader.
 fn adopt(shared: &Shared, folder: &mut Folder, group: Group) -> InitialState {
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -55,6 +55,9 @@
     /// Whether a process with an empty disk may bootstrap a new group; if not, it can only join
     /// one.
     pub bootstrap: bool,
+    /// Whether the disk is known to have been empty before any group of these initial members could
+    /// be bootstrapped, and to have been in use by this process since then.
+    pub predates_group: bool,
     /// Free disk space below which new work is refused, in bytes.
     pub reserve_bytes: u64,
     /// Tells the room on the disk.
@@ -87,6 +90,7 @@
             secret,
             clock,
             bootstrap,
+            predates_group,
             reserve_bytes,
             probe,
             consensus,
@@ -105,6 +109,7 @@
                 votes: false,
                 store,
                 bootstrap: false,
+                predates_group: false,
                 reserve_bytes,
                 probe,
                 consensus,
@@ -136,6 +141,7 @@
             votes: true,
             store,
             bootstrap,
+            predates_group,
             reserve_bytes,
             probe,
             consensus,
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -4,7 +4,7 @@
 //! - `core` combines the consensus node, the log writer and the state machine,
 //! - `event_loop` handles timers, disk events and outgoing messages,
 //! - `peers` sends messages to other members,
-//! - `formation` bootstraps a group or joins one,
+//! - `formation` bootstraps a group or joins one, and `founding` decides which,
 //! - `joining`, `learners` and `group_report` report how far that is,
 //! - `depart` prepares a planned stop,
 //! - `room` keeps how much room the disk has,
@@ -18,6 +18,7 @@
 mod event_loop;
 mod fatal;
 mod formation;
+pub mod founding;
 mod gauges;
 mod group_report;
 mod handle;
--- a/crates/control/src/replica/routes.rs
+++ b/crates/control/src/replica/routes.rs
@@ -73,10 +73,16 @@
         let Some(Hello {}) = read_call::<Hello>(req, res).await else {
             return;
         };
-        let group = self.0.core().as_ref().map(|core| Group {
-            cluster: core.cluster,
-            members: core.node().members().clone(),
-        });
+        let (group, leaderless) = match self.0.core().as_ref() {
+            Some(core) => {
+                let group = Group {
+                    cluster: core.cluster,
+                    members: core.node().members().clone(),
+                };
+                (Some(group), core.node().leader().is_none())
+            }
+            None => (None, false),
+        };
         let known = match &group {
             Some(_) => Vec::new(),
             None => self.0.others(),
@@ -86,7 +92,9 @@
             &HelloReply {
                 member: self.0.member,
                 votes: self.0.votes,
+                predates_group: self.0.predates_group,
                 group,
+                leaderless,
                 known,
             },
         );
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -31,6 +31,8 @@
     pub(super) client: Client,
     /// Whether this process may bootstrap a new group.
     pub(super) bootstrap: bool,
+    /// Whether the disk was empty before any group of the founders could be bootstrapped.
+    pub(super) predates_group: bool,
     /// Free disk space below which new work is refused, in bytes.
     pub(super) reserve_bytes: u64,
     /// Tells the room on the disk.
@@ -63,6 +65,7 @@
     pub(super) votes: bool,
     pub(super) store: RedbStore,
     pub(super) bootstrap: bool,
+    pub(super) predates_group: bool,
     pub(super) reserve_bytes: u64,
     pub(super) probe: Arc<dyn RoomProbe>,
     pub(super) consensus: clem_log::Settings,
@@ -77,6 +80,7 @@
             peers: Mutex::new(parts.peers),
             live: Mutex::default(),
             bootstrap: parts.bootstrap,
+            predates_group: parts.predates_group,
             reserve_bytes: parts.reserve_bytes,
             probe: parts.probe,
             consensus: parts.consensus,
--- a/crates/control/tests/handover.rs
+++ b/crates/control/tests/handover.rs
@@ -31,6 +31,7 @@
         secret: secret.clone(),
         clock,
         bootstrap: true,
+        predates_group: false,
         reserve_bytes: RESERVE_BYTES,
         probe: Arc::new(FileSystem),
         consensus,
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -6,7 +6,10 @@
 
 use clem_boot::{Clock, Listener, acceptor, listen};
 use clem_control::replica::{RESERVE_BYTES, Replica, ReplicaSettings};
-use clem_log::disk::FileSystem;
+use clem_log::{
+    ClusterId, MemberId, MemberKind, Members, SnapshotMetadata, Write,
+    disk::{FileSystem, Folder, Identity, read_identity},
+};
 use clem_state::Command;
 use clem_wire::{FleetSecret, Guard, admin::MemberRole};
 use salvo::{Router, Server};
@@ -19,11 +22,13 @@
 const WORK_INTERVAL: Duration = Duration::from_millis(5);
 /// Several rounds of queries.
 const ROUNDS: Duration = Duration::from_secs(3);
+/// Longer than founders wait for each other before a majority of them may found a group.
+const MAJORITY_DELAY: Duration = Duration::from_secs(8);
 
 struct Member {
     address: SocketAddr,
     replica: Replica,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 fn listeners<const N: usize>() -> [Listener; N] {
@@ -33,7 +38,27 @@
 
 /// Starts a member with an empty disk that knows these founders and live processes.
 fn start(listener: Listener, founders: &[SocketAddr], live: &[SocketAddr]) -> Member {
+    start_with(listener, founders, live, false)
+}
+
+/// As [`start`]; `predates_group` tells whether the disk is known to be older than any group.
+fn start_with(
+    listener: Listener,
+    founders: &[SocketAddr],
+    live: &[SocketAddr],
+    predates_group: bool,
+) -> Member {
     let folder = TempDir::new().unwrap();
+    start_in(folder, listener, founders, live, predates_group)
+}
+
+fn start_in(
+    folder: TempDir,
+    listener: Listener,
+    founders: &[SocketAddr],
+    live: &[SocketAddr],
+    predates_group: bool,
+) -> Member {
     let address = listener.address();
     let secret = FleetSecret::new("joining-test-001").unwrap();
     let replica = Replica::open(ReplicaSettings {
@@ -43,6 +68,7 @@
         secret: secret.clone(),
         clock: Clock::start(),
         bootstrap: true,
+        predates_group,
         reserve_bytes: RESERVE_BYTES,
         probe: Arc::new(FileSystem),
         consensus: clem_log::Settings {
@@ -59,7 +85,7 @@
     Member {
         address,
         replica,
-        _folder: folder,
+        folder,
     }
 }
 
@@ -126,6 +152,119 @@
     .await;
 }
 
+/// The silent founder may have the data of a group that they belonged to before.
+#[tokio::test]
+async fn no_group_is_founded_without_a_founder_by_disks_that_may_be_newer() {
+    let [silent, first, second] = listeners();
+    let founders = [silent.address(), first.address(), second.address()];
+    let first = start_with(first, &founders, &[], false);
+    let second = start_with(second, &founders, &[], true);
+    tokio::time::sleep(MAJORITY_DELAY).await;
+    for member in [&first, &second] {
+        let known = member.replica.members();
+        assert!(known.is_empty(), "{} is in a group", member.address);
+    }
+}
+
+/// With fewer voters a smaller quorum would do, and that of another group might share no disk with it.
+#[tokio::test]
+async fn a_group_that_a_majority_founds_has_a_voter_for_each_founder() {
+    let [silent, first, second] = listeners();
+    let founders = [silent.address(), first.address(), second.address()];
+    let members = [first, second].map(|one| start_with(one, &founders, &[], true));
+    eventually("the group has a leader", || {
+        members.iter().all(|one| one.replica.leader().is_some())
+    })
+    .await;
+    for member in &members {
+        let voters = member.replica.members();
+        let voters = voters.iter().filter(|one| one.role != MemberRole::Learner);
+        let mut addresses: Vec<SocketAddr> = voters.map(|one| one.address).collect();
+        addresses.sort_unstable();
+        let mut expected = founders;
+        expected.sort_unstable();
+        assert_eq!(addresses, expected);
+    }
+}
+
+#[tokio::test]
+async fn a_founder_whose_disk_may_be_newer_joins_the_group_of_the_others() {
+    let [first, second, third] = listeners();
+    let founders = [first.address(), second.address(), third.address()];
+    let first = start_with(first, &founders, &[], false);
+    let others = [second, third].map(|one| start_with(one, &founders, &[], true));
+    let identity = read_identity(first.folder.path()).unwrap().unwrap();
+    let own = identity.member.to_string();
+    eventually("the founder is a voter", || {
+        let known = others[0].replica.members();
+        let mut voters = known.iter().filter(|one| one.role != MemberRole::Learner);
+        known.len() == 3 && voters.any(|one| one.identity == own)
+    })
+    .await;
+    for other in &others {
+        assert!(knows(&first, other.address));
+    }
+}
+
+#[tokio::test]
+async fn no_group_is_founded_by_a_minority_of_the_founders() {
+    let [first, second, third, fourth, fifth] = listeners();
+    let founders = [&first, &second, &third, &fourth, &fifth].map(Listener::address);
+    let members = [first, second].map(|one| start_with(one, &founders, &[], true));
+    tokio::time::sleep(MAJORITY_DELAY).await;
+    for member in &members {
+        let known = member.replica.members();
+        assert!(known.is_empty(), "{} is in a group", member.address);
+    }
+}
+
+/// The disk of a member of a group of its own, with voters at these addresses.
+fn grouped_disk(addresses: [SocketAddr; 3]) -> TempDir {
+    let disk = TempDir::new().unwrap();
+    let identity = Identity {
+        member: MemberId(1),
+        cluster: Some(ClusterId(1)),
+    };
+    let (mut folder, _) = Folder::open(disk.path(), identity).unwrap();
+    let mut base = SnapshotMetadata::default();
+    let voters = (1..).zip(addresses).map(|(id, address)| clem_log::Member {
+        id: MemberId(id),
+        address: address.to_string(),
+        kind: MemberKind::Voter,
+    });
+    base.members = Members::new(voters.collect());
+    let write = Write {
+        reset: Some(base),
+        ..Write::default()
+    };
+    folder.write(vec![write]).unwrap();
+    disk
+}
+
+/// A founder whose group never got a quorum would keep everybody who asks it from the group that did.
+#[tokio::test]
+async fn a_process_joins_no_group_without_a_leader_as_long_as_it_is_not_a_member() {
+    let [alone, lost, leading, spare] = listeners();
+    let (first, own) = (alone.address(), leading.address());
+    let disk = grouped_disk([first, lost.address(), own]);
+    let _alone = start_in(disk, alone, &[], &[], false);
+    let spare = start(spare, &[first], &[]);
+    tokio::time::sleep(ROUNDS).await;
+    let identity = read_identity(spare.folder.path()).unwrap().unwrap();
+    assert_eq!(
+        identity.cluster, None,
+        "it joined the founder that is alone"
+    );
+
+    let leading = start(leading, &[own], &[]);
+    eventually("there is a leader", || {
+        leading.replica.leader() == Some(own)
+    })
+    .await;
+    spare.replica.set_live(&[own]);
+    eventually("the spare votes", || is_voter(&leading, spare.address)).await;
+}
+
 /// Proposes commands at short intervals, for as long as the handle is not aborted.
 fn keep_busy(replica: &Replica) -> JoinHandle<()> {
     let replica = replica.clone();
--- a/crates/control/tests/room.rs
+++ b/crates/control/tests/room.rs
@@ -66,6 +66,7 @@
         secret: secret.clone(),
         clock: Clock::start(),
         bootstrap: true,
+        predates_group: false,
         reserve_bytes: RESERVE_BYTES,
         probe,
         consensus: clem_log::Settings::default(),
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -9,7 +9,7 @@
 
 use clem_edge::{Route, Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{BlockedParts, SettledVersions};
-use clem_types::{Rate, SoftwareVersion, Time, Version};
+use clem_types::{Epoch, Rate, SoftwareVersion, Time, Version};
 use clem_wire::{
     fleet::{FleetList, FleetListVersion},
     targets::{TargetUpdate, TargetsDigest},
@@ -28,6 +28,11 @@
     pub seen: FleetListVersion,
     /// The founding members of the batch group; empty until it is founded.
     pub founders: Vec<SocketAddr>,
+    /// Whether one leader of the hub told this process that the batch group had no founders yet, and
+    /// later named them.
+    pub saw_founding: bool,
+    /// The last leader whose list named no founders.
+    unfounded: Option<Epoch>,
     /// Addresses of the batch keepers.
     pub batch: Vec<SocketAddr>,
     /// Addresses of the batch keepers whose vm is being retired.
@@ -97,6 +102,12 @@
         let targets = self.targets.values();
         let published = targets.map(|t| (t.service.clone(), t.version.clone()));
         self.published = published.collect();
+        if list.founders.is_empty() {
+            self.unfounded = Some(list.seen.epoch);
+        } else if self.founders.is_empty() {
+            // A former leader may not know yet that another one has named founders.
+            self.saw_founding = self.unfounded == Some(list.seen.epoch);
+        }
         self.seen = list.seen;
         self.founders = list.founders;
         self.batch = list.batch;
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -86,6 +86,7 @@
         secret: settings.secret.clone(),
         clock,
         bootstrap: settings.bootstrap,
+        predates_group: false,
         reserve_bytes: settings.reserve_bytes,
         probe: Arc::new(FileSystem),
         consensus: consensus_settings(settings.tolerance),
