--- a/crates/control/src/replica/send_snapshot.rs
+++ b/crates/control/src/replica/send_snapshot.rs
@@ -11,10 +11,12 @@
 };
 
 /// Approximate size of one page.
-const PAGE_BYTES: usize = 1024 * 1024;
-/// Timeout of one page. The last page is answered only after the receiver has synced the whole
-/// snapshot.
-const PAGE_TIMEOUT: Duration = Duration::from_secs(60);
+const PAGE_BYTES: usize = 512 * 1024;
+/// Timeout of one page, which is written to a file but not synced. A connection may go silent for good, and
+/// the member takes no part until it has the snapshot; on slower links than this allows, a page never arrives.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of the last page, which is answered only after the receiver has synced the whole snapshot.
+const LAST_PAGE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Sends a snapshot of the current state to `member` and reports the result to the consensus node.
 pub(super) async fn run(shared: Arc<Shared>, member: MemberId) {
@@ -66,11 +68,12 @@
             pairs: pairs.iter().map(to_pair).collect(),
             last,
         };
-        match shared
-            .client
-            .call(snapshot.address, &call, PAGE_TIMEOUT)
-            .await
-        {
+        let timeout = if last {
+            LAST_PAGE_TIMEOUT
+        } else {
+            PAGE_TIMEOUT
+        };
+        match shared.client.call(snapshot.address, &call, timeout).await {
             Ok(SnapshotReply::Taken) => {}
             Ok(SnapshotReply::Refused) => return None,
             Err(error) => {
