--- a/crates/control/src/replica/event_loop.rs
+++ b/crates/control/src/replica/event_loop.rs
@@ -6,7 +6,7 @@
 use clem_types::Time;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use super::{core::Core, fatal, peers::PeerSender, send_snapshot, shared::Shared};
+use super::{core::Core, fatal, peers::PeerSender, send_snapshot::SnapshotSender, shared::Shared};
 
 /// Longest time between two ticks, in case the clock jumps.
 const TICK_INTERVAL_MAX: Duration = Duration::from_millis(100);
@@ -16,6 +16,7 @@
 /// Runs the event loop until the process exits.
 pub(super) async fn run(shared: Arc<Shared>, mut disk: UnboundedReceiver<DiskEvent>) {
     let mut peers = PeerSender::new(Arc::clone(&shared));
+    let mut snapshots = SnapshotSender::new(Arc::clone(&shared));
     let mut synced = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -31,7 +32,7 @@
         shared.process();
         peers.send();
         for member in take_snapshot_requests(&shared) {
-            tokio::spawn(send_snapshot::run(Arc::clone(&shared), member));
+            snapshots.start(member);
         }
         let due = synced.elapsed() >= SYNC_INTERVAL;
         if begin_sync(&shared, due) {
--- a/crates/control/src/replica/send_snapshot.rs
+++ b/crates/control/src/replica/send_snapshot.rs
@@ -1,9 +1,10 @@
 //! Sends a snapshot of the state to a member that needs entries the leader's log no longer has.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use clem_log::{LogIndex, MemberId, SnapshotMetadata};
 use clem_store::{Pair, Snapshot};
+use tokio::task::AbortHandle;
 
 use super::{
     calls::{SnapshotPage, SnapshotPair, SnapshotReply},
@@ -18,8 +19,35 @@
 /// Timeout of the last page, which is answered only after the receiver has synced the whole snapshot.
 const LAST_PAGE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// The snapshots that are being sent, one for each member: a member refuses the pages of one once another has
+/// begun, and two that are each begun anew would never end.
+pub(super) struct SnapshotSender {
+    shared: Arc<Shared>,
+    running: BTreeMap<MemberId, AbortHandle>,
+}
+
+impl SnapshotSender {
+    pub(super) fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            running: BTreeMap::new(),
+        }
+    }
+
+    /// Starts sending a snapshot to `member`, in place of one that this process has begun before.
+    pub(super) fn start(&mut self, member: MemberId) {
+        self.running.retain(|_, task| !task.is_finished());
+        if let Some(older) = self.running.remove(&member) {
+            log::info!(member:% = member; "snapshot begun anew");
+            older.abort();
+        }
+        let task = tokio::spawn(run(Arc::clone(&self.shared), member));
+        self.running.insert(member, task.abort_handle());
+    }
+}
+
 /// Sends a snapshot of the current state to `member` and reports the result to the consensus node.
-pub(super) async fn run(shared: Arc<Shared>, member: MemberId) {
+async fn run(shared: Arc<Shared>, member: MemberId) {
     let sent = match begin(&shared, member) {
         Some(snapshot) => send_pages(&shared, member, snapshot).await,
         None => None,
