--- a/crates/control/src/replica/send_snapshot.rs
+++ b/crates/control/src/replica/send_snapshot.rs
@@ -1,9 +1,10 @@
 //! Sends a snapshot of the state to a member that needs entries the leader's log no longer has.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use clem_log::{LogIndex, MemberId, SnapshotMetadata};
 use clem_store::{Pair, Snapshot};
+use tokio::task::AbortHandle;
 
 use super::{
     calls::{SnapshotPage, SnapshotPair, SnapshotReply},
@@ -11,13 +12,42 @@
 };
 
 /// Approximate size of one page.
-const PAGE_BYTES: usize = 1024 * 1024;
-/// Timeout of one page. The last page is answered only after the receiver has synced the whole
-/// snapshot.
-const PAGE_TIMEOUT: Duration = Duration::from_secs(60);
+const PAGE_BYTES: usize = 512 * 1024;
+/// Timeout of one page, which is written to a file but not synced. A connection may go silent for good, and
+/// the member takes no part until it has the snapshot; on slower links than this allows, a page never arrives.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of the last page, which is answered only after the receiver has synced the whole snapshot.
+const LAST_PAGE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The snapshots that are being sent, one for each member: a member refuses the pages of one once another has
+/// begun, and two that are each begun anew would never end.
+pub(super) struct SnapshotSender {
+    shared: Arc<Shared>,
+    running: BTreeMap<MemberId, AbortHandle>,
+}
+
+impl SnapshotSender {
+    pub(super) fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            running: BTreeMap::new(),
+        }
+    }
+
+    /// Starts sending a snapshot to `member`, in place of one that this process has begun before.
+    pub(super) fn start(&mut self, member: MemberId) {
+        self.running.retain(|_, task| !task.is_finished());
+        if let Some(older) = self.running.remove(&member) {
+            log::info!(member:% = member; "snapshot begun anew");
+            older.abort();
+        }
+        let task = tokio::spawn(run(Arc::clone(&self.shared), member));
+        self.running.insert(member, task.abort_handle());
+    }
+}
 
 /// Sends a snapshot of the current state to `member` and reports the result to the consensus node.
-pub(super) async fn run(shared: Arc<Shared>, member: MemberId) {
+async fn run(shared: Arc<Shared>, member: MemberId) {
     let sent = match begin(&shared, member) {
         Some(snapshot) => send_pages(&shared, member, snapshot).await,
         None => None,
@@ -66,11 +96,12 @@
             pairs: pairs.iter().map(to_pair).collect(),
             last,
         };
-        match shared
-            .client
-            .call(snapshot.address, &call, PAGE_TIMEOUT)
-            .await
-        {
+        let timeout = if last {
+            LAST_PAGE_TIMEOUT
+        } else {
+            PAGE_TIMEOUT
+        };
+        match shared.client.call(snapshot.address, &call, timeout).await {
             Ok(SnapshotReply::Taken) => {}
             Ok(SnapshotReply::Refused) => return None,
             Err(error) => {
