All relayed responses of a front share one budget of bytes

What callers saw: nothing yet; with many streams at once a front could exceed its memory limit, be killed, and break all requests on it.

Cause: chunks for slow callers and parts of events were bounded for each response only, not together.

Why it works: what a response holds counts from the read until its bytes are written to the caller (a chunk gives its bytes back when hyper drops it). Chunks are copies, so that a small one keeps no large buffer. A response reads ahead only while what it then holds is no more than what is left; otherwise it reads again once its own chunks are written. So the slowest callers hold one chunk each, and each makes progress. Plain responses are never cut off for room. The memory of a long event isn't kept for the next ones.

The keepers' TextBudget is ByteBudget in clem-direct now, with the same rule. clem_front_held_bytes, clem_front_no_room and the line 'no room for an event' are new.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -2,7 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clem_direct::{BusyCause, EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome};
+use clem_direct::{
+    BusyCause, ByteShare, EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome,
+};
 use clem_edge::{Forward, Framing, ItemSpec, ItemStatus, common_parts};
 use clem_policy::dispatch::{
     GrantOutcome, Origin, Resumes, SlotRequest, StreamRequest, Ticket, Urgency,
@@ -16,10 +18,7 @@
     time::Instant,
 };
 
-use crate::{
-    item_watch::ItemState, keeper::Keeper, placement::Placement, queue::ReadyItem,
-    text_budget::TextShare,
-};
+use crate::{item_watch::ItemState, keeper::Keeper, placement::Placement, queue::ReadyItem};
 
 /// How long the hub may hold a request for a slot.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -41,7 +40,7 @@
 /// Maximum size of an item's result; targets in trouble may send events without end.
 const TEXT_BYTES_MAX: usize = 4 * 1024 * 1024;
 /// Lower bound for the memory of all texts, so that the longest one finds room: its buffer may be twice as
-/// long, and a [`TextBudget`](crate::TextBudget) wants as much left.
+/// long, and a [`ByteBudget`](clem_direct::ByteBudget) wants as much left.
 pub(crate) const BUDGET_BYTES_MIN: usize = 5 * TEXT_BYTES_MAX;
 /// Longest pause in a stream before it counts as stalled; engines emit many events per second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -69,7 +68,7 @@
     /// The data of the events received so far.
     text: String,
     /// What the text, and the part of an event after it, take of the memory for all texts.
-    share: TextShare,
+    share: ByteShare,
     /// Number of runs given up since there was no room for the text.
     roomless: u32,
     /// Id of the last event received.
@@ -128,7 +127,7 @@
 
 impl ItemRun {
     pub(crate) fn new(keeper: Arc<Keeper>, ready: ReadyItem, spec: ItemSpec) -> Self {
-        let share = TextShare::new(Arc::clone(&keeper.texts));
+        let share = ByteShare::new(Arc::clone(&keeper.texts));
         let mut run = Self {
             keeper,
             ready,
@@ -656,7 +655,7 @@
         let (text, share) = match state {
             ItemStatus::Completed => (self.text, self.share),
             ItemStatus::Errored => {
-                let none = TextShare::new(Arc::clone(&self.keeper.texts));
+                let none = ByteShare::new(Arc::clone(&self.keeper.texts));
                 (String::new(), none)
             }
         };
--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -11,7 +11,7 @@
     endpoint::{Replicated, Result, ServeError},
     replica::Replica,
 };
-use clem_direct::Node;
+use clem_direct::{ByteBudget, ByteShare, Node};
 use clem_policy::dispatch::Ticket;
 use clem_state::{
     Command, Outcome,
@@ -24,7 +24,6 @@
     ended_items::EndedItems,
     item_watch::{ItemState, ItemWatch},
     queue::{ItemQueue, ReadyItem},
-    text_budget::{TextBudget, TextShare},
 };
 
 /// How long a command may wait until that is logged; each pause is twice the one before.
@@ -40,11 +39,11 @@
     /// Notified when an item has ended whose result is not recorded yet.
     pub(crate) ended_ready: Notify,
     /// Memory for the texts of items that are not recorded.
-    pub(crate) texts: Arc<TextBudget>,
+    pub(crate) texts: Arc<ByteBudget>,
     queue: Mutex<Option<(Epoch, ItemQueue)>>,
     ended: Mutex<EndedItems>,
     /// What the texts of ended items take until they are recorded.
-    ended_shares: Mutex<HashMap<(jobs::JobNumber, ItemIndex), TextShare>>,
+    ended_shares: Mutex<HashMap<(jobs::JobNumber, ItemIndex), ByteShare>>,
     watch: Mutex<ItemWatch>,
     recalls: Mutex<HashMap<Ticket, oneshot::Sender<()>>>,
     recorded: watch::Sender<u64>,
@@ -52,7 +51,7 @@
 }
 
 impl Keeper {
-    pub(crate) fn new(node: Arc<Node>, replica: Replica, texts: Arc<TextBudget>) -> Self {
+    pub(crate) fn new(node: Arc<Node>, replica: Replica, texts: Arc<ByteBudget>) -> Self {
         let watch = Mutex::new(ItemWatch::new(node.now()));
         Self {
             node,
@@ -152,7 +151,7 @@
     }
 
     /// Queues an item's result, whose text has this share of the memory; the next command records it.
-    pub(crate) fn end_item(&self, item: EndedItem, share: TextShare) {
+    pub(crate) fn end_item(&self, item: EndedItem, share: ByteShare) {
         let now = self.node.now();
         lock(&self.ended_shares).insert((item.job, item.item), share);
         self.with_watch(|watch| watch.set(now, item.job, item.item, ItemState::Ended));
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -12,7 +12,6 @@
 mod run_set;
 mod serve;
 mod tasks;
-mod text_budget;
 
 pub use ended_items::EndedItems;
 pub use item_watch::{IdleItem, ItemCounts, ItemState, ItemWatch};
@@ -20,4 +19,3 @@
 pub use program::{BatchSettings, run};
 pub use queue::{ItemQueue, ReadyItem};
 pub use run_set::{EndedRun, RunSet};
-pub use text_budget::{TextBudget, TextShare};
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -4,14 +4,14 @@
 
 use clem_boot::{acceptor, listen, spawn_vital, stop_signal};
 use clem_control::replica::{Replica, ReplicaSettings};
-use clem_direct::{Node, NodeSettings, follow, poll_without_hub, release_loop};
+use clem_direct::{ByteBudget, Node, NodeSettings, follow, poll_without_hub, release_loop};
 use clem_hub::consensus_settings;
 use clem_log::disk::{FileSystem, read_identity};
 use clem_wire::{FleetSecret, Guard};
 use salvo::{Router, Server};
 use tokio::sync::watch;
 
-use crate::{item::BUDGET_BYTES_MIN, keeper::Keeper, serve, tasks, text_budget::TextBudget};
+use crate::{item::BUDGET_BYTES_MIN, keeper::Keeper, serve, tasks};
 
 /// How long calls in progress may take after a stop signal.
 const STOP_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -86,7 +86,7 @@
     let keeper = Arc::new(Keeper::new(
         Arc::clone(&node),
         replica.clone(),
-        TextBudget::new(settings.text_bytes.max(BUDGET_BYTES_MIN)),
+        ByteBudget::new(settings.text_bytes.max(BUDGET_BYTES_MIN)),
     ));
     let router = Router::new()
         .hoop(Guard::new(settings.secret))
--- a/crates/batch/src/text_budget.rs
+++ b/crates/direct/src/byte_budget.rs
@@ -1,18 +1,18 @@
-//! Bounds the memory that the texts of all items of a process take together.
+//! Bounds the memory that buffers of a process take together.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// A number of bytes that items share.
+/// A number of bytes that buffers share.
 ///
-/// An item may grow as long as it takes no more than what is left then. So the largest items are refused
-/// first, and there is room for small ones however many large ones there are.
+/// A buffer may grow as long as it takes no more than what is left then. So the largest are refused first,
+/// and there is room for small ones however many large ones there are.
 #[derive(Debug)]
-pub struct TextBudget {
+pub struct ByteBudget {
     max_bytes: usize,
     used_bytes: Mutex<usize>,
 }
 
-impl TextBudget {
+impl ByteBudget {
     /// A budget of which nothing is used.
     pub fn new(max_bytes: usize) -> Arc<Self> {
         Arc::new(Self {
@@ -21,12 +21,12 @@
         })
     }
 
-    /// The bytes that items may take together.
+    /// The bytes that buffers may take together.
     pub fn max_bytes(&self) -> usize {
         self.max_bytes
     }
 
-    /// The bytes that items take now.
+    /// The bytes that buffers take now.
     pub fn used_bytes(&self) -> usize {
         *self.used()
     }
@@ -38,21 +38,21 @@
     }
 }
 
-/// The part of a budget that one item takes, until it is dropped.
+/// The part of a budget that one buffer takes, until it is dropped.
 #[derive(Debug)]
-pub struct TextShare {
-    budget: Arc<TextBudget>,
+pub struct ByteShare {
+    budget: Arc<ByteBudget>,
     bytes: usize,
 }
 
-impl TextShare {
+impl ByteShare {
     /// A share of no bytes.
-    pub fn new(budget: Arc<TextBudget>) -> Self {
+    pub fn new(budget: Arc<ByteBudget>) -> Self {
         Self { budget, bytes: 0 }
     }
 
     /// The budget of which this is a part.
-    pub fn budget(&self) -> &TextBudget {
+    pub fn budget(&self) -> &ByteBudget {
         &self.budget
     }
 
@@ -60,18 +60,38 @@
     /// beyond what is left.
     #[must_use]
     pub fn resize(&mut self, bytes: usize) -> bool {
-        let mut used = self.budget.used();
+        let budget = Arc::clone(&self.budget);
+        let mut used = budget.used();
+        if bytes > self.bytes && !self.fits_beside(*used, bytes) {
+            return false;
+        }
+        self.replace(&mut used, bytes);
+        true
+    }
+
+    /// Changes the share to this number of bytes, also beyond what is left.
+    pub fn set(&mut self, bytes: usize) {
+        let budget = Arc::clone(&self.budget);
+        self.replace(&mut budget.used(), bytes);
+    }
+
+    /// Whether the share could have this number of bytes and as many would be left.
+    pub fn fits(&self, bytes: usize) -> bool {
+        self.fits_beside(*self.budget.used(), bytes)
+    }
+
+    fn fits_beside(&self, used: usize, bytes: usize) -> bool {
         let others = used.saturating_sub(self.bytes);
         let left = self
             .budget
             .max_bytes
             .saturating_sub(others.saturating_add(bytes));
-        if bytes > self.bytes && bytes > left {
-            return false;
-        }
-        *used = others + bytes;
+        bytes <= left
+    }
+
+    fn replace(&mut self, used: &mut usize, bytes: usize) {
+        *used = used.saturating_sub(self.bytes) + bytes;
         self.bytes = bytes;
-        true
     }
 
     /// Changes the share to this number of bytes if that is less.
@@ -83,7 +103,7 @@
     }
 }
 
-impl Drop for TextShare {
+impl Drop for ByteShare {
     fn drop(&mut self) {
         let mut used = self.budget.used();
         *used = used.saturating_sub(self.bytes);
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -30,6 +30,9 @@
 /// Maximum size of an event, in bytes; targets in trouble may send one that never ends.
 const EVENT_BYTES_MAX: usize = 256 * 1024;
 
+/// Size of an event whose memory isn't kept for the next one, in bytes.
+const EVENT_BYTES_KEPT: usize = 32 * 1024;
+
 /// Buffers the bytes of a stream until they form complete events.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
@@ -61,6 +64,11 @@
         self.rest.len()
     }
 
+    /// Bytes of memory that the buffer takes.
+    pub fn capacity_bytes(&self) -> usize {
+        self.rest.capacity()
+    }
+
     /// Whether a part of an event is buffered. Blank lines and comments are none.
     pub fn holds_part(&self) -> bool {
         !is_comment(&self.rest)
@@ -77,6 +85,10 @@
         };
         self.searched = 0;
         let bytes = self.rest.split_to(end).freeze();
+        if end > EVENT_BYTES_KEPT {
+            // The rest would keep the memory of the event.
+            self.rest = BytesMut::from(&self.rest[..]);
+        }
         let text = String::from_utf8_lossy(&bytes);
         let mut id = None;
         let mut data: Option<String> = None;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/design/platform.md`.
 
+mod byte_budget;
 mod crash_log;
 mod events;
 mod exchange;
@@ -15,10 +16,12 @@
 mod stream_log;
 mod view;
 
+pub use byte_budget::{ByteBudget, ByteShare};
 pub use events::{Event, EventBuffer};
 pub use exchange::{Liveness, Outcome, OutgoingRequest, Reply, ReusableConnection};
 pub use follow::follow;
 pub use list::{ListReader, poll_without_hub};
 pub use node::{Node, NodeSettings};
+pub use pool::READ_BYTES_MAX;
 pub use slot::{BusyCause, Slot, SlotOutcome, release_loop};
 pub use view::View;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -25,7 +25,7 @@
 /// Timeout for setting up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Most bytes read from a connection at once, and the largest response head.
-const READ_BYTES_MAX: usize = 32 * 1024;
+pub const READ_BYTES_MAX: usize = 32 * 1024;
 /// How long an idle connection is kept; targets close theirs after some seconds.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// The most idle connections per target.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -9,7 +9,7 @@
 };
 
 use clem_boot::Readiness;
-use clem_direct::Node;
+use clem_direct::{ByteBudget, Node};
 use clem_policy::dispatch::RouteTimeouts;
 use clem_types::Time;
 use tokio::sync::watch;
@@ -24,6 +24,8 @@
     pub(crate) readiness: Readiness,
     /// Maximum number of requests running at once, derived from the memory limit.
     pub(crate) running_max: usize,
+    /// What relayed responses may hold together.
+    pub(crate) relays: Arc<ByteBudget>,
     timeouts: Mutex<RouteTimeouts>,
     /// Until when this process answers requests; `None` while it isn't stopping.
     ends: watch::Sender<Option<Time>>,
@@ -34,11 +36,12 @@
 pub(crate) struct RunningGuard(Arc<Front>);
 
 impl Front {
-    pub(crate) fn new(node: Arc<Node>, running_max: usize) -> Self {
+    pub(crate) fn new(node: Arc<Node>, running_max: usize, relay_bytes: usize) -> Self {
         Self {
             node,
             readiness: Readiness::default(),
             running_max,
+            relays: ByteBudget::new(relay_bytes),
             timeouts: Mutex::default(),
             ends: watch::Sender::new(None),
             running: AtomicUsize::new(0),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod front;
 mod handle;
+mod held;
 mod program;
 mod ready;
 mod relay;
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -43,6 +43,8 @@
     pub grace: Duration,
     /// Maximum number of requests running at once.
     pub running_max: usize,
+    /// Bytes that relayed responses may hold together.
+    pub relay_bytes: usize,
 }
 
 /// Runs the front until a stop signal. `seeds` delivers hub members added to the settings later.
@@ -57,7 +59,11 @@
     let callers = listen(settings.callers)?;
     let balancer = listen(settings.ready)?;
     let node = Arc::new(Node::new(settings.node));
-    let front = Arc::new(Front::new(Arc::clone(&node), settings.running_max));
+    let front = Arc::new(Front::new(
+        Arc::clone(&node),
+        settings.running_max,
+        settings.relay_bytes,
+    ));
     spawn_vital("follow", follow(Arc::clone(&node), seeds));
     spawn_vital("poll_without_hub", poll_without_hub(Arc::clone(&node)));
     spawn_vital("release_loop", release_loop(Arc::clone(&node)));
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -27,6 +27,7 @@
             front.readiness.set(true);
             log::info!(rules = front.node.view().version().0; "ready");
         }
+        metrics::gauge!("clem_front_held_bytes").set(front.relays.used_bytes() as f64);
         tokio::time::sleep(INTERVAL).await;
     }
 }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::{
     attempt::{RequestState, millis},
     body::{Part, RelayedBody, ResponseBody},
+    held::Held,
 };
 
 /// Number of chunks buffered for a slow caller.
@@ -48,6 +49,8 @@
     Broken,
     /// The caller disconnected.
     Gone,
+    /// A partial event found no room beside what other responses hold.
+    NoRoom,
     /// The deadline passed.
     OutOfTime,
     /// A target that was to confirm the end of a stream sent no event in time.
@@ -85,6 +88,7 @@
 struct Relay {
     state: RequestState,
     parts: mpsc::Sender<Part>,
+    held: Arc<Held>,
     /// How the end of the response to the caller is marked.
     framing: Framing,
     /// Number of data frames received from the current target.
@@ -139,9 +143,11 @@
         Framing::Length | Framing::Chunked => None,
     };
     let (parts, waiting) = mpsc::channel(CHUNKS);
+    let held = Held::new(Arc::clone(&state.front.relays));
     let relay = Relay {
         state,
         parts,
+        held,
         framing,
         frames: 0,
         unnumbered: false,
@@ -185,6 +191,7 @@
             } else {
                 self.relay_bytes(body, framing).await
             };
+            self.held.clear_part();
             // A target whose process ends closes its connections as well.
             let may_be_whole = matches!(end, End::Closed)
                 && self.framing == Framing::Close
@@ -238,6 +245,10 @@
                     self.finish("closed").await;
                     return;
                 }
+                End::NoRoom => {
+                    node.end_unread(slot, self.frames);
+                    break;
+                }
                 End::OutOfTime => {
                     slot.set_ended(GrantOutcome::Silent);
                     break;
@@ -359,9 +370,14 @@
                 while buffer.next_event().is_some() {}
                 if buffer.is_too_long() {
                     events = None;
+                    self.held.clear_part();
+                } else if !self.has_room(buffer) {
+                    return End::NoRoom;
                 }
             }
-            if !self.send(frame).await {
+            let chunk = self.held.chunk(&frame);
+            drop(frame);
+            if !self.send(chunk).await {
                 return End::Gone;
             }
         }
@@ -415,7 +431,10 @@
                 } else if event.data.is_some() {
                     self.unnumbered = true;
                 }
-                if !self.send(event.bytes).await {
+                let chunk = self.held.chunk(&event.bytes);
+                // It may be a part of a larger buffer, which would be kept while the caller doesn't read.
+                drop(event);
+                if !self.send(chunk).await {
                     return End::Gone;
                 }
             }
@@ -427,13 +446,40 @@
                 );
                 return End::Broken;
             }
+            if !self.has_room(&events) {
+                return End::NoRoom;
+            }
+        }
+    }
+
+    /// Whether a partial event finds room beside what other responses hold.
+    fn has_room(&self, events: &EventBuffer) -> bool {
+        let bytes = events.capacity_bytes();
+        if self.held.set_part(bytes) {
+            return true;
         }
+        let budget = &self.state.front.relays;
+        metrics::counter!("clem_front_no_room").increment(1);
+        log::warn!(
+            request = self.state.request.id.as_str(),
+            target = self.state.placement.target.as_str(), part_bytes = bytes,
+            used_bytes = budget.used_bytes(), max_bytes = budget.max_bytes();
+            "no room for an event"
+        );
+        false
     }
 
-    /// Sends bytes to the caller; returns false if the caller has disconnected.
-    async fn send(&mut self, bytes: Bytes) -> bool {
-        self.state.sent_bytes += bytes.len();
-        self.parts.send(Part::Data(bytes)).await.is_ok()
+    /// Sends a chunk to the caller and waits until more may be read; returns false if the caller has
+    /// disconnected.
+    async fn send(&mut self, chunk: Bytes) -> bool {
+        self.state.sent_bytes += chunk.len();
+        if self.parts.send(Part::Data(chunk)).await.is_err() {
+            return false;
+        }
+        tokio::select! {
+            () = self.held.room() => true,
+            () = self.parts.closed() => false,
+        }
     }
 
     /// Reads the next chunk of a response; `None` at its end.
