--- a/crates/control/src/replica/install_snapshot.rs
+++ b/crates/control/src/replica/install_snapshot.rs
@@ -36,6 +36,18 @@
     store: RedbStore,
 }
 
+/// What is received of a snapshot.
+#[derive(Default)]
+pub(super) enum Incoming {
+    /// Nothing.
+    #[default]
+    None,
+    /// Some of its pages.
+    Pages(Box<Install>),
+    /// All of it. Its file is being put in place, so that no other one may be begun.
+    Whole,
+}
+
 /// The path of the store in a data directory.
 pub(super) fn store_path(data_dir: &Path) -> PathBuf {
     data_dir.join(STORE_FILE)
@@ -59,16 +71,28 @@
     if !last {
         return SnapshotReply::Taken;
     }
-    let Some(install) = shared.install().take() else {
+    let Incoming::Pages(install) = std::mem::replace(&mut *shared.install(), Incoming::Whole)
+    else {
         return SnapshotReply::Refused;
     };
+    // Not cancelled if the sender gives up meanwhile.
+    let installing = tokio::spawn(put_in_place(Arc::clone(shared), install));
+    match installing.await {
+        Ok(reply) => reply,
+        Err(error) => fatal::exit("failed to install a snapshot", &error),
+    }
+}
+
+async fn put_in_place(shared: Arc<Shared>, install: Box<Install>) -> SnapshotReply {
     let folder = shared.data_dir.clone();
-    let synced = tokio::task::spawn_blocking(move || finish(&folder, install)).await;
-    match synced {
-        Ok(Ok(base)) => switch_to(shared, base),
+    let synced = tokio::task::spawn_blocking(move || finish(&folder, *install)).await;
+    let reply = match synced {
+        Ok(Ok(base)) => switch_to(&shared, base),
         Ok(Err(error)) => fatal::exit("failed to write a snapshot", &error),
         Err(error) => fatal::exit("failed to write a snapshot", &error),
-    }
+    };
+    *shared.install() = Incoming::None;
+    reply
 }
 
 fn is_wanted(shared: &Shared, page: &SnapshotPage) -> bool {
@@ -82,14 +106,19 @@
 
 /// Adds a page to the snapshot; page 0 starts a new one.
 fn add_page(shared: &Shared, page: &SnapshotPage) -> bool {
-    let mut install = shared.install();
+    let mut incoming = shared.install();
+    if matches!(*incoming, Incoming::Whole) {
+        return false;
+    }
     if page.page == 0 {
+        // Closes the file of an earlier one.
+        *incoming = Incoming::None;
         match start(&shared.data_dir, page.base.clone()) {
-            Ok(started) => *install = Some(started),
+            Ok(started) => *incoming = Incoming::Pages(Box::new(started)),
             Err(error) => fatal::exit("failed to write a snapshot", &error),
         }
     }
-    let Some(install) = install.as_mut() else {
+    let Incoming::Pages(install) = &mut *incoming else {
         return false;
     };
     if install.next != page.page || install.base != page.base {
--- a/crates/control/src/replica/send_snapshot.rs
+++ b/crates/control/src/replica/send_snapshot.rs
@@ -18,6 +18,8 @@
 const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of the last page, which is answered only after the receiver has synced the whole snapshot.
 const LAST_PAGE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause after a snapshot that was refused or not sent.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// The snapshots that are being sent, one for each member: a member refuses the pages of one once another has
 /// begun, and two that are each begun anew would never end.
@@ -53,6 +55,9 @@
         None => None,
     };
     log::info!(member:% = member, index = sent.map(|index| index.0); "snapshot sent");
+    if sent.is_none() {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
     if let Some(core) = shared.core().as_mut() {
         core.snapshot_sent(member, sent);
     }
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -14,7 +14,7 @@
 use clem_wire::Client;
 use tokio::sync::{Notify, watch};
 
-use super::{core::Core, install_snapshot::Install};
+use super::{core::Core, install_snapshot::Incoming};
 
 /// The shared state of a replica.
 ///
@@ -51,7 +51,7 @@
     pub(super) work: Notify,
     core: Mutex<Option<Core>>,
     store: Mutex<RedbStore>,
-    install: Mutex<Option<Install>>,
+    install: Mutex<Incoming>,
 }
 
 /// The fields with which a [`Shared`] is created.
@@ -94,7 +94,7 @@
             work: Notify::new(),
             core: Mutex::new(None),
             store: Mutex::new(parts.store),
-            install: Mutex::new(None),
+            install: Mutex::default(),
         }
     }
 
@@ -153,7 +153,7 @@
     }
 
     /// The snapshot that is being received, if any.
-    pub(super) fn install(&self) -> MutexGuard<'_, Option<Install>> {
+    pub(super) fn install(&self) -> MutexGuard<'_, Incoming> {
         self.install.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
