--- a/crates/control/src/replica/calls.rs
+++ b/crates/control/src/replica/calls.rs
@@ -156,6 +156,8 @@
 pub(super) enum SnapshotReply {
     /// The page was stored. After the last page: the snapshot is durable and in use.
     Taken,
-    /// The receiver does not need the snapshot, or pages are missing.
+    /// The receiver leads or is another one, or pages are missing.
     Refused,
+    /// The receiver's log has all of the snapshot. A release before this one takes it for an error.
+    Held,
 }
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -209,6 +209,11 @@
         self.node.snapshot_sent(id, index);
     }
 
+    /// Whether the node's log has all entries of a snapshot.
+    pub(super) fn holds(&mut self, base: &SnapshotMetadata) -> bool {
+        self.node.holds(base)
+    }
+
     /// Resets the node to a snapshot that has replaced the store; returns whether the node accepted
     /// it.
     pub(super) fn install(&mut self, now: Time, base: SnapshotMetadata) -> bool {
--- a/crates/control/src/replica/install_snapshot.rs
+++ b/crates/control/src/replica/install_snapshot.rs
@@ -61,8 +61,8 @@
 
 /// Stores one page; the last page replaces the store by the snapshot.
 pub(super) async fn receive_page(shared: &Arc<Shared>, page: SnapshotPage) -> SnapshotReply {
-    if !is_wanted(shared, &page) {
-        return SnapshotReply::Refused;
+    if let Some(reply) = refusal(shared, &page) {
+        return reply;
     }
     let last = page.last;
     if !add_page(shared, &page) {
@@ -95,13 +95,19 @@
     reply
 }
 
-fn is_wanted(shared: &Shared, page: &SnapshotPage) -> bool {
-    let core = shared.core();
-    let Some(core) = core.as_ref() else {
-        return false;
+/// Returns why this process takes no page of a snapshot; `None` if it does.
+fn refusal(shared: &Shared, page: &SnapshotPage) -> Option<SnapshotReply> {
+    let mut core = shared.core();
+    let core = core.as_mut().filter(|core| core.cluster == page.cluster);
+    let core = core.filter(|core| page.to == shared.member && !core.node().is_leader());
+    let Some(core) = core else {
+        return Some(SnapshotReply::Refused);
     };
-    let ours = core.cluster == page.cluster && page.to == shared.member;
-    ours && page.base.index > core.node().commit() && !core.node().is_leader()
+    if !core.holds(&page.base) {
+        return None;
+    }
+    shared.work.notify_one();
+    Some(SnapshotReply::Held)
 }
 
 /// Adds a page to the snapshot; page 0 starts a new one.
@@ -167,9 +173,12 @@
     let Some(core) = core.as_mut() else {
         return SnapshotReply::Refused;
     };
-    if base.index <= core.node().commit() || core.node().is_leader() {
+    if core.node().is_leader() {
         return SnapshotReply::Refused;
     }
+    if core.holds(&base) {
+        return SnapshotReply::Held;
+    }
     let mut store = shared.store();
     match replace_store(&shared.data_dir) {
         Ok(opened) => *store = opened,
--- a/crates/control/src/replica/send_snapshot.rs
+++ b/crates/control/src/replica/send_snapshot.rs
@@ -109,6 +109,7 @@
         match shared.client.call(snapshot.address, &call, timeout).await {
             Ok(SnapshotReply::Taken) => {}
             Ok(SnapshotReply::Refused) => return None,
+            Ok(SnapshotReply::Held) => return Some(snapshot.base.index),
             Err(error) => {
                 log::warn!(member:% = member, error:% = error; "snapshot not sent");
                 return None;
--- a/crates/log/src/node/follower.rs
+++ b/crates/log/src/node/follower.rs
@@ -96,12 +96,26 @@
         index
     }
 
+    /// Returns whether this member's log has all entries of the snapshot at `base`.
+    ///
+    /// Those after it may be committed by this member's word, so that it must not reset its log. What is
+    /// in a snapshot is committed, which is noted.
+    pub fn holds(&mut self, base: &SnapshotMetadata) -> bool {
+        if base.index <= self.commit {
+            return true;
+        }
+        let held = self.log.term_at(base.index) == Some(base.term);
+        if held {
+            self.set_commit(base.index);
+        }
+        held
+    }
+
     /// Restarts the log after a snapshot that is durable on this member's disk.
     ///
-    /// Returns false and changes nothing if this member has already committed up to `base`, or is
-    /// the leader.
+    /// Returns false and resets nothing if this member [`holds`](Self::holds) it, or is the leader.
     pub fn install(&mut self, now: Time, base: SnapshotMetadata) -> bool {
-        if base.index <= self.commit || self.is_leader() {
+        if self.is_leader() || self.holds(&base) {
             return false;
         }
         self.last_contact = now;
--- a/crates/log/tests/node.rs
+++ b/crates/log/tests/node.rs
@@ -317,6 +317,40 @@
     assert_eq!(trio.nodes[1].commit(), commit);
 }
 
+/// A late snapshot of a former leader made a member forget an entry that counted as committed by its word.
+#[test]
+fn a_snapshot_removes_no_entry_that_a_member_has_acknowledged() {
+    let entry = |index| Entry {
+        index: LogIndex(index),
+        term: Term(1),
+        payload: Payload::Noop,
+    };
+    let start = InitialState {
+        hard: HardState {
+            term: Term(1),
+            vote: None,
+        },
+        entries: vec![entry(2), entry(3), entry(4)],
+        ..start(1)
+    };
+    let mut node = Node::new(Time::ZERO, start, Settings::default());
+    let offered = SnapshotMetadata {
+        index: LogIndex(3),
+        term: Term(1),
+        ..base()
+    };
+    assert!(!node.install(Time::ZERO, offered));
+    assert_eq!(node.last(), LogIndex(4));
+    assert_eq!(node.commit(), LogIndex(3));
+    let contradicting = SnapshotMetadata {
+        index: LogIndex(4),
+        term: Term(2),
+        ..base()
+    };
+    assert!(node.install(Time::ZERO, contradicting));
+    assert_eq!(node.last(), LogIndex(4));
+}
+
 #[test]
 fn a_log_that_contradicts_the_snapshot_needs_a_reset() {
     let entry = |index, term| Entry {
