Callers of a group log what each process said, and what it knows of its group

`batch group unreachable` said "no control leader was reached in time" and `call to the leader retried` a number of tries. Whether the processes refused the connection, were silent, or answered that they don't lead, and why their group had no leader, stood in no line.

Cause: the client kept no answers, a try that was refused at once was not told apart from "doesn't lead", and a process that doesn't lead told only whom it takes for the leader.

The error of a call that reached no leader carries the answers; its text is as before. Nothing is allocated for a call that is answered at its first try, and the text is written only with the line.

--- a/crates/control/src/endpoint.rs
+++ b/crates/control/src/endpoint.rs
@@ -124,6 +124,7 @@
         Ok(reply) => LeaderReply::Done(reply),
         Err(ServeError::NotLeader) => LeaderReply::NotLeader {
             leader: replica.leader(),
+            brief: Some(replica.brief()),
         },
         Err(ServeError::NoRoom) => LeaderReply::NoRoom,
         Err(ServeError::Unknown) => LeaderReply::Unknown,
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -16,7 +16,7 @@
 use clem_wire::codec;
 use tokio::sync::oneshot;
 
-use super::{ProposalResult, calls::DepartReply, fatal, room::RoomState};
+use super::{ProposalResult, brief::GroupState, calls::DepartReply, fatal, room::RoomState};
 
 /// Maximum number of queued messages for one member. Further ones are dropped; the protocol
 /// retransmits them.
@@ -33,6 +33,10 @@
     pub(super) cluster: ClusterId,
     node: Node,
     writer: Writer,
+    /// The log's last write.
+    written: WriteNumber,
+    /// Since when the log has finished no write although there is one.
+    disk_waits: Option<Time>,
     /// Proposals of this leader that are not applied yet.
     proposals: BTreeMap<LogIndex, Proposal>,
     /// Reads whose leadership check is pending.
@@ -41,8 +45,8 @@
     next_read: ReadId,
     /// Committed entries that are not applied yet.
     backlog: VecDeque<Entry>,
-    /// Whether the store is being synced. Entries are not applied meanwhile, as that would block.
-    syncing: bool,
+    /// Since when the store is being synced. Entries are not applied meanwhile, as that would block.
+    syncing: Option<Time>,
     outbox: BTreeMap<MemberId, VecDeque<Message>>,
     /// Members that need a snapshot of the state.
     snapshot_requests: Vec<MemberId>,
@@ -73,12 +77,14 @@
             cluster,
             node,
             writer,
+            written: WriteNumber(0),
+            disk_waits: None,
             proposals: BTreeMap::new(),
             reads: BTreeMap::new(),
             confirmed_reads: Vec::new(),
             next_read: ReadId(0),
             backlog: VecDeque::new(),
-            syncing: false,
+            syncing: None,
             outbox: BTreeMap::new(),
             snapshot_requests: Vec::new(),
             ticked: Time::ZERO,
@@ -129,6 +135,22 @@
         self.ticked
     }
 
+    /// What this member knows of its group, and how it is; its store has applied the log up to
+    /// `applied`.
+    pub(super) fn group_state(&self, now: Time, applied: LogIndex) -> GroupState {
+        let waited = |since: Time| now.since(since);
+        GroupState {
+            status: self.node.status(now),
+            term: self.node.term(),
+            last: self.node.last(),
+            commit: self.node.commit(),
+            applied,
+            disk_wait: self.disk_waits.map(waited),
+            store_wait: self.syncing.map(waited),
+            short_bytes: self.room.is_short().then(|| self.room.free_bytes()),
+        }
+    }
+
     /// Free disk space as last read, in bytes.
     pub(super) fn free_bytes(&self) -> u64 {
         self.room.free_bytes()
@@ -224,6 +246,7 @@
     /// Handles the completion of a log write: everything up to it is synced.
     pub(super) fn log_synced(&mut self, now: Time, number: WriteNumber, free_bytes: u64) {
         self.note_room(now, free_bytes);
+        self.disk_waits = (number < self.written).then_some(now);
         self.node.synced(now, number);
     }
 
@@ -241,12 +264,12 @@
     pub(super) fn process(&mut self, now: Time, store: &mut RedbStore) {
         loop {
             let ready = self.node.ready(now);
-            self.handle_ready(ready);
+            self.handle_ready(now, ready);
             if !self.node.has_more() {
                 break;
             }
         }
-        if !self.syncing {
+        if self.syncing.is_none() {
             self.apply(store);
         }
         self.answer_reads(store);
@@ -256,8 +279,10 @@
         }
     }
 
-    fn handle_ready(&mut self, ready: Ready) {
+    fn handle_ready(&mut self, now: Time, ready: Ready) {
         if let Some(write) = ready.write {
+            self.written = write.number;
+            self.disk_waits.get_or_insert(now);
             self.writer.write(write);
         }
         for message in ready.messages {
@@ -396,18 +421,18 @@
     pub(super) fn needs_sync(&self, due: bool) -> bool {
         let entries = self.node.last().0 - self.node.base().0;
         let long = self.node.log_bytes() > COMPACT_BYTES || entries > COMPACT_ENTRIES;
-        !self.syncing && (long || due)
+        self.syncing.is_none() && (long || due)
     }
 
-    pub(super) fn begin_sync(&mut self) {
-        debug_assert!(!self.syncing, "only one sync may run at a time");
-        self.syncing = true;
+    pub(super) fn begin_sync(&mut self, now: Time) {
+        debug_assert!(self.syncing.is_none(), "only one sync may run at a time");
+        self.syncing = Some(now);
     }
 
     /// Compacts the log after the store was synced up to `synced`. The entries just before that are
     /// kept for members that lag slightly.
     pub(super) fn end_sync(&mut self, synced: LogIndex) {
-        self.syncing = false;
+        self.syncing = None;
         let held = self.node.last().0 - self.node.base().0;
         let average = self.node.log_bytes() / usize::try_from(held.max(1)).unwrap_or(1);
         let keep = (KEEP_BYTES / average.max(1)) as u64;
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -5,14 +5,14 @@
 use bytes::Bytes;
 use clem_boot::Clock;
 use clem_log::{
-    Change, MemberId, MemberKind, NodeError,
+    Change, LogIndex, MemberId, MemberKind, NodeError,
     disk::{Folder, Identity, RoomProbe},
 };
 use clem_state::Command;
 use clem_store::{RedbStore, Store};
 use clem_types::{Epoch, Time};
 use clem_wire::{
-    Client, FleetSecret, LeaderReply,
+    Client, FleetSecret, GroupBrief, LeaderReply,
     admin::{ChangeMembersReply, MemberChange, MemberRole, MemberView},
     codec,
 };
@@ -22,6 +22,7 @@
 
 use super::{
     ProposalResult,
+    brief::Place,
     calls::Hello,
     fatal, formation,
     install_snapshot::{CACHE_BYTES, store_path},
@@ -239,6 +240,21 @@
         leader.address.parse().ok()
     }
 
+    /// What this process knows of its group, for callers that look for the leader.
+    pub fn brief(&self) -> GroupBrief {
+        let now = self.shared.clock.now();
+        let core = self.shared.core();
+        let place = match core.as_ref() {
+            Some(core) => {
+                let applied = LogIndex(self.shared.store().applied());
+                Place::Inside(core.group_state(now, applied))
+            }
+            None if self.shared.votes => Place::Outside,
+            None => Place::Diskless,
+        };
+        GroupBrief::from(place.to_string())
+    }
+
     /// Subscribes to the epoch in which this process leads; `None` while it does not.
     pub fn watch_leadership(&self) -> watch::Receiver<Option<Epoch>> {
         self.shared.epoch.subscribe()
@@ -309,6 +325,7 @@
             Ok(()) => LeaderReply::Done(ChangeMembersReply::Accepted),
             Err(NodeError::NotLeader { .. }) => LeaderReply::NotLeader {
                 leader: self.leader(),
+                brief: Some(self.brief()),
             },
             Err(refused @ (NodeError::Busy | NodeError::DiskFull | NodeError::ChangeRefused)) => {
                 rejected(refused.to_string())
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -5,6 +5,7 @@
 //! - `event_loop` handles timers, disk events and outgoing messages,
 //! - `peers` sends messages to other members,
 //! - `formation` bootstraps a group or joins one, and `founding` decides which,
+//! - `brief` tells callers what this process knows of its group,
 //! - `joining`, `learners` and `group_report` report how far that is,
 //! - `depart` prepares a planned stop,
 //! - `room` keeps how much room the disk has,
@@ -12,6 +13,7 @@
 //!
 //! See `docs/DESIGN.md`, "Agreement".
 
+pub mod brief;
 mod calls;
 mod core;
 mod depart;
--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use clem_direct::Node;
 use clem_edge::{Cause, Customer, Refusal, RequestKind, Route, Ruleset};
-use clem_wire::jobs::{EndJob, JobName, JobOptions, ReadItem, ReadResults, SubmitJob, SubmitReply};
+use clem_wire::{
+    CallError,
+    jobs::{EndJob, JobName, JobOptions, ReadItem, ReadResults, SubmitJob, SubmitReply},
+};
 use http::Response;
 
 use crate::{
@@ -70,7 +73,7 @@
         Err(_) => "not known",
     };
     if let Err(error) = &reply {
-        log::warn!(batch = id, error:% = error; "batch group unreachable");
+        log_unreachable(id, error);
     }
     log::info!(
         batch = id, customer = customer.name.as_str(), items, outcome,
@@ -101,6 +104,18 @@
     tokio::time::timeout(FOUNDING_WAIT, founded).await.is_ok()
 }
 
+/// Logs a call that failed, with what the processes of the group said if none replied as its leader.
+fn log_unreachable(batch: &str, error: &CallError) {
+    match error.asked() {
+        Some(asked) => {
+            log::warn!(asked:% = asked, batch, error:% = error; "batch group unreachable");
+        }
+        None => {
+            log::warn!(batch, error:% = error; "batch group unreachable");
+        }
+    }
+}
+
 /// Answers a call on a submitted batch.
 pub(crate) async fn answer(
     front: &Arc<Front>,
@@ -112,8 +127,8 @@
         customer: customer.name.clone(),
         id,
     };
-    let unavailable = |batch: &str, error: &dyn std::fmt::Display| {
-        log::warn!(batch, error:% = error; "batch group unreachable");
+    let unavailable = |batch: &str, error: &CallError| {
+        log_unreachable(batch, error);
         Refusal::after(Cause::NotReady, RETRY)
     };
     let missing = Refusal::new(Cause::NotFound);
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use crate::{Asked, GroupBrief};
+
 /// Maximum size of a message body, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -31,6 +33,9 @@
     NotLeader {
         /// The leader's address, if this process knows it.
         leader: Option<SocketAddr>,
+        /// What this process knows of its group; `None` from one of an earlier release.
+        #[serde(default)]
+        brief: Option<GroupBrief>,
     },
     /// The process lost leadership while handling the call, which may or may not have taken effect.
     Unknown,
@@ -56,6 +61,13 @@
     },
     /// The reply can't be decoded; the server may have executed the call.
     Malformed(String),
+    /// No process of a group replied as its leader in time.
+    NoLeader {
+        /// Whether a process may have executed the call.
+        arrived: bool,
+        /// What the processes said.
+        asked: Asked,
+    },
 }
 
 impl CallError {
@@ -64,6 +76,19 @@
         match self {
             Self::NotSent(_) | Self::Refused { .. } => true,
             Self::MayHaveArrived(_) | Self::TimedOut(_) | Self::Malformed(_) => false,
+            Self::NoLeader { arrived, .. } => !arrived,
+        }
+    }
+
+    /// What the processes of a group said, if none replied as its leader.
+    pub fn asked(&self) -> Option<&Asked> {
+        match self {
+            Self::NoLeader { asked, .. } => Some(asked),
+            Self::NotSent(_)
+            | Self::MayHaveArrived(_)
+            | Self::TimedOut(_)
+            | Self::Refused { .. }
+            | Self::Malformed(_) => None,
         }
     }
 }
@@ -79,6 +104,12 @@
                 write!(f, "refused with HTTP status {status}: {message}")
             }
             Self::Malformed(cause) => write!(f, "the reply is malformed: {cause}"),
+            Self::NoLeader { arrived: true, .. } => {
+                f.write_str("sent, but not answered: no control process answered in time")
+            }
+            Self::NoLeader { arrived: false, .. } => {
+                f.write_str("not sent: no control leader was reached in time")
+            }
         }
     }
 }
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{Call, CallError, Client, LeaderReply, LeaderTracker};
+use crate::{Answer, Asked, Call, CallError, Client, LeaderReply, LeaderTracker};
 
 /// Pause after all processes of the group have been tried.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
@@ -96,16 +96,17 @@
         let end = start + timeout;
         let mut arrived = false;
         let mut tries = 0;
+        let mut asked = Asked::default();
         loop {
             let members = self.leader().count();
             for _ in 0..=members {
                 let left = end.saturating_duration_since(Instant::now());
                 if left.is_zero() {
-                    log_retries::<C>(start, tries, false);
-                    return Err(timeout_error(arrived));
+                    log_retries::<C>(start, tries, false, &asked);
+                    return Err(CallError::NoLeader { arrived, asked });
                 }
                 let Some(address) = self.leader().presumed() else {
-                    return Err(timeout_error(arrived));
+                    return Err(CallError::NoLeader { arrived, asked });
                 };
                 let try_timeout = self.try_timeout::<C>(timeout);
                 let sent = Instant::now();
@@ -113,22 +114,28 @@
                 match self.call_member(address, call, try_timeout, left).await {
                     Ok(LeaderReply::Done(reply)) => {
                         self.leader().note_leader(address);
-                        log_retries::<C>(start, tries, true);
+                        if tries > 1 {
+                            asked.note(address, Answer::Leads);
+                            log_retries::<C>(start, tries, true, &asked);
+                        }
                         if arrived && C::is_refusal(&reply) {
                             return Err(unknown_error("a repeat of the call was refused"));
                         }
                         return Ok(reply);
                     }
-                    Ok(LeaderReply::NotLeader { leader }) => {
+                    Ok(LeaderReply::NotLeader { leader, brief }) => {
+                        asked.note_follower(address, leader, brief);
                         self.leader().note_follower(Instant::now(), address, leader);
                     }
                     Ok(LeaderReply::Unknown) => {
                         arrived = true;
+                        asked.note(address, Answer::Unknown);
                         self.leader().note_follower(Instant::now(), address, None);
                     }
                     Ok(LeaderReply::NoRoom) => {
                         self.leader().note_leader(address);
-                        log_retries::<C>(start, tries, true);
+                        asked.note(address, Answer::NoRoom);
+                        log_retries::<C>(start, tries, true, &asked);
                         if arrived {
                             return Err(unknown_error(NO_ROOM));
                         }
@@ -140,13 +147,16 @@
                     Err(error @ CallError::Refused { .. }) => return Err(error),
                     Err(error) => {
                         arrived |= !error.is_not_run();
+                        let answer = answer_of(&error, sent.elapsed());
                         if Instant::now() >= end {
                             // The process is not avoided: it had less time than usual to reply, or
                             // was still replying.
-                            log_retries::<C>(start, tries, false);
-                            return Err(timeout_error(arrived));
+                            asked.note_last(address, answer);
+                            log_retries::<C>(start, tries, false, &asked);
+                            return Err(CallError::NoLeader { arrived, asked });
                         }
-                        self.note_error::<C>(sent, address, &error);
+                        asked.note(address, answer);
+                        self.note_error::<C>(sent, address, answer, &error);
                     }
                 }
             }
@@ -164,10 +174,14 @@
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
     {
         let end = Instant::now() + timeout;
+        let mut asked = Asked::default();
         for _ in 0..LEADER_TRIES {
             let left = end.saturating_duration_since(Instant::now());
             let Some(address) = self.leader().presumed() else {
-                return Err(timeout_error(false));
+                return Err(CallError::NoLeader {
+                    arrived: false,
+                    asked,
+                });
             };
             let sent = Instant::now();
             match self.call_member(address, call, left, left).await {
@@ -175,24 +189,33 @@
                     self.leader().note_leader(address);
                     return Ok(reply);
                 }
-                Ok(LeaderReply::NotLeader { leader }) => {
+                Ok(LeaderReply::NotLeader { leader, brief }) => {
+                    asked.note_follower(address, leader, brief);
                     self.leader().note_follower(Instant::now(), address, leader);
                 }
                 Ok(LeaderReply::Unknown) => {
+                    asked.note(address, Answer::Unknown);
                     self.leader().note_follower(Instant::now(), address, None);
-                    return Err(timeout_error(true));
+                    return Err(CallError::NoLeader {
+                        arrived: true,
+                        asked,
+                    });
                 }
                 Ok(LeaderReply::NoRoom) => {
                     self.leader().note_leader(address);
                     return Err(no_room());
                 }
                 Err(error) => {
-                    self.note_error::<C>(sent, address, &error);
+                    let answer = answer_of(&error, sent.elapsed());
+                    self.note_error::<C>(sent, address, answer, &error);
                     return Err(error);
                 }
             }
         }
-        Err(timeout_error(false))
+        Err(CallError::NoLeader {
+            arrived: false,
+            asked,
+        })
     }
 
     /// How long one process may send nothing; a single member gets the whole timeout, since there is no
@@ -228,23 +251,20 @@
         crate::codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
     }
 
-    /// Notes a failed call that was sent at `sent`.
-    fn note_error<C: Call>(&self, sent: Instant, address: SocketAddr, error: &CallError) {
+    /// Notes a failed call that was sent at `sent`, and what that says of the process.
+    fn note_error<C: Call>(
+        &self,
+        sent: Instant,
+        address: SocketAddr,
+        answer: Answer,
+        error: &CallError,
+    ) {
         let now = Instant::now();
-        let waited = now.duration_since(sent);
-        let timed_out = match error {
-            CallError::TimedOut(_) => true,
-            // A connection to a process that is gone is refused at once, to one that is cut off late.
-            CallError::NotSent(_) => waited >= QUICK_FAILURE,
-            // The process, or its path, has ended the connection; a held poll may have waited long.
-            CallError::MayHaveArrived(_) | CallError::Refused { .. } | CallError::Malformed(_) => {
-                false
-            }
-        };
-        if !timed_out {
+        if !matches!(answer, Answer::Silent | Answer::Unreachable) {
             self.leader().note_broken_connection(now, address);
             return;
         }
+        let waited = now.duration_since(sent);
         if self.leader().note_timeout(now, sent, address) {
             log::info!(
                 call = C::PATH, address:% = address, waited_ms = waited.as_millis() as u64,
@@ -259,24 +279,31 @@
     }
 }
 
+/// What a call that failed after `waited` says of the process.
+fn answer_of(error: &CallError, waited: Duration) -> Answer {
+    match error {
+        CallError::TimedOut(_) => Answer::Silent,
+        // A connection to a process that is gone is refused at once, to one that is cut off late.
+        CallError::NotSent(_) if waited < QUICK_FAILURE => Answer::RefusedConnection,
+        CallError::NotSent(_) => Answer::Unreachable,
+        // The process, or its path, has ended the connection; a held poll may have waited long.
+        CallError::MayHaveArrived(_) | CallError::NoLeader { .. } => Answer::Broken,
+        CallError::Refused { .. } => Answer::Rejected,
+        CallError::Malformed(_) => Answer::Malformed,
+    }
+}
+
 /// Logs a call that took more than one try.
-fn log_retries<C: Call>(start: Instant, tries: u32, replied: bool) {
+fn log_retries<C: Call>(start: Instant, tries: u32, replied: bool, asked: &Asked) {
     if tries < 2 {
         return;
     }
     log::info!(
-        call = C::PATH, tries, replied, took_ms = start.elapsed().as_millis() as u64;
+        asked:% = asked, call = C::PATH, tries, replied, took_ms = start.elapsed().as_millis() as u64;
         "call to the leader retried"
     );
 }
 
-fn timeout_error(arrived: bool) -> CallError {
-    if arrived {
-        return unknown_error("no control process answered in time");
-    }
-    CallError::NotSent("no control leader was reached in time".to_owned())
-}
-
 /// The error of a call that a leader without room has refused.
 fn no_room() -> CallError {
     CallError::Refused {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,17 +28,21 @@
 pub mod sync;
 pub mod targets;
 
+mod asked;
 mod call;
 mod client;
+mod group_brief;
 mod leader;
 mod leader_client;
 mod pools;
 mod secret;
 mod server;
 
+pub use asked::{Answer, Asked};
 pub use call::{Call, CallError, LeaderReply, MAX_MESSAGE_BYTES};
 pub use client::Client;
 pub use dispatch::AgentMessage;
+pub use group_brief::GroupBrief;
 pub use leader::LeaderTracker;
 pub use leader_client::LeaderClient;
 pub use secret::{FleetSecret, SECRET_HEADER};
