--- a/crates/control/src/replica/brief.rs
+++ b/crates/control/src/replica/brief.rs
@@ -37,6 +37,8 @@
     pub commit: LogIndex,
     /// The last entry that its store has applied.
     pub applied: LogIndex,
+    /// How long its timers have not run.
+    pub timer_wait: Option<Duration>,
     /// How long its log has finished no write although there is one.
     pub disk_wait: Option<Duration>,
     /// How long its store has been syncing.
@@ -70,7 +72,11 @@
         if let Some(leaderless) = status.leaderless {
             write!(f, "Z{}", leaderless.as_secs())?;
         }
-        for (letter, wait) in [('D', self.disk_wait), ('S', self.store_wait)] {
+        for (letter, wait) in [
+            ('K', self.timer_wait),
+            ('D', self.disk_wait),
+            ('S', self.store_wait),
+        ] {
             if let Some(wait) = wait.filter(|wait| wait.as_secs() > 0) {
                 write!(f, "{letter}{}", wait.as_secs())?;
             }
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -145,6 +145,7 @@
             last: self.node.last(),
             commit: self.node.commit(),
             applied,
+            timer_wait: (self.ticked > Time::ZERO).then(|| waited(self.ticked)),
             disk_wait: self.disk_waits.map(waited),
             store_wait: self.syncing.map(waited),
             short_bytes: self.room.is_short().then(|| self.room.free_bytes()),
