Replica: heartbeats and votes don't wait behind entries on a slow link

Callers saw a group without a leader: a member that lacked large entries got them in exchanges of at most a second, up to 2 MB each. On a link that carries less, each exchange was given up and begun anew, and as one exchange at a time was in flight, no heartbeat reached the member for longer than an election timeout. It campaigned, the leader lost its quorum, and the next one began anew: with one of three voters gone, the two that are left never kept a leader, and both answered every call at once.

Cause: liveness and bulk transfer shared one exchange with a fixed time. Messages with entries now have a lane of their own. It is given up only while the connection takes nothing, its exchanges begin small and grow with what arrives, and a lost one is reported to the node, which sends on from what the member is known to have. An empty message that overtakes entries refers to a position that the member has, so that it doesn't look like a loss. However the task of an exchange ends, the next one may begin.

--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -16,11 +16,14 @@
 use clem_wire::codec;
 use tokio::sync::oneshot;
 
-use super::{ProposalResult, calls::DepartReply, fatal, room::RoomState};
+use super::{
+    ProposalResult,
+    calls::DepartReply,
+    fatal,
+    outbox::{Lane, Outbox},
+    room::RoomState,
+};
 
-/// Maximum number of queued messages for one member. Further ones are dropped; the protocol
-/// retransmits them.
-const OUTBOX_MESSAGES: usize = 1024;
 /// Size of the in-memory log above which the store is synced and the log compacted, in bytes.
 const COMPACT_BYTES: usize = 8 * 1024 * 1024;
 /// Number of log entries above which the store is synced and the log compacted.
@@ -43,7 +46,7 @@
     backlog: VecDeque<Entry>,
     /// Whether the store is being synced. Entries are not applied meanwhile, as that would block.
     syncing: bool,
-    outbox: BTreeMap<MemberId, VecDeque<Message>>,
+    outbox: BTreeMap<MemberId, Outbox>,
     /// Members that need a snapshot of the state.
     snapshot_requests: Vec<MemberId>,
     /// When the timers of the node ran last.
@@ -261,9 +264,10 @@
             self.writer.write(write);
         }
         for message in ready.messages {
-            let queue = self.outbox.entry(message.to).or_default();
-            if queue.len() < OUTBOX_MESSAGES {
-                queue.push_back(message);
+            let to = message.to;
+            let lane = self.outbox.entry(to).or_default().push(message);
+            if lane == Lane::Entries {
+                self.node.set_sending(to, true);
             }
         }
         self.backlog.extend(ready.committed);
@@ -359,28 +363,33 @@
     // ------------------------------------------------------------------------
     // Outputs.
 
-    /// Members with queued messages.
-    pub(super) fn pending_members(&self) -> Vec<MemberId> {
-        let filled = self.outbox.iter().filter(|(_, queue)| !queue.is_empty());
+    /// Members with queued messages in a lane.
+    pub(super) fn pending_members(&self, lane: Lane) -> Vec<MemberId> {
+        let filled = self
+            .outbox
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty(lane));
         filled.map(|(id, _)| *id).collect()
     }
 
     /// Takes queued messages for a member: at least one if there is any, and about `bytes` in
     /// total.
-    pub(super) fn take_messages(&mut self, to: MemberId, bytes: usize) -> Vec<Message> {
+    pub(super) fn take_messages(&mut self, to: MemberId, lane: Lane, bytes: usize) -> Vec<Message> {
+        let queue = self.outbox.get_mut(&to);
+        queue.map_or_else(Vec::new, |queue| queue.take(lane, bytes))
+    }
+
+    /// Notes that taken entries have been sent to a member, or that they may be lost.
+    pub(super) fn entries_sent(&mut self, to: MemberId, arrived: bool) {
         let Some(queue) = self.outbox.get_mut(&to) else {
-            return Vec::new();
+            return;
         };
-        let mut size = 0;
-        let mut taken = Vec::new();
-        while let Some(message) = queue.pop_front() {
-            size += message_bytes(&message);
-            taken.push(message);
-            if size >= bytes {
-                break;
-            }
+        if !arrived {
+            queue.drop_entries();
+            self.node.entries_lost(to);
+        } else if queue.is_empty(Lane::Entries) {
+            self.node.set_sending(to, false);
         }
-        taken
     }
 
     /// Takes the members that need a snapshot of the state.
@@ -440,21 +449,3 @@
         "group members"
     );
 }
-
-/// The approximate encoded size of a message, in bytes.
-fn message_bytes(message: &Message) -> usize {
-    /// Size of a message without its entries.
-    const OVERHEAD: usize = 128;
-    match &message.body {
-        clem_log::Body::Append(append) => {
-            OVERHEAD + append.entries.iter().map(Entry::size).sum::<usize>()
-        }
-        clem_log::Body::PreVote(_)
-        | clem_log::Body::PreVoteReply { .. }
-        | clem_log::Body::Vote(_)
-        | clem_log::Body::VoteReply { .. }
-        | clem_log::Body::Appended { .. }
-        | clem_log::Body::Rejected { .. }
-        | clem_log::Body::Campaign => OVERHEAD,
-    }
-}
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -25,6 +25,7 @@
 mod install_snapshot;
 mod joining;
 mod learners;
+mod outbox;
 mod peers;
 mod room;
 mod routes;
--- a/crates/control/src/replica/routes.rs
+++ b/crates/control/src/replica/routes.rs
@@ -11,6 +11,7 @@
         SnapshotPage,
     },
     install_snapshot,
+    outbox::Lane,
     shared::Shared,
 };
 
@@ -42,7 +43,8 @@
             self.0.process();
         }
         let messages = match self.0.core().as_mut() {
-            Some(core) if taken => core.take_messages(from, REPLY_BYTES),
+            // Entries go out on exchanges of this process's own, which notice that they are lost.
+            Some(core) if taken => core.take_messages(from, Lane::Signals, REPLY_BYTES),
             Some(_) | None => Vec::new(),
         };
         self.0.work.notify_one();
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -233,6 +233,25 @@
         }
     }
 
+    /// Notes whether the driver is sending messages with entries to a member. Those without entries may
+    /// overtake them.
+    pub fn set_sending(&mut self, id: MemberId, sending: bool) {
+        if let Some(peer) = self.peer_mut(id) {
+            peer.sending = sending;
+        }
+    }
+
+    /// Reports that messages with entries to a member may not have arrived, so that they are sent again.
+    pub fn entries_lost(&mut self, id: MemberId) {
+        let Some(peer) = self.peer_mut(id) else {
+            return;
+        };
+        peer.sending = false;
+        if peer.flow == Flow::Stream && !peer.inflight.is_empty() {
+            peer.probe_from(peer.matched.next());
+        }
+    }
+
     fn peer_mut(&mut self, id: MemberId) -> Option<&mut Progress> {
         match &mut self.role {
             Role::Leader(lead) => lead.peers.get_mut(&id),
@@ -373,6 +392,8 @@
     let prev = match peer.flow {
         // Every log matches at index 0.
         Flow::Snapshot => LogIndex::default(),
+        // It may overtake entries that are on their way, which would look lost.
+        Flow::Stream if peer.sending => peer.matched,
         Flow::Probe | Flow::Stream => peer.next.prev(),
     };
     Append {
--- a/crates/log/src/progress.rs
+++ b/crates/log/src/progress.rs
@@ -35,6 +35,8 @@
     pub(crate) sent: Option<Time>,
     /// The last index of each unanswered message with entries.
     pub(crate) inflight: VecDeque<LogIndex>,
+    /// Whether the driver is still sending messages with entries, so that others may overtake them.
+    pub(crate) sending: bool,
 }
 
 impl Progress {
@@ -48,6 +50,7 @@
             carried,
             sent: None,
             inflight: VecDeque::new(),
+            sending: false,
         }
     }
 
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,19 +1,20 @@
 //! HTTP client for calls to a given address.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, pin::pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpInfo, capture_connection};
 
 use crate::{
     Call, CallError, FleetSecret, MAX_MESSAGE_BYTES, SECRET_HEADER, codec,
     pools::{Pool, Pools},
+    upload::Upload,
 };
 
-/// The slowest link on which a long call is not given up, in bytes per second.
+/// The slowest link on which the last piece of a long call is not given up, in bytes per second.
 const UPLOAD_RATE_MIN: f64 = 1_000_000.0;
 
 type Result<T> = std::result::Result<T, CallError>;
@@ -49,6 +50,25 @@
         codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
     }
 
+    /// Sends a call and waits for its reply, at most `timeout`. Unlike [`call`](Self::call) it gives a long
+    /// body the time that it takes on a slow link; `stall` is the time for the rest.
+    ///
+    /// # Errors
+    /// See [`CallError`], which tells whether the server may have executed the call.
+    pub async fn call_unless_stalled<C: Call>(
+        &self,
+        address: SocketAddr,
+        call: &C,
+        stall: Duration,
+        timeout: Duration,
+    ) -> Result<C::Reply> {
+        let body = encode(call)?;
+        let reply = self
+            .post_unless_stalled(address, C::PATH, body, stall, timeout)
+            .await?;
+        codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
+    }
+
     /// Posts raw bytes and reads the complete response body, within `timeout`.
     ///
     /// # Errors
@@ -93,16 +113,24 @@
         stall: Duration,
         timeout: Duration,
     ) -> Result<Bytes> {
-        let upload = Duration::from_secs_f64(body.len() as f64 / UPLOAD_RATE_MIN);
+        let wait = stall + Duration::from_secs_f64(body.len() as f64 / UPLOAD_RATE_MIN);
         let mut request = self.request(address, path, body)?;
         let connection = capture_connection(&mut request);
         let pool = self.pools.pool(address);
+        let progress = request.body().progress();
         let exchange = async {
-            let Ok(opened) = tokio::time::timeout(stall + upload, send(&pool, request)).await
-            else {
-                return Err(self.no_reply(address, &pool, &connection));
+            let mut sending = pin!(send(&pool, request));
+            let mut taken = 0;
+            let response = loop {
+                if let Ok(opened) = tokio::time::timeout(wait, &mut sending).await {
+                    break opened?;
+                }
+                if progress.bytes() == taken {
+                    return Err(self.no_reply(address, &pool, &connection));
+                }
+                taken = progress.bytes();
             };
-            match read_unless_stalled(opened?.into_body(), stall).await? {
+            match read_unless_stalled(response.into_body(), stall).await? {
                 Some(reply) => Ok(reply),
                 None => Err(self.no_reply(address, &pool, &connection)),
             }
@@ -129,18 +157,13 @@
         send(&pool, self.request(address, path, body)?).await
     }
 
-    fn request(
-        &self,
-        address: SocketAddr,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Request<Full<Bytes>>> {
+    fn request(&self, address: SocketAddr, path: &str, body: Bytes) -> Result<Request<Upload>> {
         Request::builder()
             .method(Method::POST)
             .uri(format!("http://{address}{path}"))
             .header(CONTENT_TYPE, "application/msgpack")
             .header(SECRET_HEADER, self.secret.reveal())
-            .body(Full::new(body))
+            .body(Upload::new(body))
             .map_err(|error| CallError::NotSent(error.to_string()))
     }
 
@@ -168,7 +191,7 @@
     }
 }
 
-async fn send(pool: &Pool, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+async fn send(pool: &Pool, request: Request<Upload>) -> Result<Response<Incoming>> {
     let response = match pool.http.request(request).await {
         Ok(response) => response,
         Err(error) if error.is_connect() => return Err(CallError::NotSent(error.to_string())),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -35,6 +35,7 @@
 mod pools;
 mod secret;
 mod server;
+mod upload;
 
 pub use call::{Call, CallError, LeaderReply, MAX_MESSAGE_BYTES};
 pub use client::Client;
--- a/crates/wire/src/pools.rs
+++ b/crates/wire/src/pools.rs
@@ -7,13 +7,13 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper_util::{
     client::legacy::{Client as HttpClient, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
 
+use crate::upload::Upload;
+
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an idle connection stays in its pool.
@@ -24,7 +24,7 @@
 /// The connections to one process.
 #[derive(Debug, Clone)]
 pub(crate) struct Pool {
-    pub(crate) http: HttpClient<HttpConnector, Full<Bytes>>,
+    pub(crate) http: HttpClient<HttpConnector, Upload>,
     number: u64,
 }
 
@@ -76,7 +76,7 @@
     }
 }
 
-fn connect_client() -> HttpClient<HttpConnector, Full<Bytes>> {
+fn connect_client() -> HttpClient<HttpConnector, Upload> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
