--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -37,6 +37,7 @@
 mod pools;
 mod secret;
 mod server;
+mod upload;
 
 pub use asked::{Answer, Asked};
 pub use call::{Call, CallError, LeaderReply, MAX_MESSAGE_BYTES};
