--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use clem_boot::{acceptor, listen, spawn_vital, stop_signal};
+use clem_boot::{Metrics, acceptor, listen, metrics_route, spawn_vital, stop_signal};
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_direct::{ByteBudget, Node, NodeSettings, follow, poll_without_hub, release_loop};
 use clem_hub::consensus_settings;
@@ -52,6 +52,8 @@
     settings: BatchSettings,
     seeds: watch::Receiver<Vec<SocketAddr>>,
 ) -> eyre::Result<()> {
+    let metrics = Metrics::start()?;
+    spawn_vital("metrics", metrics.clone().keep_up());
     let internal = listen(settings.listen)?;
     let grace = settings.grace;
     let node = Arc::new(Node::new(settings.node));
@@ -90,10 +92,11 @@
         replica.clone(),
         ByteBudget::new(settings.text_bytes.max(BUDGET_BYTES_MIN)),
     ));
-    let router = Router::new()
+    let guarded = Router::new()
         .hoop(Guard::new(settings.secret))
         .append(&mut serve::routes(&keeper))
         .append(&mut replica.routes());
+    let router = Router::new().push(guarded).push(metrics_route(metrics));
     let server = Server::new(acceptor(internal)?);
     let handle = server.handle();
     let serving = spawn_vital("server", server.serve(router));
--- a/crates/boot/src/admin.rs
+++ b/crates/boot/src/admin.rs
@@ -1,8 +1,11 @@
 //! HTTP endpoints for the platform and for operators: health, readiness and metrics.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use eyre::WrapErr;
@@ -11,6 +14,9 @@
 
 type Result<T> = eyre::Result<T>;
 
+/// How often recorded samples are summed up; until then each one takes memory.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Whether the load balancer should send requests to this process. Clones share the state, which is
 /// initially not ready.
 #[derive(Debug, Clone, Default)]
@@ -52,6 +58,14 @@
     pub fn render(&self) -> String {
         self.handle.render()
     }
+
+    /// Sums up recorded samples until the process exits, so that they take no memory without a reader.
+    pub async fn keep_up(self) {
+        loop {
+            tokio::time::sleep(UPKEEP_INTERVAL).await;
+            self.handle.run_upkeep();
+        }
+    }
 }
 
 /// The routes `GET /healthz`, `/readyz` and `/metrics`.
@@ -59,10 +73,15 @@
     vec![
         Router::with_path("healthz").get(Health),
         Router::with_path("readyz").get(Ready { readiness }),
-        Router::with_path("metrics").get(MetricsPage { metrics }),
+        metrics_route(metrics),
     ]
 }
 
+/// The route `GET /metrics`.
+pub fn metrics_route(metrics: Metrics) -> Router {
+    Router::with_path("metrics").get(MetricsPage { metrics })
+}
+
 struct Health;
 
 #[async_trait]
--- a/crates/boot/src/lib.rs
+++ b/crates/boot/src/lib.rs
@@ -33,7 +33,7 @@
 mod stop;
 mod vital;
 
-pub use admin::{Metrics, Readiness, admin_routes};
+pub use admin::{Metrics, Readiness, admin_routes, metrics_route};
 pub use clock::Clock;
 pub use common::{CommonSettings, take_level, take_secret};
 pub use listen::{Listener, acceptor, bind, listen};
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -3,12 +3,13 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
+    time::Duration,
 };
 
 use bytes::Bytes;
 use clem_log::{
     Change, ClusterId, Departure, Entry, LogIndex, MemberId, MemberKind, Members, Message, Node,
-    NodeError, Payload, ReadId, Ready, SnapshotMetadata, Term, WriteNumber, disk::Writer,
+    NodeError, Payload, ReadId, Ready, Settings, SnapshotMetadata, Term, WriteNumber, disk::Writer,
 };
 use clem_state::Command;
 use clem_store::RedbStore;
@@ -16,7 +17,10 @@
 use clem_wire::codec;
 use tokio::sync::oneshot;
 
-use super::{ProposalResult, calls::DepartReply, fatal, room::RoomState};
+use super::{
+    ProposalResult, calls::DepartReply, disk_work::DiskWork, fatal, participation::Absence,
+    room::RoomState,
+};
 
 /// Maximum number of queued messages for one member. Further ones are dropped; the protocol
 /// retransmits them.
@@ -27,6 +31,8 @@
 const COMPACT_ENTRIES: u64 = 20_000;
 /// How much of the log compaction keeps for members that lag slightly, in bytes.
 const KEEP_BYTES: usize = 2 * 1024 * 1024;
+/// After how many election timeouts a log write or store sync counts as hanging.
+const STALL_ELECTIONS: u32 = 3;
 
 /// A running member of a group.
 pub(super) struct Core {
@@ -41,8 +47,12 @@
     next_read: ReadId,
     /// Committed entries that are not applied yet.
     backlog: VecDeque<Entry>,
-    /// Whether the store is being synced. Entries are not applied meanwhile, as that would block.
-    syncing: bool,
+    /// Log writes and store syncs under way. Entries are not applied during a sync, as that would block.
+    disk: DiskWork,
+    /// How long the disk may hang until this member counts as absent.
+    stall_bound: Duration,
+    /// By how many committed entries this member may lag with applying them.
+    lag_bound: u64,
     outbox: BTreeMap<MemberId, VecDeque<Message>>,
     /// Members that need a snapshot of the state.
     snapshot_requests: Vec<MemberId>,
@@ -68,7 +78,13 @@
 }
 
 impl Core {
-    pub(super) fn new(cluster: ClusterId, node: Node, writer: Writer, reserve_bytes: u64) -> Self {
+    pub(super) fn new(
+        cluster: ClusterId,
+        node: Node,
+        writer: Writer,
+        reserve_bytes: u64,
+        settings: &Settings,
+    ) -> Self {
         Self {
             cluster,
             node,
@@ -78,7 +94,9 @@
             confirmed_reads: Vec::new(),
             next_read: ReadId(0),
             backlog: VecDeque::new(),
-            syncing: false,
+            disk: DiskWork::default(),
+            stall_bound: settings.election * STALL_ELECTIONS,
+            lag_bound: settings.learner_lag,
             outbox: BTreeMap::new(),
             snapshot_requests: Vec::new(),
             ticked: Time::ZERO,
@@ -129,6 +147,31 @@
         self.ticked
     }
 
+    /// The log writes and the store sync that are not done.
+    pub(super) fn disk(&self) -> &DiskWork {
+        &self.disk
+    }
+
+    /// Returns why this member, whose store has applied the log up to `applied`, takes no part in its
+    /// group; `None` if it does.
+    pub(super) fn absence(&self, now: Time, applied: LogIndex) -> Option<Absence> {
+        let node = &self.node;
+        if node.members().get(node.id()).is_none() {
+            return Some(Absence::NoMember);
+        }
+        if node.leader().is_none() {
+            return Some(Absence::NoLeader);
+        }
+        if self.disk.stall(now) >= self.stall_bound {
+            return Some(Absence::Disk);
+        }
+        if node.commit().0.saturating_sub(applied.0) > self.lag_bound {
+            return Some(Absence::Behind);
+        }
+        let idle = node.is_leader() && self.leading_epoch(now).is_none();
+        idle.then_some(Absence::NotServing)
+    }
+
     /// Free disk space as last read, in bytes.
     pub(super) fn free_bytes(&self) -> u64 {
         self.room.free_bytes()
@@ -223,6 +266,7 @@
 
     /// Handles the completion of a log write: everything up to it is synced.
     pub(super) fn log_synced(&mut self, now: Time, number: WriteNumber, free_bytes: u64) {
+        self.disk.write_ended(number);
         self.note_room(now, free_bytes);
         self.node.synced(now, number);
     }
@@ -241,12 +285,12 @@
     pub(super) fn process(&mut self, now: Time, store: &mut RedbStore) {
         loop {
             let ready = self.node.ready(now);
-            self.handle_ready(ready);
+            self.handle_ready(now, ready);
             if !self.node.has_more() {
                 break;
             }
         }
-        if !self.syncing {
+        if !self.disk.is_syncing() {
             self.apply(store);
         }
         self.answer_reads(store);
@@ -256,8 +300,9 @@
         }
     }
 
-    fn handle_ready(&mut self, ready: Ready) {
+    fn handle_ready(&mut self, now: Time, ready: Ready) {
         if let Some(write) = ready.write {
+            self.disk.write_begun(now, write.number);
             self.writer.write(write);
         }
         for message in ready.messages {
@@ -396,18 +441,17 @@
     pub(super) fn needs_sync(&self, due: bool) -> bool {
         let entries = self.node.last().0 - self.node.base().0;
         let long = self.node.log_bytes() > COMPACT_BYTES || entries > COMPACT_ENTRIES;
-        !self.syncing && (long || due)
+        !self.disk.is_syncing() && (long || due)
     }
 
-    pub(super) fn begin_sync(&mut self) {
-        debug_assert!(!self.syncing, "only one sync may run at a time");
-        self.syncing = true;
+    pub(super) fn begin_sync(&mut self, now: Time) {
+        self.disk.sync_begun(now);
     }
 
     /// Compacts the log after the store was synced up to `synced`. The entries just before that are
     /// kept for members that lag slightly.
     pub(super) fn end_sync(&mut self, synced: LogIndex) {
-        self.syncing = false;
+        self.disk.sync_ended();
         let held = self.node.last().0 - self.node.base().0;
         let average = self.node.log_bytes() / usize::try_from(held.max(1)).unwrap_or(1);
         let keep = (KEEP_BYTES / average.max(1)) as u64;
--- a/crates/control/src/replica/event_loop.rs
+++ b/crates/control/src/replica/event_loop.rs
@@ -93,6 +93,7 @@
 }
 
 fn begin_sync(shared: &Shared, due: bool) -> bool {
+    let now = shared.clock.now();
     let mut core = shared.core();
     let Some(core) = core.as_mut() else {
         return false;
@@ -100,7 +101,7 @@
     if !core.needs_sync(due) {
         return false;
     }
-    core.begin_sync();
+    core.begin_sync(now);
     true
 }
 
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -65,7 +65,14 @@
     };
     log::info!(member:% = shared.member, cluster:% = cluster; "member started");
     log_members(node.members(), node.last());
-    *shared.core() = Some(Core::new(cluster, node, writer, shared.reserve_bytes));
+    let core = Core::new(
+        cluster,
+        node,
+        writer,
+        shared.reserve_bytes,
+        &shared.consensus,
+    );
+    *shared.core() = Some(core);
     run_tasks(shared, events).await;
 }
 
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -6,6 +6,7 @@
 //! - `peers` sends messages to other members,
 //! - `formation` bootstraps a group or joins one, and `founding` decides which,
 //! - `joining`, `learners` and `group_report` report how far that is,
+//! - `participation` reports whether this member takes part, with `disk_work` and `in_flight`,
 //! - `depart` prepares a planned stop,
 //! - `room` keeps how much room the disk has,
 //! - `send_snapshot` and `install_snapshot` bring a lagging member up to date.
@@ -15,6 +16,7 @@
 mod calls;
 mod core;
 mod depart;
+mod disk_work;
 mod event_loop;
 mod fatal;
 mod formation;
@@ -22,9 +24,11 @@
 mod gauges;
 mod group_report;
 mod handle;
+mod in_flight;
 mod install_snapshot;
 mod joining;
 mod learners;
+mod participation;
 mod peers;
 mod room;
 mod routes;
--- a/crates/control/src/replica/peers.rs
+++ b/crates/control/src/replica/peers.rs
@@ -1,11 +1,7 @@
 //! Sends messages to other members. At most one exchange with each member is in flight, so that
 //! messages queued meanwhile are sent together.
 
-use std::{
-    collections::BTreeSet,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use clem_log::MemberId;
 
@@ -19,30 +15,23 @@
 /// Timeout of one exchange.
 const TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Sends the outbox of the replica and tracks which members have an exchange in flight.
+/// Sends the outbox of the replica.
 pub(super) struct PeerSender {
     shared: Arc<Shared>,
-    in_flight: Arc<Mutex<BTreeSet<MemberId>>>,
 }
 
 impl PeerSender {
     pub(super) fn new(shared: Arc<Shared>) -> Self {
-        Self {
-            shared,
-            in_flight: Arc::new(Mutex::new(BTreeSet::new())),
-        }
+        Self { shared }
     }
 
     /// Starts an exchange with each member that has queued messages and no exchange in flight.
     pub(super) fn send(&mut self) {
+        let now = self.shared.clock.now();
         let mut core = self.shared.core();
         let Some(core) = core.as_mut() else { return };
         for member in core.pending_members() {
-            let mut in_flight = self
-                .in_flight
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            if !in_flight.insert(member) {
+            if !self.shared.exchanges.begin(now, member) {
                 continue;
             }
             let messages = core.take_messages(member, EXCHANGE_BYTES);
@@ -58,7 +47,6 @@
             };
             tokio::spawn(exchange_with(
                 Arc::clone(&self.shared),
-                Arc::clone(&self.in_flight),
                 member,
                 address,
                 exchange,
@@ -69,7 +57,6 @@
 
 async fn exchange_with(
     shared: Arc<Shared>,
-    in_flight: Arc<Mutex<BTreeSet<MemberId>>>,
     member: MemberId,
     address: Option<String>,
     exchange: Exchange,
@@ -81,10 +68,7 @@
             Err(error) => log::debug!(member:% = member, error:% = error; "failed to reach member"),
         }
     }
-    in_flight
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .remove(&member);
+    shared.exchanges.end(member);
     shared.work.notify_one();
 }
 
--- a/crates/control/src/replica/send_snapshot.rs
+++ b/crates/control/src/replica/send_snapshot.rs
@@ -43,6 +43,8 @@
             log::info!(member:% = member; "snapshot begun anew");
             older.abort();
         }
+        let now = self.shared.clock.now();
+        self.shared.copies.restart(now, member);
         let task = tokio::spawn(run(Arc::clone(&self.shared), member));
         self.running.insert(member, task.abort_handle());
     }
@@ -54,6 +56,7 @@
         Some(snapshot) => send_pages(&shared, member, snapshot).await,
         None => None,
     };
+    shared.copies.end(member);
     log::info!(member:% = member, index = sent.map(|index| index.0); "snapshot sent");
     if sent.is_none() {
         tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -14,7 +14,7 @@
 use clem_wire::Client;
 use tokio::sync::{Notify, watch};
 
-use super::{core::Core, install_snapshot::Incoming};
+use super::{core::Core, in_flight::InFlight, install_snapshot::Incoming};
 
 /// The shared state of a replica.
 ///
@@ -47,6 +47,10 @@
     pub(super) epoch: watch::Sender<Option<Epoch>>,
     /// Whether this process is about to stop, so that it asks no longer to join.
     pub(super) stopping: AtomicBool,
+    /// Members with an exchange under way.
+    pub(super) exchanges: InFlight,
+    /// Members that a snapshot is being sent to.
+    pub(super) copies: InFlight,
     /// Wakes the event loop when there is something to send or to apply.
     pub(super) work: Notify,
     core: Mutex<Option<Core>>,
@@ -91,6 +95,8 @@
             votes: parts.votes,
             epoch,
             stopping: AtomicBool::new(false),
+            exchanges: InFlight::default(),
+            copies: InFlight::default(),
             work: Notify::new(),
             core: Mutex::new(None),
             store: Mutex::new(parts.store),
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use clem_boot::{Clock, acceptor, listen, spawn_vital, stop_signal};
+use clem_boot::{Clock, Metrics, acceptor, listen, metrics_route, spawn_vital, stop_signal};
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_edge::Dialect;
 use clem_log::disk::FileSystem;
@@ -75,6 +75,8 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
 ) -> eyre::Result<()> {
     let clock = Clock::start();
+    let metrics = Metrics::start()?;
+    spawn_vital("metrics", metrics.clone().keep_up());
     let grace = settings.grace;
     let has_disk = settings.data_dir.is_some();
     let internal = listen(settings.listen)?;
@@ -104,10 +106,11 @@
         tolerance: settings.tolerance,
         restart_allowance: settings.restart_allowance,
     }));
-    let router = Router::new()
+    let guarded = Router::new()
         .hoop(Guard::new(settings.secret))
         .append(&mut serve::routes(&hub))
         .append(&mut replica.routes());
+    let router = Router::new().push(guarded).push(metrics_route(metrics));
     let server = Server::new(acceptor(internal)?);
     let stop = server.handle();
     let serving = spawn_vital("server", server.serve(router));
