Replica: a call to a member that panics no longer blocks all later ones

What callers saw: nothing, until the next loss. The member runs, and hears from its leader only when it asks for votes, or never gets its copy of the state.

Cause: the mark of an exchange under way was removed at the end of its task, and the result of a copy reported there, so that a task that panicked left both for good.

The mark is now a guard that is dropped with the task, and a copy whose task panics reports that it wasn't sent. One that is aborted doesn't: another one has been begun in its place. Tests break the tasks by a logger that panics at one line.

Measured: both tests red on the code before (an entry not on the follower within 1.5 s; no vote within 25 s), green after it.

--- a/crates/control/src/replica/peers.rs
+++ b/crates/control/src/replica/peers.rs
@@ -7,6 +7,7 @@
 
 use super::{
     calls::{Exchange, ExchangeReply},
+    in_flight::InFlightGuard,
     shared::Shared,
 };
 
@@ -31,9 +32,9 @@
         let mut core = self.shared.core();
         let Some(core) = core.as_mut() else { return };
         for member in core.pending_members() {
-            if !self.shared.exchanges.begin(now, member) {
+            let Some(guard) = self.shared.exchanges.begin(now, member) else {
                 continue;
-            }
+            };
             let messages = core.take_messages(member, EXCHANGE_BYTES);
             let address = core
                 .node()
@@ -47,6 +48,7 @@
             };
             tokio::spawn(exchange_with(
                 Arc::clone(&self.shared),
+                guard,
                 member,
                 address,
                 exchange,
@@ -57,6 +59,7 @@
 
 async fn exchange_with(
     shared: Arc<Shared>,
+    guard: InFlightGuard,
     member: MemberId,
     address: Option<String>,
     exchange: Exchange,
@@ -68,7 +71,7 @@
             Err(error) => log::debug!(member:% = member, error:% = error; "failed to reach member"),
         }
     }
-    shared.exchanges.end(member);
+    drop(guard);
     shared.work.notify_one();
 }
 
--- a/crates/control/src/replica/send_snapshot.rs
+++ b/crates/control/src/replica/send_snapshot.rs
@@ -8,6 +8,7 @@
 
 use super::{
     calls::{SnapshotPage, SnapshotPair, SnapshotReply},
+    in_flight::InFlightGuard,
     shared::Shared,
 };
 
@@ -44,27 +45,55 @@
             older.abort();
         }
         let now = self.shared.clock.now();
-        self.shared.copies.restart(now, member);
-        let task = tokio::spawn(run(Arc::clone(&self.shared), member));
+        let guard = self.shared.copies.restart(now, member);
+        let attempt = Attempt {
+            shared: Arc::clone(&self.shared),
+            member,
+            _guard: guard,
+        };
+        let task = tokio::spawn(attempt.run());
         self.running.insert(member, task.abort_handle());
     }
 }
 
-/// Sends a snapshot of the current state to `member` and reports the result to the consensus node.
-async fn run(shared: Arc<Shared>, member: MemberId) {
-    let sent = match begin(&shared, member) {
-        Some(snapshot) => send_pages(&shared, member, snapshot).await,
-        None => None,
-    };
-    shared.copies.end(member);
-    log::info!(member:% = member, index = sent.map(|index| index.0); "snapshot sent");
-    if sent.is_none() {
-        tokio::time::sleep(RETRY_PAUSE).await;
+/// One attempt to send a snapshot of the current state.
+struct Attempt {
+    shared: Arc<Shared>,
+    member: MemberId,
+    /// Held while the snapshot is being sent.
+    _guard: InFlightGuard,
+}
+
+impl Attempt {
+    /// Sends the snapshot and reports the result to the consensus node.
+    async fn run(self) {
+        let (shared, member) = (&self.shared, self.member);
+        let sent = match begin(shared, member) {
+            Some(snapshot) => send_pages(shared, member, snapshot).await,
+            None => None,
+        };
+        log::info!(member:% = member, index = sent.map(|index| index.0); "snapshot sent");
+        if sent.is_none() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        self.report(sent);
+    }
+
+    fn report(&self, sent: Option<LogIndex>) {
+        if let Some(core) = self.shared.core().as_mut() {
+            core.snapshot_sent(self.member, sent);
+        }
+        self.shared.work.notify_one();
     }
-    if let Some(core) = shared.core().as_mut() {
-        core.snapshot_sent(member, sent);
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        // Otherwise the node would wait for this attempt for good. One that was aborted has a successor.
+        if std::thread::panicking() {
+            self.report(None);
+        }
     }
-    shared.work.notify_one();
 }
 
 /// A snapshot and its receiver.
