Replica: a process whose member has ended by a panic exits

What callers saw: a process that is reached, answers "not the leader" to everything and tells others its group, while it takes no part. Its place isn't given away, as it lives and nobody asks for it; the next loss ends the group.

Cause: the tasks of the member (its event loop, gauges, requests to join, the search for a group, store syncs and the installation of a copy) were spawned without a look at their end. A panic in a handler that had locked the member left it half changed, and the next task took it as it was.

These tasks are now vital: a panic is logged and the process exits, so that it is started anew. So is the next use of a member, or of a copy that is received, during whose change a task panicked. Reads of the store aren't: what a caller's request breaks there changes nothing. The other tasks without which hub, front and batch keeper can't do are vital already; what else is spawned there belongs to one connection, request or item.

--- a/crates/control/src/replica/event_loop.rs
+++ b/crates/control/src/replica/event_loop.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use clem_boot::spawn_vital;
 use clem_log::{LogIndex, disk::DiskEvent};
 use clem_types::Time;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -37,7 +38,7 @@
         let due = synced.elapsed() >= SYNC_INTERVAL;
         if begin_sync(&shared, due) {
             synced = tokio::time::Instant::now();
-            tokio::spawn(sync_store(Arc::clone(&shared)));
+            spawn_vital("sync_store", sync_store(Arc::clone(&shared)));
         }
     }
 }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use clem_boot::Clock;
+use clem_boot::{Clock, spawn_vital};
 use clem_log::{
     Change, MemberId, MemberKind, NodeError,
     disk::{Folder, Identity, RoomProbe},
@@ -114,7 +114,7 @@
                 probe,
                 consensus,
             }));
-            tokio::spawn(formation::discover(Arc::clone(&shared)));
+            spawn_vital("discover", formation::discover(Arc::clone(&shared)));
             return Ok(Self { shared });
         };
         fs::create_dir_all(&data_dir).wrap_err_with(|| {
@@ -146,7 +146,10 @@
             probe,
             consensus,
         }));
-        tokio::spawn(formation::run(Arc::clone(&shared), folder, recovered));
+        spawn_vital(
+            "member",
+            formation::run(Arc::clone(&shared), folder, recovered),
+        );
         Ok(Self { shared })
     }
 
--- a/crates/control/src/replica/install_snapshot.rs
+++ b/crates/control/src/replica/install_snapshot.rs
@@ -11,8 +11,10 @@
     sync::Arc,
 };
 
+use clem_boot::spawn_vital;
 use clem_log::{LogIndex, SnapshotMetadata};
 use clem_store::{RedbStore, Store as _};
+use tokio::sync::oneshot;
 
 use super::{
     calls::{SnapshotPage, SnapshotReply},
@@ -76,11 +78,13 @@
         return SnapshotReply::Refused;
     };
     // Not cancelled if the sender gives up meanwhile.
-    let installing = tokio::spawn(put_in_place(Arc::clone(shared), install));
-    match installing.await {
-        Ok(reply) => reply,
-        Err(error) => fatal::exit("failed to install a snapshot", &error),
-    }
+    let (answer, answered) = oneshot::channel();
+    let installing = put_in_place(Arc::clone(shared), install);
+    spawn_vital("install_snapshot", async move {
+        // The sender may have given up.
+        let _ = answer.send(installing.await);
+    });
+    answered.await.unwrap_or(SnapshotReply::Refused)
 }
 
 async fn put_in_place(shared: Arc<Shared>, install: Box<Install>) -> SnapshotReply {
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -14,7 +14,7 @@
 use clem_wire::Client;
 use tokio::sync::{Notify, watch};
 
-use super::{core::Core, in_flight::InFlight, install_snapshot::Incoming};
+use super::{core::Core, fatal, in_flight::InFlight, install_snapshot::Incoming};
 
 /// The shared state of a replica.
 ///
@@ -150,8 +150,14 @@
     }
 
     /// The replica's core; `None` until a group has been bootstrapped or joined.
+    ///
+    /// Exits the process if a task panicked while it changed the core: what it says to other members
+    /// could be wrong from then on.
     pub(super) fn core(&self) -> MutexGuard<'_, Option<Core>> {
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+        match self.core.lock() {
+            Ok(core) => core,
+            Err(error) => fatal::exit("a task panicked while it changed the member", &error),
+        }
     }
 
     pub(super) fn store(&self) -> MutexGuard<'_, RedbStore> {
@@ -160,7 +166,10 @@
 
     /// The snapshot that is being received, if any.
     pub(super) fn install(&self) -> MutexGuard<'_, Incoming> {
-        self.install.lock().unwrap_or_else(PoisonError::into_inner)
+        match self.install.lock() {
+            Ok(install) => install,
+            Err(error) => fatal::exit("a task panicked while it received a snapshot", &error),
+        }
     }
 
     /// Processes pending work of the core and publishes changes of leadership.
--- a/crates/control/tests/broken_tasks.rs
+++ b/crates/control/tests/broken_tasks.rs
@@ -4,6 +4,7 @@
 
 use std::{
     net::SocketAddr,
+    process::Command as Program,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -11,7 +12,7 @@
     time::Duration,
 };
 
-use clem_boot::{Clock, Listener, acceptor, listen};
+use clem_boot::{Clock, EXIT_FAILURE, Listener, acceptor, listen, run};
 use clem_control::replica::{ProposalResult, RESERVE_BYTES, Replica, ReplicaSettings};
 use clem_log::disk::FileSystem;
 use clem_state::Command;
@@ -37,6 +38,8 @@
 const COMPACTED: usize = 21_000;
 /// Proposals at once.
 const BURST: usize = 1000;
+/// Set in a process whose member is broken at the line that it names.
+const BROKEN_AT: &str = "CLEM_TEST_BROKEN_AT";
 /// The path of calls with a page of a copy.
 const COPY_PATH: &str = "/internal/group/copy";
 
@@ -246,3 +249,60 @@
     })
     .await;
 }
+
+// ----------------------------------------------------------------------------
+// Tasks that a process can't do without.
+
+/// Runs a member in a process of its own, whose tasks panic at `line`; returns the exit code.
+fn run_broken(test: &str, line: &str) -> Option<i32> {
+    let program = std::env::current_exe().unwrap();
+    let ended = Program::new(program)
+        .args(["--exact", test, "--nocapture"])
+        .env(BROKEN_AT, line)
+        .output()
+        .unwrap();
+    println!("{}", String::from_utf8_lossy(&ended.stderr));
+    ended.status.code()
+}
+
+/// Goes on for a while with a member whose founders are these and a process that doesn't exist.
+fn be_broken(line: &str, with_group: bool) {
+    let code = run("test", async {
+        let [own, silent] = listeners::<2>();
+        let mut founders = vec![own.address()];
+        if !with_group {
+            founders.push(silent.address());
+        }
+        drop(silent);
+        arm(line);
+        let _member = start(own, &founders);
+        sleep(BOUND / 2).await;
+        Ok(())
+    });
+    assert_eq!(code, std::process::ExitCode::SUCCESS);
+}
+
+/// The process went on without a member, and answered all that a member answers.
+#[test]
+fn a_process_exits_when_the_task_that_looks_for_its_group_panics() {
+    if let Ok(line) = std::env::var(BROKEN_AT) {
+        return be_broken(&line, false);
+    }
+    let code = run_broken(
+        "a_process_exits_when_the_task_that_looks_for_its_group_panics",
+        "not in a group yet",
+    );
+    assert_eq!(code, Some(i32::from(EXIT_FAILURE)));
+}
+
+#[test]
+fn a_process_exits_when_the_task_of_its_member_panics() {
+    if let Ok(line) = std::env::var(BROKEN_AT) {
+        return be_broken(&line, true);
+    }
+    let code = run_broken(
+        "a_process_exits_when_the_task_of_its_member_panics",
+        "member started",
+    );
+    assert_eq!(code, Some(i32::from(EXIT_FAILURE)));
+}
