Replica: a lost last page of a copy costs 3 s, not a minute

What callers saw: nothing, until the next loss. A connection that goes silent at the last page of a copy kept the receiver from its place for 60 s, as nothing but heartbeats is sent to it before the copy has ended.

Cause: the last page was answered only once the whole copy was synced and in use, so that its timeout had to be that of a large copy on a slow disk.

The receiver now answers the last page after a second at most: "installing" if the copy isn't in place yet. The sender sends the page again until it is, for up to a minute, and gives a single call 3 s as for other pages. The page that comes again finds the installation under way, or the log that has all of it. Beside a release before this one: its receiver refuses the repeated page and the copy is begun anew until the first one is in place, which is then said ("held"); its sender takes "installing" for an error and does the same.

--- a/crates/control/src/replica/calls.rs
+++ b/crates/control/src/replica/calls.rs
@@ -160,4 +160,7 @@
     Refused,
     /// The receiver's log has all of the snapshot. A release before this one takes it for an error.
     Held,
+    /// The receiver has all pages and is putting the snapshot in place; the last page is to be sent again.
+    /// A release before this one takes it for an error.
+    Installing,
 }
--- a/crates/control/src/replica/install_snapshot.rs
+++ b/crates/control/src/replica/install_snapshot.rs
@@ -9,12 +9,13 @@
     io::Write as _,
     path::{Path, PathBuf},
     sync::Arc,
+    time::Duration,
 };
 
 use clem_boot::spawn_vital;
 use clem_log::{LogIndex, SnapshotMetadata};
 use clem_store::{RedbStore, Store as _};
-use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use super::{
     calls::{SnapshotPage, SnapshotReply},
@@ -31,6 +32,9 @@
 /// File name of the log position of the last received snapshot.
 const BASE_FILE: &str = "copy.base";
 
+/// How long the last page waits for the snapshot to be in place; shorter than the timeout of a page.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
 /// A snapshot that is being received.
 pub(super) struct Install {
     base: SnapshotMetadata,
@@ -38,6 +42,13 @@
     store: RedbStore,
 }
 
+/// A snapshot that is being put in place.
+pub(super) struct Installing {
+    base: SnapshotMetadata,
+    /// The result, once there is one.
+    result: watch::Receiver<Option<SnapshotReply>>,
+}
+
 /// What is received of a snapshot.
 #[derive(Default)]
 pub(super) enum Incoming {
@@ -47,7 +58,7 @@
     /// Some of its pages.
     Pages(Box<Install>),
     /// All of it. Its file is being put in place, so that no other one may be begun.
-    Whole,
+    Whole(Installing),
 }
 
 /// The path of the store in a data directory.
@@ -61,30 +72,62 @@
     rmp_serde::from_slice(&bytes).ok()
 }
 
-/// Stores one page; the last page replaces the store by the snapshot.
+/// Stores one page; the last page replaces the store by the snapshot, and may come again until that is done.
 pub(super) async fn receive_page(shared: &Arc<Shared>, page: SnapshotPage) -> SnapshotReply {
     if let Some(reply) = refusal(shared, &page) {
         return reply;
     }
-    let last = page.last;
-    if !add_page(shared, &page) {
-        return SnapshotReply::Refused;
-    }
-    if !last {
-        return SnapshotReply::Taken;
+    let begun = match installing(shared, &page) {
+        Some(begun) => begun,
+        None if !add_page(shared, &page) => return SnapshotReply::Refused,
+        None if !page.last => return SnapshotReply::Taken,
+        None => match begin_install(shared) {
+            Some(begun) => begun,
+            None => return SnapshotReply::Refused,
+        },
+    };
+    answer_install(begun).await
+}
+
+/// The installation of the snapshot whose last page has come once more.
+fn installing(
+    shared: &Shared,
+    page: &SnapshotPage,
+) -> Option<watch::Receiver<Option<SnapshotReply>>> {
+    match &*shared.install() {
+        Incoming::Whole(whole) if page.last && whole.base == page.base => {
+            Some(whole.result.clone())
+        }
+        Incoming::Whole(_) | Incoming::Pages(_) | Incoming::None => None,
     }
-    let Incoming::Pages(install) = std::mem::replace(&mut *shared.install(), Incoming::Whole)
-    else {
-        return SnapshotReply::Refused;
+}
+
+/// Begins to put the received snapshot in place, which goes on if the sender gives up meanwhile.
+fn begin_install(shared: &Arc<Shared>) -> Option<watch::Receiver<Option<SnapshotReply>>> {
+    let (sender, result) = watch::channel(None);
+    let mut incoming = shared.install();
+    let Incoming::Pages(install) = std::mem::take(&mut *incoming) else {
+        return None;
     };
-    // Not cancelled if the sender gives up meanwhile.
-    let (answer, answered) = oneshot::channel();
+    *incoming = Incoming::Whole(Installing {
+        base: install.base.clone(),
+        result: result.clone(),
+    });
     let installing = put_in_place(Arc::clone(shared), install);
     spawn_vital("install_snapshot", async move {
-        // The sender may have given up.
-        let _ = answer.send(installing.await);
+        let reply = installing.await;
+        sender.send_replace(Some(reply));
     });
-    answered.await.unwrap_or(SnapshotReply::Refused)
+    Some(result)
+}
+
+/// Waits for the result of an installation for as long as a call may take.
+async fn answer_install(mut result: watch::Receiver<Option<SnapshotReply>>) -> SnapshotReply {
+    let ended = result.wait_for(Option::is_some);
+    match tokio::time::timeout(ANSWER_TIME, ended).await {
+        Ok(Ok(reply)) => reply.clone().unwrap_or(SnapshotReply::Installing),
+        Ok(Err(_)) | Err(_) => SnapshotReply::Installing,
+    }
 }
 
 async fn put_in_place(shared: Arc<Shared>, install: Box<Install>) -> SnapshotReply {
@@ -117,7 +160,7 @@
 /// Adds a page to the snapshot; page 0 starts a new one.
 fn add_page(shared: &Shared, page: &SnapshotPage) -> bool {
     let mut incoming = shared.install();
-    if matches!(*incoming, Incoming::Whole) {
+    if matches!(*incoming, Incoming::Whole(_)) {
         return false;
     }
     if page.page == 0 {
--- a/crates/control/src/replica/send_snapshot.rs
+++ b/crates/control/src/replica/send_snapshot.rs
@@ -1,6 +1,6 @@
 //! Sends a snapshot of the state to a member that needs entries the leader's log no longer has.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_log::{LogIndex, MemberId, SnapshotMetadata};
 use clem_store::{Pair, Snapshot};
@@ -17,8 +17,8 @@
 /// Timeout of one page, which is written to a file but not synced. A connection may go silent for good, and
 /// the member takes no part until it has the snapshot; on slower links than this allows, a page never arrives.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout of the last page, which is answered only after the receiver has synced the whole snapshot.
-const LAST_PAGE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long the last page is sent again until the receiver has synced the whole snapshot.
+const INSTALL_TIMEOUT: Duration = Duration::from_secs(60);
 /// Pause after a snapshot that was refused or not sent.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -99,7 +99,7 @@
 /// A snapshot and its receiver.
 struct Outgoing {
     cluster: clem_log::ClusterId,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     base: SnapshotMetadata,
     view: Snapshot,
 }
@@ -133,27 +133,51 @@
             pairs: pairs.iter().map(to_pair).collect(),
             last,
         };
-        let timeout = if last {
-            LAST_PAGE_TIMEOUT
-        } else {
-            PAGE_TIMEOUT
-        };
-        match shared.client.call(snapshot.address, &call, timeout).await {
+        if last {
+            let held = send_last(shared, member, snapshot.address, &call).await;
+            return held.then_some(snapshot.base.index);
+        }
+        let sent = shared.client.call(snapshot.address, &call, PAGE_TIMEOUT);
+        match sent.await {
             Ok(SnapshotReply::Taken) => {}
-            Ok(SnapshotReply::Refused) => return None,
+            Ok(SnapshotReply::Refused | SnapshotReply::Installing) => return None,
             Ok(SnapshotReply::Held) => return Some(snapshot.base.index),
             Err(error) => {
                 log::warn!(member:% = member, error:% = error; "snapshot not sent");
                 return None;
             }
         }
-        if last {
-            return Some(snapshot.base.index);
-        }
         page += 1;
     }
 }
 
+/// Sends the last page until the receiver has the snapshot in place; returns whether it has.
+///
+/// The receiver may need longer for that than a connection that has gone silent should be waited for.
+async fn send_last(
+    shared: &Shared,
+    member: MemberId,
+    address: SocketAddr,
+    call: &SnapshotPage,
+) -> bool {
+    let end = shared.clock.now() + INSTALL_TIMEOUT;
+    loop {
+        match shared.client.call(address, call, PAGE_TIMEOUT).await {
+            Ok(SnapshotReply::Taken | SnapshotReply::Held) => return true,
+            Ok(SnapshotReply::Refused) => return false,
+            Ok(SnapshotReply::Installing) => {}
+            Err(error) => {
+                log::warn!(member:% = member, error:% = error; "last page not answered");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        if shared.clock.now() >= end {
+            log::warn!(member:% = member; "snapshot not put in place in time");
+            return false;
+        }
+    }
+}
+
 fn to_pair(pair: &Pair) -> SnapshotPair {
     SnapshotPair {
         key: pair.key.to_vec(),
--- a/crates/control/tests/broken_tasks.rs
+++ b/crates/control/tests/broken_tasks.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 use std::{
+    future::pending,
     net::SocketAddr,
     process::Command as Program,
     sync::{
@@ -16,7 +17,8 @@
 use clem_control::replica::{ProposalResult, RESERVE_BYTES, Replica, ReplicaSettings};
 use clem_log::disk::FileSystem;
 use clem_state::Command;
-use clem_wire::{FleetSecret, Guard, admin::MemberRole};
+use clem_types::Version;
+use clem_wire::{FleetSecret, Guard, admin::MemberRole, fleet::RulesDocument};
 use futures_util::future;
 use log::{LevelFilter, Log, Metadata, Record};
 use salvo::{
@@ -88,6 +90,8 @@
     pages: AtomicUsize,
     /// The page that is refused, from 1.
     refused_page: AtomicUsize,
+    /// The page that is never answered, and never reaches the member, from 1.
+    silent_page: AtomicUsize,
 }
 
 struct Gated(Arc<Gate>);
@@ -105,6 +109,9 @@
         let mut refuses = gate.refuses.load(Ordering::SeqCst);
         if req.uri().path() == COPY_PATH {
             let page = gate.pages.fetch_add(1, Ordering::SeqCst) + 1;
+            if gate.silent_page.load(Ordering::SeqCst) == page {
+                pending::<()>().await;
+            }
             refuses |= gate.refused_page.load(Ordering::SeqCst) == page;
         }
         if refuses {
@@ -227,6 +234,12 @@
     let own = listener.address();
     let leader = start(listener, &[own]);
     eventually("the member leads", || leader.replica.leader() == Some(own)).await;
+    // The state fits into one page, after which an empty last one is sent.
+    let document = RulesDocument {
+        version: Version(1),
+        document: "rules".into(),
+    };
+    leader.replica.propose(Command::Document(document)).await;
     for _ in 0..COMPACTED / BURST {
         let burst = (0..BURST).map(|_| leader.replica.propose(Command::Nothing));
         future::join_all(burst).await;
@@ -250,6 +263,24 @@
     .await;
 }
 
+/// The leader waited for a minute for the answer to the last page.
+#[tokio::test]
+async fn a_copy_whose_last_page_is_lost_is_completed() {
+    let _alone = ALONE.lock().await;
+    let [first, second] = listeners();
+    let leader = start_compacted(first).await;
+    let joining = start(second, &[leader.address]);
+    joining.gate.silent_page.store(2, Ordering::SeqCst);
+    eventually("the last page is lost", || {
+        joining.gate.pages.load(Ordering::SeqCst) >= 2
+    })
+    .await;
+    eventually("the joining member votes", || {
+        is_voter(&leader, joining.address)
+    })
+    .await;
+}
+
 // ----------------------------------------------------------------------------
 // Tasks that a process can't do without.
 
