Replica: a leader whose disk hangs passes its leadership on

What callers saw: every call is answered "not the leader", or waits until its time is over, for as long as the disk hangs, though all members run, reach each other and have elected one of them.

Cause: a leader sends heartbeats and entries before its own disk has them, and a quorum of the others commits them. But it applies nothing while its own log write or store sync is unfinished, and proposals are answered and leadership is announced only by what is applied. It had no reason to step down, and the others none to campaign.

A leader whose oldest log write or store sync has taken three election timeouts (1.5 s on hubs and batch keepers) now transfers its leadership, and tries again after as long. A new leader has that time too, as all disks may be slow at once. A member whose log hangs can't be elected, as it asks for votes only once its own is synced. The process doesn't exit: a faulty disk may hang for seconds and work again, and a member that is started anew on it would hang at its start, without telling anybody.

--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -49,8 +49,10 @@
     backlog: VecDeque<Entry>,
     /// Log writes and store syncs under way. Entries are not applied during a sync, as that would block.
     disk: DiskWork,
-    /// How long the disk may hang until this member counts as absent.
+    /// How long the disk may hang until this member counts as absent and passes its leadership on.
     stall_bound: Duration,
+    /// The term in which this member leads, and since when it has or has last tried to pass leadership on.
+    leading: Option<(Term, Time)>,
     /// By how many committed entries this member may lag with applying them.
     lag_bound: u64,
     outbox: BTreeMap<MemberId, VecDeque<Message>>,
@@ -95,6 +97,7 @@
             next_read: ReadId(0),
             backlog: VecDeque::new(),
             disk: DiskWork::default(),
+            leading: None,
             stall_bound: settings.election * STALL_ELECTIONS,
             lag_bound: settings.learner_lag,
             outbox: BTreeMap::new(),
@@ -217,6 +220,33 @@
     pub(super) fn tick(&mut self, now: Time) {
         self.ticked = now;
         self.node.tick(now);
+        self.pass_on_if_stalled(now);
+    }
+
+    /// Passes leadership on while the disk hangs: the others commit what this member proposes, and hear its
+    /// heartbeats, but it applies nothing and answers nobody.
+    ///
+    /// A new leader has the whole bound, as all disks may be slow at once.
+    fn pass_on_if_stalled(&mut self, now: Time) {
+        if !self.node.is_leader() {
+            self.leading = None;
+            return;
+        }
+        let term = self.node.term();
+        let (_, since) = match self.leading {
+            Some(leading) if leading.0 == term => leading,
+            Some(_) | None => *self.leading.insert((term, now)),
+        };
+        let stall = self.disk.stall(now);
+        if stall.min(now.since(since)) < self.stall_bound {
+            return;
+        }
+        self.leading = Some((term, now));
+        let passed = self.node.transfer(now, None);
+        log::warn!(
+            stalled_ms = stall.as_millis() as u64, term = term.0, passed = passed.is_ok();
+            "disk hangs; passing leadership on"
+        );
     }
 
     pub(super) fn join(&mut self, now: Time, id: MemberId, address: &str) -> Result<(), NodeError> {
