Replica: a store that power loss cut short at its creation is created anew

What callers saw: a process that ends at each start, for good, on a disk that is kept: "failed to open state.redb".

Cause: the database is created by setting the length of its file, and gets its magic number only after a sync. If power is lost in between, the file has a length and no magic number, which is refused as damaged.

On a disk that belongs to no group the file is now removed and created anew, with a log line. Such a disk has no data: the store is complete and synced before the disk's group is written. The store of a member is refused and kept as before.

--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -1,6 +1,12 @@
 //! The public interface of this process's replica.
 
-use std::{fs, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use clem_boot::{Clock, spawn_vital};
@@ -128,9 +134,7 @@
         if recovered.torn_bytes > 0 {
             log::warn!(bytes = recovered.torn_bytes; "truncated torn write at the end of the log");
         }
-        let path = store_path(&data_dir);
-        let store = RedbStore::open(&path, CACHE_BYTES)
-            .wrap_err_with(|| format!("failed to open {}", path.display()))?;
+        let store = open_store(&data_dir, recovered.identity.cluster.is_some())?;
         let shared = Arc::new(Shared::new(Parts {
             address,
             peers,
@@ -391,6 +395,23 @@
     }
 }
 
+/// Opens the store in a data directory, or creates it.
+///
+/// A store that a loss of power has cut short while it was created can't be opened. It is created anew on
+/// a disk that belongs to no group, which has no data yet: its store is complete before it joins one.
+fn open_store(data_dir: &Path, has_group: bool) -> Result<RedbStore> {
+    let path = store_path(data_dir);
+    let failed = || format!("failed to open {}", path.display());
+    let error = match RedbStore::open(&path, CACHE_BYTES) {
+        Ok(store) => return Ok(store),
+        Err(error) if has_group => return Err(error).wrap_err_with(failed),
+        Err(error) => error,
+    };
+    log::warn!(error:% = error; "store of a disk without a group created anew");
+    fs::remove_file(&path).wrap_err_with(failed)?;
+    RedbStore::open(&path, CACHE_BYTES).wrap_err_with(failed)
+}
+
 fn rejected(reason: String) -> LeaderReply<ChangeMembersReply> {
     LeaderReply::Done(ChangeMembersReply::Rejected { reason })
 }
