Programs log why they end at their start

What callers saw: a process that is started again and again looked like one that doesn't run; the reason was a plain line on standard error among log lines in JSON.

The error that ends a program is now also its last log line ("program failed; exiting"). The exit code is 1 as before.

--- a/crates/boot/src/run.rs
+++ b/crates/boot/src/run.rs
@@ -28,14 +28,17 @@
         }
     };
     let ended = runtime.block_on(program);
-    log::logger().flush();
     let Err(error) = ended else {
+        log::logger().flush();
         return ExitCode::SUCCESS;
     };
+    let text = format!("{error:#}");
+    log::error!(error = text.as_str(); "program failed; exiting");
+    log::logger().flush();
     if let Some(findings) = error.downcast_ref::<Findings>() {
         eprint!("{findings}");
         return ExitCode::from(EXIT_SETTINGS);
     }
-    eprintln!("{name}: {error:#}");
+    eprintln!("{name}: {text}");
     ExitCode::from(EXIT_FAILURE)
 }
