--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -3,12 +3,13 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
+    time::Duration,
 };
 
 use bytes::Bytes;
 use clem_log::{
     Change, ClusterId, Departure, Entry, LogIndex, MemberId, MemberKind, Members, Message, Node,
-    NodeError, Payload, ReadId, Ready, SnapshotMetadata, Term, WriteNumber, disk::Writer,
+    NodeError, Payload, ReadId, Ready, Settings, SnapshotMetadata, Term, WriteNumber, disk::Writer,
 };
 use clem_state::Command;
 use clem_store::RedbStore;
@@ -20,8 +21,10 @@
     ProposalResult,
     brief::GroupState,
     calls::DepartReply,
+    disk_work::DiskWork,
     fatal,
     outbox::{Lane, Outbox},
+    participation::Absence,
     room::RoomState,
 };
 
@@ -31,16 +34,14 @@
 const COMPACT_ENTRIES: u64 = 20_000;
 /// How much of the log compaction keeps for members that lag slightly, in bytes.
 const KEEP_BYTES: usize = 2 * 1024 * 1024;
+/// After how many election timeouts a log write or store sync counts as hanging.
+const STALL_ELECTIONS: u32 = 3;
 
 /// A running member of a group.
 pub(super) struct Core {
     pub(super) cluster: ClusterId,
     node: Node,
     writer: Writer,
-    /// The log's last write.
-    written: WriteNumber,
-    /// Since when the log has finished no write although there is one.
-    disk_waits: Option<Time>,
     /// Proposals of this leader that are not applied yet.
     proposals: BTreeMap<LogIndex, Proposal>,
     /// Reads whose leadership check is pending.
@@ -49,8 +50,14 @@
     next_read: ReadId,
     /// Committed entries that are not applied yet.
     backlog: VecDeque<Entry>,
-    /// Since when the store is being synced. Entries are not applied meanwhile, as that would block.
-    syncing: Option<Time>,
+    /// Log writes and store syncs under way. Entries are not applied during a sync, as that would block.
+    disk: DiskWork,
+    /// How long the disk may hang until this member counts as absent and passes its leadership on.
+    stall_bound: Duration,
+    /// The term in which this member leads, and since when it has or has last tried to pass leadership on.
+    leading: Option<(Term, Time)>,
+    /// By how many committed entries this member may lag with applying them.
+    lag_bound: u64,
     outbox: BTreeMap<MemberId, Outbox>,
     /// Members that need a snapshot of the state.
     snapshot_requests: Vec<MemberId>,
@@ -76,19 +83,26 @@
 }
 
 impl Core {
-    pub(super) fn new(cluster: ClusterId, node: Node, writer: Writer, reserve_bytes: u64) -> Self {
+    pub(super) fn new(
+        cluster: ClusterId,
+        node: Node,
+        writer: Writer,
+        reserve_bytes: u64,
+        settings: &Settings,
+    ) -> Self {
         Self {
             cluster,
             node,
             writer,
-            written: WriteNumber(0),
-            disk_waits: None,
             proposals: BTreeMap::new(),
             reads: BTreeMap::new(),
             confirmed_reads: Vec::new(),
             next_read: ReadId(0),
             backlog: VecDeque::new(),
-            syncing: None,
+            disk: DiskWork::default(),
+            leading: None,
+            stall_bound: settings.election * STALL_ELECTIONS,
+            lag_bound: settings.learner_lag,
             outbox: BTreeMap::new(),
             snapshot_requests: Vec::new(),
             ticked: Time::ZERO,
@@ -142,20 +156,45 @@
     /// What this member knows of its group, and how it is; its store has applied the log up to
     /// `applied`.
     pub(super) fn group_state(&self, now: Time, applied: LogIndex) -> GroupState {
-        let waited = |since: Time| now.since(since);
+        let some_wait = |wait: Duration| (!wait.is_zero()).then_some(wait);
         GroupState {
             status: self.node.status(now),
             term: self.node.term(),
             last: self.node.last(),
             commit: self.node.commit(),
             applied,
-            timer_wait: (self.ticked > Time::ZERO).then(|| waited(self.ticked)),
-            disk_wait: self.disk_waits.map(waited),
-            store_wait: self.syncing.map(waited),
+            timer_wait: (self.ticked > Time::ZERO).then(|| now.since(self.ticked)),
+            disk_wait: some_wait(self.disk.write_age(now)),
+            store_wait: some_wait(self.disk.sync_age(now)),
             short_bytes: self.room.is_short().then(|| self.room.free_bytes()),
         }
     }
 
+    /// The log writes and the store sync that are not done.
+    pub(super) fn disk(&self) -> &DiskWork {
+        &self.disk
+    }
+
+    /// Returns why this member, whose store has applied the log up to `applied`, takes no part in its
+    /// group; `None` if it does.
+    pub(super) fn absence(&self, now: Time, applied: LogIndex) -> Option<Absence> {
+        let node = &self.node;
+        if node.members().get(node.id()).is_none() {
+            return Some(Absence::NoMember);
+        }
+        if node.leader().is_none() {
+            return Some(Absence::NoLeader);
+        }
+        if self.disk.stall(now) >= self.stall_bound {
+            return Some(Absence::Disk);
+        }
+        if node.commit().0.saturating_sub(applied.0) > self.lag_bound {
+            return Some(Absence::Behind);
+        }
+        let idle = node.is_leader() && self.leading_epoch(now).is_none();
+        idle.then_some(Absence::NotServing)
+    }
+
     /// Free disk space as last read, in bytes.
     pub(super) fn free_bytes(&self) -> u64 {
         self.room.free_bytes()
@@ -201,6 +240,33 @@
     pub(super) fn tick(&mut self, now: Time) {
         self.ticked = now;
         self.node.tick(now);
+        self.pass_on_if_stalled(now);
+    }
+
+    /// Passes leadership on while the disk hangs: the others commit what this member proposes, and hear its
+    /// heartbeats, but it applies nothing and answers nobody.
+    ///
+    /// A new leader has the whole bound, as all disks may be slow at once.
+    fn pass_on_if_stalled(&mut self, now: Time) {
+        if !self.node.is_leader() {
+            self.leading = None;
+            return;
+        }
+        let term = self.node.term();
+        let (_, since) = match self.leading {
+            Some(leading) if leading.0 == term => leading,
+            Some(_) | None => *self.leading.insert((term, now)),
+        };
+        let stall = self.disk.stall(now);
+        if stall.min(now.since(since)) < self.stall_bound {
+            return;
+        }
+        self.leading = Some((term, now));
+        let passed = self.node.transfer(now, None);
+        log::warn!(
+            stalled_ms = stall.as_millis() as u64, term = term.0, passed = passed.is_ok();
+            "disk hangs; passing leadership on"
+        );
     }
 
     pub(super) fn join(&mut self, now: Time, id: MemberId, address: &str) -> Result<(), NodeError> {
@@ -250,8 +316,8 @@
 
     /// Handles the completion of a log write: everything up to it is synced.
     pub(super) fn log_synced(&mut self, now: Time, number: WriteNumber, free_bytes: u64) {
+        self.disk.write_ended(number);
         self.note_room(now, free_bytes);
-        self.disk_waits = (number < self.written).then_some(now);
         self.node.synced(now, number);
     }
 
@@ -274,7 +340,7 @@
                 break;
             }
         }
-        if self.syncing.is_none() {
+        if !self.disk.is_syncing() {
             self.apply(store);
         }
         self.answer_reads(store);
@@ -286,8 +352,7 @@
 
     fn handle_ready(&mut self, now: Time, ready: Ready) {
         if let Some(write) = ready.write {
-            self.written = write.number;
-            self.disk_waits.get_or_insert(now);
+            self.disk.write_begun(now, write.number);
             self.writer.write(write);
         }
         for message in ready.messages {
@@ -432,18 +497,17 @@
     pub(super) fn needs_sync(&self, due: bool) -> bool {
         let entries = self.node.last().0 - self.node.base().0;
         let long = self.node.log_bytes() > COMPACT_BYTES || entries > COMPACT_ENTRIES;
-        self.syncing.is_none() && (long || due)
+        !self.disk.is_syncing() && (long || due)
     }
 
     pub(super) fn begin_sync(&mut self, now: Time) {
-        debug_assert!(self.syncing.is_none(), "only one sync may run at a time");
-        self.syncing = Some(now);
+        self.disk.sync_begun(now);
     }
 
     /// Compacts the log after the store was synced up to `synced`. The entries just before that are
     /// kept for members that lag slightly.
     pub(super) fn end_sync(&mut self, synced: LogIndex) {
-        self.syncing = None;
+        self.disk.sync_ended();
         let held = self.node.last().0 - self.node.base().0;
         let average = self.node.log_bytes() / usize::try_from(held.max(1)).unwrap_or(1);
         let keep = (KEEP_BYTES / average.max(1)) as u64;
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -1,9 +1,15 @@
 //! The public interface of this process's replica.
 
-use std::{fs, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
-use clem_boot::Clock;
+use clem_boot::{Clock, spawn_vital};
 use clem_log::{
     Change, LogIndex, MemberId, MemberKind, NodeError,
     disk::{Folder, Identity, RoomProbe},
@@ -115,7 +121,7 @@
                 probe,
                 consensus,
             }));
-            tokio::spawn(formation::discover(Arc::clone(&shared)));
+            spawn_vital("discover", formation::discover(Arc::clone(&shared)));
             return Ok(Self { shared });
         };
         fs::create_dir_all(&data_dir).wrap_err_with(|| {
@@ -129,9 +135,7 @@
         if recovered.torn_bytes > 0 {
             log::warn!(bytes = recovered.torn_bytes; "truncated torn write at the end of the log");
         }
-        let path = store_path(&data_dir);
-        let store = RedbStore::open(&path, CACHE_BYTES)
-            .wrap_err_with(|| format!("failed to open {}", path.display()))?;
+        let store = open_store(&data_dir, recovered.identity.cluster.is_some())?;
         let shared = Arc::new(Shared::new(Parts {
             address,
             peers,
@@ -147,7 +151,10 @@
             probe,
             consensus,
         }));
-        tokio::spawn(formation::run(Arc::clone(&shared), folder, recovered));
+        spawn_vital(
+            "member",
+            formation::run(Arc::clone(&shared), folder, recovered),
+        );
         Ok(Self { shared })
     }
 
@@ -405,6 +412,23 @@
     }
 }
 
+/// Opens the store in a data directory, or creates it.
+///
+/// A store that a loss of power has cut short while it was created can't be opened. It is created anew on
+/// a disk that belongs to no group, which has no data yet: its store is complete before it joins one.
+fn open_store(data_dir: &Path, has_group: bool) -> Result<RedbStore> {
+    let path = store_path(data_dir);
+    let failed = || format!("failed to open {}", path.display());
+    let error = match RedbStore::open(&path, CACHE_BYTES) {
+        Ok(store) => return Ok(store),
+        Err(error) if has_group => return Err(error).wrap_err_with(failed),
+        Err(error) => error,
+    };
+    log::warn!(error:% = error; "store of a disk without a group created anew");
+    fs::remove_file(&path).wrap_err_with(failed)?;
+    RedbStore::open(&path, CACHE_BYTES).wrap_err_with(failed)
+}
+
 fn rejected(reason: String) -> LeaderReply<ChangeMembersReply> {
     LeaderReply::Done(ChangeMembersReply::Rejected { reason })
 }
--- a/crates/control/src/replica/peers.rs
+++ b/crates/control/src/replica/peers.rs
@@ -2,7 +2,7 @@
 //! messages queued meanwhile are sent together.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -12,6 +12,7 @@
 
 use super::{
     calls::{Exchange, ExchangeReply},
+    in_flight::InFlightGuard,
     outbox::Lane,
     shared::Shared,
 };
@@ -27,57 +28,49 @@
 /// Timeout of an exchange however long its body takes.
 const ENTRIES_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Sends the outbox of the replica and tracks which exchanges are in flight.
+/// Sends the outbox of the replica.
 pub(super) struct PeerSender {
     shared: Arc<Shared>,
-    links: Arc<Mutex<Links>>,
+    sizes: Arc<Mutex<Sizes>>,
 }
 
-/// What is known of the links to the other members.
+/// How many bytes of entries an exchange with each member may carry; [`FIRST_BYTES`] unless one is known.
 #[derive(Debug, Default)]
-struct Links {
-    in_flight: BTreeSet<(MemberId, Lane)>,
-    /// How much entries an exchange may carry, in bytes; members that are not listed have [`FIRST_BYTES`].
-    sizes: BTreeMap<MemberId, usize>,
-}
+struct Sizes(BTreeMap<MemberId, usize>);
 
-impl Links {
-    fn size(&self, member: MemberId) -> usize {
-        self.sizes.get(&member).copied().unwrap_or(FIRST_BYTES)
+impl Sizes {
+    fn get(&self, member: MemberId) -> usize {
+        self.0.get(&member).copied().unwrap_or(FIRST_BYTES)
     }
 
     /// Makes later exchanges larger or smaller, by whether one arrived.
     fn note_exchange(&mut self, member: MemberId, arrived: bool) {
-        let size = self.size(member);
+        let size = self.get(member);
         let next = if arrived { size * 2 } else { size / 2 };
-        self.sizes
+        self.0
             .insert(member, next.clamp(LEAST_BYTES, EXCHANGE_BYTES));
     }
 }
 
-/// An exchange that is in flight; another one may begin once this is dropped, however its task ends.
-struct InFlight {
+/// An exchange that is under way. Once it is dropped, however its task ends, the next one may begin.
+struct Sending {
     shared: Arc<Shared>,
-    links: Arc<Mutex<Links>>,
+    sizes: Arc<Mutex<Sizes>>,
+    guard: Option<InFlightGuard<(MemberId, Lane)>>,
     member: MemberId,
     lane: Lane,
     arrived: bool,
 }
 
-impl Drop for InFlight {
+impl Drop for Sending {
     fn drop(&mut self) {
-        {
-            let mut links = lock(&self.links);
-            links.in_flight.remove(&(self.member, self.lane));
-            if self.lane == Lane::Entries {
-                links.note_exchange(self.member, self.arrived);
+        self.guard = None;
+        if self.lane == Lane::Entries {
+            lock(&self.sizes).note_exchange(self.member, self.arrived);
+            if let Some(core) = self.shared.core().as_mut() {
+                core.entries_sent(self.member, self.arrived);
             }
         }
-        if self.lane == Lane::Entries
-            && let Some(core) = self.shared.core().as_mut()
-        {
-            core.entries_sent(self.member, self.arrived);
-        }
         self.shared.work.notify_one();
     }
 }
@@ -86,7 +79,7 @@
     pub(super) fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
-            links: Arc::default(),
+            sizes: Arc::default(),
         }
     }
 
@@ -98,18 +91,16 @@
     }
 
     fn send_lane(&self, lane: Lane) {
+        let now = self.shared.clock.now();
         let mut core = self.shared.core();
         let Some(core) = core.as_mut() else { return };
         for member in core.pending_members(lane) {
-            let size = {
-                let mut links = lock(&self.links);
-                if !links.in_flight.insert((member, lane)) {
-                    continue;
-                }
-                match lane {
-                    Lane::Signals => EXCHANGE_BYTES,
-                    Lane::Entries => links.size(member),
-                }
+            let Some(guard) = self.shared.exchanges.begin(now, (member, lane)) else {
+                continue;
+            };
+            let size = match lane {
+                Lane::Signals => EXCHANGE_BYTES,
+                Lane::Entries => lock(&self.sizes).get(member),
             };
             let messages = core.take_messages(member, lane, size);
             let known = core.node().members().get(member);
@@ -119,35 +110,36 @@
                 from: self.shared.member,
                 messages,
             };
-            let in_flight = InFlight {
+            let sending = Sending {
                 shared: Arc::clone(&self.shared),
-                links: Arc::clone(&self.links),
+                sizes: Arc::clone(&self.sizes),
+                guard: Some(guard),
                 member,
                 lane,
                 arrived: false,
             };
-            tokio::spawn(exchange_with(in_flight, address, exchange));
+            tokio::spawn(exchange_with(sending, address, exchange));
         }
     }
 }
 
-async fn exchange_with(mut in_flight: InFlight, address: Option<SocketAddr>, exchange: Exchange) {
+async fn exchange_with(mut sending: Sending, address: Option<SocketAddr>, exchange: Exchange) {
     let Some(address) = address else { return };
-    let timeout = match in_flight.lane {
+    let timeout = match sending.lane {
         Lane::Signals => TIMEOUT,
         Lane::Entries => ENTRIES_TIMEOUT,
     };
-    let client = &in_flight.shared.client;
+    let client = &sending.shared.client;
     match client
         .call_unless_stalled(address, &exchange, TIMEOUT, timeout)
         .await
     {
         Ok(reply) => {
-            in_flight.arrived = true;
-            handle_reply(&in_flight.shared, reply);
+            sending.arrived = true;
+            handle_reply(&sending.shared, reply);
         }
         Err(error) => {
-            log::debug!(member:% = in_flight.member, error:% = error; "failed to reach member");
+            log::debug!(member:% = sending.member, error:% = error; "failed to reach member");
         }
     }
 }
@@ -161,6 +153,6 @@
     }
 }
 
-fn lock(links: &Mutex<Links>) -> MutexGuard<'_, Links> {
-    links.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock(sizes: &Mutex<Sizes>) -> MutexGuard<'_, Sizes> {
+    sizes.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -14,7 +14,7 @@
 use clem_wire::Client;
 use tokio::sync::{Notify, watch};
 
-use super::{core::Core, install_snapshot::Incoming};
+use super::{core::Core, fatal, in_flight::InFlight, install_snapshot::Incoming, outbox::Lane};
 
 /// The shared state of a replica.
 ///
@@ -47,6 +47,10 @@
     pub(super) epoch: watch::Sender<Option<Epoch>>,
     /// Whether this process is about to stop, so that it asks no longer to join.
     pub(super) stopping: AtomicBool,
+    /// Members with an exchange under way.
+    pub(super) exchanges: InFlight<(MemberId, Lane)>,
+    /// Members that a snapshot is being sent to.
+    pub(super) copies: InFlight<MemberId>,
     /// Wakes the event loop when there is something to send or to apply.
     pub(super) work: Notify,
     core: Mutex<Option<Core>>,
@@ -91,6 +95,8 @@
             votes: parts.votes,
             epoch,
             stopping: AtomicBool::new(false),
+            exchanges: InFlight::default(),
+            copies: InFlight::default(),
             work: Notify::new(),
             core: Mutex::new(None),
             store: Mutex::new(parts.store),
@@ -144,8 +150,14 @@
     }
 
     /// The replica's core; `None` until a group has been bootstrapped or joined.
+    ///
+    /// Exits the process if a task panicked while it changed the core: what it says to other members
+    /// could be wrong from then on.
     pub(super) fn core(&self) -> MutexGuard<'_, Option<Core>> {
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+        match self.core.lock() {
+            Ok(core) => core,
+            Err(error) => fatal::exit("a task panicked while it changed the member", &error),
+        }
     }
 
     pub(super) fn store(&self) -> MutexGuard<'_, RedbStore> {
@@ -154,7 +166,10 @@
 
     /// The snapshot that is being received, if any.
     pub(super) fn install(&self) -> MutexGuard<'_, Incoming> {
-        self.install.lock().unwrap_or_else(PoisonError::into_inner)
+        match self.install.lock() {
+            Ok(install) => install,
+            Err(error) => fatal::exit("a task panicked while it received a snapshot", &error),
+        }
     }
 
     /// Processes pending work of the core and publishes changes of leadership.
