Replica: a member that got a copy tells the voters of the copy

What callers saw: a retirement could be called completed while its batch keeper was a voter, or go on for good. The machine is then taken away at once, with a vote that nobody replaces; the next loss ends the group.

Cause: the voters that a leader tells the hub are those of the last membership change that it applied. A copy skips entries, and left the former ones in place. A member that had been cut off or frozen, and leads after its copy, told them.

Whether it is the users' case isn't known.

The fix takes the voters from the copy's position in the log, which is what the member has applied.

--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -311,7 +311,12 @@
     /// it.
     pub(super) fn install(&mut self, now: Time, base: SnapshotMetadata) -> bool {
         self.backlog.clear();
-        self.node.install(now, base)
+        let copied = voters(&base.members);
+        let installed = self.node.install(now, base);
+        if installed {
+            self.applied_voters = Some(copied);
+        }
+        installed
     }
 
     /// Handles the completion of a log write: everything up to it is synced.
