--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -219,7 +219,11 @@
 
     pub(super) fn tick(&mut self, now: Time) {
         self.ticked = now;
+        let had_leader = self.node.leader().is_some();
         self.node.tick(now);
+        if had_leader && self.node.leader().is_none() {
+            metrics::counter!("clem_control_leader_losses").increment(1);
+        }
         self.pass_on_if_stalled(now);
     }
 
