Log, store: losses of power and faulty disks can be played on real processes

Until now nothing played a loss of power with writes that were not synced, nor a disk that hangs, on real processes: a kill leaves all files as they were.

The new crate clem-power journals what a process has not synced: the bytes that its writes replace, old lengths, new files, and names that were renamed or removed without a sync of their folder. After a kill `restore` undoes some of it: each write is kept, gone or torn, or all of them are gone. A file `hang` or `full` in the same side folder makes writes and syncs wait, or fail with ENOSPC.

It is behind the feature `power-loss`, which only dev-dependencies turn on (`cargo tree -p clem-platform -e normal,build,features -i clem-power` names it 0 times), and within it behind the variable CLEM_POWER_FOLDER. Without the feature the side folder is always None and each call is the operation itself.

Not journaled: renames and removals that crates/control does itself while it installs a copy of the state; they count as durable at once.

The existing tests of both disks are unchanged and green.

--- a/crates/log/src/disk/folder.rs
+++ b/crates/log/src/disk/folder.rs
@@ -169,7 +169,7 @@
                 continue;
             }
             let path = segment::path(&self.path, closed.number);
-            fs::remove_file(&path).map_err(DiskError::io("remove", &path))?;
+            clem_power::remove(&path).map_err(DiskError::io("remove", &path))?;
             removed = true;
         }
         self.closed = kept;
--- a/crates/log/src/disk/identity.rs
+++ b/crates/log/src/disk/identity.rs
@@ -6,6 +6,7 @@
     path::Path,
 };
 
+use clem_power::Journal;
 use serde::{Deserialize, Serialize};
 
 use super::{DiskError, Result};
@@ -67,18 +68,28 @@
         sum: sum(&identity),
     };
     let bytes = rmp_serde::to_vec(&stored).unwrap_or_default();
-    let mut file = File::create(&draft).map_err(DiskError::io("create", &draft))?;
-    file.write_all(&bytes)
+    let mut file = File::options()
+        .create(true)
+        .truncate(true)
+        .read(true)
+        .write(true)
+        .open(&draft)
+        .map_err(DiskError::io("create", &draft))?;
+    let journal = Journal::open(&draft, &file, true).map_err(DiskError::io("journal", &draft))?;
+    journal
+        .write(0, bytes.len(), || file.write_all(&bytes))
         .map_err(DiskError::io("write", &draft))?;
-    file.sync_all().map_err(DiskError::io("sync", &draft))?;
-    fs::rename(&draft, &path).map_err(DiskError::io("replace", &path))?;
+    journal
+        .sync(|| file.sync_all())
+        .map_err(DiskError::io("sync", &draft))?;
+    clem_power::rename(&draft, &path).map_err(DiskError::io("replace", &path))?;
     sync_folder(folder)
 }
 
 /// Syncs a folder, which makes the creation, renaming and removal of its files durable.
 pub(super) fn sync_folder(folder: &Path) -> Result<()> {
     let file = File::open(folder).map_err(DiskError::io("open", folder))?;
-    file.sync_all().map_err(DiskError::io("sync", folder))
+    clem_power::sync_folder(|| file.sync_all()).map_err(DiskError::io("sync", folder))
 }
 
 fn sum(identity: &Identity) -> u32 {
--- a/crates/log/src/disk/room.rs
+++ b/crates/log/src/disk/room.rs
@@ -17,6 +17,9 @@
 
 impl RoomProbe for FileSystem {
     fn free_bytes(&self, folder: &Path) -> io::Result<u64> {
+        if clem_power::is_full() {
+            return Ok(0);
+        }
         let free = nix::sys::statvfs::statvfs(folder)?;
         Ok(free.blocks_available().saturating_mul(free.fragment_size()))
     }
--- a/crates/log/src/disk/segment.rs
+++ b/crates/log/src/disk/segment.rs
@@ -6,6 +6,8 @@
     path::{Path, PathBuf},
 };
 
+use clem_power::Journal;
+
 use super::{DiskError, Result, frame::Record, identity::sync_folder};
 use crate::LogIndex;
 
@@ -16,6 +18,7 @@
 #[derive(Debug)]
 pub(super) struct Active {
     file: File,
+    journal: Journal,
     path: PathBuf,
     bytes: u64,
 }
@@ -44,13 +47,16 @@
     pub(super) fn create(folder: &Path, number: u64) -> Result<Self> {
         let path = path(folder, number);
         let file = OpenOptions::new()
+            .read(true)
             .append(true)
             .create_new(true)
             .open(&path)
             .map_err(DiskError::io("create", &path))?;
+        let journal = open_journal(&path, &file, true)?;
         sync_folder(folder)?;
         Ok(Self {
             file,
+            journal,
             path,
             bytes: 0,
         })
@@ -60,22 +66,33 @@
     pub(super) fn reopen(folder: &Path, number: u64, bytes: u64) -> Result<Self> {
         let path = path(folder, number);
         let file = OpenOptions::new()
+            .read(true)
             .append(true)
             .open(&path)
             .map_err(DiskError::io("open", &path))?;
-        file.set_len(bytes)
+        let journal = open_journal(&path, &file, false)?;
+        journal
+            .resize(bytes, || file.set_len(bytes))
             .map_err(DiskError::io("truncate", &path))?;
-        file.sync_all().map_err(DiskError::io("sync", &path))?;
-        Ok(Self { file, path, bytes })
+        journal
+            .sync(|| file.sync_all())
+            .map_err(DiskError::io("sync", &path))?;
+        Ok(Self {
+            file,
+            journal,
+            path,
+            bytes,
+        })
     }
 
     /// Appends a frame and syncs it.
     pub(super) fn append(&mut self, frame: &[u8]) -> Result<()> {
-        self.file
-            .write_all(frame)
+        let file = &mut self.file;
+        self.journal
+            .write(self.bytes, frame.len(), || file.write_all(frame))
             .map_err(DiskError::io("write", &self.path))?;
-        self.file
-            .sync_data()
+        self.journal
+            .sync(|| file.sync_data())
             .map_err(DiskError::io("sync", &self.path))?;
         self.bytes += frame.len() as u64;
         Ok(())
@@ -87,6 +104,10 @@
     }
 }
 
+fn open_journal(path: &Path, file: &File, created: bool) -> Result<Journal> {
+    Journal::open(path, file, created).map_err(DiskError::io("journal", path))
+}
+
 /// Returns the highest index of the entries in `records`, or 0 if there are none.
 pub(super) fn highest(records: &[Record]) -> LogIndex {
     let mut highest = LogIndex::default();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod error;
+mod journaled_file;
 mod mem;
 mod pair;
 mod redb_store;
