Log: a leader that stood still asks its group before it steps down

A keeper is lost; its successor has just become a voter, so that three of four votes are needed until the lost one is removed. In that moment the leader is frozen for 3 s. 0.25 to 1.3 s after the thaw it loses its disk; by then the lost keeper was still a voter, and two of four can't elect anybody.

Cause: a leader whose process has stood still found that it had heard from nobody for an election timeout and stepped down, though nobody else could have been elected meanwhile. The next leader needed 0.5 to 1.1 s for its election, and an election timeout of its own before it removed the lost member.

A leader whose timers haven't run for two heartbeats now sends heartbeats and steps down only if a quorum doesn't reply within two more. If another one was elected, its higher term answers. Until the replies it holds no lease and isn't active, as before, and its own pause counts as nobody's silence, so that no member is removed for it. A process that is only slow does this once between two replies.

--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -267,7 +267,7 @@
             return false;
         };
         lead.peers.get(&id).is_some_and(|peer| {
-            let asked = peer.heard + self.settings.election <= now;
+            let asked = peer.unheard(now) >= self.settings.election;
             asked && peer.silence(now) >= self.settings.lost_after
         })
     }
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -208,6 +208,8 @@
             transfer_after: now,
             reads: Vec::new(),
             vacant: now,
+            ticked: now,
+            resumed: None,
         }));
         self.append_entry(Payload::Noop);
     }
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -15,6 +15,10 @@
 /// How many times per heartbeat interval the successor is sent the request to campaign. If a single
 /// one were lost, the cluster would have no leader until an election timeout.
 const CAMPAIGNS_PER_HEARTBEAT: u32 = 8;
+/// How many heartbeat intervals without a tick are a pause of this process.
+const PAUSE_HEARTBEATS: u32 = 2;
+/// How many heartbeat intervals a leader waits for replies after a pause.
+const RESUME_HEARTBEATS: u32 = 2;
 
 impl Node {
     /// Appends a command to the log; [`ready`](Self::ready) returns it once it is committed.
@@ -116,7 +120,8 @@
 
     pub(super) fn tick_leader(&mut self, now: Time) {
         let election = self.settings.election;
-        if self.quorum_heard(now) + election <= now {
+        self.note_pause(now);
+        if self.quorum_heard(now) + election <= now && !self.has_resumed(now) {
             self.become_follower(now, self.term, None);
             return;
         }
@@ -140,6 +145,37 @@
         self.send_heartbeats(now, false);
     }
 
+    /// Notes that this leader stands still, if its timers have not run for long: it can't have heard from
+    /// anybody. Unless another leader was elected, it asks the others before it steps down, as an election
+    /// would take longer.
+    fn note_pause(&mut self, now: Time) {
+        let heard = self.quorum_heard(now);
+        let pause = self.settings.heartbeat * PAUSE_HEARTBEATS;
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let gap = now.since(std::mem::replace(&mut lead.ticked, now));
+        if gap < pause {
+            return;
+        }
+        for peer in lead.peers.values_mut() {
+            peer.paused += gap;
+        }
+        // Only once without a reply in between, or a slow process would never step down.
+        if lead.resumed.is_none_or(|resumed| resumed < heard) {
+            lead.resumed = Some(now);
+        }
+    }
+
+    /// Returns whether this leader has stood still until a moment ago, so that replies may be on their way.
+    fn has_resumed(&self, now: Time) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let wait = self.settings.heartbeat * RESUME_HEARTBEATS;
+        lead.resumed.is_some_and(|resumed| now < resumed + wait)
+    }
+
     /// Returns the latest time since which a quorum has replied.
     pub(super) fn quorum_heard(&self, now: Time) -> Time {
         let Role::Leader(lead) = &self.role else {
@@ -278,6 +314,7 @@
         let peer = self.peer_mut(from)?;
         peer.heard = now;
         peer.carried = Duration::ZERO;
+        peer.paused = Duration::ZERO;
         // An unsolicited reply has no send time, and must not extend the lease.
         if sent > Time::ZERO {
             peer.acked = peer.acked.max(Some(sent));
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -166,6 +166,10 @@
     reads: Vec<PendingRead>,
     /// When a voter was missing, leaving or silent last.
     vacant: Time,
+    /// When its timers ran last.
+    ticked: Time,
+    /// When its timers ran again after a pause.
+    resumed: Option<Time>,
 }
 
 /// The latest request of a new member to join.
--- a/crates/log/src/node/status.rs
+++ b/crates/log/src/node/status.rs
@@ -97,7 +97,7 @@
         };
         let silent = |id: &MemberId| {
             let peer = lead.peers.get(id);
-            peer.is_some_and(|peer| peer.heard + self.settings.election <= now)
+            peer.is_some_and(|peer| peer.unheard(now) >= self.settings.election)
         };
         let mut others = self.members().voters().filter(|id| *id != self.id);
         let id = others.find(|id| silent(id) || self.leaves(now, *id))?;
--- a/crates/log/src/progress.rs
+++ b/crates/log/src/progress.rs
@@ -31,6 +31,8 @@
     pub(crate) heard: Time,
     /// How long the member had been silent for former leaders; zero once it has replied.
     pub(crate) carried: Duration,
+    /// How long this leader itself has stood still since the last reply.
+    pub(crate) paused: Duration,
     /// The time of the last message sent, if any in the current mode.
     pub(crate) sent: Option<Time>,
     /// The last index of each unanswered message with entries.
@@ -48,6 +50,7 @@
             acked: None,
             heard: now,
             carried,
+            paused: Duration::ZERO,
             sent: None,
             inflight: VecDeque::new(),
             sending: false,
@@ -56,7 +59,12 @@
 
     /// How long the member has been silent, for this leader and those before it.
     pub(crate) fn silence(&self, now: Time) -> Duration {
-        now.since(self.heard) + self.carried
+        self.unheard(now) + self.carried
+    }
+
+    /// How long the member has been silent for this leader, which could hear it.
+    pub(crate) fn unheard(&self, now: Time) -> Duration {
+        now.since(self.heard).saturating_sub(self.paused)
     }
 
     /// Switches to probing from `next`.
