Replica: a removed member finds a leader that it doesn't know

What callers saw: nothing, until the next loss. A member that was down when it was removed runs and takes no part for good, and the leader reports a lost voter that nobody asks to replace ("voter not replaced", hold "alone"). One more loss then leaves the group without a quorum, though two of its processes live and answer at once. The hub's group has it whenever the leader joined after the removed member's last entry; batch keepers are also told of each other by the hub.

Cause: a process that wants to join asks the members of its own log and those of its settings. Followers refuse, and it never heard of members that had joined since, the leader among them.

It now also asks those that it knows for their group, as a process with an empty disk does, and asks the members that they name the next time.

Measured: the new test red on the code before (no vote within 30 s), green after it, with the nine others of the file.

--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -312,7 +312,8 @@
         let calls = asked
             .iter()
             .map(|address| shared.client.call(*address, &join, HELLO_TIMEOUT));
-        let replies = future::join_all(calls).await;
+        // Those that the process knows may not lead any more, but they know who does.
+        let (replies, _) = tokio::join!(future::join_all(calls), query(&shared, &asked));
         let replies = replies.iter().filter(|reply| reply.is_ok()).count();
         // A member without a leader has its place already.
         if is_member {
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -328,3 +328,44 @@
     })
     .await;
 }
+
+/// A member that was removed asked only those that it knew, of whom none led any more: followers refused it, and
+/// it never heard of the leader that had joined meanwhile.
+#[tokio::test]
+async fn a_removed_member_that_does_not_know_the_leader_comes_back() {
+    let [first, second, removed] = listeners();
+    let (own, known, address) = (first.address(), second.address(), removed.address());
+    let leader = start(first, &[own], &[]);
+    eventually("the first member leads", || {
+        leader.replica.leader() == Some(own)
+    })
+    .await;
+    let _second = start(second, &[own], &[]);
+    eventually("the second member votes", || is_voter(&leader, known)).await;
+
+    let disk = TempDir::new().unwrap();
+    let group = read_identity(leader.folder.path()).unwrap().unwrap();
+    let identity = Identity {
+        member: MemberId(7),
+        cluster: group.cluster,
+    };
+    let (mut folder, _) = Folder::open(disk.path(), identity).unwrap();
+    let voters = [(MemberId(7), address), (MemberId(8), known)];
+    let voters = voters.map(|(id, address)| clem_log::Member {
+        id,
+        address: address.to_string(),
+        kind: MemberKind::Voter,
+    });
+    let base = SnapshotMetadata {
+        members: Members::new(voters.to_vec()),
+        ..SnapshotMetadata::default()
+    };
+    let write = Write {
+        reset: Some(base),
+        ..Write::default()
+    };
+    folder.write(vec![write]).unwrap();
+    drop(folder);
+    let _removed = start_in(disk, removed, &[], &[], false);
+    eventually("the removed member votes", || is_voter(&leader, address)).await;
+}
