Log: a leader waits until its transfer is finished before it stops

Cause: the leader judges its own stop. While its successor lacked the last entries it still led, and answered itself that the others have a quorum.

Evidence: a_leader_waits_until_its_transfer_is_finished is red without the change of departure.rs and green with it.

Why it works: a leader that is transferring says "wait" to itself. A transfer is abandoned after an election timeout, and the wait ends with the grace period at the latest. A group that stops as a whole still stops at once.

--- a/crates/log/src/node/departure.rs
+++ b/crates/log/src/node/departure.rs
@@ -50,12 +50,21 @@
         let voters = || members.voters().filter(staying);
         let running = voters().filter(|other| self.replies(now, *other)).count();
         let whole_group = voters().next().is_none();
-        if running >= members.quorum() || whole_group {
+        // A leader that stops in a transfer leaves the group without one for an election timeout.
+        let leads_on = id == self.id && self.transfers();
+        if whole_group || running >= members.quorum() && !leads_on {
             return Ok(Departure::Go);
         }
         Ok(Departure::Wait)
     }
 
+    fn transfers(&self) -> bool {
+        match &self.role {
+            Role::Leader(lead) => lead.transfer.is_some(),
+            Role::Follower | Role::PreCandidate { .. } | Role::Candidate { .. } => false,
+        }
+    }
+
     /// Returns the members that said that they are about to stop, for other members.
     pub(super) fn departing(&self, now: Time) -> Vec<Departing> {
         let said = self.departures.iter();
--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -338,3 +338,18 @@
     let learners = trio.nodes[0].learners(trio.now);
     assert_eq!(learners[0].hold, clem_log::Hold::Recent);
 }
+
+/// A leader stopped before its transfer was finished: the group had none for an election timeout.
+#[test]
+fn a_leader_waits_until_its_transfer_is_finished() {
+    let mut trio = elected();
+    trio.pass(5);
+    trio.sync_entries = false;
+    let written = trio.nodes[0].propose(trio.now, b"x"[..].into());
+    assert!(written.is_ok());
+    trio.deliver();
+    let own = MemberId(1);
+    assert!(trio.nodes[0].transfer(trio.now, None).is_ok());
+    assert!(trio.nodes[0].is_leader());
+    assert_eq!(trio.nodes[0].depart(trio.now, own), Ok(Departure::Wait));
+}
