Log: two members that leave don't pass leadership back and forth

Cause: leadership isn't passed between two that are about to stop, but only a leader that was asked knew of a stop, a follower's list was replaced by that of its leader, and a retirement didn't count.

Evidence: leadership_is_not_passed_between_a_retired_member_and_one_that_stops and a_member_that_is_elected_knows_who_has_said_that_it_stops are red without the change of the node and green with it.

Why it works: each member that is asked notes the stop, keeps what it has heard itself within an election timeout, and passes leadership to one that leaves only if it stays itself; retired members count as leaving.

--- a/crates/log/src/node/departure.rs
+++ b/crates/log/src/node/departure.rs
@@ -29,22 +29,27 @@
     /// # Errors
     /// This member isn't the leader.
     pub fn depart(&mut self, now: Time, id: MemberId) -> Result<Departure> {
+        // Noted on all members: the one that is elected next must know it.
+        let departures = &mut self.departures;
+        departures.retain(|_, said| now < *said + DEPARTURE_KEPT);
+        departures.insert(id, now);
         let leader = self.leader;
         if !self.is_leader() {
             return Err(NodeError::NotLeader { leader });
         }
-        let departures = &mut self.departures;
-        departures.retain(|_, said| now < *said + DEPARTURE_KEPT);
-        departures.insert(id, now);
+        Ok(self.may_stop(now, id))
+    }
+
+    fn may_stop(&mut self, now: Time, id: MemberId) -> Departure {
         let members = self.members();
         if !members.is_voter(id) {
-            return Ok(Departure::Go);
+            return Departure::Go;
         }
         let wanted = self.settings.voters;
         let is_replaced = wanted > 0 && members.voters().count() > wanted;
         if is_replaced || self.has_spare(now) {
             self.reconcile_members(now);
-            return Ok(Departure::Wait);
+            return Departure::Wait;
         }
         let staying = |other: &MemberId| *other != id && !self.is_stopping(now, *other);
         let voters = || members.voters().filter(staying);
@@ -53,9 +58,9 @@
         // A leader that stops in a transfer leaves the group without one for an election timeout.
         let leads_on = id == self.id && self.transfers();
         if whole_group || running >= members.quorum() && !leads_on {
-            return Ok(Departure::Go);
+            return Departure::Go;
         }
-        Ok(Departure::Wait)
+        Departure::Wait
     }
 
     fn transfers(&self) -> bool {
@@ -83,7 +88,10 @@
                 .checked_sub(departing.ms.checked_mul(1000)?)?;
             Some((departing.id, Time::from_micros(said)))
         });
-        self.departures = said.collect();
+        // What a member has just said to this one, the leader may not have heard.
+        let election = self.settings.election;
+        self.departures.retain(|_, said| now < *said + election);
+        self.departures.extend(said);
     }
 
     /// Returns whether a member has said within an election timeout that it is about to stop.
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -228,14 +228,14 @@
     }
 
     /// Returns the voter with the longest matching log as the target of a transfer, of those that run
-    /// and aren't about to stop if there are any; of equal ones the one heard from last.
+    /// and don't leave if there are any; of equal ones the one heard from last.
     pub(super) fn best_successor(&self, now: Time) -> Option<MemberId> {
         let Role::Leader(lead) = &self.role else {
             return None;
         };
         let advance = |id: &MemberId| {
             let progress = lead.peers.get(id).map(|p| (p.matched, p.heard));
-            (self.replies(now, *id), !self.departs(now, *id), progress)
+            (self.replies(now, *id), !self.leaves(now, *id), progress)
         };
         self.other_voters().into_iter().max_by_key(advance)
     }
--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -57,8 +57,8 @@
     /// # Errors
     /// This member isn't the leader, or the successor isn't another voter.
     pub fn transfer(&mut self, now: Time, to: Option<MemberId>) -> Result<()> {
-        // Two that are about to stop would pass it back and forth, and neither replace a lost voter.
-        let both = |id: &MemberId| self.departs(now, *id) && self.departs(now, self.id);
+        // Two that leave would pass it back and forth, and neither replace a lost voter.
+        let both = |id: &MemberId| self.leaves(now, *id) && self.leaves(now, self.id);
         let best = || self.best_successor(now).filter(|id| !both(id));
         let successor = to.or_else(best);
         let voter = successor.filter(|id| *id != self.id && self.members().is_voter(*id));
--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -339,6 +339,46 @@
     assert_eq!(learners[0].hold, clem_log::Hold::Recent);
 }
 
+/// A member that was retired and one that stopped passed leadership back and forth.
+#[test]
+fn leadership_is_not_passed_between_a_retired_member_and_one_that_stops() {
+    let mut trio = elected();
+    trio.lose(2);
+    trio.pass(12);
+    let mut leaders = Vec::new();
+    for _ in 0..60 {
+        for node in &mut trio.nodes {
+            node.set_leaving(&["127.0.0.1:7001".to_owned()]);
+        }
+        let now = trio.now;
+        let _ = trio.nodes[1].depart(now, MemberId(2));
+        let _ = trio.nodes[1].transfer(now, None);
+        let _ = trio.nodes[0].depart(now, MemberId(2));
+        trio.pass(1);
+        let leader = trio.nodes.iter().find(|node| node.is_leader());
+        leaders.extend(leader.map(|node| node.id().0));
+    }
+    leaders.dedup();
+    assert!(leaders.len() <= 2, "{leaders:?}");
+}
+
+/// A stop was known only to the leader that was asked, so the next one passed leadership to it.
+#[test]
+fn a_member_that_is_elected_knows_who_has_said_that_it_stops() {
+    let mut trio = elected();
+    trio.pass(5);
+    let asked = trio.nodes[2].depart(trio.now, MemberId(2));
+    assert!(asked.is_err(), "it doesn't lead");
+    let passed = trio.nodes[0].transfer(trio.now, Some(THIRD));
+    assert!(passed.is_ok());
+    trio.deliver();
+    assert!(trio.nodes[2].is_leader());
+    trio.pass(2);
+    assert!(trio.nodes[2].transfer(trio.now, None).is_ok());
+    trio.deliver();
+    assert!(trio.nodes[0].is_leader());
+}
+
 /// A leader stopped before its transfer was finished: the group had none for an election timeout.
 #[test]
 fn a_leader_waits_until_its_transfer_is_finished() {
