Log: a stop is told by all processes, to all that may lead

Cause: only a voter told the leader that it stops, and only if it knew one.

Evidence: a_learner_that_stops_is_not_promoted is red without the change of the node and green with it.

Why it works: a process that stops asks the leader, then all others; one that is no voter goes without waiting for an answer. A learner that stops isn't promoted, and doesn't keep another spare out.

The simulation imitates Replica::prepare_stop, so it does the same now; what it lets happen to members is unchanged.

--- a/crates/control/src/replica/depart.rs
+++ b/crates/control/src/replica/depart.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use clem_wire::CallError;
+use futures_util::future;
 
 use super::{
     calls::{Depart, DepartReply},
@@ -15,18 +16,6 @@
 /// Timeout of one request.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Whom to ask whether this process may stop.
-enum Judge {
-    /// The leader, at this address.
-    Leader(SocketAddr),
-    /// This process, as it leads.
-    Own,
-    /// Nobody: no leader is known.
-    Unknown,
-    /// This process is no voter, so nobody needs to be asked.
-    None,
-}
-
 impl Replica {
     /// Prepares a planned stop: transfers leadership, and waits for at most `limit` until the leader
     /// says that the group can do without this member.
@@ -43,6 +32,8 @@
 
     async fn depart(&self) {
         loop {
+            // Noted before leadership is passed on, so that another one that stops doesn't pass it back.
+            let _ = self.ask_own();
             // Again in each turn, as this member may have been elected once more.
             self.transfer_leadership().await;
             if self.may_stop().await {
@@ -52,9 +43,19 @@
         }
     }
 
+    /// Asks this process, which answers only if it leads.
+    fn ask_own(&self) -> DepartReply {
+        let shared = &self.shared;
+        let now = shared.clock.now();
+        let mut core = shared.core();
+        let reply = core.as_mut().map(|core| core.depart(now, shared.member));
+        reply.unwrap_or(DepartReply::NotLeader)
+    }
+
+    /// Asks the leader, then all others: this member may have been removed without being told.
     async fn may_stop(&self) -> bool {
         let shared = &self.shared;
-        let (judge, depart) = {
+        let (depart, leader, votes) = {
             let core = shared.core();
             let Some(core) = core.as_ref() else {
                 return true;
@@ -63,43 +64,45 @@
                 cluster: core.cluster,
                 member: shared.member,
             };
-            (judge(shared, core.node()), depart)
+            let members = core.node().members();
+            let leader = core.node().leader().and_then(|id| members.get(id));
+            let leader = leader.and_then(|leader| leader.address.parse().ok());
+            (depart, leader, members.is_voter(shared.member))
         };
-        let reply = match judge {
-            Judge::None => return true,
-            Judge::Unknown => return false,
-            Judge::Own => {
-                let now = shared.clock.now();
-                let mut core = shared.core();
-                core.as_mut().map(|core| core.depart(now, shared.member))
-            }
-            Judge::Leader(address) => match shared.client.call(address, &depart, TIMEOUT).await {
-                Ok(reply) => Some(reply),
+        let own = self.ask_own();
+        shared.work.notify_one();
+        match own {
+            DepartReply::Go => return true,
+            DepartReply::Wait => return false,
+            DepartReply::NotLeader => {}
+        }
+        if let Some(leader) = leader {
+            match ask(shared, leader, &depart).await {
                 // A leader of an earlier release doesn't know the call.
-                Err(CallError::Refused { .. }) => return true,
+                Ok(DepartReply::Go) | Err(CallError::Refused { .. }) => return true,
+                Ok(DepartReply::Wait) => return false,
+                Ok(DepartReply::NotLeader) => {}
                 Err(error) => {
-                    log::debug!(address:% = address, error:% = error; "failed to reach the leader");
-                    None
+                    log::debug!(address:% = leader, error:% = error; "failed to reach the leader");
                 }
-            },
-        };
-        shared.work.notify_one();
-        match reply {
-            Some(DepartReply::Go) => true,
-            Some(DepartReply::Wait | DepartReply::NotLeader) | None => false,
+            }
         }
+        let mut others = shared.others();
+        others.retain(|address| Some(*address) != leader);
+        let asked = others.iter().map(|address| ask(shared, *address, &depart));
+        let replies = future::join_all(asked).await;
+        // Most of them don't lead, and some may be gone.
+        let mut answers = replies.into_iter().flatten();
+        let answer = answers.find(|reply| *reply != DepartReply::NotLeader);
+        // One that is no voter needn't wait for an answer.
+        answer.map_or(!votes, |reply| reply == DepartReply::Go)
     }
 }
 
-fn judge(shared: &Shared, node: &clem_log::Node) -> Judge {
-    let members = node.members();
-    if !members.is_voter(shared.member) {
-        return Judge::None;
-    }
-    if node.is_leader() {
-        return Judge::Own;
-    }
-    let leader = node.leader().and_then(|id| members.get(id));
-    let address = leader.and_then(|leader| leader.address.parse().ok());
-    address.map_or(Judge::Unknown, Judge::Leader)
+async fn ask(
+    shared: &Shared,
+    address: SocketAddr,
+    depart: &Depart,
+) -> Result<DepartReply, CallError> {
+    shared.client.call(address, depart, TIMEOUT).await
 }
--- a/crates/log/src/node/change.rs
+++ b/crates/log/src/node/change.rs
@@ -166,7 +166,8 @@
                 continue;
             }
             let learners = members.iter().filter(|m| m.kind == MemberKind::Learner);
-            if !known && learners.count() >= self.vacancies(now) {
+            let staying = learners.filter(|m| !self.departs(now, m.id));
+            if !known && staying.count() >= self.vacancies(now) {
                 continue;
             }
             let mut same = members.iter().filter(|m| m.address == join.address);
--- a/crates/log/src/node/learner.rs
+++ b/crates/log/src/node/learner.rs
@@ -18,7 +18,7 @@
 /// See `docs/design/agreement.md`, "The node".
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Hold {
-    /// The learner has not replied within an election timeout.
+    /// The learner has not replied within an election timeout, or is about to stop.
     Silent,
     /// The learner lacks more entries than [`learner_lag`](crate::Settings::learner_lag).
     Behind,
@@ -133,7 +133,7 @@
         };
         let heard = |peer: &Progress| now < peer.heard + self.settings.election;
         // Being tracked since a moment ago is no reply.
-        let hold = if !heard(peer) || peer.acked.is_none() {
+        let hold = if !heard(peer) || peer.acked.is_none() || self.departs(now, learner.id) {
             Some(Hold::Silent)
         } else if peer.matched == LogIndex(0) || self.lag(peer) > self.settings.learner_lag {
             Some(Hold::Behind)
--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -339,6 +339,18 @@
     assert_eq!(learners[0].hold, clem_log::Hold::Recent);
 }
 
+/// A learner that was about to stop was promoted, and its vote was missing at once.
+#[test]
+fn a_learner_that_stops_is_not_promoted() {
+    let mut trio = with_spare_while_the_third_is_gone();
+    for _ in 0..20 {
+        let reply = trio.nodes[0].depart(trio.now, MemberId(4));
+        assert_eq!(reply, Ok(Departure::Go));
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
+
 /// A member that was retired and one that stopped passed leadership back and forth.
 #[test]
 fn leadership_is_not_passed_between_a_retired_member_and_one_that_stops() {
--- a/crates/log/tests/sim/turnover.rs
+++ b/crates/log/tests/sim/turnover.rs
@@ -159,6 +159,10 @@
             for member in node.members().iter() {
                 group += &format!(" {} {:?}", member.id.0, member.kind);
             }
+            let now = self.world.hosts[leader.unwrap_or(0)].clock(self.world.now);
+            for learner in node.learners(now) {
+                group += &format!(" ({} waits: {})", learner.id.0, learner.hold.as_str());
+            }
         }
         if group != self.group {
             self.note(&group);
@@ -257,33 +261,38 @@
         let Some(process) = &mut self.world.hosts[host].process else {
             return true;
         };
+        let id = process.node.id();
+        let _ = process.node.depart(now, id);
         let _ = process.node.transfer(now, None);
         self.world.pump(host);
         let Some(process) = &self.world.hosts[host].process else {
             return true;
         };
         let id = process.node.id();
-        if !process.node.members().is_voter(id) {
-            return true;
-        }
-        let Some(leader) = process.node.leader() else {
-            return false;
-        };
-        let Some(judge) = self.world.hosts.iter().position(|h| h.disk.id == leader) else {
-            return false;
-        };
-        let blocked = &self.world.blocked;
-        let cut = blocked.contains(&(host, judge)) || blocked.contains(&(judge, host));
-        if judge != host && (cut || !self.is_running(judge)) {
-            return false;
+        let votes = process.node.members().is_voter(id);
+        let leader = process.node.leader();
+        // All others are asked, the leader first: this member may have been removed without being told.
+        let mut judges: Vec<usize> = (0..self.machines.len()).collect();
+        judges.sort_by_key(|judge| Some(self.world.hosts[*judge].disk.id) != leader);
+        for judge in judges {
+            let blocked = &self.world.blocked;
+            let cut = blocked.contains(&(host, judge)) || blocked.contains(&(judge, host));
+            if judge != host && (cut || !self.is_running(judge)) {
+                continue;
+            }
+            let now = self.world.hosts[judge].clock(self.world.now);
+            let Some(process) = &mut self.world.hosts[judge].process else {
+                continue;
+            };
+            let answer = process.node.depart(now, id);
+            self.world.pump(judge);
+            match answer {
+                Ok(Departure::Go) => return true,
+                Ok(Departure::Wait) => return false,
+                Err(_) => {}
+            }
         }
-        let now = self.world.hosts[judge].clock(self.world.now);
-        let Some(process) = &mut self.world.hosts[judge].process else {
-            return false;
-        };
-        let answer = process.node.depart(now, id);
-        self.world.pump(judge);
-        answer == Ok(Departure::Go)
+        !votes
     }
 
     /// Tells all members who is to be retired, and removes machines that are no voters any more.
