--- a/crates/log/tests/departure.rs
+++ b/crates/log/tests/departure.rs
@@ -338,3 +338,70 @@
     let learners = trio.nodes[0].learners(trio.now);
     assert_eq!(learners[0].hold, clem_log::Hold::Recent);
 }
+
+/// A learner that was about to stop was promoted, and its vote was missing at once.
+#[test]
+fn a_learner_that_stops_is_not_promoted() {
+    let mut trio = with_spare_while_the_third_is_gone();
+    for _ in 0..20 {
+        let reply = trio.nodes[0].depart(trio.now, MemberId(4));
+        assert_eq!(reply, Ok(Departure::Go));
+        trio.pass(1);
+    }
+    assert_eq!(voters(&trio), [1, 2, 3]);
+}
+
+/// A member that was retired and one that stopped passed leadership back and forth.
+#[test]
+fn leadership_is_not_passed_between_a_retired_member_and_one_that_stops() {
+    let mut trio = elected();
+    trio.lose(2);
+    trio.pass(12);
+    let mut leaders = Vec::new();
+    for _ in 0..60 {
+        for node in &mut trio.nodes {
+            node.set_leaving(&["127.0.0.1:7001".to_owned()]);
+        }
+        let now = trio.now;
+        let _ = trio.nodes[1].depart(now, MemberId(2));
+        let _ = trio.nodes[1].transfer(now, None);
+        let _ = trio.nodes[0].depart(now, MemberId(2));
+        trio.pass(1);
+        let leader = trio.nodes.iter().find(|node| node.is_leader());
+        leaders.extend(leader.map(|node| node.id().0));
+    }
+    leaders.dedup();
+    assert!(leaders.len() <= 2, "{leaders:?}");
+}
+
+/// A stop was known only to the leader that was asked, so the next one passed leadership to it.
+#[test]
+fn a_member_that_is_elected_knows_who_has_said_that_it_stops() {
+    let mut trio = elected();
+    trio.pass(5);
+    let asked = trio.nodes[2].depart(trio.now, MemberId(2));
+    assert!(asked.is_err(), "it doesn't lead");
+    let passed = trio.nodes[0].transfer(trio.now, Some(THIRD));
+    assert!(passed.is_ok());
+    trio.deliver();
+    assert!(trio.nodes[2].is_leader());
+    trio.pass(2);
+    assert!(trio.nodes[2].transfer(trio.now, None).is_ok());
+    trio.deliver();
+    assert!(trio.nodes[0].is_leader());
+}
+
+/// A leader stopped before its transfer was finished: the group had none for an election timeout.
+#[test]
+fn a_leader_waits_until_its_transfer_is_finished() {
+    let mut trio = elected();
+    trio.pass(5);
+    trio.sync_entries = false;
+    let written = trio.nodes[0].propose(trio.now, b"x"[..].into());
+    assert!(written.is_ok());
+    trio.deliver();
+    let own = MemberId(1);
+    assert!(trio.nodes[0].transfer(trio.now, None).is_ok());
+    assert!(trio.nodes[0].is_leader());
+    assert_eq!(trio.nodes[0].depart(trio.now, own), Ok(Departure::Wait));
+}
