Store: a loss of power while the file grows no longer leaves a store that can't be opened

What callers would see: a hub or keeper ends at each start, again and again, until its disk is replaced; after a loss of power of all machines this can be several members at once.

Cause: redb grows its file, then writes a header with the new length, and syncs both together. If the header lasts and the length doesn't, `Database::create` panics (`assertion failed: storage.raw_file_len()? >= header.layout().len()`).

Now the store's file is always our own backend over redb's, which syncs a larger length before it returns. The file grows seldom (it doubles, by reading), so that costs a sync now and then; its cost was not measured.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,12 +16,12 @@
 //! ```
 
 mod error;
-mod journaled_file;
 mod mem;
 mod pair;
 mod redb_store;
 mod snapshot;
 mod store;
+mod store_file;
 
 pub use error::{Result, StoreError};
 pub use mem::MemStore;
--- a/crates/store/src/redb_store.rs
+++ b/crates/store/src/redb_store.rs
@@ -8,7 +8,7 @@
     TableDefinition, WriteTransaction, backends::InMemoryBackend,
 };
 
-use crate::{Pair, Result, Snapshot, Store, StoreError, journaled_file::JournaledFile};
+use crate::{Pair, Result, Snapshot, Store, StoreError, store_file::StoreFile};
 
 /// The pairs of the state machine.
 pub(crate) const PAIRS: TableDefinition<'_, &[u8], &[u8]> = TableDefinition::new("pairs");
@@ -70,13 +70,11 @@
     /// Commits that were not durable may be lost; [`applied`](Self::applied) tells after which log
     /// entry to continue.
     pub fn open(path: &Path, cache: usize) -> Result<Self> {
-        let mut builder = Builder::new();
-        builder.set_cache_size(cache);
-        let db = match clem_power::is_on() {
-            true => JournaledFile::open(path).and_then(|file| builder.create_with_backend(file)),
-            false => builder.create(path),
-        };
-        let db = db.map_err(|e| StoreError::new("open", e))?;
+        let file = StoreFile::open(path).map_err(|e| StoreError::new("open", e))?;
+        let db = Builder::new()
+            .set_cache_size(cache)
+            .create_with_backend(file)
+            .map_err(|e| StoreError::new("open", e))?;
         Self::begin(db)
     }
 
--- a/crates/store/src/journaled_file.rs
+++ b/crates/store/src/store_file.rs
@@ -1,4 +1,5 @@
-//! The file of a store that journals what isn't synced, for tests that cut the power.
+//! The file of a store, whose length is synced before it is relied on. For tests that cut the power it journals what isn't
+//! synced.
 
 use std::{
     fs::{File, OpenOptions},
@@ -9,14 +10,14 @@
 use clem_power::Journal;
 use redb::{DatabaseError, StorageBackend, StorageError, backends::FileBackend};
 
-/// A file with a journal.
+/// A file of a store.
 #[derive(Debug)]
-pub(crate) struct JournaledFile {
+pub(crate) struct StoreFile {
     file: FileBackend,
     journal: Journal,
 }
 
-impl JournaledFile {
+impl StoreFile {
     pub(crate) fn open(path: &Path) -> Result<Self, DatabaseError> {
         Self::open_both(path).map_err(|e| DatabaseError::Storage(StorageError::Io(e)))?
     }
@@ -34,7 +35,7 @@
     }
 }
 
-impl StorageBackend for JournaledFile {
+impl StorageBackend for StoreFile {
     fn len(&self) -> io::Result<u64> {
         self.file.len()
     }
@@ -44,7 +45,14 @@
     }
 
     fn set_len(&self, len: u64) -> io::Result<()> {
-        self.journal.resize(len, || self.file.set_len(len))
+        let grows = len > self.file.len()?;
+        self.journal.resize(len, || self.file.set_len(len))?;
+        // The database refuses a file that is shorter than its header says, which a loss of power would
+        // leave if the header lasted and the length didn't.
+        if grows {
+            self.sync_data()?;
+        }
+        Ok(())
     }
 
     fn sync_data(&self) -> io::Result<()> {
