--- a/crates/store/src/journaled_file.rs
+++ b/crates/store/src/store_file.rs
@@ -1,22 +1,27 @@
-//! The file of a store that journals what isn't synced, for tests that cut the power.
+//! The file of a store, whose length is synced before it is relied on. For tests that cut the power it journals what isn't
+//! synced.
 
 use std::{
     fs::{File, OpenOptions},
     io,
+    os::unix::fs::FileExt,
     path::Path,
 };
 
 use clem_power::Journal;
 use redb::{DatabaseError, StorageBackend, StorageError, backends::FileBackend};
 
-/// A file with a journal.
+/// Length of the mark at the start of a database, in bytes.
+const START_BYTES: usize = 9;
+
+/// A file of a store.
 #[derive(Debug)]
-pub(crate) struct JournaledFile {
+pub(crate) struct StoreFile {
     file: FileBackend,
     journal: Journal,
 }
 
-impl JournaledFile {
+impl StoreFile {
     pub(crate) fn open(path: &Path) -> Result<Self, DatabaseError> {
         Self::open_both(path).map_err(|e| DatabaseError::Storage(StorageError::Io(e)))?
     }
@@ -30,11 +35,25 @@
             .write(true)
             .open(path)?;
         let journal = Journal::open(path, &file, created)?;
+        if file.metadata()?.len() > 0 && !is_begun(&file)? {
+            journal.resize(0, || file.set_len(0))?;
+        }
         Ok(FileBackend::new(file).map(|file| Self { file, journal }))
     }
 }
 
-impl StorageBackend for JournaledFile {
+/// Returns whether the database was ever created whole: it writes its first bytes last, and refuses a file
+/// without them.
+fn is_begun(file: &File) -> io::Result<bool> {
+    let mut start = [0; START_BYTES];
+    match file.read_exact_at(&mut start, 0) {
+        Ok(()) => Ok(start != [0; START_BYTES]),
+        Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
+impl StorageBackend for StoreFile {
     fn len(&self) -> io::Result<u64> {
         self.file.len()
     }
@@ -44,7 +63,14 @@
     }
 
     fn set_len(&self, len: u64) -> io::Result<()> {
-        self.journal.resize(len, || self.file.set_len(len))
+        let grows = len > self.file.len()?;
+        self.journal.resize(len, || self.file.set_len(len))?;
+        // The database refuses a file that is shorter than its header says, which a loss of power would
+        // leave if the header lasted and the length didn't.
+        if grows {
+            self.sync_data()?;
+        }
+        Ok(())
     }
 
     fn sync_data(&self) -> io::Result<()> {
