Client: a process that says nothing is left after one wait, not two

What callers saw: a frozen or cut-off leader cost a call twice the time, 1.4 s in place of 0.7 s, and reads of results their whole 2.5 s without a second try.

Cause: the lane for entries counts what the connection takes as progress. A short body is taken at once, which was noticed only at the end of the first wait and began another one.

The wait now ends at the time of the last piece and the allowance, so that a short body has one. The new test is red on the code before (1.4 s). Found by the review.

A pause of a leader counts from the last reply that was handled, and only the latest pause counts: a member that replies and is lost while its leader stands still was noticed later by as much as the pause, and a process that always runs late would never have noticed it (review, by reading; the new test of pauses.rs checks the first).

--- a/crates/log/src/node/leader.rs
+++ b/crates/log/src/node/leader.rs
@@ -145,9 +145,9 @@
         self.send_heartbeats(now, false);
     }
 
-    /// Notes that this leader stands still, if its timers have not run for long: it can't have heard from
-    /// anybody. Unless another leader was elected, it asks the others before it steps down, as an election
-    /// would take longer.
+    /// Notes that this leader has stood still, if its timers have not run for long: it can't have heard from
+    /// anybody. It asks the others before it steps down, as an election would take longer; if another leader
+    /// was elected, the answers say so.
     fn note_pause(&mut self, now: Time) {
         let heard = self.quorum_heard(now);
         let pause = self.settings.heartbeat * PAUSE_HEARTBEATS;
@@ -158,8 +158,10 @@
         if gap < pause {
             return;
         }
+        let paused = gap.saturating_sub(self.settings.heartbeat);
         for peer in lead.peers.values_mut() {
-            peer.paused += gap;
+            // A reply may have been handled since, and a process that is always late still notices silence.
+            peer.paused = paused.min(now.since(peer.heard));
         }
         // Only once without a reply in between, or a slow process would never step down.
         if lead.resumed.is_none_or(|resumed| resumed < heard) {
--- a/crates/log/src/progress.rs
+++ b/crates/log/src/progress.rs
@@ -31,7 +31,7 @@
     pub(crate) heard: Time,
     /// How long the member had been silent for former leaders; zero once it has replied.
     pub(crate) carried: Duration,
-    /// How long this leader itself has stood still since the last reply.
+    /// How long this leader itself stood still last, if the member hasn't replied since.
     pub(crate) paused: Duration,
     /// The time of the last message sent, if any in the current mode.
     pub(crate) sent: Option<Time>,
--- a/crates/log/tests/pauses.rs
+++ b/crates/log/tests/pauses.rs
@@ -70,3 +70,24 @@
     assert!(trio.nodes[0].is_leader());
     assert_eq!(trio.nodes[0].status(trio.now).vacancy.map(|v| v.hold), None);
 }
+
+#[test]
+fn a_member_that_replied_last_before_a_pause_ended_is_lost_as_soon_as_others() {
+    let settings = Settings {
+        voters: 3,
+        ..Settings::default()
+    };
+    let mut trio = Trio::with(settings);
+    trio.deliver();
+    trio.heartbeat();
+    pause(&mut trio);
+    // A reply is handled before the timers run.
+    trio.nodes[0].read(trio.now, clem_log::ReadId(1)).unwrap();
+    trio.deliver();
+    trio.nodes[0].tick(trio.now);
+    trio.lose(2);
+    let lost_after = settings.lost_after.as_millis() / 100;
+    trio.pass(usize::try_from(lost_after).unwrap() + 1);
+    let vacancy = trio.nodes[0].status(trio.now).vacancy.unwrap();
+    assert_eq!(vacancy.hold, clem_log::Hold::Alone);
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,6 +1,10 @@
 //! HTTP client for calls to a given address.
 
-use std::{net::SocketAddr, pin::pin, time::Duration};
+use std::{
+    net::SocketAddr,
+    pin::pin,
+    time::{Duration, Instant},
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
@@ -14,7 +18,7 @@
     upload::Upload,
 };
 
-/// The slowest link on which the last piece of a long call is not given up, in bytes per second.
+/// The slowest link on which a long call is not given up after its last piece was taken, in bytes per second.
 const UPLOAD_RATE_MIN: f64 = 1_000_000.0;
 
 type Result<T> = std::result::Result<T, CallError>;
@@ -120,15 +124,16 @@
         let progress = request.body().progress();
         let exchange = async {
             let mut sending = pin!(send(&pool, request));
-            let mut taken = 0;
+            let mut until = Instant::now() + wait;
             let response = loop {
-                if let Ok(opened) = tokio::time::timeout(wait, &mut sending).await {
+                if let Ok(opened) = tokio::time::timeout_at(until.into(), &mut sending).await {
                     break opened?;
                 }
-                if progress.bytes() == taken {
+                let next = progress.last().map_or(until, |last| last + wait);
+                if next <= until {
                     return Err(self.no_reply(address, &pool, &connection));
                 }
-                taken = progress.bytes();
+                until = next;
             };
             match read_unless_stalled(response.into_body(), stall).await? {
                 Some(reply) => Ok(reply),
--- a/crates/wire/src/upload.rs
+++ b/crates/wire/src/upload.rs
@@ -1,13 +1,11 @@
-//! The body of a request, which tells how much of it has been taken.
+//! The body of a request, which tells when a piece of it was taken.
 
 use std::{
     convert::Infallible,
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll},
+    time::Instant,
 };
 
 use bytes::Bytes;
@@ -23,14 +21,18 @@
     taken: Progress,
 }
 
-/// How much of a body the connection has taken.
+/// When the connection took a piece of a body last.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Progress(Arc<AtomicUsize>);
+pub(crate) struct Progress(Arc<Mutex<Option<Instant>>>);
 
 impl Progress {
-    /// The bytes that were taken.
-    pub(crate) fn bytes(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+    /// When the last piece was taken; `None` before the first one.
+    pub(crate) fn last(&self) -> Option<Instant> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note(&self) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
     }
 }
 
@@ -60,7 +62,7 @@
         }
         let count = self.rest.len().min(PIECE_BYTES);
         let piece = self.rest.split_to(count);
-        self.taken.0.fetch_add(count, Ordering::Relaxed);
+        self.taken.note();
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
--- a/crates/wire/tests/slow_link.rs
+++ b/crates/wire/tests/slow_link.rs
@@ -128,3 +128,22 @@
     let got = group.call(&GetRules {}, TIMEOUT).await;
     assert_eq!(got.expect("a reply"), rules(10));
 }
+
+#[tokio::test]
+async fn a_member_that_takes_a_call_and_says_nothing_is_left_after_one_wait() {
+    const STALL: Duration = Duration::from_millis(700);
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = socket.local_addr().expect("a bound port");
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((stream, _)) = socket.accept().await {
+            open.push(stream);
+        }
+    });
+    let client = Client::new(FleetSecret::new("a-secret-for-these-tests").expect("long enough"));
+    let begun = std::time::Instant::now();
+    let call = GetRules {};
+    let reply = client.call_unless_stalled(address, &call, STALL, TIMEOUT);
+    assert!(reply.await.is_err());
+    assert!(begun.elapsed() < STALL * 3 / 2, "{:?}", begun.elapsed());
+}
