--- a/crates/boot/src/admin.rs
+++ b/crates/boot/src/admin.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -43,15 +43,20 @@
 }
 
 impl Metrics {
-    /// Installs the recorder of the [`metrics`] macros for this process.
+    /// Installs the recorder of the [`metrics`] macros for this process; later calls return the same one.
     ///
     /// # Errors
-    /// A recorder is already installed.
+    /// Another recorder is already installed.
     pub fn start() -> Result<Self> {
+        static STARTED: Mutex<Option<Metrics>> = Mutex::new(None);
+        let mut started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(metrics) = started.as_ref() {
+            return Ok(metrics.clone());
+        }
         let handle = PrometheusBuilder::new()
             .install_recorder()
             .wrap_err("failed to install the metrics recorder")?;
-        Ok(Self { handle })
+        Ok(started.insert(Self { handle }).clone())
     }
 
     /// All metrics in the Prometheus text format.
