--- a/crates/wire/tests/asked.rs
+++ b/crates/wire/tests/asked.rs
@@ -21,7 +21,7 @@
 
 /// Timeout of a call that reaches no leader; longer than a silent process is waited for.
 const TIMEOUT: Duration = Duration::from_millis(1500);
-/// Where lines of incidents are cut off.
+/// Where a collector of logs may cut lines off, in bytes.
 const LINE_BYTES: usize = 200;
 
 fn address(ip: [u8; 4]) -> SocketAddr {
