Hub: evacuations of data centres, ordered by operators

Cause: orders to send nothing more to the targets of a data centre were answered 404, and no process had a state for them. The leader leaves the targets out of the dispatcher; fronts and batch keepers leave them out of their own choice and keep the last known orders without a leader. The order travels in the log as a document of version 0, which members of an earlier release skip.

--- a/crates/control/tests/broken_tasks.rs
+++ b/crates/control/tests/broken_tasks.rs
@@ -239,7 +239,10 @@
         version: Version(1),
         document: "rules".into(),
     };
-    leader.replica.propose(Command::Document(document)).await;
+    leader
+        .replica
+        .propose(Command::Document(document.into()))
+        .await;
     for _ in 0..COMPACTED / BURST {
         let burst = (0..BURST).map(|_| leader.replica.propose(Command::Nothing));
         future::join_all(burst).await;
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -45,6 +45,8 @@
     pub blocked: Vec<BlockedParts>,
     /// When the last list from the hub was installed.
     listed: Time,
+    /// The evacuated data centres, as the leader last published them.
+    evacuated: BTreeSet<String>,
     /// The limited targets, as the leader has published them.
     pub limits: BTreeMap<String, Rate>,
     /// When the hub's leader last responded; `None` if never.
@@ -117,6 +119,11 @@
         self.listed = now;
         let limits = list.limits.into_iter();
         self.limits = limits.map(|l| (l.target, l.rate)).collect();
+        if self.evacuated != list.evacuated {
+            let names: Vec<&str> = list.evacuated.iter().map(String::as_str).collect();
+            log::info!(evacuated = names.join(",").as_str(); "evacuated data centres changed");
+            self.evacuated = list.evacuated;
+        }
         readable
     }
 
@@ -223,9 +230,11 @@
         !self.founders.is_empty() && !self.batch.is_empty()
     }
 
-    /// The targets of a service that accept new work.
+    /// The targets of a service that accept new work and are in no evacuated data centre.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetVm> + 'a {
         let targets = self.targets.values();
-        targets.filter(move |t| t.service == service && t.state == TargetState::Ready)
+        targets
+            .filter(move |t| t.service == service && t.state == TargetState::Ready)
+            .filter(|t| !self.evacuated.contains(&t.data_centre))
     }
 }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -99,6 +99,9 @@
     /// The response to a call that starts to retire a vm.
     fn retire_started(&self, outcome: RetireStart) -> Response<Bytes>;
 
+    /// The response to an order about a data centre that doesn't exist.
+    fn data_centre_unknown(&self, name: &str) -> Response<Bytes>;
+
     /// The path of a page of the platform's target list; `None` for the first page.
     fn list_path(&self, page: Option<&str>) -> String;
 
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -88,6 +88,16 @@
         /// The vm's name.
         vm: String,
     },
+    /// Send no more requests to the targets of a data centre.
+    StartEvacuation {
+        /// The data centre's name.
+        data_centre: String,
+    },
+    /// Send requests to the targets of a data centre again.
+    EndEvacuation {
+        /// The data centre's name.
+        data_centre: String,
+    },
     /// Read the progress of retiring a vm.
     GetRetire {
         /// The vm's name.
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -1,7 +1,7 @@
 //! Shared state of the request handlers.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
 };
@@ -13,7 +13,7 @@
 };
 use clem_edge::Dialect;
 use clem_policy::dispatch::{GrantOutcome, Ticket, Verdict};
-use clem_state::{batch_group, document};
+use clem_state::{batch_group, document, evacuations};
 use clem_types::{Time, Version};
 use clem_wire::LeaderClient;
 use tokio::sync::oneshot;
@@ -42,6 +42,8 @@
     pub tolerance: usize,
     /// Burst granted to each customer after a change of leader, in requests.
     pub restart_allowance: f64,
+    /// The data centres that the settings name; empty if they name none.
+    data_centres: BTreeSet<String>,
     leader: Mutex<Option<LeaderState>>,
     waiters: Mutex<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     /// The polls of followers that wait for an update.
@@ -60,6 +62,7 @@
     pub(crate) list: SocketAddr,
     pub(crate) tolerance: usize,
     pub(crate) restart_allowance: f64,
+    pub(crate) data_centres: BTreeSet<String>,
 }
 
 impl Hub {
@@ -73,6 +76,7 @@
             list: parts.list,
             tolerance: parts.tolerance,
             restart_allowance: parts.restart_allowance,
+            data_centres: parts.data_centres,
             leader: Mutex::new(None),
             waiters: Mutex::default(),
             polls: Polls::default(),
@@ -104,6 +108,7 @@
                 allowance: self.restart_allowance,
             };
             let mut fresh = LeaderState::new(start);
+            fresh.set_evacuations(now, &self.replica.read(evacuations::read));
             self.install_rules(&mut fresh, now, &rules);
             log::info!(epoch = epoch.0, rules = rules.version.0; "became leader");
             *leader = Some(fresh);
@@ -119,6 +124,11 @@
         Ok(result)
     }
 
+    /// Whether a data centre exists, as far as the settings say.
+    pub(crate) fn knows_data_centre(&self, name: &str) -> bool {
+        self.data_centres.is_empty() || self.data_centres.contains(name)
+    }
+
     /// Installs newer rules in the leader's in-memory state.
     pub(crate) fn install_rules(
         &self,
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -14,7 +14,7 @@
     CrashReport, Dispatcher, FrontNews, LeavingTargets, LimitReport, Origin, PartNews, RateLimit,
     SHARE_LIFE, TargetLimit, TargetSlots, UnknownShares, least_share,
 };
-use clem_state::batch_group::BatchGroup;
+use clem_state::{batch_group::BatchGroup, evacuations::Evacuations};
 use clem_types::{Epoch, PartId, Time, Version};
 use clem_wire::fleet::{
     FleetList, FleetListVersion, Follow, FollowReply, POLL_RULES_BYTES, ProcessRole, RetireReply,
@@ -80,6 +80,8 @@
     /// The list as the processes get it: targets that said that they are leaving are draining.
     targets: TargetList,
     leaving: LeavingTargets,
+    /// The evacuated data centres, whose targets get no requests.
+    evacuated: BTreeSet<String>,
     /// The services that had targets.
     services: BTreeSet<String>,
     processes: BTreeMap<String, Process>,
@@ -134,6 +136,7 @@
             listed: None,
             targets: TargetList::default(),
             leaving: LeavingTargets::default(),
+            evacuated: BTreeSet::new(),
             services: BTreeSet::new(),
             processes: BTreeMap::new(),
             members: Vec::new(),
@@ -186,6 +189,18 @@
         self.change += 1;
     }
 
+    /// Installs which data centres are evacuated, and returns whether that has changed.
+    pub fn set_evacuations(&mut self, now: Time, evacuations: &Evacuations) -> bool {
+        metrics::gauge!("clem_hub_evacuated").set(evacuations.data_centres.len() as f64);
+        if self.evacuated == evacuations.data_centres {
+            return false;
+        }
+        self.evacuated.clone_from(&evacuations.data_centres);
+        self.change += 1;
+        self.apply_targets(now);
+        true
+    }
+
     /// Installs the platform's target list and returns whether it changed.
     pub fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) -> bool {
         let versions = targets.iter().map(|t| (t.service.as_str(), &t.version));
@@ -257,6 +272,7 @@
         let staying: BTreeSet<String> = targets
             .iter()
             .filter(|t| t.state == TargetState::Ready && !self.leaving.contains(&t.id))
+            .filter(|t| !self.evacuated.contains(&t.data_centre))
             .map(|t| t.service.clone())
             .collect();
         for target in &mut targets {
@@ -271,7 +287,7 @@
         }
         for target in &targets {
             let list = by_service.entry(&target.service).or_default();
-            if target.state != TargetState::Ready {
+            if target.state != TargetState::Ready || self.evacuated.contains(&target.data_centre) {
                 continue;
             }
             list.push(TargetSlots {
@@ -538,6 +554,7 @@
             crashes: self.suspect_crashes(now),
             sound: self.dispatcher.sound_parts(now),
             limits: self.dispatcher.limits(),
+            evacuated: self.evacuated.clone(),
         });
         let recalls = self.dispatcher.take_recalls(&follow.holder);
         if newest <= known && fleet.is_none() && recalls.is_empty() {
--- a/crates/hub/src/operator.rs
+++ b/crates/hub/src/operator.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use clem_edge::{Cause, OperatorCall, Refusal, RetireStart};
-use clem_wire::fleet::{GetRules, MAX_RULES_BYTES, PutRules, Retire, RetireReply, RulesDocument};
+use clem_wire::fleet::{
+    Evacuate, EvacuateReply, GetRules, MAX_RULES_BYTES, PutRules, Retire, RetireReply,
+    RulesDocument,
+};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -15,6 +18,8 @@
 
 /// Timeout for the leader; operators try another member after one second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Maximum length of an unknown name in logs and responses, in characters.
+const NAME_SHOWN: usize = 64;
 /// Timeout for a request head; also the idle timeout of a connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -72,6 +77,8 @@
                 Err(_) => hub.dialect.refusal(&Refusal::new(Cause::NotReady)),
             }
         }
+        OperatorCall::StartEvacuation { data_centre } => evacuate(hub, data_centre, true).await,
+        OperatorCall::EndEvacuation { data_centre } => evacuate(hub, data_centre, false).await,
         OperatorCall::GetRetire { vm } => {
             let call = Retire { vm, begin: false };
             match hub.peers.call(&call, LEADER_TIMEOUT).await {
@@ -86,6 +93,31 @@
     }
 }
 
+async fn evacuate(hub: &Hub, data_centre: String, begin: bool) -> Response<Bytes> {
+    if !hub.knows_data_centre(&data_centre) {
+        log::warn!(data_centre = shorten(&data_centre), begin; "evacuation of an unknown data centre");
+        return hub.dialect.data_centre_unknown(shorten(&data_centre));
+    }
+    let call = Evacuate { data_centre, begin };
+    match hub.peers.call(&call, LEADER_TIMEOUT).await {
+        Ok(EvacuateReply::Stored) => hub.dialect.operator_done(),
+        Ok(EvacuateReply::TooMany) => hub.dialect.refusal(&Refusal::new(Cause::Busy)),
+        Err(error) => {
+            log::warn!(
+                data_centre = call.data_centre.as_str(), begin, error:% = error;
+                "evacuation not stored, or outcome unknown"
+            );
+            hub.dialect.refusal(&Refusal::new(Cause::NotReady))
+        }
+    }
+}
+
+/// The beginning of a name that an operator gave, for logs and responses.
+fn shorten(name: &str) -> &str {
+    let end = name.char_indices().nth(NAME_SHOWN);
+    end.map_or(name, |(end, _)| &name[..end])
+}
+
 async fn get_rules(hub: &Hub) -> Response<Bytes> {
     let not_ready = || hub.dialect.refusal(&Refusal::new(Cause::NotReady));
     let rules = match hub.peers.call(&GetRules {}, LEADER_TIMEOUT).await {
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -1,6 +1,6 @@
 //! Runs the hub program from startup to shutdown.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use clem_boot::{Clock, Metrics, acceptor, listen, metrics_route, spawn_vital, stop_signal};
 use clem_control::replica::{Replica, ReplicaSettings};
@@ -45,6 +45,8 @@
     pub reserve_bytes: u64,
     /// Burst granted to each customer after a change of leader, in requests.
     pub restart_allowance: f64,
+    /// The data centres that operators may evacuate; empty for any.
+    pub data_centres: BTreeSet<String>,
     /// Address of the platform's target list.
     pub list: SocketAddr,
     /// The secret that processes of the fleet use to authenticate to each other.
@@ -105,6 +107,7 @@
         list: settings.list,
         tolerance: settings.tolerance,
         restart_allowance: settings.restart_allowance,
+        data_centres: settings.data_centres,
     }));
     let guarded = Router::new()
         .hoop(Guard::new(settings.secret))
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -4,11 +4,16 @@
 
 use clem_control::endpoint::{Replicated, Result, Serve, ServeError, route};
 use clem_policy::dispatch::{Ticket, Verdict};
-use clem_state::{Command, Outcome, batch_group::BatchGroupChange, document};
+use clem_state::{
+    Command, Outcome,
+    batch_group::BatchGroupChange,
+    document,
+    evacuations::{self, EVACUATED_MAX, EvacuationChange},
+};
 use clem_types::Version;
 use clem_wire::fleet::{
-    FOLLOW_MAX_HOLD, FetchRules, Follow, FollowReply, GetRules, Ping, PutRules, Release,
-    RequestSlot, Retire, RetireReply, RulesDocument, SLOT_MAX_HOLD,
+    Evacuate, EvacuateReply, FOLLOW_MAX_HOLD, FetchRules, Follow, FollowReply, GetRules, Ping,
+    PutRules, Release, RequestSlot, Retire, RetireReply, RulesDocument, SLOT_MAX_HOLD,
 };
 use salvo::Router;
 
@@ -25,6 +30,7 @@
         route::<FetchRules, _>(hub),
         route::<GetRules, _>(hub),
         route::<Retire, _>(hub),
+        route::<Evacuate, _>(hub),
     ]
 }
 
@@ -159,7 +165,7 @@
             log::info!(version = version.0, kept = stored.0; "rules already stored");
             return Ok(stored);
         }
-        let outcome = hub.propose(Command::Document(self.rules)).await?;
+        let outcome = hub.propose(Command::Document(self.rules.into())).await?;
         let Outcome::Document(kept) = outcome else {
             return Err(ServeError::Unknown);
         };
@@ -205,3 +211,32 @@
         Ok(reply)
     }
 }
+
+impl Serve<Hub> for Evacuate {
+    const DETACHED: bool = true;
+
+    async fn serve(self, hub: Arc<Hub>) -> Result<EvacuateReply> {
+        // A resent order must find the first one stored, and be in force when it is acknowledged again.
+        let _turn = hub.put_turn.lock().await;
+        hub.barrier().await?;
+        let data_centre = self.data_centre.clone();
+        let change = if self.begin {
+            EvacuationChange::Start(self.data_centre)
+        } else {
+            EvacuationChange::End(self.data_centre)
+        };
+        let kept = hub.replica.read(evacuations::read);
+        if !kept.includes(&change) {
+            if self.begin && kept.data_centres.len() >= EVACUATED_MAX {
+                log::warn!(data_centre, evacuated = kept.data_centres.len(); "evacuation refused");
+                return Ok(EvacuateReply::TooMany);
+            }
+            hub.propose(Command::Document(change.into())).await?;
+        }
+        let stored = hub.replica.read(evacuations::read);
+        let evacuated = stored.data_centres.len();
+        let changed = hub.with_leader(|leader, now| leader.set_evacuations(now, &stored))?;
+        log::info!(data_centre, begin = self.begin, changed, evacuated; "evacuation stored");
+        Ok(EvacuateReply::Stored)
+    }
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -7,7 +7,6 @@
         BatchBeginReply, BatchCancel, BatchChunk, BatchChunkReply, BatchSeal, BatchSealReply,
         FinishItems, FinishItemsReply, LeaseItemsReply,
     },
-    fleet::RulesDocument,
     online::{OnceBegin, OnceBeginReply, OnceFinish, ReportCrash, ReportCrashReply},
 };
 use serde::{Deserialize, Serialize};
@@ -15,6 +14,7 @@
 use crate::{
     batch::{Begin, CancelOutcome, Lease},
     batch_group::BatchGroupChange,
+    document::DocumentChange,
     jobs::{JobCommand, JobOutcome},
     orders::{EndOrders, GiveOrder},
     rules::{ApplyOutcome, ApplyRules},
@@ -87,8 +87,9 @@
         /// The leader's clock.
         now: UnixMillis,
     },
-    /// Stores the rules document of the direct path, if its version is newer.
-    Document(RulesDocument),
+    /// Stores the rules document of the direct path, if its version is newer, or changes which data
+    /// centres are evacuated.
+    Document(DocumentChange),
     /// Changes the record of the group that stores the direct path's batches.
     #[serde(rename = "Depot")]
     BatchGroup(BatchGroupChange),
@@ -140,8 +141,8 @@
             | Self::OnceBegin { .. }
             | Self::BatchBegin(_)
             | Self::BatchChunk { .. }
-            | Self::BatchSeal { .. }
-            | Self::Document(_) => true,
+            | Self::BatchSeal { .. } => true,
+            Self::Document(change) => change.evacuation.is_none(),
             Self::Job(command) => command.is_new(),
             Self::EndOrders(_)
             | Self::OnceFinish(_)
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -4,18 +4,56 @@
 use clem_store::Store;
 use clem_types::Version;
 use clem_wire::fleet::RulesDocument;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     Result,
+    evacuations::{self, EvacuationChange},
     table::{self, Key},
 };
 
+/// A change of what the hub keeps for operators: the rules document or the evacuations.
+///
+/// Evacuations have no command of their own, because a member of an earlier release exits on a command
+/// that it doesn't know. To it, this is a document of version 0, which it skips.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentChange {
+    version: Version,
+    document: Bytes,
+    /// The change of the evacuations, of which the document is empty.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuation: Option<EvacuationChange>,
+}
+
+impl From<RulesDocument> for DocumentChange {
+    fn from(rules: RulesDocument) -> Self {
+        Self {
+            version: rules.version,
+            document: rules.document,
+            evacuation: None,
+        }
+    }
+}
+
+impl From<EvacuationChange> for DocumentChange {
+    fn from(change: EvacuationChange) -> Self {
+        Self {
+            evacuation: Some(change),
+            ..Self::default()
+        }
+    }
+}
+
 /// Stores the document if its version is higher than the stored one, and returns the version that
 /// is stored afterwards.
 ///
 /// A lower or equal version is ignored, so that a delayed old call can't undo a newer one.
-pub(crate) fn put(store: &mut dyn Store, rules: &RulesDocument) -> Result<Version> {
+pub(crate) fn put(store: &mut dyn Store, rules: &DocumentChange) -> Result<Version> {
     let kept = version(store)?;
+    if let Some(change) = &rules.evacuation {
+        evacuations::change(store, change)?;
+        return Ok(kept);
+    }
     if rules.version <= kept {
         return Ok(kept);
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod batch;
 pub mod batch_group;
 pub mod document;
+pub mod evacuations;
 pub mod jobs;
 pub mod orders;
 pub mod poison;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Calls from the processes of the direct path to the hub's leader: rules, targets and slots.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use clem_edge::TargetVm;
@@ -189,6 +189,9 @@
     /// The limited targets.
     #[serde(default)]
     pub limits: Vec<TargetLimit>,
+    /// The evacuated data centres, whose targets must get no requests.
+    #[serde(default)]
+    pub evacuated: BTreeSet<String>,
 }
 
 /// Requests a slot on a target.
@@ -273,6 +276,29 @@
     type Reply = RulesDocument;
 }
 
+/// Evacuates a data centre, or ends its evacuation; repeating the call changes nothing.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Evacuate {
+    /// The name of the data centre.
+    pub data_centre: String,
+    /// Whether the evacuation begins; otherwise it ends.
+    pub begin: bool,
+}
+
+impl Call for Evacuate {
+    const PATH: &'static str = "/internal/fleet/evacuate";
+    type Reply = EvacuateReply;
+}
+
+/// The result of an [`Evacuate`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvacuateReply {
+    /// The order is stored and in force at the leader.
+    Stored,
+    /// Nothing has changed: too many data centres are evacuated.
+    TooMany,
+}
+
 /// Decommissions a vm that stores batches, or asks for the progress.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Retire {
