Cold targets: paced by the leader, left alone by processes without one

Cause: cold_left_ms of the platform's list was checked and dropped, and a cold target got as many requests as it has slots; well above cold_per_s it crashes. Change: ColdTargets says which targets are cold, by the list and, where the list lags, by what may have restarted them. The leader paces them by one budget each; processes without a leader use cold targets only if a service has no other.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -86,10 +86,14 @@
             return false;
         }
     };
+    let cold = read.services.values();
+    let cold = cold.filter_map(|service| Some((service.name.clone(), service.cold_rate?)));
+    let cold = cold.collect();
     let previous = node.view().version().0;
     if !node.view().install_rules(received, read) {
         return false;
     }
+    node.cold().set_rates(cold);
     log::info!(
         version, previous, bytes = rules.document.len(), text_bytes = text.len(),
         reply_ms = received.since(sent).as_millis() as u64,
@@ -156,7 +160,12 @@
             .note_reports(now, list.seen.epoch, &list.crashes, &list.sound);
         let mut view = node.view();
         node.limits().note_published(&view.limits, &list.limits);
+        let cold = list.cold.clone();
         readable = view.set_list(now, list);
+        let targets = view.targets.values();
+        node.cold()
+            .note_targets(targets.map(|t| (t.id.as_str(), t.service.as_str())));
+        node.cold().note_published(now, &cold);
         node.limits()
             .retain(now, |id| view.targets.contains_key(id));
         log::info!(
--- a/crates/direct/src/list.rs
+++ b/crates/direct/src/list.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use clem_edge::{Dialect, ListPage, SkippedEntry, TargetVm};
+use clem_policy::dispatch::ListedTarget;
 use clem_types::Time;
 use http::{Request, header};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -49,6 +50,8 @@
     address: SocketAddr,
     /// The list that was last read, by id.
     known: BTreeMap<String, TargetVm>,
+    /// The cold targets of that list, with how much longer.
+    cold: BTreeMap<String, Duration>,
     logged: BTreeSet<SkippedEntry>,
 }
 
@@ -59,6 +62,7 @@
             dialect,
             address,
             known: BTreeMap::new(),
+            cold: BTreeMap::new(),
             logged: BTreeSet::new(),
         }
     }
@@ -71,6 +75,7 @@
     /// because they are not the complete list.
     pub async fn read(&mut self, services: &BTreeSet<String>) -> Result<Vec<TargetVm>> {
         let mut targets = BTreeMap::new();
+        let mut cold = BTreeMap::new();
         let mut tokens = BTreeSet::new();
         let mut token: Option<String> = None;
         let (mut bytes, mut unreadable) = (0, 0);
@@ -88,12 +93,14 @@
             for skipped in page.skipped {
                 self.note_skipped(skipped);
             }
+            cold.extend(page.cold);
             for target in page.targets {
                 self.add(&mut targets, target, services);
             }
             let Some(next) = page.next else {
                 metrics::gauge!("clem_list_entries_skipped").set(unreadable as f64);
                 self.known = targets;
+                self.cold = cold;
                 return Ok(self.known.values().cloned().collect());
             };
             if !tokens.insert(next.clone()) {
@@ -104,6 +111,15 @@
         Err("the list has too many pages".to_owned())
     }
 
+    /// How cold the targets of the last list are that was read.
+    pub fn listed<'a>(&'a self) -> impl Iterator<Item = ListedTarget<'a>> + 'a {
+        self.known.values().map(|target| ListedTarget {
+            target: &target.id,
+            service: &target.service,
+            cold_left: self.cold.get(&target.id).copied().unwrap_or_default(),
+        })
+    }
+
     async fn parse(&self, body: Bytes) -> Result<ListPage> {
         let page = if body.len() <= INLINE_BYTES {
             self.dialect.read_list(&body)
@@ -245,14 +261,19 @@
             continue;
         }
         let services = node.view().services();
-        let read = node.readings().lock().await.reader.read(&services).await;
+        let mut readings = node.readings().lock().await;
+        let read = readings.reader.read(&services).await;
         match read {
             Ok(targets) => {
                 log::info!(targets = targets.len(); "target list read without the hub");
-                let mut view = node.view();
-                view.note_read(now, &targets);
-                view.set_targets(node.now(), targets);
-                drop(view);
+                let read = node.now();
+                let listed = readings.reader.listed();
+                node.cold().note_listing(read, now, listed);
+                {
+                    let mut view = node.view();
+                    view.note_read(now, &targets);
+                    view.set_targets(read, targets);
+                }
                 node.note_change();
             }
             Err(error) => log::warn!(error; "target list not read"),
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -10,8 +10,8 @@
 use clem_boot::Clock;
 use clem_edge::{Dialect, NamedLimit, TargetVm};
 use clem_policy::dispatch::{
-    Fallback, GrantOutcome, HeldGrant, LeavingTargets, LimitReport, Origin, StreamKey, Ticket,
-    retry_after,
+    Budget, ColdTargets, Fallback, GrantOutcome, HeldGrant, LeavingTargets, LimitReport, Origin,
+    StreamKey, Ticket, retry_after,
 };
 use clem_types::{Time, Version};
 use clem_wire::{
@@ -44,6 +44,11 @@
     pub hub: Vec<SocketAddr>,
     /// Address of the platform's target list.
     pub list: SocketAddr,
+    /// How far the platform's target list lags behind.
+    pub list_lag: Duration,
+    /// Part of the rate of a cold target that all processes without a leader may use together, if the
+    /// service has no warm target.
+    pub cold_share: f64,
     /// How long a target may get requests after it has said that it is leaving.
     pub drain: Duration,
     /// The secret that processes of the fleet use to authenticate to each other.
@@ -91,6 +96,10 @@
     held: Mutex<HashMap<Ticket, HeldSlot>>,
     crashes: Mutex<CrashLog>,
     limits: Mutex<Limits>,
+    cold: Mutex<ColdTargets>,
+    /// This process's parts of cold targets' rates while no leader answers.
+    cold_budgets: Mutex<HashMap<String, Budget>>,
+    cold_share: f64,
     streams: Mutex<StreamLog>,
     readings: tokio::sync::Mutex<Readings>,
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
@@ -113,6 +122,8 @@
         };
         let holder = format!("{}.{:08x}", settings.vm, rng.random::<u32>());
         let reader = ListReader::new(Arc::clone(&settings.dialect), settings.list);
+        let mut cold = ColdTargets::default();
+        cold.set_lag(settings.list_lag);
         Self {
             clock: Clock::start(),
             holder,
@@ -133,6 +144,9 @@
             held: Mutex::default(),
             crashes: Mutex::default(),
             limits: Mutex::default(),
+            cold: Mutex::new(cold),
+            cold_budgets: Mutex::default(),
+            cold_share: settings.cold_share,
             streams: Mutex::default(),
             readings: tokio::sync::Mutex::new(Readings::new(reader)),
             ends: Mutex::default(),
@@ -224,6 +238,7 @@
         *lock(&self.leader_heard) = now;
         if self.fallback().note_heard(now) {
             self.limits().drop_shares();
+            lock(&self.cold_budgets).clear();
             log::info!("placing through the leader again");
         }
     }
@@ -290,6 +305,7 @@
         if let Some(held) = lock(&self.held).remove(&ticket) {
             let now = self.now();
             self.fallback().note(now, &held.grant.target, ended);
+            self.cold().note_end(now, &held.grant.target, ended);
             self.crashes().note_end(now, &held, ended);
         }
         lock(&self.ends).push((ticket, ended));
@@ -326,6 +342,35 @@
         lock(&self.limits)
     }
 
+    /// Which targets are cold, as far as this process knows.
+    pub(crate) fn cold(&self) -> MutexGuard<'_, ColdTargets> {
+        lock(&self.cold)
+    }
+
+    /// Whether a request may be sent to a cold target without a leader, by an equal part of what all
+    /// `fronts` may send there together.
+    pub(crate) fn may_use_cold(&self, now: Time, target: &TargetVm, fronts: u32) -> bool {
+        let Some(rate) = self.cold().service_rate(&target.service) else {
+            return true;
+        };
+        let part = self.cold_share / f64::from(fronts.max(1));
+        if part <= 0.0 {
+            return false;
+        }
+        let mut budgets = lock(&self.cold_budgets);
+        let budget = budgets
+            .entry(target.id.clone())
+            .or_insert_with(|| Budget::part_of_cold(now, rate, part));
+        budget.available(now) > 0
+    }
+
+    /// Takes a request that is sent to a cold target without a leader.
+    pub(crate) fn take_cold(&self, now: Time, target: &str) {
+        if let Some(budget) = lock(&self.cold_budgets).get_mut(target) {
+            budget.take(now);
+        }
+    }
+
     /// Records what the answer to the request in a slot says of its target's limit, and tells the hub
     /// if that is news.
     pub(crate) fn note_limit(&self, ticket: Ticket, target: &TargetVm, limit: NamedLimit) {
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -372,6 +372,11 @@
             view.ready(&want.service).any(|t| view.is_published(t))
         };
         let view = self.view();
+        let has_warm = {
+            let cold = self.cold();
+            let mut ready = view.ready(&want.service);
+            ready.any(|target| cold.is_warm(now, &target.id, &target.service))
+        };
         for target in view.ready(&want.service) {
             let accepts = |origin: &Origin| {
                 origin.version == target.version && (origin.version.is_some() || !is_versioned)
@@ -389,6 +394,10 @@
             if !self.limits().is_open(now, &target.id, fronts) {
                 continue;
             }
+            let is_warm = self.cold().is_warm(now, &target.id, &target.service);
+            if !is_warm && (has_warm || !self.may_use_cold(now, target, fronts)) {
+                continue;
+            }
             if is_item && self.holds_item_at(&target.id) {
                 continue;
             }
@@ -421,6 +430,7 @@
         match admission {
             Admission::Free => {
                 self.limits().take(now, &target.id);
+                self.take_cold(now, &target.id);
                 self.grant(want, &target.id, None, true)
             }
             Admission::Later => SlotOutcome::Busy {
--- a/crates/edge/src/rules.rs
+++ b/crates/edge/src/rules.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, fmt, time::Duration};
 
-use clem_types::Version;
+use clem_types::{Rate, Version};
 
 /// A ruleset; one with a higher version replaces the current one as a whole.
 #[derive(Debug, Default)]
@@ -94,6 +94,9 @@
     pub max_conns: u32,
     /// Capacity of its model engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// Requests a second that one of its targets takes while it is cold; `None` if that makes no
+    /// difference.
+    pub cold_rate: Option<Rate>,
 }
 
 /// Capacity of a model engine.
--- a/crates/edge/src/target.rs
+++ b/crates/edge/src/target.rs
@@ -1,6 +1,6 @@
 //! Targets as the platform lists them, and the heads of their responses.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use clem_types::{Rate, SoftwareVersion};
 use http::{HeaderMap, header};
@@ -47,6 +47,8 @@
     pub unreadable: usize,
     /// Some of them.
     pub skipped: Vec<SkippedEntry>,
+    /// The targets that are cold, with how much longer.
+    pub cold: Vec<(String, Duration)>,
     /// Token of the next page; `None` on the last.
     pub next: Option<String>,
 }
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -4,6 +4,7 @@
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
 use clem_boot::Clock;
@@ -44,6 +45,8 @@
     pub restart_allowance: f64,
     /// The data centres that the settings name; empty if they name none.
     data_centres: BTreeSet<String>,
+    /// How far the platform's target list lags behind.
+    list_lag: Duration,
     leader: Mutex<Option<LeaderState>>,
     waiters: Mutex<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     /// The polls of followers that wait for an update.
@@ -63,6 +66,7 @@
     pub(crate) tolerance: usize,
     pub(crate) restart_allowance: f64,
     pub(crate) data_centres: BTreeSet<String>,
+    pub(crate) list_lag: Duration,
 }
 
 impl Hub {
@@ -77,6 +81,7 @@
             tolerance: parts.tolerance,
             restart_allowance: parts.restart_allowance,
             data_centres: parts.data_centres,
+            list_lag: parts.list_lag,
             leader: Mutex::new(None),
             waiters: Mutex::default(),
             polls: Polls::default(),
@@ -108,6 +113,7 @@
                 allowance: self.restart_allowance,
             };
             let mut fresh = LeaderState::new(start);
+            fresh.dispatcher.set_list_lag(self.list_lag);
             fresh.set_evacuations(now, &self.replica.read(evacuations::read));
             self.install_rules(&mut fresh, now, &rules);
             log::info!(epoch = epoch.0, rules = rules.version.0; "became leader");
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -11,11 +11,11 @@
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{
-    CrashReport, Dispatcher, FrontNews, LeavingTargets, LimitReport, Origin, PartNews, RateLimit,
-    SHARE_LIFE, TargetLimit, TargetSlots, UnknownShares, least_share,
+    ColdTarget, CrashReport, Dispatcher, FrontNews, LeavingTargets, LimitReport, Origin, PartNews,
+    RateLimit, SHARE_LIFE, TargetLimit, TargetSlots, UnknownShares, least_share,
 };
 use clem_state::{batch_group::BatchGroup, evacuations::Evacuations};
-use clem_types::{Epoch, PartId, Time, Version};
+use clem_types::{Epoch, PartId, Rate, Time, Version};
 use clem_wire::fleet::{
     FleetList, FleetListVersion, Follow, FollowReply, POLL_RULES_BYTES, ProcessRole, RetireReply,
     RulesDocument,
@@ -181,6 +181,8 @@
             rates.insert(customer.name.clone(), limit);
         }
         self.dispatcher.set_rates(now, &rates, self.allowance);
+        let services = rules_cold(rules);
+        self.dispatcher.set_cold_rates(services);
     }
 
     /// Installs the replicated state of the batch group.
@@ -195,12 +197,37 @@
         if self.evacuated == evacuations.data_centres {
             return false;
         }
+        self.presume_cold(now, &evacuations.data_centres);
         self.evacuated.clone_from(&evacuations.data_centres);
         self.change += 1;
         self.apply_targets(now);
         true
     }
 
+    /// Presumes the targets cold whose data centre gets work again: they may have restarted while it was
+    /// evacuated.
+    fn presume_cold(&mut self, now: Time, evacuated: &BTreeSet<String>) {
+        for target in self.listed.iter().flatten() {
+            let was = self.evacuated.contains(&target.data_centre);
+            if was && !evacuated.contains(&target.data_centre) {
+                self.dispatcher.presume_cold(now, &target.id);
+            }
+        }
+    }
+
+    /// Paces cold targets, logs which have turned cold or warm, and publishes them.
+    fn pace_cold(&mut self, now: Time) {
+        for news in self.dispatcher.pace_cold(now) {
+            match news.rate {
+                Some(rate) => {
+                    log::info!(target = news.target.as_str(), rate:% = rate; "target cold");
+                }
+                None => log::info!(target = news.target.as_str(); "target warm"),
+            }
+            self.unpublished = true;
+        }
+    }
+
     /// Installs the platform's target list and returns whether it changed.
     pub fn set_targets(&mut self, now: Time, targets: Vec<TargetVm>) -> bool {
         let versions = targets.iter().map(|t| (t.service.as_str(), &t.version));
@@ -457,6 +484,7 @@
         self.share_rates(now);
         self.dispatcher.tick(now);
         self.log_fronts();
+        self.pace_cold(now);
         if std::mem::take(&mut self.limits_changed) {
             self.change += 1;
         }
@@ -555,6 +583,7 @@
             sound: self.dispatcher.sound_parts(now),
             limits: self.dispatcher.limits(),
             evacuated: self.evacuated.clone(),
+            cold: self.cold_targets(now),
         });
         let recalls = self.dispatcher.take_recalls(&follow.holder);
         if newest <= known && fleet.is_none() && recalls.is_empty() {
@@ -586,6 +615,12 @@
         }
     }
 
+    fn cold_targets(&self, now: Time) -> Vec<ColdTarget> {
+        let cold = self.dispatcher.cold_targets(now);
+        metrics::gauge!("clem_hub_cold_targets").set(cold.len() as f64);
+        cold
+    }
+
     /// The crashes that make parts suspected, with their present ages.
     fn suspect_crashes(&self, now: Time) -> Vec<CrashReport> {
         let (determined, mut crashes) = self.crashes.clone();
@@ -616,6 +651,14 @@
     }
 }
 
+/// How many requests a second cold targets take, by service.
+fn rules_cold(rules: &Ruleset) -> HashMap<String, Rate> {
+    let services = rules.services.values();
+    services
+        .filter_map(|service| Some((service.name.clone(), service.cold_rate?)))
+        .collect()
+}
+
 /// A list of parts, for log lines.
 pub(crate) fn join(parts: &[PartId]) -> String {
     let texts: Vec<String> = parts.iter().map(PartId::to_string).collect();
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -47,6 +47,8 @@
     pub restart_allowance: f64,
     /// The data centres that operators may evacuate; empty for any.
     pub data_centres: BTreeSet<String>,
+    /// How far the platform's target list lags behind.
+    pub list_lag: Duration,
     /// Address of the platform's target list.
     pub list: SocketAddr,
     /// The secret that processes of the fleet use to authenticate to each other.
@@ -108,6 +110,7 @@
         tolerance: settings.tolerance,
         restart_allowance: settings.restart_allowance,
         data_centres: settings.data_centres,
+        list_lag: settings.list_lag,
     }));
     let guarded = Router::new()
         .hoop(Guard::new(settings.secret))
--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -27,6 +27,7 @@
             }
             continue;
         };
+        let began = hub.clock.now();
         match reader.read(&services).await {
             Ok(targets) => {
                 if std::mem::take(&mut failing) {
@@ -34,7 +35,11 @@
                 }
                 let count = targets.len();
                 // If this process is no longer the leader, the list is not needed.
-                if let Ok(true) = hub.with_leader(|leader, now| leader.set_targets(now, targets)) {
+                let read = hub.with_leader(|leader, now| {
+                    leader.dispatcher.note_listing(now, began, reader.listed());
+                    leader.set_targets(now, targets)
+                });
+                if let Ok(true) = read {
                     log::info!(targets = count; "targets changed");
                 }
             }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -12,6 +12,7 @@
 //!
 //! The scheduler does no I/O and reads no clock. See `docs/design/platform.md`, "Who runs next".
 
+mod cold;
 mod crashes;
 mod fallback;
 mod leaving;
@@ -29,16 +30,17 @@
     time::Duration,
 };
 
-use clem_types::{PartId, SoftwareVersion, Time};
+use clem_types::{PartId, Rate, SoftwareVersion, Time};
 use serde::{Deserialize, Serialize};
 use shares::RateBuckets;
 
+pub use cold::{ColdNews, ColdTarget, ColdTargets, ListedTarget};
 pub use crashes::{
     Admission, BlockedParts, CrashParts, CrashReport, PartNews, SUSPECT_CRASHES, SoundPart,
 };
 pub use fallback::{Fallback, least_share};
 pub use leaving::LeavingTargets;
-pub use limit::{Budget, LimitReport, LimitedTargets, TargetLimit};
+pub use limit::{Budget, LimitReport, LimitedTargets, Pace, TargetLimit};
 pub use pool::{Pool, PoolView};
 pub use rate::{RateBucket, RateLimit, RateShare, SHARE_LIFE};
 pub use retry_after::{RouteTimeouts, retry_after};
@@ -213,6 +215,7 @@
     recall_news: BTreeSet<String>,
     crash_parts: CrashParts,
     limited: LimitedTargets,
+    cold: ColdTargets,
     streams: Streams,
     settled: SettledVersions,
     /// When the platform's list was last read.
@@ -266,8 +269,10 @@
         let pool = self.pools.entry(service.to_owned()).or_default();
         pool.set_targets(now, targets);
         for slots in targets {
-            if let Some(rate) = self.limited.get(&slots.target) {
-                pool.set_limit(now, &slots.target, Some(rate));
+            let cold = self.cold.rate(now, &slots.target);
+            let pace = Pace::slower(self.limited.get(&slots.target), cold);
+            if pace.is_some() {
+                pool.set_pace(now, &slots.target, pace);
             }
         }
         self.schedule(now);
@@ -309,10 +314,50 @@
         self.limited.retain(now, is_listed);
     }
 
+    /// Sets how far the platform's list lags behind.
+    pub fn set_list_lag(&mut self, lag: Duration) {
+        self.cold.set_lag(lag);
+    }
+
+    /// Replaces how many requests a second cold targets take, by service.
+    pub fn set_cold_rates(&mut self, rates: HashMap<String, Rate>) {
+        self.cold.set_rates(rates);
+    }
+
+    /// Records which targets are cold by a reading of the platform's list that began at `began`. Call it
+    /// before the targets of the reading get work.
+    pub fn note_listing<'a>(
+        &mut self,
+        now: Time,
+        began: Time,
+        targets: impl IntoIterator<Item = ListedTarget<'a>>,
+    ) {
+        self.cold.note_listing(now, began, targets);
+    }
+
+    /// Records that a target may have turned cold without the list saying so yet.
+    pub fn presume_cold(&mut self, now: Time, target: &str) {
+        self.cold.presume(now, target);
+    }
+
+    /// The cold targets, for other processes.
+    pub fn cold_targets(&self, now: Time) -> Vec<ColdTarget> {
+        self.cold.cold(now)
+    }
+
+    /// Paces the targets that have turned cold and the others no longer; returns which they are.
+    pub fn pace_cold(&mut self, now: Time) -> Vec<ColdNews> {
+        let news = self.cold.take_news(now);
+        for news in &news {
+            self.apply_limit(now, &news.target);
+        }
+        news
+    }
+
     fn apply_limit(&mut self, now: Time, target: &str) {
-        let rate = self.limited.get(target);
+        let pace = Pace::slower(self.limited.get(target), self.cold.rate(now, target));
         for pool in self.pools.values_mut() {
-            if pool.set_limit(now, target, rate) {
+            if pool.set_pace(now, target, pace) {
                 break;
             }
         }
@@ -416,6 +461,7 @@
         if let Some(pool) = self.pools.get_mut(&grant.service) {
             pool.release(now, &grant.target, grant.batch, grant.since, ended);
         }
+        self.cold.note_end(now, &grant.target, ended);
         match ended {
             GrantOutcome::Answered => {
                 // A request that a former leader placed may have been sent before the last crashes.
--- a/crates/policy/src/dispatch/limit.rs
+++ b/crates/policy/src/dispatch/limit.rs
@@ -48,10 +48,37 @@
     pub rate: Option<Rate>,
 }
 
+/// How many requests a target may get.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// Requests a second.
+    pub rate: Rate,
+    /// Whether unused requests of the last moments may be sent later.
+    pub saves: bool,
+}
+
+impl Pace {
+    /// The slower of a limit that the target named and the rate of a cold target, for which nothing is
+    /// saved up: its bound holds in each second.
+    pub fn slower(limit: Option<Rate>, cold: Option<Rate>) -> Option<Self> {
+        let Some(cold) = cold else {
+            return limit.map(|rate| Self { rate, saves: true });
+        };
+        Some(Self {
+            rate: limit.map_or(cold, |limit| limit.min(cold)),
+            saves: false,
+        })
+    }
+}
+
 /// Requests that may be sent to a limited target.
 #[derive(Debug, Clone)]
 pub struct Budget {
     per_s: f64,
+    /// Seconds of the rate that can be saved up.
+    burst_s: f64,
+    /// Smallest size, in requests.
+    least: f64,
     level: f64,
     filled: Time,
 }
@@ -61,16 +88,37 @@
     pub fn new(now: Time, rate: Rate, shares: u32) -> Self {
         Self {
             per_s: per_second(rate) / f64::from(shares.max(1)),
+            burst_s: BURST_S,
+            least: BURST_MIN,
+            level: 0.0,
+            filled: now,
+        }
+    }
+
+    /// An empty budget for a target's pace.
+    pub fn paced(now: Time, pace: Pace) -> Self {
+        let mut budget = Self::new(now, pace.rate, 1);
+        budget.set_pace(now, pace);
+        budget
+    }
+
+    /// An empty budget for a `part` of the rate of a cold target, which saves up one request at most.
+    pub fn part_of_cold(now: Time, rate: Rate, part: f64) -> Self {
+        Self {
+            per_s: per_second(rate) * part,
+            burst_s: 0.0,
+            least: 1.0,
             level: 0.0,
             filled: now,
         }
     }
 
-    /// Changes the rate; what was saved up beyond the new size is dropped.
-    pub fn set_rate(&mut self, now: Time, rate: Rate) {
+    /// Changes the pace; what was saved up beyond the new size is dropped.
+    pub fn set_pace(&mut self, now: Time, pace: Pace) {
         self.level = self.level(now);
         self.filled = now;
-        self.per_s = per_second(rate);
+        self.per_s = per_second(pace.rate);
+        self.burst_s = if pace.saves { BURST_S } else { 0.0 };
         self.level = self.level.min(self.size());
     }
 
@@ -115,7 +163,7 @@
     }
 
     fn size(&self) -> f64 {
-        (self.per_s * BURST_S).max(BURST_MIN)
+        (self.per_s * self.burst_s).max(self.least)
     }
 }
 
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use clem_types::{Rate, SoftwareVersion, Time};
+use clem_types::{SoftwareVersion, Time};
 
-use super::{GrantOutcome, SlotRequest, TargetSlots, Ticket, Urgency, Verdict, target::Target};
+use super::{
+    GrantOutcome, Pace, SlotRequest, TargetSlots, Ticket, Urgency, Verdict, target::Target,
+};
 
 /// Assumed service time of online requests until the first one has been answered.
 const SERVICE_START: Duration = Duration::from_millis(500);
@@ -422,12 +424,12 @@
         self.targets.get(target)?.slots.version.clone()
     }
 
-    /// Installs the limit that a target named; returns false for an unknown target.
-    pub(super) fn set_limit(&mut self, now: Time, target: &str, rate: Option<Rate>) -> bool {
+    /// Installs how many requests a target may get; returns false for an unknown target.
+    pub(super) fn set_pace(&mut self, now: Time, target: &str, pace: Option<Pace>) -> bool {
         let Some(target) = self.targets.get_mut(target) else {
             return false;
         };
-        target.set_limit(now, rate);
+        target.set_pace(now, pace);
         true
     }
 
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use clem_types::{Rate, SoftwareVersion, Time};
+use clem_types::{SoftwareVersion, Time};
 use serde::{Deserialize, Serialize};
 
-use super::Budget;
+use super::{Budget, Pace};
 
 /// First cooldown of a failed target; each further failure doubles it.
 const COOLDOWN_MIN: Duration = Duration::from_millis(500);
@@ -129,11 +129,11 @@
         available > 0
     }
 
-    /// Installs the limit that the target named last.
-    pub(super) fn set_limit(&mut self, now: Time, rate: Option<Rate>) {
-        match (&mut self.budget, rate) {
-            (Some(budget), Some(rate)) => budget.set_rate(now, rate),
-            (None, Some(rate)) => self.budget = Some(Budget::new(now, rate, 1)),
+    /// Installs how many requests it may get; `None` for as many as it has slots.
+    pub(super) fn set_pace(&mut self, now: Time, pace: Option<Pace>) {
+        match (&mut self.budget, pace) {
+            (Some(budget), Some(pace)) => budget.set_pace(now, pace),
+            (None, Some(pace)) => self.budget = Some(Budget::paced(now, pace)),
             (_, None) => self.budget = None,
         }
     }
--- a/crates/types/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -28,6 +28,16 @@
         }
     }
 
+    /// Creates a rate of events per second, rounded down to a millionth; `None` if it is negative, not
+    /// finite or too large.
+    pub fn from_per_second(events: f64) -> Option<Self> {
+        let micros = events * MICROS as f64;
+        let fits = micros.is_finite() && (0.0..u64::MAX as f64).contains(&micros);
+        fits.then_some(Self {
+            micros: micros as u64,
+        })
+    }
+
     /// Returns the rate in millionths of an event per second.
     pub const fn micros_per_second(self) -> u64 {
         self.micros
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use clem_edge::TargetVm;
 use clem_policy::dispatch::{
-    BlockedParts, CrashReport, GrantOutcome, HeldGrant, LimitReport, OriginReport, SlotRequest,
-    SoundPart, TargetLimit, Ticket, Verdict,
+    BlockedParts, ColdTarget, CrashReport, GrantOutcome, HeldGrant, LimitReport, OriginReport,
+    SlotRequest, SoundPart, TargetLimit, Ticket, Verdict,
 };
 use clem_types::{Epoch, Version};
 use serde::{Deserialize, Serialize};
@@ -192,6 +192,9 @@
     /// The evacuated data centres, whose targets must get no requests.
     #[serde(default)]
     pub evacuated: BTreeSet<String>,
+    /// The cold targets.
+    #[serde(default)]
+    pub cold: Vec<ColdTarget>,
 }
 
 /// Requests a slot on a target.
