--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -8,7 +8,7 @@
 use clem_types::Version;
 use clem_wire::{
     LeaderReply,
-    fleet::{FOLLOW_MAX_HOLD, FetchRules, RulesDocument},
+    fleet::{FOLLOW_MAX_HOLD, FetchHeld, FetchRules, Held, RulesDocument},
 };
 
 use crate::{Node, follow::apply_rules};
@@ -86,6 +86,69 @@
     }
 }
 
+/// How long a process that has just started waits for the leader before it asks the members.
+const START_WAIT: Duration = Duration::from_millis(80);
+/// How often it asks them.
+const START_INTERVAL: Duration = Duration::from_millis(40);
+/// How long a member may take to answer it.
+const START_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Takes over the newest rules that a majority of the known members hold, if a process that has just
+/// started finds no leader. It answers the load after a loss of all processes, when all callers come
+/// back while the members still elect a leader: callers are served better by the last rules than by a
+/// refusal. What the members hold may be older than the newest rules, until the leader sends these.
+pub(crate) async fn start_from_members(node: &Node) {
+    tokio::time::sleep(START_WAIT).await;
+    while node.view().rules.is_none() {
+        let members = node.hub.addresses();
+        let held = ask_held(node, &members).await;
+        if node.view().rules.is_some() {
+            return;
+        }
+        let sent = node.now();
+        let newest = held.iter().max_by_key(|held| held.rules.version);
+        if let Some(newest) = newest.filter(|_| held.len() * 2 > members.len()) {
+            log::info!(
+                version = newest.rules.version.0, members = held.len();
+                "rules taken from members without a leader"
+            );
+            node.view().restore_evacuated(newest.evacuated.clone());
+            if apply_rules(node, sent, &newest.rules) {
+                node.fallback().note_silent();
+                node.note_change();
+                return;
+            }
+        }
+        tokio::time::sleep(node.with_jitter(START_INTERVAL)).await;
+    }
+}
+
+/// What the members hold that answer in time and hold rules.
+async fn ask_held(node: &Node, members: &[SocketAddr]) -> Vec<Held> {
+    let ask = |member: SocketAddr| async move {
+        let call = FetchHeld {};
+        let asked = node
+            .hub
+            .call_member(member, &call, START_TIMEOUT, START_TIMEOUT);
+        match asked.await {
+            Ok(LeaderReply::Done(held)) if held.rules.version.0 > 0 => Some(held),
+            Ok(
+                LeaderReply::Done(_)
+                | LeaderReply::NotLeader { .. }
+                | LeaderReply::Unknown
+                | LeaderReply::NoRoom,
+            ) => None,
+            Err(error) => {
+                log::debug!(member:% = member, error:% = error; "member not asked");
+                None
+            }
+        }
+    };
+    let asked = members.iter().map(|member| ask(*member));
+    let held = futures_util::future::join_all(asked).await;
+    held.into_iter().flatten().collect()
+}
+
 /// Asks the hub's members for rules.
 #[derive(Debug, Default)]
 struct Fetcher {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Node,
-    fetch::{ask_members, fetch_announced},
+    fetch::{ask_members, fetch_announced, start_from_members},
 };
 
 /// Timeout of one poll, across all members of the hub.
@@ -28,7 +28,8 @@
     tokio::join!(
         poll(&node, seeds),
         fetch_announced(&node),
-        ask_members(&node)
+        ask_members(&node),
+        start_from_members(&node)
     );
 }
 
--- a/crates/direct/src/list.rs
+++ b/crates/direct/src/list.rs
@@ -34,7 +34,7 @@
 const HUB_OVERDUE: Duration = Duration::from_millis(2000);
 /// The shortest time that a newly started process waits for the hub before it reads the list
 /// itself.
-const FIRST_WAIT: Duration = Duration::from_millis(300);
+const FIRST_WAIT: Duration = Duration::from_millis(60);
 /// How often a process checks whether the hub is overdue, and reads the list if it is.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1000);
 
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -357,7 +357,7 @@
                 cause: BusyCause::Leaderless,
             };
         }
-        let fronts = self.view().fronts;
+        let fronts = self.view().sharing_fronts();
         if let (Some(customer), Some(limit)) = (&want.customer, limit)
             && let Err(retry) = self.fallback().take(now, customer, limit, fronts)
         {
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -15,6 +15,10 @@
     targets::{TargetUpdate, TargetsDigest},
 };
 
+/// Number of fronts that is assumed until the hub's leader has named one: each of them may use an equal
+/// part of a customer's rate, and together they must stay below it.
+const FRONTS_UNKNOWN: u32 = 64;
+
 /// State last received from the hub; the rules version never decreases.
 #[derive(Debug, Default)]
 pub struct View {
@@ -60,6 +64,22 @@
 }
 
 impl View {
+    /// Number of fronts among which rates are divided without a leader.
+    pub(crate) fn sharing_fronts(&self) -> u32 {
+        if self.fronts == 0 {
+            FRONTS_UNKNOWN
+        } else {
+            self.fronts
+        }
+    }
+
+    /// Takes over evacuations that a member of the hub holds, unless a leader has told them.
+    pub(crate) fn restore_evacuated(&mut self, evacuated: BTreeSet<String>) {
+        if self.heard.is_none() {
+            self.evacuated = evacuated;
+        }
+    }
+
     /// The version of the rules; 0 without rules.
     pub fn version(&self) -> Version {
         self.rules
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -44,6 +44,37 @@
     response
 }
 
+/// Waits for the rules and targets of a process that has just started. After the loss of all processes
+/// callers come back before the rules are known; they come back only once, so a refusal would lose most of
+/// them.
+async fn wait_for_rules(front: &Arc<Front>, timeout: Duration) -> Option<Arc<Ruleset>> {
+    let node = &front.node;
+    // A caller that is served after half of its time is better off at another process.
+    let left = STARTUP_TIME.saturating_sub(node.uptime()).min(timeout / 2);
+    let _running = front.start()?;
+    let mut changes = node.changes();
+    let ready = async {
+        loop {
+            changes.mark_unchanged();
+            let known = {
+                let view = node.view();
+                view.rules.clone().filter(|_| !view.targets.is_empty())
+            };
+            if let Some(rules) = known {
+                return Some(rules);
+            }
+            if changes.changed().await.is_err() {
+                return None;
+            }
+        }
+    };
+    tokio::select! {
+        rules = ready => rules,
+        () = tokio::time::sleep(left) => node.view().rules.clone(),
+        () = front.ended() => None,
+    }
+}
+
 async fn answer(
     front: &Arc<Front>,
     request: Request<Incoming>,
@@ -58,7 +89,11 @@
     };
     let kind = node.dialect.read_kind(&head).map_err(malformed)?;
     let info = node.dialect.read_request(&head).map_err(malformed)?;
-    let rules = node.view().rules.clone();
+    let known = node.view().rules.clone();
+    let rules = match known {
+        Some(rules) => Some(rules),
+        None => wait_for_rules(front, info.timeout.unwrap_or(DEFAULT_TIMEOUT)).await,
+    };
     let early = EarlyRefusal {
         id: info.id.as_deref().unwrap_or_default(),
         rules: rules.as_ref().map_or(0, |rules| rules.version.0),
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -18,6 +18,7 @@
 
 /// Reports the process as ready once it has rules and targets.
 pub(crate) async fn update(front: Arc<Front>) {
+    let mut changes = front.node.changes();
     loop {
         let ready = {
             let view = front.node.view();
@@ -28,7 +29,8 @@
             log::info!(rules = front.node.view().version().0; "ready");
         }
         metrics::gauge!("clem_front_held_bytes").set(front.relays.used_bytes() as f64);
-        tokio::time::sleep(INTERVAL).await;
+        // Callers that come back after a loss of all processes are sent here only once it is ready.
+        let _ = tokio::time::timeout(INTERVAL, changes.changed()).await;
     }
 }
 
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -12,8 +12,8 @@
 };
 use clem_types::Version;
 use clem_wire::fleet::{
-    Evacuate, EvacuateReply, FOLLOW_MAX_HOLD, FetchRules, Follow, FollowReply, GetRules, Ping,
-    PutRules, Release, RequestSlot, Retire, RetireReply, RulesDocument, SLOT_MAX_HOLD,
+    Evacuate, EvacuateReply, FOLLOW_MAX_HOLD, FetchHeld, FetchRules, Follow, FollowReply, GetRules,
+    Held, Ping, PutRules, Release, RequestSlot, Retire, RetireReply, RulesDocument, SLOT_MAX_HOLD,
 };
 use salvo::Router;
 
@@ -28,6 +28,7 @@
         route::<Release, _>(hub),
         route::<PutRules, _>(hub),
         route::<FetchRules, _>(hub),
+        route::<FetchHeld, _>(hub),
         route::<GetRules, _>(hub),
         route::<Retire, _>(hub),
         route::<Evacuate, _>(hub),
@@ -190,6 +191,16 @@
     }
 }
 
+impl Serve<Hub> for FetchHeld {
+    async fn serve(self, hub: Arc<Hub>) -> Result<Held> {
+        let evacuations = hub.replica.read(evacuations::read);
+        Ok(Held {
+            rules: hub.replica.read(document::document),
+            evacuated: evacuations.data_centres,
+        })
+    }
+}
+
 impl Serve<Hub> for GetRules {
     async fn serve(self, hub: Arc<Hub>) -> Result<RulesDocument> {
         hub.barrier().await?;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -270,6 +270,26 @@
     type Reply = RulesDocument;
 }
 
+/// Reads what any member holds for operators. It is committed, but may be old, as the member need not
+/// have heard of a leader yet.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FetchHeld {}
+
+impl Call for FetchHeld {
+    const PATH: &'static str = "/internal/fleet/fetch-held";
+    type Reply = Held;
+}
+
+/// What a member of the hub holds.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Held {
+    /// The rules; version 0 if it holds none.
+    pub rules: RulesDocument,
+    /// The evacuated data centres.
+    #[serde(default)]
+    pub evacuated: BTreeSet<String>,
+}
+
 /// Reads the active rules document.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct GetRules {}
