--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -109,12 +109,14 @@
         let newest = held.iter().max_by_key(|held| held.rules.version);
         if let Some(newest) = newest.filter(|_| held.len() * 2 > members.len()) {
             log::info!(
-                version = newest.rules.version.0, members = held.len();
+                version = newest.rules.version.0, members = held.len(), fronts = newest.fronts;
                 "rules taken from members without a leader"
             );
-            node.view().restore_evacuated(newest.evacuated.clone());
+            let fronts = held.iter().map(|held| held.fronts).max();
+            node.view()
+                .restore(newest.evacuated.clone(), fronts.unwrap_or_default());
             if apply_rules(node, sent, &newest.rules) {
-                node.fallback().note_silent();
+                node.start_alone();
                 node.note_change();
                 return;
             }
@@ -126,7 +128,10 @@
 /// What the members hold that answer in time and hold rules.
 async fn ask_held(node: &Node, members: &[SocketAddr]) -> Vec<Held> {
     let ask = |member: SocketAddr| async move {
-        let call = FetchHeld {};
+        let call = FetchHeld {
+            vm: node.vm.clone(),
+            role: node.role,
+        };
         let asked = node
             .hub
             .call_member(member, &call, START_TIMEOUT, START_TIMEOUT);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod view;
 
 pub use byte_budget::{ByteBudget, ByteShare};
+pub use clem_policy::dispatch::RateTolerance;
 pub use events::{Event, EventBuffer};
 pub use exchange::{Liveness, Outcome, OutgoingRequest, Reply, ReusableConnection};
 pub use follow::follow;
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -11,7 +11,7 @@
 use clem_edge::{Dialect, NamedLimit, TargetVm};
 use clem_policy::dispatch::{
     Budget, ColdTargets, Fallback, GrantOutcome, HeldGrant, LeavingTargets, LimitReport, Origin,
-    StreamKey, Ticket, retry_after,
+    RateTolerance, StreamKey, Ticket, retry_after,
 };
 use clem_types::{Time, Version};
 use clem_wire::{
@@ -49,6 +49,8 @@
     /// Part of the rate of a cold target that all processes without a leader may use together, if the
     /// service has no warm target.
     pub cold_share: f64,
+    /// What the platform tolerates above a customer's rate.
+    pub tolerance: RateTolerance,
     /// How long a target may get requests after it has said that it is leaving.
     pub drain: Duration,
     /// The secret that processes of the fleet use to authenticate to each other.
@@ -100,6 +102,7 @@
     /// This process's parts of cold targets' rates while no leader answers.
     cold_budgets: Mutex<HashMap<String, Budget>>,
     cold_share: f64,
+    tolerance: RateTolerance,
     streams: Mutex<StreamLog>,
     readings: tokio::sync::Mutex<Readings>,
     ends: Mutex<Vec<(Ticket, GrantOutcome)>>,
@@ -147,6 +150,7 @@
             cold: Mutex::new(cold),
             cold_budgets: Mutex::default(),
             cold_share: settings.cold_share,
+            tolerance: settings.tolerance,
             streams: Mutex::default(),
             readings: tokio::sync::Mutex::new(Readings::new(reader)),
             ends: Mutex::default(),
@@ -232,6 +236,11 @@
         lock(&self.fallback)
     }
 
+    /// Places requests before any leader was heard of.
+    pub(crate) fn start_alone(&self) {
+        self.fallback().start_alone(self.tolerance);
+    }
+
     /// Records that the hub's leader responded.
     pub(crate) fn note_leader(&self) {
         let now = self.now();
--- a/crates/direct/src/view.rs
+++ b/crates/direct/src/view.rs
@@ -15,9 +15,9 @@
     targets::{TargetUpdate, TargetsDigest},
 };
 
-/// Number of fronts that is assumed until the hub's leader has named one: each of them may use an equal
-/// part of a customer's rate, and together they must stay below it.
-const FRONTS_UNKNOWN: u32 = 64;
+/// Least number of fronts that is assumed until the hub's leader has named one: some may not have started
+/// yet, and together they must stay below the customers' rates.
+const FRONTS_LEAST: u32 = 16;
 
 /// State last received from the hub; the rules version never decreases.
 #[derive(Debug, Default)]
@@ -45,6 +45,8 @@
     pub members: Option<Vec<SocketAddr>>,
     /// Number of fronts that report to the hub's leader.
     pub fronts: u32,
+    /// Number of fronts that found no leader when this process started.
+    fronts_asking: u32,
     /// Parts of requests that crash targets, as they were at `listed`.
     pub blocked: Vec<BlockedParts>,
     /// When the last list from the hub was installed.
@@ -67,16 +69,18 @@
     /// Number of fronts among which rates are divided without a leader.
     pub(crate) fn sharing_fronts(&self) -> u32 {
         if self.fronts == 0 {
-            FRONTS_UNKNOWN
+            self.fronts_asking.max(FRONTS_LEAST)
         } else {
             self.fronts
         }
     }
 
-    /// Takes over evacuations that a member of the hub holds, unless a leader has told them.
-    pub(crate) fn restore_evacuated(&mut self, evacuated: BTreeSet<String>) {
+    /// Takes over what the members of the hub know, unless a leader has told more: the evacuations, and how
+    /// many fronts find no leader.
+    pub(crate) fn restore(&mut self, evacuated: BTreeSet<String>, fronts: u32) {
         if self.heard.is_none() {
             self.evacuated = evacuated;
+            self.fronts_asking = fronts;
         }
     }
 
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -16,7 +16,10 @@
 use clem_policy::dispatch::{GrantOutcome, Ticket, Verdict};
 use clem_state::{batch_group, document, evacuations};
 use clem_types::{Time, Version};
-use clem_wire::LeaderClient;
+use clem_wire::{
+    LeaderClient,
+    fleet::{FetchHeld, ProcessRole},
+};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -24,6 +27,11 @@
     polls::Polls,
 };
 
+/// How long a front counts that has found no leader.
+const FRONT_KEPT: Duration = Duration::from_secs(10);
+/// Maximum number of fronts that are counted.
+const FRONTS_MAX: usize = 4096;
+
 /// Shared state of the request handlers. The runtime has one thread, so the mutexes are never
 /// contended.
 pub struct Hub {
@@ -51,6 +59,8 @@
     waiters: Mutex<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     /// The polls of followers that wait for an update.
     pub(crate) polls: Polls,
+    /// When the front of each vm last asked what this member holds.
+    fronts: Mutex<HashMap<String, Time>>,
     /// Held while rules are proposed, so that a resend finds them stored.
     pub(crate) put_turn: tokio::sync::Mutex<()>,
 }
@@ -85,6 +95,7 @@
             leader: Mutex::new(None),
             waiters: Mutex::default(),
             polls: Polls::default(),
+            fronts: Mutex::default(),
             put_turn: tokio::sync::Mutex::new(()),
         }
     }
@@ -181,6 +192,18 @@
         self.replica.read(document::version)
     }
 
+    /// Notes a process that finds no leader, and counts the fronts that find none. They divide the
+    /// customers' rates among themselves.
+    pub(crate) fn count_front(&self, asked: &FetchHeld) -> u32 {
+        let now = self.clock.now();
+        let mut fronts = self.fronts.lock().unwrap_or_else(PoisonError::into_inner);
+        fronts.retain(|_, at| now.since(*at) < FRONT_KEPT);
+        if asked.role == ProcessRole::Front && fronts.len() < FRONTS_MAX {
+            fronts.insert(asked.vm.clone(), now);
+        }
+        u32::try_from(fronts.len()).unwrap_or(u32::MAX)
+    }
+
     /// The addresses of the members.
     pub(crate) fn members(&self) -> Vec<SocketAddr> {
         self.replica.members().iter().map(|m| m.address).collect()
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -197,6 +197,7 @@
         Ok(Held {
             rules: hub.replica.read(document::document),
             evacuated: evacuations.data_centres,
+            fronts: hub.count_front(&self),
         })
     }
 }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -42,7 +42,7 @@
 pub use leaving::LeavingTargets;
 pub use limit::{Budget, LimitReport, LimitedTargets, Pace, TargetLimit};
 pub use pool::{Pool, PoolView};
-pub use rate::{RateBucket, RateLimit, RateShare, SHARE_LIFE};
+pub use rate::{RateBucket, RateLimit, RateShare, RateTolerance, SHARE_LIFE};
 pub use retry_after::{RouteTimeouts, retry_after};
 pub use settled::{SETTLED_MIN, SettledVersions};
 pub use shares::{FrontNews, UnknownShares};
--- a/crates/policy/src/dispatch/fallback.rs
+++ b/crates/policy/src/dispatch/fallback.rs
@@ -13,7 +13,7 @@
 
 use clem_types::Time;
 
-use super::{GrantOutcome, RateBucket, RateLimit, RateShare, rate::KnownShare};
+use super::{GrantOutcome, RateBucket, RateLimit, RateShare, RateTolerance, rate::KnownShare};
 
 /// Smallest share of a customer's rate, as a fraction of an equal share among the fronts; applies
 /// to fronts that have not served the customer recently.
@@ -32,6 +32,9 @@
     shares: HashMap<String, KnownShare>,
     /// The requests of each customer that were taken here.
     spent: BTreeMap<String, Spent>,
+    /// Set while this process has never heard of a leader: how the rates are divided among processes that
+    /// have all just started.
+    fresh: Option<RateTolerance>,
     /// Set when a call to the leader failed, until a leader answers.
     silent: bool,
 }
@@ -49,6 +52,13 @@
 }
 
 impl Fallback {
+    /// Starts to place requests before any leader was heard of, as after a loss of all processes. Each
+    /// front then uses an equal share of each customer's rate, and of what is tolerated above it.
+    pub fn start_alone(&mut self, tolerance: RateTolerance) {
+        self.fresh = Some(tolerance);
+        self.silent = true;
+    }
+
     /// Whether requests are placed locally instead of asking the leader.
     pub fn is_active(&self) -> bool {
         self.silent
@@ -64,6 +74,7 @@
         if !std::mem::take(&mut self.silent) {
             return false;
         }
+        self.fresh = None;
         for (customer, mut bucket) in self.buckets.drain() {
             let left = bucket.left(now);
             if let Some(known) = self.shares.get_mut(&customer) {
@@ -124,17 +135,28 @@
         fronts: u32,
     ) -> Result<(), Duration> {
         let least = least_share(fronts);
+        let equal = 1.0 / f64::from(fronts.max(1));
         let known = self.shares.get(customer);
-        let part = known.map_or(least, |known| known.part(now, least));
+        let unknown = self.fresh.filter(|_| known.is_none());
+        let part = match (known, unknown) {
+            (Some(known), _) => known.part(now, least),
+            (None, Some(_)) => equal,
+            (None, None) => least,
+        };
         let left = known.map_or(1.0, |known| known.share.left);
+        let whole = limit;
         let limit = RateLimit {
             rate: limit.rate * part,
             burst: limit.burst * part,
         };
+        let start = match unknown {
+            Some(tolerance) => (tolerance.unknown_spending(whole) * equal).max(1.0),
+            None => limit.burst.max(1.0) * left,
+        };
         let bucket = self
             .buckets
             .entry(customer.to_owned())
-            .or_insert_with(|| RateBucket::new(now, limit, limit.burst.max(1.0) * left));
+            .or_insert_with(|| RateBucket::new(now, limit, start));
         bucket.set_limit(now, limit);
         bucket.take(now)?;
         if limit.rate <= 0.0 {
--- a/crates/policy/src/dispatch/rate.rs
+++ b/crates/policy/src/dispatch/rate.rs
@@ -31,6 +31,26 @@
     };
 }
 
+/// What a platform tolerates above a customer's rate.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct RateTolerance {
+    /// Span over which requests are counted.
+    pub window: Duration,
+    /// Part of the rate and burst of a span that may be exceeded.
+    pub overage: f64,
+    /// Requests that may be exceeded beside that.
+    pub slack: f64,
+}
+
+impl RateTolerance {
+    /// Requests of a customer that the fronts may let pass in total while nobody knows what it has spent.
+    /// The other half of the tolerance covers a leader that knows as little, and requests on their way.
+    pub fn unknown_spending(&self, limit: RateLimit) -> f64 {
+        let span = limit.rate * self.window.as_secs_f64() + limit.burst;
+        (span * self.overage + self.slack) / 2.0
+    }
+}
+
 /// Seconds of the customer's full rate that are assumed as a minimum of recent requests: a new
 /// leader has seen few holders and would otherwise assign the whole rate to the first one.
 const EVIDENCE_S: f64 = 4.0;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -273,7 +273,12 @@
 /// Reads what any member holds for operators. It is committed, but may be old, as the member need not
 /// have heard of a leader yet.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct FetchHeld {}
+pub struct FetchHeld {
+    /// The name of the vm that asks.
+    pub vm: String,
+    /// The role of the process that asks.
+    pub role: ProcessRole,
+}
 
 impl Call for FetchHeld {
     const PATH: &'static str = "/internal/fleet/fetch-held";
@@ -288,6 +293,9 @@
     /// The evacuated data centres.
     #[serde(default)]
     pub evacuated: BTreeSet<String>,
+    /// Number of fronts that have asked this member lately.
+    #[serde(default)]
+    pub fronts: u32,
 }
 
 /// Reads the active rules document.
