--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -241,6 +241,28 @@
         self.fallback().start_alone(self.tolerance);
     }
 
+    /// Whether this process has started without a leader and heard of none since.
+    pub fn starts_alone(&self) -> bool {
+        self.fallback().is_fresh()
+    }
+
+    /// Waits until a condition of what the hub sends holds, for at most `limit`; returns whether it does.
+    pub async fn wait_until(&self, limit: Duration, condition: impl Fn() -> bool) -> bool {
+        let mut changes = self.changes();
+        let met = async {
+            loop {
+                changes.mark_unchanged();
+                if condition() {
+                    return;
+                }
+                if changes.changed().await.is_err() {
+                    return std::future::pending().await;
+                }
+            }
+        };
+        tokio::time::timeout(limit, met).await.is_ok()
+    }
+
     /// Records that the hub's leader responded.
     pub(crate) fn note_leader(&self) {
         let now = self.now();
--- a/crates/direct/src/slot.rs
+++ b/crates/direct/src/slot.rs
@@ -15,6 +15,9 @@
 use crate::Node;
 
 /// How long the hub has been silent when batch items are placed without it, one at each target. Before
+/// How long a request that is refused only because no leader is known waits for one: about as long as the
+/// hub's members take to elect one after they have all started again.
+const ELECTION_WAIT: Duration = Duration::from_millis(1000);
 /// that online requests have the targets to themselves.
 const ITEMS_ALONE_AFTER: Duration = Duration::from_secs(5);
 /// How long released slots are collected before they are reported in one message.
@@ -130,7 +133,14 @@
                     cause: BusyCause::NoTarget,
                 };
             }
-            let outcome = self.place_once(want.clone(), limit).await;
+            let mut outcome = self.place_once(want.clone(), limit).await;
+            // The leader that is being elected knows what the customer may still spend.
+            if matches!(outcome, SlotOutcome::OverRate(_))
+                && self.starts_alone()
+                && self.wait_for_leader(want.queue_timeout).await
+            {
+                outcome = self.place_once(want.clone(), limit).await;
+            }
             // The target may have said that it is leaving while the request was queued.
             match &outcome {
                 SlotOutcome::Slot(slot) if self.must_avoid(&slot.target) => {}
@@ -148,6 +158,13 @@
         }
     }
 
+    /// Waits for the first leader of a process that has just started, for a part of the time that a request
+    /// may wait for a slot.
+    async fn wait_for_leader(&self, queue_timeout: Duration) -> bool {
+        let limit = ELECTION_WAIT.min(queue_timeout / 2);
+        self.wait_until(limit, || !self.starts_alone()).await
+    }
+
     /// Whether all targets that are known for a request are closed.
     fn is_without_target(&self, want: &SlotRequest) -> bool {
         let view = self.view();
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -4,8 +4,10 @@
 
 use bytes::Bytes;
 use clem_direct::OutgoingRequest;
-use clem_edge::{Cause, Customer, Refusal, RequestKind, RouteKind, Ruleset, common_parts};
-use http::{HeaderValue, Request, Response, Version, header};
+use clem_edge::{
+    Cause, Customer, Refusal, RequestInfo, RequestKind, RouteKind, Ruleset, common_parts,
+};
+use http::{HeaderValue, Request, Response, Version, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
@@ -44,35 +46,50 @@
     response
 }
 
-/// Waits for the rules and targets of a process that has just started. After the loss of all processes
-/// callers come back before the rules are known; they come back only once, so a refusal would lose most of
-/// them.
-async fn wait_for_rules(front: &Arc<Front>, timeout: Duration) -> Option<Arc<Ruleset>> {
+/// The rules for a request. A process that has just started waits for them, and for newer ones if those that it
+/// took from a member don't allow the request: after the loss of all processes callers come back before the
+/// rules are known, and they come back only once, so a refusal would lose most of them.
+async fn rules_for(
+    front: &Arc<Front>,
+    head: &request::Parts,
+    info: &RequestInfo,
+) -> Option<Arc<Ruleset>> {
     let node = &front.node;
+    let known = node.view().rules.clone();
+    let path = head.uri.path();
+    let is_final = !node.starts_alone();
+    let known = match known {
+        Some(rules) if is_final || allows(&rules, info, path) => return Some(rules),
+        Some(_) | None => known,
+    };
+    let timeout = info.timeout.unwrap_or(DEFAULT_TIMEOUT);
     // A caller that is served after half of its time is better off at another process.
     let left = STARTUP_TIME.saturating_sub(node.uptime()).min(timeout / 2);
-    let _running = front.start()?;
-    let mut changes = node.changes();
-    let ready = async {
-        loop {
-            changes.mark_unchanged();
-            let known = {
-                let view = node.view();
-                view.rules.clone().filter(|_| !view.targets.is_empty())
-            };
-            if let Some(rules) = known {
-                return Some(rules);
-            }
-            if changes.changed().await.is_err() {
-                return None;
-            }
-        }
+    let Some(_running) = front.start() else {
+        return known;
     };
+    let ready = node.wait_until(left, || {
+        let view = node.view();
+        let rules = view.rules.as_ref().filter(|_| !view.targets.is_empty());
+        rules.is_some_and(|rules| !node.starts_alone() || allows(rules, info, path))
+    });
     tokio::select! {
-        rules = ready => rules,
-        () = tokio::time::sleep(left) => node.view().rules.clone(),
-        () = front.ended() => None,
+        _ = ready => {}
+        () = front.ended() => {}
     }
+    let rules = node.view().rules.clone();
+    // Rules that may be old don't say that a request is wrong.
+    rules.filter(|rules| !node.starts_alone() || allows(rules, info, path))
+}
+
+/// Whether rules have the route and the key of a request.
+fn allows(rules: &Ruleset, info: &RequestInfo, path: &str) -> bool {
+    let has_key = || {
+        let key = info.key.as_deref();
+        key.is_some_and(|key| rules.customer_by_key(key).is_some())
+    };
+    let route = rules.route(&info.host, path);
+    route.is_some_and(|route| route.public || !rules.has_keys() || has_key())
 }
 
 async fn answer(
@@ -89,11 +106,7 @@
     };
     let kind = node.dialect.read_kind(&head).map_err(malformed)?;
     let info = node.dialect.read_request(&head).map_err(malformed)?;
-    let known = node.view().rules.clone();
-    let rules = match known {
-        Some(rules) => Some(rules),
-        None => wait_for_rules(front, info.timeout.unwrap_or(DEFAULT_TIMEOUT)).await,
-    };
+    let rules = rules_for(front, &head, &info).await;
     let early = EarlyRefusal {
         id: info.id.as_deref().unwrap_or_default(),
         rules: rules.as_ref().map_or(0, |rules| rules.version.0),
--- a/crates/policy/src/dispatch/fallback.rs
+++ b/crates/policy/src/dispatch/fallback.rs
@@ -59,6 +59,11 @@
         self.silent = true;
     }
 
+    /// Whether no leader was heard of since [`start_alone`](Self::start_alone).
+    pub fn is_fresh(&self) -> bool {
+        self.fresh.is_some()
+    }
+
     /// Whether requests are placed locally instead of asking the leader.
     pub fn is_active(&self) -> bool {
         self.silent
