Hub: a new leader knows which customers' token buckets are low

Cause: a new leader starts each bucket with ten tokens, as it doesn't know what was spent. Change: the leader records in the replicated state which buckets are below half; its successors start the others with half of the burst.

--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -14,7 +14,7 @@
 };
 use clem_edge::Dialect;
 use clem_policy::dispatch::{GrantOutcome, Ticket, Verdict};
-use clem_state::{batch_group, document, evacuations};
+use clem_state::{batch_group, document, evacuations, low_buckets};
 use clem_types::{Time, Version};
 use clem_wire::{
     LeaderClient,
@@ -125,6 +125,7 @@
             };
             let mut fresh = LeaderState::new(start);
             fresh.dispatcher.set_list_lag(self.list_lag);
+            fresh.restore_low_buckets(self.replica.read(low_buckets::read));
             fresh.set_evacuations(now, &self.replica.read(evacuations::read));
             self.install_rules(&mut fresh, now, &rules);
             log::info!(epoch = epoch.0, rules = rules.version.0; "became leader");
--- a/crates/hub/src/lead.rs
+++ b/crates/hub/src/lead.rs
@@ -11,8 +11,8 @@
 
 use clem_edge::{Ruleset, TargetState, TargetVm};
 use clem_policy::dispatch::{
-    ColdTarget, CrashReport, Dispatcher, FrontNews, LeavingTargets, LimitReport, Origin, PartNews,
-    RateLimit, SHARE_LIFE, TargetLimit, TargetSlots, UnknownShares, least_share,
+    ColdTarget, CrashReport, Dispatcher, FrontNews, LeavingTargets, LimitReport, LowBuckets,
+    Origin, PartNews, RateLimit, SHARE_LIFE, TargetLimit, TargetSlots, UnknownShares, least_share,
 };
 use clem_state::{batch_group::BatchGroup, evacuations::Evacuations};
 use clem_types::{Epoch, PartId, Rate, Time, Version};
@@ -88,6 +88,8 @@
     /// The members of the batch group, as its leader last reported them.
     members: Vec<SocketAddr>,
     allowance: f64,
+    /// The low buckets by the replicated state; `None` if there is no record yet.
+    low_buckets: Option<LowBuckets>,
     first_keeper: Option<Time>,
     /// The holder of each vm's front that has reported to this leader.
     fronts_heard: BTreeMap<String, String>,
@@ -141,6 +143,7 @@
             processes: BTreeMap::new(),
             members: Vec::new(),
             allowance: start.allowance,
+            low_buckets: None,
             first_keeper: None,
             fronts_heard: BTreeMap::new(),
             fronts_before: 0,
@@ -204,6 +207,25 @@
         true
     }
 
+    /// Takes over the record of low buckets of the leaders before.
+    pub fn restore_low_buckets(&mut self, low: Option<LowBuckets>) {
+        self.low_buckets.clone_from(&low);
+        self.dispatcher.restore_low_buckets(low);
+    }
+
+    /// The record of low buckets to store; `None` if the stored one holds.
+    pub fn changed_low_buckets(&mut self, now: Time) -> Option<LowBuckets> {
+        let levels = self.dispatcher.bucket_levels(now);
+        let known = self.low_buckets.clone().unwrap_or_default();
+        let low = known.updated(&levels);
+        (self.low_buckets.as_ref() != Some(&low)).then_some(low)
+    }
+
+    /// Notes that a record of low buckets is stored.
+    pub fn note_low_buckets(&mut self, low: LowBuckets) {
+        self.low_buckets = Some(low);
+    }
+
     /// Presumes the targets cold whose data centre gets work again: they may have restarted while it was
     /// evacuated.
     fn presume_cold(&mut self, now: Time, evacuated: &BTreeSet<String>) {
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -127,6 +127,10 @@
     spawn_vital("add_seeds", add_seeds(replica.clone(), seeds));
     spawn_vital("poll", tasks::poll(Arc::clone(&hub)));
     spawn_vital("tick", tasks::tick(Arc::clone(&hub)));
+    spawn_vital(
+        "keep_low_buckets",
+        tasks::keep_low_buckets(Arc::clone(&hub)),
+    );
     spawn_vital("log_slots", tasks::log_slots(Arc::clone(&hub)));
     log::info!(
         vm = settings.vm.as_str(), address:% = settings.address, has_disk;
--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -116,6 +116,27 @@
     }
 }
 
+/// How often the record of low buckets is compared with the buckets. In one interval a customer spends less
+/// than the platform tolerates above its rate.
+const LOW_BUCKETS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Keeps the record of low buckets up to date while this process leads, until it exits.
+pub(crate) async fn keep_low_buckets(hub: Arc<Hub>) {
+    loop {
+        tokio::time::sleep(LOW_BUCKETS_INTERVAL).await;
+        let changed = hub.with_leader(|leader, now| leader.changed_low_buckets(now));
+        let Ok(Some(low)) = changed else {
+            continue;
+        };
+        let command = Command::Document(low.clone().into());
+        match hub.propose(command).await {
+            // If this process is no longer the leader, the next one reads the record.
+            Ok(_) => drop(hub.with_leader(|leader, _| leader.note_low_buckets(low))),
+            Err(error) => log::debug!(error:? = error; "low buckets not recorded"),
+        }
+    }
+}
+
 /// A tick that is this late is logged: calls wait for as long, and members may think that the leader is
 /// lost.
 const STALL_LOGGED: Duration = Duration::from_millis(60);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -17,6 +17,7 @@
 mod fallback;
 mod leaving;
 mod limit;
+mod low_buckets;
 mod pool;
 mod rate;
 mod retry_after;
@@ -41,6 +42,7 @@
 pub use fallback::{Fallback, least_share};
 pub use leaving::LeavingTargets;
 pub use limit::{Budget, LimitReport, LimitedTargets, Pace, TargetLimit};
+pub use low_buckets::{LOW_LEVEL, LowBuckets};
 pub use pool::{Pool, PoolView};
 pub use rate::{RateBucket, RateLimit, RateShare, RateTolerance, SHARE_LIFE};
 pub use retry_after::{RouteTimeouts, retry_after};
@@ -370,6 +372,17 @@
         self.rates.set_limits(now, rates, start);
     }
 
+    /// Sets which customers' buckets are low by the record of the leaders before, if there is one. It counts
+    /// for the customers of the first rules only.
+    pub fn restore_low_buckets(&mut self, low: Option<LowBuckets>) {
+        self.rates.restore_low(low);
+    }
+
+    /// How full the buckets are that are worth a record, each as a part of its burst.
+    pub fn bucket_levels(&mut self, now: Time) -> BTreeMap<String, f64> {
+        self.rates.levels(now)
+    }
+
     /// Sets what fronts may use of the customers' rates without the leader knowing their shares.
     pub fn set_unknown_shares(&mut self, now: Time, unknown: UnknownShares) {
         self.rates.set_unknown(now, unknown);
--- a/crates/policy/src/dispatch/rate.rs
+++ b/crates/policy/src/dispatch/rate.rs
@@ -269,6 +269,11 @@
         (away + self.unheard).min(1.0)
     }
 
+    /// The customer's limit.
+    pub fn limit(&self) -> RateLimit {
+        self.limit
+    }
+
     /// Fill level as a fraction of the burst, from 0 to 1.
     pub fn left(&mut self, now: Time) -> f64 {
         self.fill(now);
--- a/crates/policy/src/dispatch/shares.rs
+++ b/crates/policy/src/dispatch/shares.rs
@@ -7,7 +7,7 @@
 
 use clem_types::Time;
 
-use super::{RateBucket, RateLimit, RateShare, SHARE_LIFE};
+use super::{LowBuckets, RateBucket, RateLimit, RateShare, SHARE_LIFE};
 
 /// The parts of each customer's rate that fronts may use of which the leader knows no share.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -57,6 +57,8 @@
     away: HashMap<String, AwayFront>,
     news: Vec<FrontNews>,
     unknown: UnknownShares,
+    /// Which buckets were low under the leaders before; until the first limits are known.
+    restored: Option<LowBuckets>,
 }
 
 impl RateBuckets {
@@ -69,17 +71,36 @@
         start: f64,
     ) {
         self.buckets.retain(|name, _| limits.contains_key(name));
+        let restored = self.restored.take();
         for (name, limit) in limits {
             if let Some(bucket) = self.buckets.get_mut(name) {
                 bucket.set_limit(now, *limit);
                 continue;
             }
-            let mut bucket = RateBucket::new(now, *limit, start);
+            let kept = restored.as_ref();
+            let kept = kept.map_or(0.0, |low| low.least_tokens(name, *limit));
+            let mut bucket = RateBucket::new(now, *limit, start.max(kept));
             bucket.set_unheard(now, self.unknown.unheard);
             self.buckets.insert(name.clone(), bucket);
         }
     }
 
+    /// Sets which buckets were low under the leaders before.
+    pub(super) fn restore_low(&mut self, low: Option<LowBuckets>) {
+        self.restored = low;
+    }
+
+    /// How full the buckets are that are worth a record, each as a part of its burst.
+    pub(super) fn levels(&mut self, now: Time) -> BTreeMap<String, f64> {
+        let mut levels = BTreeMap::new();
+        for (name, bucket) in &mut self.buckets {
+            if LowBuckets::covers(bucket.limit()) {
+                levels.insert(name.clone(), bucket.left(now));
+            }
+        }
+        levels
+    }
+
     /// Takes a token for a request of a holder.
     ///
     /// # Errors
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -87,8 +87,8 @@
         /// The leader's clock.
         now: UnixMillis,
     },
-    /// Stores the rules document of the direct path, if its version is newer, or changes which data
-    /// centres are evacuated.
+    /// Stores the rules document of the direct path, if its version is newer, or what else the hub
+    /// keeps.
     Document(DocumentChange),
     /// Changes the record of the group that stores the direct path's batches.
     #[serde(rename = "Depot")]
@@ -142,7 +142,7 @@
             | Self::BatchBegin(_)
             | Self::BatchChunk { .. }
             | Self::BatchSeal { .. } => true,
-            Self::Document(change) => change.evacuation.is_none(),
+            Self::Document(change) => change.is_document(),
             Self::Job(command) => command.is_new(),
             Self::EndOrders(_)
             | Self::OnceFinish(_)
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -1,6 +1,7 @@
 //! The rules document of the direct path; the highest version wins.
 
 use bytes::Bytes;
+use clem_policy::dispatch::LowBuckets;
 use clem_store::Store;
 use clem_types::Version;
 use clem_wire::fleet::RulesDocument;
@@ -9,12 +10,13 @@
 use crate::{
     Result,
     evacuations::{self, EvacuationChange},
+    low_buckets,
     table::{self, Key},
 };
 
-/// A change of what the hub keeps for operators: the rules document or the evacuations.
+/// A change of what the hub keeps: the rules document, the evacuations or the low token buckets.
 ///
-/// Evacuations have no command of their own, because a member of an earlier release exits on a command
+/// The latter two have no command of their own, because a member of an earlier release exits on a command
 /// that it doesn't know. To it, this is a document of version 0, which it skips.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentChange {
@@ -23,6 +25,16 @@
     /// The change of the evacuations, of which the document is empty.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuation: Option<EvacuationChange>,
+    /// The customers whose token buckets are low, of which the document is empty.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub low_buckets: Option<LowBuckets>,
+}
+
+impl DocumentChange {
+    /// Whether it stores a document.
+    pub(crate) fn is_document(&self) -> bool {
+        self.evacuation.is_none() && self.low_buckets.is_none()
+    }
 }
 
 impl From<RulesDocument> for DocumentChange {
@@ -30,7 +42,7 @@
         Self {
             version: rules.version,
             document: rules.document,
-            evacuation: None,
+            ..Self::default()
         }
     }
 }
@@ -44,6 +56,15 @@
     }
 }
 
+impl From<LowBuckets> for DocumentChange {
+    fn from(low: LowBuckets) -> Self {
+        Self {
+            low_buckets: Some(low),
+            ..Self::default()
+        }
+    }
+}
+
 /// Stores the document if its version is higher than the stored one, and returns the version that
 /// is stored afterwards.
 ///
@@ -54,6 +75,10 @@
         evacuations::change(store, change)?;
         return Ok(kept);
     }
+    if let Some(low) = &rules.low_buckets {
+        low_buckets::put(store, low)?;
+        return Ok(kept);
+    }
     if rules.version <= kept {
         return Ok(kept);
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod document;
 pub mod evacuations;
 pub mod jobs;
+pub mod low_buckets;
 pub mod orders;
 pub mod poison;
 pub mod rules;
--- a/crates/state/tests/evacuations.rs
+++ b/crates/state/tests/evacuations.rs
@@ -5,10 +5,12 @@
 
 mod common;
 
+use clem_policy::dispatch::LowBuckets;
 use clem_state::{
     Command,
     document::{self, DocumentChange},
     evacuations::{self, EVACUATED_MAX, EvacuationChange},
+    low_buckets,
 };
 use clem_types::Version;
 use clem_wire::{codec, fleet::RulesDocument};
@@ -81,3 +83,19 @@
     let read: DocumentChange = codec::decode(&entry).unwrap();
     assert_eq!(read, DocumentChange::from(rules));
 }
+
+/// The record of low buckets travels like an order: it must change neither rules nor evacuations.
+#[test]
+fn low_buckets_are_kept_beside_evacuations() {
+    let mut harness = Harness::default();
+    order(&mut harness, start("a"));
+    let low = LowBuckets {
+        all: false,
+        customers: ["c".to_owned()].into(),
+    };
+    assert_eq!(low_buckets::read(&harness.store).unwrap(), None);
+    harness.apply(&Command::Document(low.clone().into()));
+    assert_eq!(low_buckets::read(&harness.store).unwrap(), Some(low));
+    assert_eq!(order(&mut harness, start("a")), ["a"]);
+    assert_eq!(document::version(&harness.store).unwrap(), Version(0));
+}
