An answer that ended before its request was written isn't complete

Cause: the end of a response without length and last chunk was believed if the target still ran 50 ms later, also if the target had ended it while the request was still being written.

Change: `Upload` in clem-direct counts the bytes of the request body that the socket has taken (hyper advances the body's buffer by what a write took), and notes a write after the target has ended its side, so that a target that then reads the rest is seen too. Such a response is truncated: the front resets the caller's connection, an item is run again. The send buffer of a target's connection is set to 64 KiB (the kernel doubles it), as the default holds some MB.

Not seen: bytes that the kernel has taken and the target hasn't read, that is, requests that fit into the buffers of both ends. Asking the kernel (SIOCOUTQ) needs unsafe code, which the workspace denies, and would not show bytes that wait in the target's own buffer either.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use clem_direct::{
-    BusyCause, ByteShare, EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome,
+    BusyCause, ByteShare, EventBuffer, Outcome, OutgoingRequest, Reply, Slot, SlotOutcome, Upload,
 };
 use clem_edge::{Forward, Framing, ItemSpec, ItemStatus, common_parts};
 use clem_policy::dispatch::{
@@ -387,6 +387,7 @@
         recall: oneshot::Receiver<()>,
     ) -> RunEnd {
         let framing = reply.framing;
+        let upload = Arc::clone(&reply.upload);
         let (head, mut body, connection) = reply.into_parts();
         self.framing = Some(framing);
         let target = slot.target.id.clone();
@@ -476,7 +477,7 @@
                     }
                 }
                 Ok(None) if !events.holds_part() && framing == Framing::Close => {
-                    return self.read_closed(slot, seen, frames).await;
+                    return self.read_closed(slot, seen, frames, &upload).await;
                 }
                 Ok(None) if !events.holds_part() && self.last_event == seen => {
                     node.recycle(&mut slot, head.status, connection);
@@ -508,13 +509,21 @@
 
     /// Decides on a response without length and chunks that ended between two events after `frames`
     /// frames. Targets that crash or cut their responses end them in the same way, so the item is
-    /// complete only if [`CONFIRMATIONS`] targets had nothing to add and did not crash.
-    async fn read_closed(&mut self, mut slot: Slot, seen: Option<u64>, frames: u32) -> RunEnd {
+    /// complete only if [`CONFIRMATIONS`] targets had nothing to add, did not crash and got the whole item.
+    async fn read_closed(
+        &mut self,
+        mut slot: Slot,
+        seen: Option<u64>,
+        frames: u32,
+        upload: &Upload,
+    ) -> RunEnd {
         let node = Arc::clone(&self.keeper.node);
         let target = slot.target.id.clone();
         let added = self.last_event != seen;
-        let alive =
-            self.last_event.is_some() && node.outlives_close(&slot.target, &self.spec.id).await;
+        let alive = self.last_event.is_some()
+            && node
+                .may_be_complete(&slot.target, &self.spec.id, upload)
+                .await;
         if alive && !self.confirmed.contains(&target) {
             self.confirmed.push(target.clone());
         }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -6,11 +6,10 @@
 use clem_edge::{Forward, Framing, NamedRequest, TargetHead, TargetVm};
 use clem_policy::dispatch::GrantOutcome;
 use http::{HeaderMap, Method, Request, StatusCode, response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::{
-    Node, Slot,
+    Node, Slot, Upload,
     pool::{ConnectError, Connection, connect},
 };
 
@@ -65,6 +64,8 @@
     pub framing: Framing,
     /// The body stream.
     pub body: Incoming,
+    /// How much of the request has been written.
+    pub upload: Arc<Upload>,
     /// The connection, returned to the pool once the body has been read completely.
     connection: Option<Connection>,
 }
@@ -136,11 +137,11 @@
         &self,
         outgoing: &OutgoingRequest,
         forward: &Forward<'_>,
-    ) -> http::Result<Request<Full<Bytes>>> {
+    ) -> http::Result<Request<Bytes>> {
         let mut request = Request::builder()
             .method(outgoing.method.clone())
             .uri(&outgoing.path)
-            .body(Full::new(outgoing.body.clone()))?;
+            .body(outgoing.body.clone())?;
         *request.headers_mut() = self.dialect.forward_headers(&outgoing.headers, forward);
         Ok(request)
     }
@@ -187,6 +188,7 @@
             framing: Framing::of(&head.headers, &body),
             head,
             body,
+            upload: connection.upload(),
             connection: (!read.closes).then_some(connection),
         }))
     }
@@ -214,9 +216,17 @@
         }
     }
 
-    /// Whether a target that has closed the connection of the request `id` still accepts connections, so
-    /// that it did not close this one by ending.
-    pub async fn outlives_close(&self, target: &TargetVm, id: &str) -> bool {
+    /// Whether a target may have closed the connection of the request `id` after a complete response: the
+    /// request was written before, and the target still accepts connections, so that it did not close this
+    /// one by ending.
+    pub async fn may_be_complete(&self, target: &TargetVm, id: &str, upload: &Upload) -> bool {
+        if upload.is_cut() {
+            log::warn!(
+                target = target.id.as_str(), request = id;
+                "response ended before its request was written"
+            );
+            return false;
+        }
         tokio::time::sleep(CRASH_TIME).await;
         self.probe(target, id).await == Liveness::Running
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod slot;
 mod stream_log;
+mod upload;
 mod view;
 
 pub use byte_budget::{ByteBudget, ByteShare};
@@ -25,4 +26,5 @@
 pub use node::{Node, NodeSettings};
 pub use pool::READ_BYTES_MAX;
 pub use slot::{BusyCause, Slot, SlotOutcome, release_loop};
+pub use upload::Upload;
 pub use view::View;
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     fmt, io,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -20,12 +20,17 @@
     },
 };
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
+
+use crate::upload::{TargetStream, Upload, UploadBytes};
 
 /// Timeout for setting up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Most bytes read from a connection at once, and the largest response head.
 pub const READ_BYTES_MAX: usize = 32 * 1024;
+/// The send buffer of a connection, which the kernel doubles. A request counts as written once the kernel has
+/// taken it, so that a large buffer would hide that a target has not read it: the default holds some MB.
+const SEND_BUFFER_BYTES: u32 = 64 * 1024;
 /// How long an idle connection is kept; targets close theirs after some seconds.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// The most idle connections per target.
@@ -34,7 +39,8 @@
 /// An HTTP/1 connection to a target.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<UploadBytes>>,
+    upload: Arc<Upload>,
     /// Whether a request was sent on it.
     used: bool,
 }
@@ -51,12 +57,18 @@
     /// The connection ended; the error returns the request if no byte of it was sent.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<Bytes>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Full<UploadBytes>>>> {
         self.used = true;
+        let request = self.upload.begin(request);
         self.sender.try_send_request(request).await
     }
 
+    /// How much of the last request has been written.
+    pub(crate) fn upload(&self) -> Arc<Upload> {
+        Arc::clone(&self.upload)
+    }
+
     fn is_idle(&self) -> bool {
         !self.sender.is_closed() && self.sender.is_ready()
     }
@@ -153,10 +165,18 @@
 /// The connection could not be established; nothing was sent.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection> {
     metrics::counter!("clem_target_connects").increment(1);
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await;
     let late = |_| ConnectError::Failed("no connection in time".to_owned());
     let stream = connected.map_err(late)??;
     stream.set_nodelay(true)?;
+    let upload = Arc::new(Upload::default());
+    let stream = TargetStream::new(stream, Arc::clone(&upload));
     let (sender, connection) = Builder::new()
         .max_buf_size(READ_BYTES_MAX)
         .handshake(TokioIo::new(stream))
@@ -168,6 +188,7 @@
     });
     Ok(Connection {
         sender,
+        upload,
         used: false,
     })
 }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -177,6 +177,7 @@
         let mut in_doubt = false;
         loop {
             let framing = reply.framing;
+            let upload = Arc::clone(&reply.upload);
             let (_, body, connection) = reply.into_parts();
             self.state.placement.framing = Some(framing);
             self.frames = 0;
@@ -192,11 +193,12 @@
                 self.relay_bytes(body, framing).await
             };
             self.held.clear_part();
-            // A target whose process ends closes its connections as well.
+            // A target whose process ends closes its connections as well, and one may end its response
+            // before it has read the request.
             let may_be_whole = matches!(end, End::Closed)
                 && self.framing == Framing::Close
                 && node
-                    .outlives_close(&slot.target, &self.state.request.id)
+                    .may_be_complete(&slot.target, &self.state.request.id, &upload)
                     .await;
             match end {
                 End::Whole => {
