--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -170,7 +170,9 @@
     } else {
         TcpSocket::new_v6()?
     };
-    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    if let Err(error) = socket.set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!(error:% = error; "send buffer not limited");
+    }
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await;
     let late = |_| ConnectError::Failed("no connection in time".to_owned());
     let stream = connected.map_err(late)??;
