Bound the memory of callers' bodies at a front

Cause: each body was bounded, their sum was not, and a chunk cost some 20 bytes beside its own; a front of 80 MB took 161 to 210 MB.

Change: a body whose length says that it is too long is refused with 413, unread. Chunks are copied into one buffer. All bodies share a quarter of limits.memory_mb, and one customer holds seven eighths of it at most; clem_policy::bodies decides which unfinished body gives way (503, connection closed), stalled ones first. A body that is silent for idle_timeout_ms or takes longer than its request may gets a 408. A request counts as running once its body is complete. limits.max_fds, if set, bounds callers' connections at half of it.

--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -13,6 +13,10 @@
     NotFound,
     /// The body exceeds the size limit.
     TooLong,
+    /// The body did not arrive in time; the request has not run and will not run.
+    BodySlow,
+    /// There is no room for the body; the request has not run and will not run.
+    BodyRoom,
     /// The customer exceeds its rate or its cap of batch tokens.
     OverLimit,
     /// There is no free slot or no target; the request has not run and will not run.
@@ -62,6 +66,8 @@
             Self::KeyUnknown => "key_unknown",
             Self::NotFound => "not_found",
             Self::TooLong => "too_long",
+            Self::BodySlow => "body_slow",
+            Self::BodyRoom => "body_room",
             Self::OverLimit => "over_limit",
             Self::Busy => "busy",
             Self::Harmful => "harmful",
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,6 +14,8 @@
 use clem_types::Time;
 use tokio::sync::watch;
 
+use crate::bodies::{BodyPlace, BodyStore};
+
 /// Part of the grace period reserved for the last answers, so that callers get them before their
 /// connections are closed.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
@@ -26,6 +28,8 @@
     pub(crate) running_max: usize,
     /// What relayed responses may hold together.
     pub(crate) relays: Arc<ByteBudget>,
+    /// The bodies of callers' requests.
+    pub(crate) bodies: Arc<BodyStore>,
     timeouts: Mutex<RouteTimeouts>,
     /// Until when this process answers requests; `None` while it isn't stopping.
     ends: watch::Sender<Option<Time>>,
@@ -33,15 +37,32 @@
 }
 
 /// Counts a request as running until dropped.
-pub(crate) struct RunningGuard(Arc<Front>);
+pub(crate) struct RunningGuard {
+    front: Arc<Front>,
+    /// The place of the request's body.
+    body: Option<BodyPlace>,
+}
+
+impl RunningGuard {
+    /// Keeps the place of the request's body as long as the request.
+    pub(crate) fn hold(&mut self, place: Option<BodyPlace>) {
+        self.body = place;
+    }
+}
 
 impl Front {
-    pub(crate) fn new(node: Arc<Node>, running_max: usize, relay_bytes: usize) -> Self {
+    pub(crate) fn new(
+        node: Arc<Node>,
+        running_max: usize,
+        relay_bytes: usize,
+        body_bytes: usize,
+    ) -> Self {
         Self {
             node,
             readiness: Readiness::default(),
             running_max,
             relays: ByteBudget::new(relay_bytes),
+            bodies: BodyStore::new(body_bytes),
             timeouts: Mutex::default(),
             ends: watch::Sender::new(None),
             running: AtomicUsize::new(0),
@@ -85,18 +106,27 @@
         timeouts.observe(route, timeout)
     }
 
+    /// Whether the maximum number of requests is running.
+    pub(crate) fn is_full(&self) -> bool {
+        self.running() >= self.running_max
+    }
+
     /// Counts a request as running; `None` if the maximum is reached.
     pub(crate) fn start(self: &Arc<Self>) -> Option<RunningGuard> {
-        if self.running() >= self.running_max {
+        if self.is_full() {
             return None;
         }
         self.running.fetch_add(1, Ordering::Relaxed);
-        Some(RunningGuard(Arc::clone(self)))
+        Some(RunningGuard {
+            front: Arc::clone(self),
+            body: None,
+        })
     }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        self.body.take();
+        self.front.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -2,18 +2,17 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use clem_direct::OutgoingRequest;
 use clem_edge::{
     Cause, Customer, Refusal, RequestInfo, RequestKind, RouteKind, Ruleset, common_parts,
 };
 use http::{HeaderValue, Request, Response, Version, header, request};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use crate::{
     attempt::{self, STOPPING_RETRY, millis},
     batch,
+    bodies::{BodyLimits, read_body},
     body::{ResponseBody, full_body},
     caller::CallerLink,
     front::Front,
@@ -35,11 +34,19 @@
     request: Request<Incoming>,
     link: CallerLink,
 ) -> Response<ResponseBody> {
-    let mut response = match answer(front, request, link).await {
+    let answered = answer(front, request, link).await;
+    // The rest of such a body is not read.
+    let closes = answered.as_ref().is_err_and(|refusal| {
+        matches!(
+            refusal.cause,
+            Cause::TooLong | Cause::BodyRoom | Cause::BodySlow
+        )
+    });
+    let mut response = match answered {
         Ok(response) => response,
         Err(refusal) => front.node.dialect.refusal(&refusal).map(full_body),
     };
-    if front.is_stopping() {
+    if closes || front.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -147,11 +154,23 @@
         Some(end) => until.min(end),
         None => until,
     };
-    let Some(running) = front.start() else {
-        return Err(early.refuse(Refusal::after(Cause::Busy, FULL_RETRY)));
+    let full = || early.refuse(Refusal::after(Cause::Busy, FULL_RETRY));
+    if front.is_full() {
+        return Err(full());
+    }
+    let name = customer.map_or("", |customer| customer.name.as_str());
+    let body_limits = BodyLimits {
+        bytes: limits.body_bytes,
+        idle: limits.idle_time,
+        total: until.since(arrived),
     };
-    let body = read_body(body, limits.body_bytes).await;
-    let body = body.map_err(|refusal| early.refuse(refusal))?;
+    let read = read_body(&front.bodies, body, name, body_limits, || node.now()).await;
+    let (body, place) = read.map_err(|refusal| early.refuse(refusal))?;
+    // An unfinished body doesn't count as a running request, or stalled ones would leave no room for others.
+    let Some(mut running) = front.start() else {
+        return Err(full());
+    };
+    running.hold(place);
     if route.kind == RouteKind::Batch {
         let (Some(customer), Some(id)) = (customer, info.id.as_deref()) else {
             return Err(early.refuse(Refusal::new(Cause::Malformed)));
@@ -166,7 +185,6 @@
     let is_retry = info
         .timeout
         .is_some_and(|timeout| front.record_request(&route.name, timeout));
-    let name = customer.map_or("", |customer| customer.name.as_str());
     let fields = [name.as_bytes(), path.as_bytes(), &body];
     let parts = common_parts(&info.parts, &fields);
     let request = CallerRequest {
@@ -230,14 +248,3 @@
         early.refuse(Refusal::new(Cause::KeyUnknown))
     })
 }
-
-async fn read_body(body: Incoming, most: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, most).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(Cause::TooLong))
-        }
-        // The caller disconnected or sent invalid HTTP.
-        Err(_) => Err(Refusal::new(Cause::Malformed)),
-    }
-}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod attempt;
 mod batch;
+mod bodies;
 mod body;
 mod caller;
 mod front;
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -1,6 +1,11 @@
 //! Runs the front program from startup to shutdown.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
 
 use clem_boot::{Metrics, listen, spawn_vital, stop_signal};
 use clem_direct::{Node, NodeSettings, follow, poll_without_hub, release_loop};
@@ -11,7 +16,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
 };
 
 use crate::{
@@ -28,6 +33,8 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// How much longer connections may be idle than the rules say.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Minimum time between two log lines on refused connections.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle timeout of a connection before any rules are known.
 const IDLE_DEFAULT: Duration = Duration::from_secs(15);
 
@@ -45,6 +52,10 @@
     pub running_max: usize,
     /// Bytes that relayed responses may hold together.
     pub relay_bytes: usize,
+    /// Bytes that the bodies of callers' requests may hold together.
+    pub body_bytes: usize,
+    /// Maximum number of callers' connections; `None` for no bound.
+    pub connections_max: Option<usize>,
 }
 
 /// Runs the front until a stop signal. `seeds` delivers hub members added to the settings later.
@@ -63,7 +74,9 @@
         Arc::clone(&node),
         settings.running_max,
         settings.relay_bytes,
+        settings.body_bytes,
     ));
+    let connections = Connections::new(settings.connections_max);
     spawn_vital("follow", follow(Arc::clone(&node), seeds));
     spawn_vital("poll_without_hub", poll_without_hub(Arc::clone(&node)));
     spawn_vital("release_loop", release_loop(Arc::clone(&node)));
@@ -78,14 +91,15 @@
     let stop = stop_signal();
     tokio::pin!(stop);
     tokio::select! {
-        () = accept(&front, &socket, &graceful) => {}
+        () = accept(&front, &socket, &graceful, &connections) => {}
         stopped = &mut stop => stopped?,
     }
     log::info!(vm = node.vm.as_str(), running = front.running(); "front stopping");
     let grace = settings.grace.saturating_sub(GRACE_MARGIN);
     let end = tokio::time::Instant::now() + grace;
     front.stop(node.now() + grace);
-    let lame_duck = tokio::time::timeout(LAME_DUCK, accept(&front, &socket, &graceful)).await;
+    let lame_duck =
+        tokio::time::timeout(LAME_DUCK, accept(&front, &socket, &graceful, &connections)).await;
     debug_assert!(lame_duck.is_err(), "accept never returns");
     drop(socket);
     if tokio::time::timeout_at(end, graceful.shutdown())
@@ -98,11 +112,49 @@
     Ok(())
 }
 
-async fn accept(front: &Arc<Front>, socket: &TcpListener, graceful: &GracefulShutdown) {
+/// Bounds the callers' connections.
+struct Connections {
+    free: Arc<Semaphore>,
+    /// When a connection was refused last with a log line.
+    logged: Mutex<Option<Instant>>,
+}
+
+impl Connections {
+    fn new(most: Option<usize>) -> Self {
+        let most = most.unwrap_or(Semaphore::MAX_PERMITS);
+        Self {
+            free: Arc::new(Semaphore::new(most.min(Semaphore::MAX_PERMITS))),
+            logged: Mutex::default(),
+        }
+    }
+
+    /// Counts a connection until the permit is dropped; `None` if there are too many.
+    fn open(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = Arc::clone(&self.free).try_acquire_owned() {
+            return Some(permit);
+        }
+        metrics::counter!("clem_front_connections_refused").increment(1);
+        let mut logged = self.logged.lock().unwrap_or_else(PoisonError::into_inner);
+        if logged.is_none_or(|logged| logged.elapsed() >= LOG_INTERVAL) {
+            *logged = Some(Instant::now());
+            log::warn!("connections refused");
+        }
+        None
+    }
+}
+
+async fn accept(
+    front: &Arc<Front>,
+    socket: &TcpListener,
+    graceful: &GracefulShutdown,
+    connections: &Connections,
+) {
     loop {
         match socket.accept().await {
             Ok((stream, _)) => {
-                serve(front, stream, graceful.watcher());
+                if let Some(permit) = connections.open() {
+                    serve(front, stream, graceful.watcher(), permit);
+                }
             }
             Err(error) => {
                 log::warn!(error:% = error; "connection not accepted");
@@ -112,7 +164,7 @@
     }
 }
 
-fn serve(front: &Arc<Front>, stream: TcpStream, watcher: Watcher) {
+fn serve(front: &Arc<Front>, stream: TcpStream, watcher: Watcher, permit: OwnedSemaphorePermit) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "connection closed immediately");
         return;
@@ -141,6 +193,7 @@
         if let Err(error) = watcher.watch(connection).await {
             log::debug!(error:% = error; "caller's connection ended");
         }
+        drop(permit);
     });
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! All functions are deterministic: the current time is an argument, and random numbers come from
 //! a generator that the caller seeds.
 
+pub mod bodies;
 pub mod bucket;
 pub mod dispatch;
 pub mod fair;
