Choose targets by shortest expected finish

Cause: Pool::choose counts slots in use only, so a slow target gets as many requests as a fast one until its slots are full.

Change: dispatch::work learns the speed of each target from its whole online answers, keeps the remaining work of what runs there, and gives Pool::choose the expected finish, a price for another data centre and a cap on slots in use. Only with Dispatcher::set_placement(Work); the default Slots chooses as before. SlotRequest.work isn't added yet: a request counts as the mean of its service.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -24,6 +24,7 @@
 mod shares;
 mod streams;
 mod target;
+mod work;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -50,6 +51,7 @@
     Origin, OriginReport, Resumes, StreamKey, StreamRequest, Streams, UnknownStream,
 };
 pub use target::{GrantOutcome, TargetSlots};
+pub use work::{Placement, UnknownPlacement};
 
 /// Time without a message from a holder after which its grants are revoked: three times the
 /// longest gap of a live holder. Targets finish or drop what a frozen or killed process had sent
@@ -221,6 +223,7 @@
     /// When the platform's list was last read.
     listed: Option<Time>,
     stream_news: Vec<StreamNews>,
+    placement: Placement,
 }
 
 /// A request with suspected parts that counts as running, so that others with these parts wait.
@@ -254,6 +257,14 @@
 }
 
 impl Dispatcher {
+    /// Sets how targets are chosen, in all services.
+    pub fn set_placement(&mut self, placement: Placement) {
+        self.placement = placement;
+        for pool in self.pools.values_mut() {
+            pool.set_placement(placement);
+        }
+    }
+
     /// Notes that the platform's list was read, with the service and version of each target in it.
     pub fn note_versions<'a>(
         &mut self,
@@ -267,6 +278,7 @@
     /// Replaces the list of targets that may get work for a service.
     pub fn set_targets(&mut self, now: Time, service: &str, targets: &[TargetSlots]) {
         let pool = self.pools.entry(service.to_owned()).or_default();
+        pool.set_placement(self.placement);
         pool.set_targets(now, targets);
         for slots in targets {
             let cold = self.cold.rate(now, &slots.target);
@@ -422,6 +434,7 @@
             return;
         }
         let pool = self.pools.entry(want.service.clone()).or_default();
+        pool.set_placement(self.placement);
         match pool.admit(now, &want) {
             Some(refused) => self.refuse(now, &want, refused),
             None => pool.push(now, want),
@@ -665,6 +678,7 @@
                 continue;
             }
             let pool = self.pools.entry(grant.service.clone()).or_default();
+            pool.set_placement(self.placement);
             pool.occupy(now, &grant.target, grant.batch);
             self.grants.insert(
                 grant.ticket,
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -5,7 +5,9 @@
 use clem_types::{SoftwareVersion, Time};
 
 use super::{
-    GrantOutcome, Pace, SlotRequest, TargetSlots, Ticket, Urgency, Verdict, target::Target,
+    GrantOutcome, Pace, Placement, SlotRequest, TargetSlots, Ticket, Urgency, Verdict,
+    target::Target,
+    work::{BatchMean, MeanWork, slot_cap},
 };
 
 /// Assumed service time of online requests until the first one has been answered.
@@ -39,6 +41,9 @@
     running: Vec<Running>,
     /// Moving average of the online requests' service time; `None` before the first answer.
     service_time: Option<Duration>,
+    /// Learned service time of batch items.
+    batch_mean: BatchMean,
+    placement: Placement,
     /// Number of requests queued so far, which numbers them in order of arrival.
     arrivals: u64,
 }
@@ -89,6 +94,10 @@
 }
 
 impl Pool {
+    pub(super) fn set_placement(&mut self, placement: Placement) {
+        self.placement = placement;
+    }
+
     pub(super) fn set_targets(&mut self, now: Time, targets: &[TargetSlots]) {
         for target in self.targets.values_mut() {
             target.listed = false;
@@ -361,8 +370,57 @@
         usable / RESERVE_SHARE
     }
 
-    /// Chooses the target with the fewest slots in use, with a bonus for the holder's data centre.
     fn choose(&self, now: Time, want: &SlotRequest) -> Option<String> {
+        match self.placement {
+            Placement::Slots => self.choose_by_slots(now, want),
+            Placement::Work => self.choose_by_work(now, want),
+        }
+    }
+
+    fn mean_work(&self) -> MeanWork {
+        MeanWork {
+            online: self.service_time.unwrap_or(SERVICE_START).as_secs_f64(),
+            batch: self.batch_mean.get(),
+        }
+    }
+
+    /// Chooses the target with the shortest expected finish. Targets above their cap are used only if no
+    /// other may run the request, so that a cap keeps no slot empty.
+    fn choose_by_work(&self, now: Time, want: &SlotRequest) -> Option<String> {
+        let batch = matches!(want.urgency, Urgency::Batch { .. });
+        let mean = self.mean_work();
+        let mut total = 0.0;
+        let mut used = 0;
+        let mut eligible = Vec::new();
+        for target in self.targets.values() {
+            if !target.is_up(now) || !self.accepts(want, target) {
+                continue;
+            }
+            let speed = target.work.speed(now, mean);
+            let capacity = f64::from(target.slots.slots) * speed;
+            total += capacity;
+            used += target.used();
+            let avoided = want.avoid.contains(&target.slots.target);
+            if avoided || target.free(now) == 0 || !target.has_budget(now, batch) {
+                continue;
+            }
+            eligible.push((target, speed, capacity));
+        }
+        let mut best: Option<(bool, f64, &Target)> = None;
+        for (target, speed, capacity) in eligible {
+            let above = f64::from(target.used() + 1) > slot_cap(capacity, total, used);
+            let near = target.slots.data_centre == want.data_centre;
+            let slots = target.slots.slots;
+            let finish = target.work.finish(now, speed, slots, batch, near, mean);
+            if best.is_none_or(|(least_above, least, _)| (above, finish) < (least_above, least)) {
+                best = Some((above, finish, target));
+            }
+        }
+        best.map(|(_, _, target)| target.slots.target.clone())
+    }
+
+    /// Chooses the target with the fewest slots in use, with a bonus for the holder's data centre.
+    fn choose_by_slots(&self, now: Time, want: &SlotRequest) -> Option<String> {
         let batch = matches!(want.urgency, Urgency::Batch { .. });
         let mut best: Option<(u32, &Target)> = None;
         for target in self.targets.values() {
@@ -441,6 +499,11 @@
         since: Time,
         ended: GrantOutcome,
     ) {
+        // Before the mean takes this sample in, which would bias the ratio towards 1.
+        let mean = self.mean_work();
+        if batch && ended == GrantOutcome::Answered {
+            self.batch_mean.note(now.since(since));
+        }
         if !batch {
             let is_it = |r: &Running| r.since == since && r.target == target;
             if let Some(index) = self.running.iter().position(is_it) {
@@ -457,6 +520,7 @@
             return;
         };
         known.release(now, batch, ended);
+        known.work.end(now, batch, since, ended, mean);
         if !known.listed && known.used() == 0 {
             self.targets.remove(target);
         }
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -5,7 +5,7 @@
 use clem_types::{SoftwareVersion, Time};
 use serde::{Deserialize, Serialize};
 
-use super::{Budget, Pace};
+use super::{Budget, Pace, work::TargetWork};
 
 /// First cooldown of a failed target; each further failure doubles it.
 const COOLDOWN_MIN: Duration = Duration::from_millis(500);
@@ -73,6 +73,8 @@
     probed: Option<Time>,
     /// Requests that it may get, if it has named a limit.
     pub(super) budget: Option<Budget>,
+    /// Learned speed and running work.
+    pub(super) work: TargetWork,
 }
 
 impl Target {
@@ -87,6 +89,7 @@
             probing: false,
             probed: None,
             budget: None,
+            work: TargetWork::default(),
         }
     }
 
@@ -147,6 +150,7 @@
         if self.probing && self.probed.is_none() {
             self.probed = Some(now);
         }
+        self.work.begin(now, batch);
         if batch {
             self.batch += 1;
         } else {
