--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -13,7 +13,7 @@
     replica::Replica,
 };
 use clem_edge::Dialect;
-use clem_policy::dispatch::{GrantOutcome, Ticket, Verdict};
+use clem_policy::dispatch::{GrantOutcome, Placement, Ticket, Verdict};
 use clem_state::{batch_group, document, evacuations};
 use clem_types::{Time, Version};
 use clem_wire::{
@@ -55,6 +55,8 @@
     data_centres: BTreeSet<String>,
     /// How far the platform's target list lags behind.
     list_lag: Duration,
+    /// How the targets of requests are chosen.
+    placement: Placement,
     leader: Mutex<Option<LeaderState>>,
     waiters: Mutex<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     /// The polls of followers that wait for an update.
@@ -77,6 +79,7 @@
     pub(crate) restart_allowance: f64,
     pub(crate) data_centres: BTreeSet<String>,
     pub(crate) list_lag: Duration,
+    pub(crate) placement: Placement,
 }
 
 impl Hub {
@@ -92,6 +95,7 @@
             restart_allowance: parts.restart_allowance,
             data_centres: parts.data_centres,
             list_lag: parts.list_lag,
+            placement: parts.placement,
             leader: Mutex::new(None),
             waiters: Mutex::default(),
             polls: Polls::default(),
@@ -125,6 +129,7 @@
             };
             let mut fresh = LeaderState::new(start);
             fresh.dispatcher.set_list_lag(self.list_lag);
+            fresh.dispatcher.set_placement(self.placement);
             fresh.set_evacuations(now, &self.replica.read(evacuations::read));
             self.install_rules(&mut fresh, now, &rules);
             log::info!(epoch = epoch.0, rules = rules.version.0; "became leader");
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -13,6 +13,7 @@
 mod targets;
 mod tasks;
 
+pub use clem_policy::dispatch::Placement;
 pub use hub::Hub;
 pub use lead::{LeaderInit, LeaderState, Process, Wakes};
 pub use polls::{HeldPoll, Polls};
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -6,6 +6,7 @@
 use clem_control::replica::{Replica, ReplicaSettings};
 use clem_edge::Dialect;
 use clem_log::disk::FileSystem;
+use clem_policy::dispatch::Placement;
 use clem_wire::{
     Client, FleetSecret, Guard, LeaderClient,
     fleet::{ELECTION_JITTER, ELECTION_TIMEOUT, LEADER_LOSS_NOTICED},
@@ -49,6 +50,8 @@
     pub data_centres: BTreeSet<String>,
     /// How far the platform's target list lags behind.
     pub list_lag: Duration,
+    /// How the targets of requests are chosen.
+    pub placement: Placement,
     /// Address of the platform's target list.
     pub list: SocketAddr,
     /// The secret that processes of the fleet use to authenticate to each other.
@@ -111,6 +114,7 @@
         restart_allowance: settings.restart_allowance,
         data_centres: settings.data_centres,
         list_lag: settings.list_lag,
+        placement: settings.placement,
     }));
     let guarded = Router::new()
         .hoop(Guard::new(settings.secret))
