--- a/crates/policy/tests/work.rs
+++ b/crates/policy/tests/work.rs
@@ -270,3 +270,31 @@
     }
     assert!("least".parse::<Placement>().is_err());
 }
+
+/// Guards against a price of another data centre that is not charged, or that keeps its slots empty.
+#[test]
+fn another_data_centre_is_used_when_the_near_one_is_busy() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_placement(Placement::Work);
+    let target = |target: &str, data_centre: &str| TargetSlots {
+        target: target.to_owned(),
+        data_centre: data_centre.to_owned(),
+        slots: SLOTS,
+        version: None,
+    };
+    // The names put the far target first among equals.
+    let list = [target("far", "b"), target("near", "a")];
+    dispatcher.set_targets(Time::ZERO, SERVICE, &list);
+    let mut chosen = Vec::new();
+    for ticket in 0..16 {
+        dispatcher.request_slot(Time::from_millis(ticket), want(ticket));
+        for (_, verdict) in dispatcher.take_decided() {
+            if let Verdict::Granted { target, .. } = verdict {
+                chosen.push(target);
+            }
+        }
+    }
+    assert_eq!(chosen[0], "near");
+    assert_eq!(chosen.iter().filter(|target| *target == "far").count(), 8);
+    assert_eq!(chosen.len(), 16);
+}
