Test that a target that fails early draws few requests

Cause: the test with uneven speeds passes without the share of failures, as the speeds outweigh it. Change: a load with equal speeds and one target that fails all requests; counts the failed attempts.

--- a/crates/policy/tests/work.rs
+++ b/crates/policy/tests/work.rs
@@ -76,6 +76,8 @@
     in_time: f64,
     mean: f64,
     p99: u64,
+    /// Attempts that failed.
+    failures: usize,
 }
 
 /// Arrivals for `span` ms with exponential gaps of the mean `gap`; `work` draws their work.
@@ -119,6 +121,7 @@
     let mut running: HashMap<u64, (String, GrantOutcome)> = HashMap::new();
     let mut answers: Vec<u64> = Vec::new();
     let mut tickets = 0;
+    let mut failures = 0;
     let mut next = 0;
     loop {
         let ending = ends.peek().map(|Reverse((at, _))| *at);
@@ -146,6 +149,7 @@
                 answers.push(now - load.arrivals[attempt.arrival].at);
                 return None;
             }
+            failures += 1;
             attempt.avoid.push(target);
             (attempt.avoid.len() < ATTEMPTS).then_some(attempt)
         });
@@ -181,6 +185,7 @@
         in_time: count(in_time.count()) / count(load.arrivals.len()),
         mean: sum.as_secs_f64() * 1000.0 / count(answers.len()),
         p99: answers[answers.len() * 99 / 100],
+        failures,
     }
 }
 
@@ -248,6 +253,20 @@
     compare("failing", &load);
 }
 
+/// Guards against a target that draws requests by its free slots, as it fails them early.
+#[test]
+fn a_target_that_fails_early_is_avoided_among_equals() {
+    let mut servers = vec![Server::of_speed(1.0); 6];
+    servers[1].failing = 1.0;
+    let load = Load {
+        servers,
+        arrivals: record(60_000, 14.0, even_work),
+        objective: 500,
+    };
+    let (slots, work) = compare("failing equal", &load);
+    assert!(work.failures * 2 < slots.failures, "{slots:?} {work:?}");
+}
+
 /// Guards against long requests that make a target pass for slow for good, or that starve.
 #[test]
 fn long_and_short_requests_share_uneven_targets() {
