--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -162,7 +162,7 @@
     let body_limits = BodyLimits {
         bytes: limits.body_bytes,
         idle: limits.idle_time,
-        total: until.since(arrived),
+        total: until.since(node.now()),
     };
     let read = read_body(&front.bodies, body, name, body_limits, || node.now()).await;
     let (body, place) = read.map_err(|refusal| early.refuse(refusal))?;
