--- a/review/stand-2/common.rs
+++ b/review/stand-2/common.rs
@@ -9,7 +9,7 @@
     fs::{self, File},
     io::{self, BufRead, BufReader, Write},
     net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
-    os::fd::AsRawFd,
+    os::{fd::AsRawFd, unix::process::CommandExt},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -263,7 +263,7 @@
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
     fn connect(fd: i32, address: *const SockaddrIn, len: u32) -> i32;
-    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 #[repr(C)]
@@ -385,10 +385,6 @@
 }
 
 impl Process {
-    pub fn pid(&self) -> i32 {
-        self.child.id() as i32
-    }
-
     /// Anonymous memory in use, in bytes; `None` if the process has ended.
     pub fn memory(&self) -> Option<u64> {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
@@ -396,11 +392,6 @@
         let kb: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
         Some(kb * 1024)
     }
-
-    pub fn signal(&self, signal: i32) {
-        // SAFETY: a plain system call on a process that this one started and has not reaped.
-        unsafe { kill(self.pid(), signal) };
-    }
 }
 
 pub struct Limits {
@@ -537,20 +528,6 @@
         Ok(())
     }
 
-    /// A process loses power and its disk, and starts at its old address with an empty one.
-    pub fn wipe(&mut self, place: usize) -> Result<(), String> {
-        let text = |error: io::Error| error.to_string();
-        let process = &mut self.processes[place];
-        let _ = process.child.kill();
-        let _ = process.child.wait();
-        fs::remove_dir_all(process.folder.join("data")).map_err(text)?;
-        let file = process.folder.join("settings.conf");
-        let settings = fs::read_to_string(&file).map_err(text)?;
-        fs::write(&file, settings.replace("bootstrap=true", "bootstrap=false")).map_err(text)?;
-        process.child = launch(process.role, &process.folder)?;
-        Ok(())
-    }
-
     /// The memory limit of a process by its settings.
     pub fn limit_bytes(&self, place: usize) -> u64 {
         let limit = match self.processes[place].role {
@@ -672,6 +649,15 @@
             command.env(name, value);
         }
     }
+    // SAFETY: one system call between fork and exec; the process ends with its starter, whatever ends that.
+    unsafe {
+        command.pre_exec(|| {
+            const PR_SET_PDEATHSIG: i32 = 1;
+            const SIGKILL: u64 = 9;
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
     command.spawn().map_err(|error| format!("{program}: {error}"))
 }
 
