Direct: drop what is left of a request that its target has answered

Callers saw: nothing at first; after some 30 uploads of 4 MB that targets answered early, the front ran out of memory, with never more than one request in progress.

Cause: after the response the connection went to the pool, or was dropped, while its task went on writing the request. The task held the body for as long as the target didn't read, counted by no budget.

A connection now ends its task when it is dropped, and isn't pooled while its request is unwritten. The rest of that request can't be replaced by other bytes, as the connection is closed.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -66,8 +66,8 @@
     pub body: Incoming,
     /// How much of the request has been written.
     pub upload: Arc<Upload>,
-    /// The connection, returned to the pool once the body has been read completely.
-    connection: Option<Connection>,
+    /// The connection that the body is read from.
+    connection: ReplyConnection,
 }
 
 impl Node {
@@ -189,7 +189,10 @@
             head,
             body,
             upload: connection.upload(),
-            connection: (!read.closes).then_some(connection),
+            connection: ReplyConnection {
+                connection,
+                closes: read.closes,
+            },
         }))
     }
 
@@ -266,20 +269,16 @@
         });
     }
 
-    /// Returns a connection to the pool after the response body was read completely.
-    pub fn recycle(
-        &self,
-        slot: &mut Slot,
-        status: StatusCode,
-        connection: Option<ReusableConnection>,
-    ) {
+    /// Returns a connection to the pool after the response body was read completely, if it may be reused.
+    pub fn recycle(&self, slot: &mut Slot, status: StatusCode, reply: ReplyConnection) {
         slot.set_ended(if status.is_success() {
             GrantOutcome::Answered
         } else {
             GrantOutcome::Failed
         });
-        if let Some(ReusableConnection(connection)) = connection {
-            self.pool.put(self.now(), slot.target.address, connection);
+        if !reply.closes {
+            let address = slot.target.address;
+            self.pool.put(self.now(), address, reply.connection);
         }
     }
 }
@@ -296,16 +295,16 @@
     belongs && !status.is_informational()
 }
 
-/// The connection that a response came from.
-pub struct ReusableConnection(Connection);
+/// The connection that a response comes from, closed when this is dropped.
+pub struct ReplyConnection {
+    connection: Connection,
+    /// Whether the target closes it after the response.
+    closes: bool,
+}
 
 impl Reply {
-    /// Splits the response; the connection may be reused once the body has been read completely.
-    pub fn into_parts(self) -> (response::Parts, Incoming, Option<ReusableConnection>) {
-        (
-            self.head,
-            self.body,
-            self.connection.map(ReusableConnection),
-        )
+    /// Splits the response; the connection must be kept until the body has been read, and may be reused then.
+    pub fn into_parts(self) -> (response::Parts, Incoming, ReplyConnection) {
+        (self.head, self.body, self.connection)
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,7 +20,7 @@
 pub use byte_budget::{ByteBudget, ByteShare};
 pub use clem_policy::dispatch::RateTolerance;
 pub use events::{Event, EventBuffer};
-pub use exchange::{Liveness, Outcome, OutgoingRequest, Reply, ReusableConnection};
+pub use exchange::{Liveness, Outcome, OutgoingRequest, Reply, ReplyConnection};
 pub use follow::follow;
 pub use list::{ListReader, poll_without_hub};
 pub use node::{Node, NodeSettings};
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -20,7 +20,7 @@
     },
 };
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpSocket;
+use tokio::{net::TcpSocket, task::JoinHandle};
 
 use crate::upload::{TargetStream, Upload, UploadBytes};
 
@@ -36,13 +36,16 @@
 /// The most idle connections per target.
 const IDLE_PER_TARGET: usize = 4;
 
-/// An HTTP/1 connection to a target.
+/// An HTTP/1 connection to a target, closed when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<UploadBytes>>,
     upload: Arc<Upload>,
     /// Whether a request was sent on it.
     used: bool,
+    /// Reads and writes the connection. It would go on writing a request that the target doesn't read, and hold the
+    /// body for as long.
+    task: JoinHandle<()>,
 }
 
 impl Connection {
@@ -74,6 +77,12 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// Idle connections by target address.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -100,8 +109,9 @@
         None
     }
 
-    /// Returns a connection to the pool and drops the expired ones. The connection is closed if the
-    /// pool has [`IDLE_PER_TARGET`] for the address.
+    /// Returns a connection to the pool and drops the expired ones. The connection is closed if the pool has
+    /// [`IDLE_PER_TARGET`] for the address, or if the target has answered its request without reading all of it:
+    /// nothing else may be sent before the rest, which would be held until the target reads on.
     pub(crate) fn put(&self, now: Time, address: SocketAddr, connection: Connection) {
         let mut idle = self.lock();
         idle.retain(|_, list| {
@@ -110,6 +120,11 @@
             });
             !list.is_empty()
         });
+        if !connection.upload.is_written() {
+            metrics::counter!("clem_target_uploads_cut").increment(1);
+            log::info!(target:% = address; "connection closed before its request was written");
+            return;
+        }
         let list = idle.entry(address).or_default();
         if list.len() < IDLE_PER_TARGET {
             list.push(Idle {
@@ -184,7 +199,7 @@
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| ConnectError::Failed(error.to_string()))?;
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         // An error here also fails the request that uses the connection.
         let _ = connection.await;
     });
@@ -192,5 +207,6 @@
         sender,
         upload,
         used: false,
+        task,
     })
 }
--- a/crates/direct/src/upload.rs
+++ b/crates/direct/src/upload.rs
@@ -37,7 +37,12 @@
     /// asked when the response has ended.
     pub fn is_cut(&self) -> bool {
         // Pairs with the last `advance`, before which `overtaken` was set.
-        self.unwritten.load(Ordering::Acquire) > 0 || self.overtaken.load(Ordering::Relaxed)
+        !self.is_written() || self.overtaken.load(Ordering::Relaxed)
+    }
+
+    /// Whether the body was written in full.
+    pub(crate) fn is_written(&self) -> bool {
+        self.unwritten.load(Ordering::Acquire) == 0
     }
 
     /// Begins a request whose body is counted as it is written.
