Front: a caller that doesn't read keeps no slot past its deadline

Callers saw: 503 for as long as a few others, one for each slot, had stopped reading a response and stayed connected; an accepted batch of the same service never ran.

Cause: the relay waited for room in the caller's connection without a look at the deadline of the request, and kept the slot meanwhile.

The wait now ends with the deadline: the slot is released and the connection closed, as its response can't be completed. A connection whose caller reads nothing for the idle time is closed too, and a request counts as running until its caller has read the response, so that the number of running requests bounds what unread responses hold. The place of the request's body is given back with the request as before.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -11,6 +11,7 @@
 use http::Response;
 
 use crate::{
+    bodies::BodyPlace,
     body::ResponseBody,
     front::{Front, RunningGuard},
     relay,
@@ -35,7 +36,9 @@
 pub(crate) struct RequestState {
     pub(crate) front: Arc<Front>,
     pub(crate) request: CallerRequest,
-    pub(crate) running: RunningGuard,
+    pub(crate) running: Arc<RunningGuard>,
+    /// The place of the request's body.
+    _place: Option<BodyPlace>,
     /// Number of targets that may have run the request.
     pub(crate) runs: u32,
     /// Targets that failed the request; they are not tried again.
@@ -80,12 +83,14 @@
     front: &Arc<Front>,
     request: CallerRequest,
     running: RunningGuard,
+    place: Option<BodyPlace>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let last_event = request.info.last_event;
     let mut state = RequestState {
         front: Arc::clone(front),
         request,
-        running,
+        running: Arc::new(running),
+        _place: place,
         runs: 0,
         avoid: Vec::new(),
         last_event,
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -1,4 +1,4 @@
-//! A caller's connection, which can be reset instead of closed.
+//! A caller's connection, which can be reset instead of closed, and is closed when its caller doesn't read.
 
 use std::{
     io,
@@ -8,31 +8,50 @@
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    sync::Notify,
+    time::{Sleep, sleep},
 };
 
 /// Tells a caller's connection how to end.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct CallerLink(Arc<AtomicBool>);
+pub(crate) struct CallerLink(Arc<LinkState>);
+
+#[derive(Debug, Default)]
+struct LinkState {
+    resets: AtomicBool,
+    closed: Notify,
+}
 
 impl CallerLink {
+    /// Closes the connection without the rest of its response.
+    pub(crate) fn close(&self) {
+        self.0.closed.notify_one();
+    }
+
+    /// Waits until the connection is to be closed.
+    pub(crate) async fn closed(&self) {
+        self.0.closed.notified().await;
+    }
+
     /// Makes the connection end with a reset from now on, also if this process is killed, so that the
     /// caller can tell that end from the end of a response without length and chunks.
     pub(crate) fn reset_at_end(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.0.resets.store(true, Ordering::Relaxed);
     }
 
     /// Makes the connection end without a reset once all of the response is written.
     pub(crate) fn close_at_end(&self) {
-        self.0.store(false, Ordering::Relaxed);
+        self.0.resets.store(false, Ordering::Relaxed);
     }
 
     fn resets(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.resets.load(Ordering::Relaxed)
     }
 }
 
@@ -42,15 +61,40 @@
     link: CallerLink,
     /// Whether the kernel resets the connection when the socket is closed, by whatever closes it.
     resets: bool,
+    /// How long the caller may read nothing.
+    unread_time: Duration,
+    /// Ends when the caller has read nothing for that long; `None` while the socket takes bytes.
+    unread: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, link: CallerLink) -> Self {
+    pub(crate) fn new(stream: TcpStream, link: CallerLink, unread_time: Duration) -> Self {
         Self {
             stream,
             link,
             resets: false,
+            unread_time,
+            unread: None,
+        }
+    }
+
+    /// Fails a write that the socket doesn't take once the caller has read nothing for too long.
+    fn check_unread(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.unread = None;
+            return written;
+        }
+        let span = self.unread_time;
+        let unread = self.unread.get_or_insert_with(|| Box::pin(sleep(span)));
+        if unread.as_mut().poll(cx).is_pending() {
+            return Poll::Pending;
         }
+        metrics::counter!("clem_front_unread").increment(1);
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Arms the reset before the first byte of a response that needs it is written.
@@ -92,7 +136,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.arm_reset()?;
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.check_unread(cx, written)
     }
 
     fn poll_write_vectored(
@@ -101,7 +146,8 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.arm_reset()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.check_unread(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,7 +14,7 @@
 use clem_types::Time;
 use tokio::sync::watch;
 
-use crate::bodies::{BodyPlace, BodyStore};
+use crate::bodies::BodyStore;
 
 /// Part of the grace period reserved for the last answers, so that callers get them before their
 /// connections are closed.
@@ -39,15 +39,6 @@
 /// Counts a request as running until dropped.
 pub(crate) struct RunningGuard {
     front: Arc<Front>,
-    /// The place of the request's body.
-    body: Option<BodyPlace>,
-}
-
-impl RunningGuard {
-    /// Keeps the place of the request's body as long as the request.
-    pub(crate) fn hold(&mut self, place: Option<BodyPlace>) {
-        self.body = place;
-    }
 }
 
 impl Front {
@@ -119,14 +110,12 @@
         self.running.fetch_add(1, Ordering::Relaxed);
         Some(RunningGuard {
             front: Arc::clone(self),
-            body: None,
         })
     }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
-        self.body.take();
         self.front.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -167,10 +167,9 @@
     let read = read_body(&front.bodies, body, name, body_limits, || node.now()).await;
     let (body, place) = read.map_err(|refusal| early.refuse(refusal))?;
     // An unfinished body doesn't count as a running request, or stalled ones would leave no room for others.
-    let Some(mut running) = front.start() else {
+    let Some(running) = front.start() else {
         return Err(full());
     };
-    running.hold(place);
     if route.kind == RouteKind::Batch {
         let (Some(customer), Some(id)) = (customer, info.id.as_deref()) else {
             return Err(early.refuse(Refusal::new(Cause::Malformed)));
@@ -205,7 +204,7 @@
         until,
         info,
     };
-    attempt::run(front, request, running).await
+    attempt::run(front, request, running, place).await
 }
 
 /// Answers with a refusal if this process has to give its last answers meanwhile.
--- a/crates/front/src/held.rs
+++ b/crates/front/src/held.rs
@@ -6,6 +6,8 @@
 use clem_direct::{ByteBudget, ByteShare, READ_BYTES_MAX};
 use tokio::sync::Notify;
 
+use crate::front::RunningGuard;
+
 /// The part of an event that a response may hold whatever others hold, in bytes.
 const PART_BYTES_ASSURED: usize = 2 * READ_BYTES_MAX;
 
@@ -14,6 +16,9 @@
 pub(crate) struct Held {
     counts: Mutex<Counts>,
     written: Notify,
+    /// The request counts as running until its caller has read the response, or many callers that read late could
+    /// hold more than their number allows.
+    _running: Arc<RunningGuard>,
 }
 
 struct Counts {
@@ -32,7 +37,7 @@
 }
 
 impl Held {
-    pub(crate) fn new(budget: Arc<ByteBudget>) -> Arc<Self> {
+    pub(crate) fn new(budget: Arc<ByteBudget>, running: Arc<RunningGuard>) -> Arc<Self> {
         Arc::new(Self {
             counts: Mutex::new(Counts {
                 share: ByteShare::new(budget),
@@ -40,6 +45,7 @@
                 part: 0,
             }),
             written: Notify::new(),
+            _running: running,
         })
     }
 
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -182,15 +182,18 @@
             let link = link.clone();
             async move { Ok::<_, Infallible>(handle(&front, request, link).await) }
         });
+        let idle = idle + IDLE_MARGIN;
+        let stream = CallerStream::new(stream, link.clone(), idle);
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(idle + IDLE_MARGIN)
+            .header_read_timeout(idle)
             .max_buf_size(head.max(HEAD_BYTES_MIN))
-            .serve_connection(
-                TokioIo::new(CallerStream::new(stream, link.clone())),
-                service,
-            );
-        if let Err(error) = watcher.watch(connection).await {
+            .serve_connection(TokioIo::new(stream), service);
+        let served = tokio::select! {
+            served = watcher.watch(connection) => served,
+            () = link.closed() => Ok(()),
+        };
+        if let Err(error) = served {
             log::debug!(error:% = error; "caller's connection ended");
         }
         drop(permit);
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -53,6 +53,8 @@
     NoRoom,
     /// The deadline passed.
     OutOfTime,
+    /// The caller had not read what was sent to it when the deadline passed.
+    Unread,
     /// A target that was to confirm the end of a stream sent no event in time.
     Unconfirmed,
 }
@@ -143,7 +145,7 @@
         Framing::Length | Framing::Chunked => None,
     };
     let (parts, waiting) = mpsc::channel(CHUNKS);
-    let held = Held::new(Arc::clone(&state.front.relays));
+    let held = Held::new(Arc::clone(&state.front.relays), Arc::clone(&state.running));
     let relay = Relay {
         state,
         parts,
@@ -255,6 +257,14 @@
                     slot.set_ended(GrantOutcome::Silent);
                     break;
                 }
+                End::Unread => {
+                    node.end_unread(slot, self.frames);
+                    metrics::counter!("clem_front_unread").increment(1);
+                    log_end(&self.state, "not read", self.status.as_u16());
+                    // The response can't be completed any more.
+                    self.state.request.link.close();
+                    return;
+                }
                 End::Closed | End::Broken => {
                     self.broke = true;
                     self.state.avoid.push(slot.target.id.clone());
@@ -352,6 +362,8 @@
     /// Ends the response to the caller.
     async fn finish(self, outcome: &str) {
         log_end(&self.state, outcome, self.status.as_u16());
+        // What the request held is not needed any more, and the caller may read the end late.
+        drop(self.state);
         // The caller may have disconnected.
         let _ = self.parts.send(Part::End).await;
     }
@@ -379,8 +391,8 @@
             }
             let chunk = self.held.chunk(&frame);
             drop(frame);
-            if !self.send(chunk).await {
-                return End::Gone;
+            if let Err(end) = self.send(chunk).await {
+                return end;
             }
         }
     }
@@ -436,8 +448,8 @@
                 let chunk = self.held.chunk(&event.bytes);
                 // It may be a part of a larger buffer, which would be kept while the caller doesn't read.
                 drop(event);
-                if !self.send(chunk).await {
-                    return End::Gone;
+                if let Err(end) = self.send(chunk).await {
+                    return end;
                 }
             }
             if events.is_too_long() {
@@ -471,17 +483,22 @@
         false
     }
 
-    /// Sends a chunk to the caller and waits until more may be read; returns false if the caller has
-    /// disconnected.
-    async fn send(&mut self, chunk: Bytes) -> bool {
+    /// Sends a chunk to the caller and waits until more may be read, until the deadline: a caller that doesn't
+    /// read must not keep the slot longer than its request may last.
+    async fn send(&mut self, chunk: Bytes) -> Result<(), End> {
         self.state.sent_bytes += chunk.len();
-        if self.parts.send(Part::Data(chunk)).await.is_err() {
-            return false;
-        }
-        tokio::select! {
-            () = self.held.room() => true,
-            () = self.parts.closed() => false,
-        }
+        let left = self.state.request.left(self.state.front.node.now());
+        let sent = async {
+            if self.parts.send(Part::Data(chunk)).await.is_err() {
+                return Err(End::Gone);
+            }
+            tokio::select! {
+                () = self.held.room() => Ok(()),
+                () = self.parts.closed() => Err(End::Gone),
+            }
+        };
+        let sent = tokio::time::timeout(left, sent).await;
+        sent.unwrap_or(Err(End::Unread))
     }
 
     /// Reads the next chunk of a response; `None` at its end.
