Front: pages of results and bodies of items count until they are read

Callers saw: 240 readers of a page of 0.9 MB that read slowly ended the front, and with it the requests of all others.

Cause: answers to calls on batches were complete bodies that no budget counted, neither while the reply of the batch keeper arrived nor while the caller's connection took them.

They now take room among the bodies of the process as soon as their length is known, before they are read, and hold it until the connection has taken them. Without room the caller gets a 503. A page that is being sent gives way to others like an unfinished body of a request, stalled ones first, so slow readers don't keep ordinary callers out.

--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -10,9 +10,12 @@
     jobs::{EndJob, JobName, JobOptions, ReadItem, ReadResults, SubmitJob, SubmitReply},
 };
 use http::Response;
+use http_body_util::BodyExt;
 
 use crate::{
-    body::{ResponseBody, full_body},
+    bodies::BodyPlace,
+    body::{CountedBody, ResponseBody, full_body},
+    caller::CallerLink,
     front::Front,
 };
 
@@ -121,13 +124,21 @@
     front: &Arc<Front>,
     customer: &Customer,
     kind: RequestKind,
+    link: &CallerLink,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let node = &front.node;
+    let place = front
+        .bodies
+        .begin_response(node.now(), &customer.name, link.closer());
+    let has_room = |bytes| place.grow(node.now(), bytes);
     let name = |id: String| JobName {
         customer: customer.name.clone(),
         id,
     };
     let unavailable = |batch: &str, error: &CallError| {
+        if matches!(error, CallError::NoRoom) {
+            return no_room(front, customer);
+        }
         log_unreachable(batch, error);
         Refusal::after(Cause::NotReady, RETRY)
     };
@@ -143,8 +154,11 @@
                 after,
                 wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             };
-            match node.jobs.call(&call, TIMEOUT).await {
-                Ok(Some(page)) => Ok(node.dialect.results(&page).map(full_body)),
+            match node.jobs.call_with_room(&call, TIMEOUT, &has_room).await {
+                Ok(Some(page)) => {
+                    let page = node.dialect.results(&page);
+                    counted(front, place, page).ok_or_else(|| no_room(front, customer))
+                }
                 Ok(None) => Err(missing),
                 Err(error) => Err(unavailable(&batch, &error)),
             }
@@ -154,8 +168,9 @@
                 job: name(batch.clone()),
                 item,
             };
-            match node.jobs.call(&call, TIMEOUT).await {
-                Ok(Some(body)) => Ok(Response::new(full_body(body))),
+            match node.jobs.call_with_room(&call, TIMEOUT, &has_room).await {
+                Ok(Some(body)) => counted(front, place, Response::new(body))
+                    .ok_or_else(|| no_room(front, customer)),
                 Ok(None) => Err(missing),
                 Err(error) => Err(unavailable(&batch, &error)),
             }
@@ -177,3 +192,22 @@
         }
     }
 }
+
+/// A response that counts as held until its caller has read it; `None` if there is no room for it.
+fn counted(
+    front: &Front,
+    place: BodyPlace,
+    response: Response<Bytes>,
+) -> Option<Response<ResponseBody>> {
+    let clock = front.node.clock;
+    if !place.grow(clock.now(), response.body().len()) {
+        return None;
+    }
+    Some(response.map(|bytes| CountedBody::new(bytes, place, clock).boxed()))
+}
+
+fn no_room(front: &Front, customer: &Customer) -> Refusal {
+    let cause = Cause::BodyRoom;
+    front.bodies.count(front.node.now(), cause, &customer.name);
+    Refusal::after(cause, RETRY)
+}
--- a/crates/front/src/bodies.rs
+++ b/crates/front/src/bodies.rs
@@ -1,4 +1,5 @@
-//! Reads the bodies of callers' requests into the bytes that this process has for them.
+//! Holds the bodies of callers' requests, and of responses to their calls on batches, in the bytes that this process
+//! has for them. See `docs/design/bodies.md`.
 
 use std::{
     collections::HashMap,
@@ -28,8 +29,8 @@
 
 struct State {
     bodies: Bodies,
-    /// Wakes the readers of unfinished bodies that were dropped.
-    readers: HashMap<BodyNumber, Arc<Notify>>,
+    /// Wakes the tasks of unfinished and unread bodies that were dropped.
+    tasks: HashMap<BodyNumber, Arc<Notify>>,
     /// When refused bodies were logged last, and how many were refused since.
     logged: Option<Time>,
     refused: u64,
@@ -57,7 +58,7 @@
     pub(crate) fn new(max_bytes: usize) -> Arc<Self> {
         let state = State {
             bodies: Bodies::new(max_bytes),
-            readers: HashMap::new(),
+            tasks: HashMap::new(),
             logged: None,
             refused: 0,
         };
@@ -79,7 +80,22 @@
         let dropped = Arc::new(Notify::new());
         let mut state = self.state();
         let number = state.bodies.begin(now, customer);
-        state.readers.insert(number, Arc::clone(&dropped));
+        state.tasks.insert(number, Arc::clone(&dropped));
+        BodyPlace {
+            store: Arc::clone(self),
+            number,
+            dropped,
+        }
+    }
+
+    /// Begins a response, whose connection is told by `dropped` if it gives way to another body.
+    pub(crate) fn begin_response(
+        self: &Arc<Self>,
+        now: Time,
+        customer: &str,
+        dropped: Arc<Notify>,
+    ) -> BodyPlace {
+        let number = self.state().bodies.begin_response(now, customer);
         BodyPlace {
             store: Arc::clone(self),
             number,
@@ -88,7 +104,7 @@
     }
 
     /// Counts a refused body, and logs at most once a second.
-    fn count(&self, now: Time, cause: Cause, customer: &str) {
+    pub(crate) fn count(&self, now: Time, cause: Cause, customer: &str) {
         metrics::counter!("clem_front_bodies_refused", "cause" => cause.to_string()).increment(1);
         let mut state = self.state();
         state.refused += 1;
@@ -105,13 +121,14 @@
 }
 
 impl BodyPlace {
-    fn grow(&self, now: Time, bytes: usize) -> bool {
+    /// Takes room for this many bytes in all; returns false if there is none.
+    pub(crate) fn grow(&self, now: Time, bytes: usize) -> bool {
         let mut state = self.store.state();
         match state.bodies.grow(now, self.number, bytes) {
             BodyGrowth::Granted(dropped) => {
                 for number in dropped {
-                    if let Some(reader) = state.readers.remove(&number) {
-                        reader.notify_one();
+                    if let Some(task) = state.tasks.remove(&number) {
+                        task.notify_one();
                     }
                 }
                 true
@@ -120,13 +137,21 @@
         }
     }
 
-    fn progress(&self, now: Time) -> bool {
+    /// Notes that bytes have arrived or have been read; returns false if the body has given way to another one.
+    pub(crate) fn progress(&self, now: Time) -> bool {
         self.store.state().bodies.progress(now, self.number)
     }
 
+    /// Notes that a response only has to be read.
+    pub(crate) fn respond(&self, now: Time) {
+        let mut state = self.store.state();
+        state.bodies.respond(now, self.number);
+        state.tasks.insert(self.number, Arc::clone(&self.dropped));
+    }
+
     fn complete(&self, bytes: usize) -> bool {
         let mut state = self.store.state();
-        state.readers.remove(&self.number);
+        state.tasks.remove(&self.number);
         state.bodies.complete(self.number, bytes)
     }
 }
@@ -134,7 +159,7 @@
 impl Drop for BodyPlace {
     fn drop(&mut self) {
         let mut state = self.store.state();
-        state.readers.remove(&self.number);
+        state.tasks.remove(&self.number);
         state.bodies.end(self.number);
     }
 }
--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -7,12 +7,16 @@
     task::{Context, Poll},
 };
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
+use clem_boot::Clock;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::caller::CallerLink;
+use crate::{bodies::BodyPlace, caller::CallerLink};
+
+/// Part of a counted body that the connection takes at once, in bytes.
+const PIECE_BYTES: usize = 16 * 1024;
 
 /// The body of a response.
 pub(crate) type ResponseBody = BoxBody<Bytes, Truncated>;
@@ -41,6 +45,54 @@
     Full::new(bytes).map_err(Truncated::from).boxed()
 }
 
+/// A complete body that counts as held until the caller's connection has taken all of it.
+pub(crate) struct CountedBody {
+    rest: Bytes,
+    place: BodyPlace,
+    clock: Clock,
+}
+
+impl CountedBody {
+    pub(crate) fn new(bytes: Bytes, place: BodyPlace, clock: Clock) -> Self {
+        place.respond(clock.now());
+        Self {
+            rest: bytes,
+            place,
+            clock,
+        }
+    }
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        if !self.place.progress(self.clock.now()) {
+            return Poll::Ready(Some(Err(Truncated)));
+        }
+        // A copy, as the connection may keep the last pieces for long, and a part of the body would keep all of it.
+        let size = self.rest.len().min(PIECE_BYTES);
+        let piece = Bytes::copy_from_slice(&self.rest[..size]);
+        self.rest.advance(size);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
+
 /// A part of a response that is relayed as it arrives.
 #[derive(Debug)]
 pub(crate) enum Part {
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Default)]
 struct LinkState {
     resets: AtomicBool,
-    closed: Notify,
+    closed: Arc<Notify>,
 }
 
 impl CallerLink {
@@ -34,6 +34,11 @@
         self.0.closed.notify_one();
     }
 
+    /// Closes the connection when it is notified.
+    pub(crate) fn closer(&self) -> Arc<Notify> {
+        Arc::clone(&self.0.closed)
+    }
+
     /// Waits until the connection is to be closed.
     pub(crate) async fn closed(&self) {
         self.0.closed.notified().await;
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -135,7 +135,8 @@
         }
         let customer = authenticate(&rules, key, &early)?;
         let not_answered = Refusal::after(Cause::NotReady, STOPPING_RETRY);
-        return before_end(front, batch::answer(front, customer, kind), not_answered).await;
+        let answering = batch::answer(front, customer, kind, &link);
+        return before_end(front, answering, not_answered).await;
     }
     let Some(route) = rules.route(&info.host, path) else {
         log::info!(request = early.id, host = info.host.as_str(), path; "no route");
--- a/crates/policy/src/bodies.rs
+++ b/crates/policy/src/bodies.rs
@@ -1,10 +1,11 @@
-//! Which request bodies a process holds while callers send more than fits into its memory.
+//! Which bodies of requests and responses a process holds while callers send, or leave unread, more than fits into
+//! its memory.
 //!
 //! The expected load is crowds of callers that send large bodies, or small ones in tiny chunks, and stop short of
-//! their end, beside ordinary callers whose bodies are complete within milliseconds. The bodies of a process share
-//! a number of bytes, of which one customer may hold a part. A body for which there is no room takes the place of
-//! an unfinished one that is larger than itself, stalled ones first, so that small bodies are taken however many
-//! large ones stand still.
+//! their end, or that read complete responses slowly, beside ordinary callers whose bodies are sent and read within
+//! milliseconds. The bodies of a process share a number of bytes, of which one customer may hold a part. A body for
+//! which there is no room takes the place of an unfinished or unread one that is larger than itself, stalled ones
+//! first, so that small bodies are taken however many large ones stand still.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -25,7 +26,7 @@
 /// What happens to a body that is to grow.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BodyGrowth {
-    /// It has the room. The unfinished bodies named here must be dropped for it; they hold nothing any more.
+    /// It has the room. The unfinished and unread bodies named here must be dropped for it; they hold nothing any more.
     Granted(Vec<BodyNumber>),
     /// There is no room; it holds what it held before.
     Refused,
@@ -38,7 +39,18 @@
     bytes: usize,
     begun: Time,
     progress: Time,
-    complete: bool,
+    stage: Stage,
+}
+
+/// How far a body is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The body of a request that has not arrived in full.
+    Unfinished,
+    /// A body that is worked on, which gives way to no other.
+    Needed,
+    /// The body of a response that its caller has not read in full.
+    Unread,
 }
 
 /// The bodies that a process holds.
@@ -68,8 +80,17 @@
         self.used_bytes
     }
 
-    /// Begins an empty body. It holds nothing before its first growth.
+    /// Begins an empty body of a request. It holds nothing before its first growth.
     pub fn begin(&mut self, now: Time, customer: &str) -> BodyNumber {
+        self.add_body(now, customer, Stage::Unfinished)
+    }
+
+    /// Begins an empty body of a response.
+    pub fn begin_response(&mut self, now: Time, customer: &str) -> BodyNumber {
+        self.add_body(now, customer, Stage::Needed)
+    }
+
+    fn add_body(&mut self, now: Time, customer: &str, stage: Stage) -> BodyNumber {
         let number = BodyNumber(self.next);
         self.next += 1;
         let held = Held {
@@ -77,13 +98,13 @@
             bytes: 0,
             begun: now,
             progress: now,
-            complete: false,
+            stage,
         };
         self.held.insert(number, held);
         number
     }
 
-    /// Notes that bytes of a body have arrived; returns false if it has been dropped for another one.
+    /// Notes that bytes of a body have arrived or have been read; returns false if it has been dropped for another one.
     pub fn progress(&mut self, now: Time, number: BodyNumber) -> bool {
         let held = self.held.get_mut(&number);
         held.is_some_and(|held| {
@@ -123,7 +144,7 @@
         BodyGrowth::Granted(dropped)
     }
 
-    /// Unfinished bodies whose place a body takes so that its customer's part and the whole suffice; `None` if they
+    /// Unfinished and unread bodies whose place a body takes so that its customer's part and the whole suffice; `None` if they
     /// don't suffice.
     fn choose(
         &self,
@@ -141,7 +162,7 @@
         let mut others = Vec::new();
         for (other, held) in &self.held {
             let is_stalled = now.since(held.progress) >= STALLED_TIME;
-            if *other == number || held.complete || held.bytes == 0 {
+            if *other == number || held.stage == Stage::Needed || held.bytes == 0 {
                 continue;
             }
             // Bodies that make progress give way only to smaller ones, or two of a size could drop each other for ever.
@@ -182,7 +203,7 @@
         let Some(held) = self.held.get_mut(&number) else {
             return false;
         };
-        held.complete = true;
+        held.stage = Stage::Needed;
         let given_back = held.bytes.saturating_sub(bytes);
         held.bytes -= given_back;
         self.used_bytes -= given_back;
@@ -192,6 +213,14 @@
         true
     }
 
+    /// Notes that a response is complete and only has to be read by its caller.
+    pub fn respond(&mut self, now: Time, number: BodyNumber) {
+        if let Some(held) = self.held.get_mut(&number) {
+            held.stage = Stage::Unread;
+            held.progress = now;
+        }
+    }
+
     /// Ends a body, whatever it holds.
     pub fn end(&mut self, number: BodyNumber) {
         let Some(held) = self.held.remove(&number) else {
--- a/crates/policy/tests/bodies.rs
+++ b/crates/policy/tests/bodies.rs
@@ -96,3 +96,21 @@
     bodies.end(huge);
     assert_eq!(bodies.used_bytes(), 0);
 }
+
+/// Guards against responses that are read slowly and leave no room for others.
+#[test]
+fn an_unread_response_gives_way_and_one_that_is_worked_on_does_not() {
+    let mut bodies = Bodies::new(MAX);
+    let mut numbers = Vec::new();
+    for _ in 0..7 {
+        let number = bodies.begin_response(at(0), "big");
+        assert!(granted(&mut bodies, at(0), number, LARGE).is_empty());
+        numbers.push(number);
+    }
+    let late = bodies.begin_response(at(5000), "big");
+    assert_eq!(bodies.grow(at(5000), late, LARGE), BodyGrowth::Refused);
+    bodies.respond(at(5000), numbers[2]);
+    assert_eq!(bodies.grow(at(5999), late, LARGE), BodyGrowth::Refused);
+    assert_eq!(granted(&mut bodies, at(6000), late, LARGE), [numbers[2]]);
+    assert!(!bodies.progress(at(6000), numbers[2]));
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -59,6 +59,8 @@
         /// The response's body as text; empty if it was too long to be read.
         message: String,
     },
+    /// The caller has no room for the reply; the server has executed the call.
+    NoRoom,
     /// The reply can't be decoded; the server may have executed the call.
     Malformed(String),
     /// No process of a group replied as its leader in time.
@@ -75,7 +77,9 @@
     pub fn is_not_run(&self) -> bool {
         match self {
             Self::NotSent(_) | Self::Refused { .. } => true,
-            Self::MayHaveArrived(_) | Self::TimedOut(_) | Self::Malformed(_) => false,
+            Self::MayHaveArrived(_) | Self::TimedOut(_) | Self::Malformed(_) | Self::NoRoom => {
+                false
+            }
             Self::NoLeader { arrived, .. } => !arrived,
         }
     }
@@ -88,6 +92,7 @@
             | Self::MayHaveArrived(_)
             | Self::TimedOut(_)
             | Self::Refused { .. }
+            | Self::NoRoom
             | Self::Malformed(_) => None,
         }
     }
@@ -103,6 +108,7 @@
             Self::Refused { status, message } => {
                 write!(f, "refused with HTTP status {status}: {message}")
             }
+            Self::NoRoom => f.write_str("answered, but there is no room for the reply"),
             Self::Malformed(cause) => write!(f, "the reply is malformed: {cause}"),
             Self::NoLeader { arrived: true, .. } => {
                 f.write_str("sent, but not answered: no control process answered in time")
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpInfo, capture_connection};
 
 use crate::{
@@ -116,6 +116,20 @@
         body: Bytes,
         stall: Duration,
         timeout: Duration,
+    ) -> Result<Bytes> {
+        self.post_with_room(address, path, body, stall, timeout, &any_length)
+            .await
+    }
+
+    /// As [`post_unless_stalled`](Self::post_unless_stalled), and reads no reply whose length `has_room` refuses.
+    pub(crate) async fn post_with_room(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+        stall: Duration,
+        timeout: Duration,
+        has_room: &(dyn Fn(usize) -> bool + Sync),
     ) -> Result<Bytes> {
         let wait = stall + Duration::from_secs_f64(body.len() as f64 / UPLOAD_RATE_MIN);
         let mut request = self.request(address, path, body)?;
@@ -135,7 +149,12 @@
                 }
                 until = next;
             };
-            match read_unless_stalled(response.into_body(), stall).await? {
+            let reply = response.into_body();
+            let length = reply.size_hint().lower();
+            if !usize::try_from(length).is_ok_and(has_room) {
+                return Err(CallError::NoRoom);
+            }
+            match read_unless_stalled(reply, stall).await? {
                 Some(reply) => Ok(reply),
                 None => Err(self.no_reply(address, &pool, &connection)),
             }
@@ -196,6 +215,11 @@
     }
 }
 
+/// Takes a reply of any length.
+pub(crate) fn any_length(_length: usize) -> bool {
+    true
+}
+
 async fn send(pool: &Pool, request: Request<Upload>) -> Result<Response<Incoming>> {
     let response = match pool.http.request(request).await {
         Ok(response) => response,
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -6,7 +6,9 @@
     time::{Duration, Instant},
 };
 
-use crate::{Answer, Asked, Call, CallError, Client, LeaderReply, LeaderTracker};
+use crate::{
+    Answer, Asked, Call, CallError, Client, LeaderReply, LeaderTracker, client::any_length,
+};
 
 /// Pause after all processes of the group have been tried.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
@@ -89,6 +91,22 @@
     /// rejected it. A process that refuses a repeat says nothing of the tries before, which may still be
     /// on their way: the result is [`CallError::MayHaveArrived`].
     pub async fn call<C: Call>(&self, call: &C, timeout: Duration) -> Result<C::Reply>
+    where
+        LeaderReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        self.call_with_room(call, timeout, &any_length).await
+    }
+
+    /// As [`call`](Self::call), and reads no reply whose length `has_room` refuses.
+    ///
+    /// # Errors
+    /// Those of [`call`](Self::call), and [`CallError::NoRoom`].
+    pub async fn call_with_room<C: Call>(
+        &self,
+        call: &C,
+        timeout: Duration,
+        has_room: &(dyn Fn(usize) -> bool + Sync),
+    ) -> Result<C::Reply>
     where
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
     {
@@ -111,7 +129,8 @@
                 let try_timeout = self.try_timeout::<C>(timeout);
                 let sent = Instant::now();
                 tries += 1;
-                match self.call_member(address, call, try_timeout, left).await {
+                let replied = self.ask_member(address, call, try_timeout, left, has_room);
+                match replied.await {
                     Ok(LeaderReply::Done(reply)) => {
                         self.leader().note_leader(address);
                         if tries > 1 {
@@ -141,6 +160,7 @@
                         }
                         return Err(no_room());
                     }
+                    Err(CallError::NoRoom) => return Err(CallError::NoRoom),
                     Err(error @ CallError::Refused { .. }) if arrived => {
                         return Err(unknown_error(&error.to_string()));
                     }
@@ -239,6 +259,21 @@
         stall: Duration,
         timeout: Duration,
     ) -> Result<LeaderReply<C::Reply>>
+    where
+        LeaderReply<C::Reply>: serde::de::DeserializeOwned,
+    {
+        self.ask_member(address, call, stall, timeout, &any_length)
+            .await
+    }
+
+    async fn ask_member<C: Call>(
+        &self,
+        address: SocketAddr,
+        call: &C,
+        stall: Duration,
+        timeout: Duration,
+        has_room: &(dyn Fn(usize) -> bool + Sync),
+    ) -> Result<LeaderReply<C::Reply>>
     where
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
     {
@@ -246,7 +281,7 @@
             crate::codec::encode(call).map_err(|error| CallError::NotSent(error.to_string()))?;
         let reply = self
             .client
-            .post_unless_stalled(address, C::PATH, body.into(), stall, timeout)
+            .post_with_room(address, C::PATH, body.into(), stall, timeout, has_room)
             .await?;
         crate::codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
     }
@@ -288,7 +323,7 @@
         CallError::NotSent(_) => Answer::Unreachable,
         // The process, or its path, has ended the connection; a held poll may have waited long.
         CallError::MayHaveArrived(_) | CallError::NoLeader { .. } => Answer::Broken,
-        CallError::Refused { .. } => Answer::Rejected,
+        CallError::Refused { .. } | CallError::NoRoom => Answer::Rejected,
         CallError::Malformed(_) => Answer::Malformed,
     }
 }
