Batch: submissions wait for memory before they are read

Callers saw: after a burst of large submissions the leader of the batch keepers ran out of memory, then the next leader, which got the same ones.

Cause: each submission was read, decoded and encoded again at once, whatever others did, and those for which the log had no room waited with several copies each. A front held copies that only the first was counted.

A submission is not kept as received once it is decoded, and not decoded once it is encoded. A front counts three copies.

--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -8,6 +8,7 @@
 };
 
 use clem_control::{
+    call_room::CallRoom,
     endpoint::{Replicated, Result, ServeError},
     replica::Replica,
 };
@@ -40,6 +41,8 @@
     pub(crate) ended_ready: Notify,
     /// Memory for the texts of items that are not recorded.
     pub(crate) texts: Arc<ByteBudget>,
+    /// Memory for submissions.
+    submissions: CallRoom,
     queue: Mutex<Option<(Epoch, ItemQueue)>>,
     ended: Mutex<EndedItems>,
     /// What the texts of ended items take until they are recorded.
@@ -51,7 +54,12 @@
 }
 
 impl Keeper {
-    pub(crate) fn new(node: Arc<Node>, replica: Replica, texts: Arc<ByteBudget>) -> Self {
+    pub(crate) fn new(
+        node: Arc<Node>,
+        replica: Replica,
+        texts: Arc<ByteBudget>,
+        submissions: CallRoom,
+    ) -> Self {
         let watch = Mutex::new(ItemWatch::new(node.now()));
         Self {
             node,
@@ -59,6 +67,7 @@
             items_ready: Notify::new(),
             ended_ready: Notify::new(),
             texts,
+            submissions,
             queue: Mutex::new(None),
             ended: Mutex::default(),
             ended_shares: Mutex::default(),
@@ -237,6 +246,14 @@
     fn replica(&self) -> &Replica {
         &self.replica
     }
+
+    fn call_room(&self) -> Option<&CallRoom> {
+        Some(&self.submissions)
+    }
+
+    fn now(&self) -> Time {
+        self.node.now()
+    }
 }
 
 /// The name of a command in the log.
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use clem_boot::{Metrics, acceptor, listen, metrics_route, spawn_vital, stop_signal};
-use clem_control::replica::{Replica, ReplicaSettings};
+use clem_control::{
+    call_room::CallRoom,
+    replica::{Replica, ReplicaSettings},
+};
 use clem_direct::{ByteBudget, Node, NodeSettings, follow, poll_without_hub, release_loop};
 use clem_hub::consensus_settings;
 use clem_log::disk::{FileSystem, read_identity};
@@ -39,6 +42,8 @@
     /// Memory for the texts of all items that run or have ended and are not recorded, in bytes;
     /// room for the longest one is there whatever this says.
     pub text_bytes: usize,
+    /// Memory for the submissions that are worked on, in bytes; the largest one is taken whatever this says.
+    pub submission_bytes: usize,
     /// The secret that processes of the fleet use to authenticate to each other.
     pub secret: FleetSecret,
 }
@@ -91,6 +96,7 @@
         Arc::clone(&node),
         replica.clone(),
         ByteBudget::new(settings.text_bytes.max(BUDGET_BYTES_MIN)),
+        CallRoom::new(settings.submission_bytes),
     ));
     let guarded = Router::new()
         .hoop(Guard::new(settings.secret))
--- a/crates/batch/src/serve.rs
+++ b/crates/batch/src/serve.rs
@@ -30,6 +30,7 @@
 
 impl Serve<Keeper> for SubmitJob {
     const DETACHED: bool = true;
+    const LARGE: bool = true;
 
     async fn serve(self, keeper: Arc<Keeper>) -> Result<SubmitReply> {
         keeper.with_leader(|_| ())?;
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -128,4 +128,8 @@
     fn replica(&self) -> &Replica {
         &self.replica
     }
+
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
 }
--- a/crates/control/src/endpoint.rs
+++ b/crates/control/src/endpoint.rs
@@ -4,17 +4,23 @@
 use std::{future::Future, marker::PhantomData, sync::Arc};
 
 use clem_state::{Command, Outcome};
-use clem_wire::{Call, LeaderReply, answer, read_call};
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use clem_types::Time;
+use clem_wire::{Call, LeaderReply, MAX_MESSAGE_BYTES, answer, discard_body, read_call};
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::header::CONTENT_LENGTH,
+};
 
-use crate::replica::{ProposalResult, Replica};
+use crate::{
+    call_room::CallRoom,
+    replica::{ProposalResult, Replica},
+};
 
 /// Why this process could not answer a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServeError {
     /// This process is not the leader; the call had no effect.
     NotLeader,
-    /// This process leads, but its disk is short of room; the call had no effect.
+    /// This process is short of room on its disk or in its memory; the call had no effect.
     NoRoom,
     /// It is unknown whether the call takes effect, for example because leadership was lost while
     /// it was in progress.
@@ -29,6 +35,14 @@
     /// This process's member of the group.
     fn replica(&self) -> &Replica;
 
+    /// The memory for large calls; `None` if it is not bounded.
+    fn call_room(&self) -> Option<&CallRoom> {
+        None
+    }
+
+    /// The present time.
+    fn now(&self) -> Time;
+
     /// Waits until local reads reflect everything that was committed before this call.
     ///
     /// # Errors
@@ -63,6 +77,8 @@
     /// Whether the handler runs to completion even when the client disconnects. Needed where a
     /// committed change must also reach the leader's soft state.
     const DETACHED: bool = false;
+    /// Whether calls may be large, so that they wait for [room](Replicated::call_room) before they are read.
+    const LARGE: bool = false;
 
     /// Handles the call.
     fn serve(self, shared: Arc<S>) -> impl Future<Output = Result<Self::Reply>> + Send;
@@ -102,10 +118,28 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
+        let room = self.shared.call_room().filter(|_| C::LARGE);
+        let mut permit = None;
+        if let Some(room) = room {
+            let length = message_bytes(req);
+            permit = room.enter(length).await;
+            if permit.is_none() {
+                room.note_refused(self.shared.now(), C::PATH, length);
+                // Closing the connection before the message is read could lose the reply.
+                discard_body(req).await;
+                answer(res, &LeaderReply::<C::Reply>::NoRoom);
+                return;
+            }
+        }
         let Some(call) = read_call::<C>(req, res).await else {
             return;
         };
-        let serving = call.serve(Arc::clone(&self.shared));
+        let shared = Arc::clone(&self.shared);
+        let serving = async move {
+            let result = call.serve(shared).await;
+            drop(permit);
+            result
+        };
         let result = if C::DETACHED {
             match tokio::spawn(serving).await {
                 Ok(result) => result,
@@ -118,6 +152,13 @@
     }
 }
 
+/// Length of a message by its head; the most that is read if it has none.
+fn message_bytes(req: &Request) -> u64 {
+    let length = req.headers().get(CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+    length.unwrap_or(u64::MAX).min(MAX_MESSAGE_BYTES as u64)
+}
+
 /// Turns the result of a handler into the reply on the wire.
 fn reply<T>(replica: &Replica, result: Result<T>) -> LeaderReply<T> {
     match result {
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -170,6 +170,8 @@
             Err(error) => fatal::exit("failed to encode a command", &error),
         };
         let is_new = command.is_new();
+        // Commands may be large, and wait for long.
+        drop(command);
         let end = self.shared.clock.now() + BUSY_TIMEOUT;
         loop {
             let now = self.shared.clock.now();
--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -27,6 +27,8 @@
 const RETRY: Duration = Duration::from_millis(300);
 /// Retry time for a batch that exceeds a limit.
 const FULL_RETRY: Duration = Duration::from_millis(1000);
+/// How often a submission may be in memory at once: as it was received, parsed, and encoded for the leader.
+const SUBMISSION_COPIES: usize = 3;
 /// Due and retention time of batches whose route sets none.
 const DEFAULT_SPAN: Duration = Duration::from_secs(60);
 
@@ -37,13 +39,21 @@
     route: &Route,
     customer: &Customer,
     id: &str,
-    body: &Bytes,
+    (body, place): (Bytes, Option<BodyPlace>),
 ) -> Result<Response<ResponseBody>, Refusal> {
     let node = &front.node;
-    let spec = node.dialect.read_batch(id, body).map_err(|findings| {
+    let copies = body.len().saturating_mul(SUBMISSION_COPIES);
+    let has_room = place
+        .as_ref()
+        .is_none_or(|place| place.grow(node.now(), copies));
+    if !has_room {
+        return Err(no_room(front, customer));
+    }
+    let spec = node.dialect.read_batch(id, &body).map_err(|findings| {
         log::warn!(batch = id, findings:% = findings; "batch malformed");
         Refusal::new(Cause::Malformed)
     })?;
+    drop(body);
     let items = spec.items.len();
     let Some(service) = route.pick_service(node.random()) else {
         return Err(Refusal::new(Cause::Busy));
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -175,7 +175,7 @@
         let (Some(customer), Some(id)) = (customer, info.id.as_deref()) else {
             return Err(early.refuse(Refusal::new(Cause::Malformed)));
         };
-        let submitting = batch::submit(front, &rules, route, customer, id, &body);
+        let submitting = batch::submit(front, &rules, route, customer, id, (body, place));
         // The batch may have been accepted.
         return before_end(front, submitting, Refusal::new(Cause::OutOfTime)).await;
     }
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -235,4 +235,8 @@
     fn replica(&self) -> &Replica {
         &self.replica
     }
+
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod balance;
 mod cost_model;
 mod log_pace;
+mod refusal_log;
 mod retention;
 mod tail;
 
@@ -25,3 +26,4 @@
 pub use balance::Balance;
 pub use cost_model::CostModel;
 pub use log_pace::LogPace;
+pub use refusal_log::RefusalLog;
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -39,7 +39,7 @@
     },
     /// The process lost leadership while handling the call, which may or may not have taken effect.
     Unknown,
-    /// The leader's disk is short of room for a while; the call had no effect.
+    /// The process is short of room for a while, on its disk or in its memory; the call had no effect.
     NoRoom,
 }
 
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -21,7 +21,7 @@
 /// Number of processes that [`LeaderClient::ask_leader`] tries.
 const LEADER_TRIES: usize = 3;
 /// Why a leader refuses a call for now.
-const NO_ROOM: &str = "the leader's disk is short of room";
+const NO_ROOM: &str = "the leader is short of room";
 
 type Result<T> = std::result::Result<T, CallError>;
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,5 +1,8 @@
 //! The server side of calls, for salvo.
 
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait,
     http::{StatusCode, header::CONTENT_TYPE, header::HeaderValue},
@@ -44,14 +47,14 @@
 /// Decodes the call in a request. If the body is too long or malformed, writes an error response
 /// and returns none.
 pub async fn read_call<C: Call>(req: &mut Request, res: &mut Response) -> Option<C> {
-    let Ok(body) = req.payload_with_max_size(MAX_MESSAGE_BYTES).await else {
+    let Some(body) = read_body(req).await else {
         res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
         res.render(format!(
             "the message body can't be read or exceeds {MAX_MESSAGE_BYTES} bytes"
         ));
         return None;
     };
-    match codec::decode(body) {
+    match codec::decode(&body) {
         Ok(call) => Some(call),
         Err(error) => {
             res.status_code(StatusCode::BAD_REQUEST);
@@ -61,6 +64,42 @@
     }
 }
 
+/// Reads the body of a request, which is not kept with the request; none if it is too long or can't be read.
+async fn read_body(req: &mut Request) -> Option<BytesMut> {
+    let mut body = req.take_body();
+    let length = usize::try_from(body.size_hint().lower()).ok()?;
+    if length > MAX_MESSAGE_BYTES {
+        return None;
+    }
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        let wanted = read.len() + data.len();
+        if wanted > MAX_MESSAGE_BYTES {
+            return None;
+        }
+        // One allocation where the length is known, but not before bytes of it arrive.
+        if wanted > read.capacity() {
+            read.reserve(wanted.max(length) - read.len());
+        }
+        read.extend_from_slice(&data);
+    }
+    Some(read)
+}
+
+/// Reads the body of a request without keeping it, as far as a message may be long.
+pub async fn discard_body(req: &mut Request) {
+    let mut body = req.take_body();
+    let mut read = 0;
+    while let Some(Ok(frame)) = body.frame().await
+        && read <= MAX_MESSAGE_BYTES
+    {
+        read += frame.data_ref().map_or(0, Bytes::len);
+    }
+}
+
 /// Writes the reply to a call as the response.
 pub fn answer<T: Serialize>(res: &mut Response, reply: &T) {
     match codec::encode(reply) {
