Front: bound unfinished heads, and let idle connections give way

Callers saw: 1,500 connections with 64 kB of a head each took a front past its memory limit. 300 connections that sent nothing, or the beginning of a head, used up what limits.max_fds allows; ordinary callers got no connection until the idle time was over.

Cause: each head had a buffer of its own that nothing counted, and a new connection was refused whatever the others were waiting for.

A head counts among the bodies of the process once it fills the first buffer of its connection, and gives way like an unfinished body. At the limit on connections, which follows the memory limit too, a new one takes the place of the one that has waited longest for a request. Bodies that gave way used to be counted as gone while their tasks had not run: nothing more is read until they have.

--- a/crates/front/src/bodies.rs
+++ b/crates/front/src/bodies.rs
@@ -2,14 +2,17 @@
 //! has for them. See `docs/design/bodies.md`.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use bytes::Bytes;
 use clem_edge::{Cause, Refusal};
-use clem_policy::bodies::{Bodies, BodyGrowth, BodyNumber, OPEN_BYTES};
+use clem_policy::{
+    RefusalLog,
+    bodies::{Bodies, BodyGrowth, BodyNumber, OPEN_BYTES},
+};
 use clem_types::Time;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -19,8 +22,6 @@
 const BUFFER_BYTES: usize = 8 * 1024;
 /// Retry time of a body for which there was no room.
 const ROOM_RETRY: Duration = Duration::from_millis(300);
-/// Minimum time between two log lines on refused bodies.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The bodies that this process holds.
 pub(crate) struct BodyStore {
@@ -31,9 +32,9 @@
     bodies: Bodies,
     /// Wakes the tasks of unfinished and unread bodies that were dropped.
     tasks: HashMap<BodyNumber, Arc<Notify>>,
-    /// When refused bodies were logged last, and how many were refused since.
-    logged: Option<Time>,
-    refused: u64,
+    /// Bodies that were dropped and whose tasks have not run since, so that they are still in memory.
+    leaving: HashSet<BodyNumber>,
+    refused: RefusalLog,
 }
 
 /// The limits on one body.
@@ -59,8 +60,8 @@
         let state = State {
             bodies: Bodies::new(max_bytes),
             tasks: HashMap::new(),
-            logged: None,
-            refused: 0,
+            leaving: HashSet::new(),
+            refused: RefusalLog::default(),
         };
         Arc::new(Self {
             state: Mutex::new(state),
@@ -72,12 +73,21 @@
         self.state().bodies.used_bytes()
     }
 
+    /// Whether all bodies that gave way to others are out of memory. Until then nothing more should be read.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.state().leaving.is_empty()
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn begin(self: &Arc<Self>, now: Time, customer: &str) -> BodyPlace {
-        let dropped = Arc::new(Notify::new());
+    /// Begins the head of a request, whose connection is told by `dropped` if it gives way to a body.
+    pub(crate) fn begin_head(self: &Arc<Self>, now: Time, dropped: Arc<Notify>) -> BodyPlace {
+        self.begin(now, "", dropped)
+    }
+
+    fn begin(self: &Arc<Self>, now: Time, customer: &str, dropped: Arc<Notify>) -> BodyPlace {
         let mut state = self.state();
         let number = state.bodies.begin(now, customer);
         state.tasks.insert(number, Arc::clone(&dropped));
@@ -107,13 +117,9 @@
     pub(crate) fn count(&self, now: Time, cause: Cause, customer: &str) {
         metrics::counter!("clem_front_bodies_refused", "cause" => cause.to_string()).increment(1);
         let mut state = self.state();
-        state.refused += 1;
-        let is_due = |logged| now.since(logged) >= LOG_INTERVAL;
-        if !state.logged.is_none_or(is_due) {
+        let Some(refused) = state.refused.count(now) else {
             return;
-        }
-        let refused = std::mem::take(&mut state.refused);
-        state.logged = Some(now);
+        };
         let held = state.bodies.used_bytes();
         drop(state);
         log::warn!(cause:% = cause, customer, refused, held_bytes = held; "bodies refused");
@@ -128,6 +134,7 @@
             BodyGrowth::Granted(dropped) => {
                 for number in dropped {
                     if let Some(task) = state.tasks.remove(&number) {
+                        state.leaving.insert(number);
                         task.notify_one();
                     }
                 }
@@ -160,6 +167,7 @@
     fn drop(&mut self) {
         let mut state = self.store.state();
         state.tasks.remove(&self.number);
+        state.leaving.remove(&self.number);
         state.bodies.end(self.number);
     }
 }
@@ -175,8 +183,8 @@
     if body.is_end_stream() {
         return Ok((Bytes::new(), None));
     }
-    let place = store.begin(now(), customer);
-    let dropped = Arc::clone(&place.dropped);
+    let dropped = Arc::new(Notify::new());
+    let place = store.begin(now(), customer, Arc::clone(&dropped));
     let read = tokio::select! {
         read = tokio::time::timeout(limits.total, collect(&place, body, limits, &now)) => {
             read.unwrap_or(Err(Cause::BodySlow))
@@ -232,6 +240,9 @@
             if !place.grow(now(), OPEN_BYTES + size) {
                 return Err(Cause::BodyRoom);
             }
+            while !place.store.is_settled() {
+                tokio::task::yield_now().await;
+            }
             buffer.reserve_exact(size - buffer.len());
         }
         if !data.is_empty() && !place.progress(now()) {
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -18,6 +18,8 @@
     time::{Sleep, sleep},
 };
 
+use crate::connections::ConnectionPlace;
+
 /// Tells a caller's connection how to end.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CallerLink(Arc<LinkState>);
@@ -64,6 +66,7 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     link: CallerLink,
+    place: Arc<ConnectionPlace>,
     /// Whether the kernel resets the connection when the socket is closed, by whatever closes it.
     resets: bool,
     /// How long the caller may read nothing.
@@ -73,10 +76,16 @@
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, link: CallerLink, unread_time: Duration) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        link: CallerLink,
+        place: Arc<ConnectionPlace>,
+        unread_time: Duration,
+    ) -> Self {
         Self {
             stream,
             link,
+            place,
             resets: false,
             unread_time,
             unread: None,
@@ -130,7 +139,17 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        if !self.place.may_read() {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let count = buffer.filled().len() - before;
+        if count > 0 && !self.place.note_read(count) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        read
     }
 }
 
@@ -160,6 +179,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.place.note_flushed();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,7 +14,7 @@
 use clem_types::Time;
 use tokio::sync::watch;
 
-use crate::bodies::BodyStore;
+use crate::{bodies::BodyStore, connections::ConnectionList};
 
 /// Part of the grace period reserved for the last answers, so that callers get them before their
 /// connections are closed.
@@ -28,8 +28,10 @@
     pub(crate) running_max: usize,
     /// What relayed responses may hold together.
     pub(crate) relays: Arc<ByteBudget>,
-    /// The bodies of callers' requests.
+    /// The bodies of callers' requests, and of responses to their calls on batches.
     pub(crate) bodies: Arc<BodyStore>,
+    /// The callers' connections.
+    pub(crate) connections: Arc<ConnectionList>,
     timeouts: Mutex<RouteTimeouts>,
     /// Until when this process answers requests; `None` while it isn't stopping.
     ends: watch::Sender<Option<Time>>,
@@ -47,13 +49,16 @@
         running_max: usize,
         relay_bytes: usize,
         body_bytes: usize,
+        connections_max: usize,
     ) -> Self {
+        let bodies = BodyStore::new(body_bytes);
         Self {
+            connections: ConnectionList::new(connections_max, Arc::clone(&bodies), node.clock),
             node,
             readiness: Readiness::default(),
             running_max,
             relays: ByteBudget::new(relay_bytes),
-            bodies: BodyStore::new(body_bytes),
+            bodies,
             timeouts: Mutex::default(),
             ends: watch::Sender::new(None),
             running: AtomicUsize::new(0),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 mod bodies;
 mod body;
 mod caller;
+mod connections;
 mod front;
 mod handle;
 mod held;
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -1,11 +1,6 @@
 //! Runs the front program from startup to shutdown.
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-    time::{Duration, Instant},
-};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use clem_boot::{Metrics, listen, spawn_vital, stop_signal};
 use clem_direct::{Node, NodeSettings, follow, poll_without_hub, release_loop};
@@ -16,11 +11,13 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    sync::watch,
 };
 
 use crate::{
+    body::LinkedBody,
     caller::{CallerLink, CallerStream},
+    connections::ConnectionPlace,
     front::Front,
     handle::handle,
     ready,
@@ -33,8 +30,6 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// How much longer connections may be idle than the rules say.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
-/// Minimum time between two log lines on refused connections.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle timeout of a connection before any rules are known.
 const IDLE_DEFAULT: Duration = Duration::from_secs(15);
 
@@ -54,8 +49,8 @@
     pub relay_bytes: usize,
     /// Bytes that the bodies of callers' requests may hold together.
     pub body_bytes: usize,
-    /// Maximum number of callers' connections; `None` for no bound.
-    pub connections_max: Option<usize>,
+    /// Maximum number of callers' connections.
+    pub connections_max: usize,
 }
 
 /// Runs the front until a stop signal. `seeds` delivers hub members added to the settings later.
@@ -75,8 +70,8 @@
         settings.running_max,
         settings.relay_bytes,
         settings.body_bytes,
+        settings.connections_max,
     ));
-    let connections = Connections::new(settings.connections_max);
     spawn_vital("follow", follow(Arc::clone(&node), seeds));
     spawn_vital("poll_without_hub", poll_without_hub(Arc::clone(&node)));
     spawn_vital("release_loop", release_loop(Arc::clone(&node)));
@@ -91,15 +86,14 @@
     let stop = stop_signal();
     tokio::pin!(stop);
     tokio::select! {
-        () = accept(&front, &socket, &graceful, &connections) => {}
+        () = accept(&front, &socket, &graceful) => {}
         stopped = &mut stop => stopped?,
     }
     log::info!(vm = node.vm.as_str(), running = front.running(); "front stopping");
     let grace = settings.grace.saturating_sub(GRACE_MARGIN);
     let end = tokio::time::Instant::now() + grace;
     front.stop(node.now() + grace);
-    let lame_duck =
-        tokio::time::timeout(LAME_DUCK, accept(&front, &socket, &graceful, &connections)).await;
+    let lame_duck = tokio::time::timeout(LAME_DUCK, accept(&front, &socket, &graceful)).await;
     debug_assert!(lame_duck.is_err(), "accept never returns");
     drop(socket);
     if tokio::time::timeout_at(end, graceful.shutdown())
@@ -112,48 +106,13 @@
     Ok(())
 }
 
-/// Bounds the callers' connections.
-struct Connections {
-    free: Arc<Semaphore>,
-    /// When a connection was refused last with a log line.
-    logged: Mutex<Option<Instant>>,
-}
-
-impl Connections {
-    fn new(most: Option<usize>) -> Self {
-        let most = most.unwrap_or(Semaphore::MAX_PERMITS);
-        Self {
-            free: Arc::new(Semaphore::new(most.min(Semaphore::MAX_PERMITS))),
-            logged: Mutex::default(),
-        }
-    }
-
-    /// Counts a connection until the permit is dropped; `None` if there are too many.
-    fn open(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = Arc::clone(&self.free).try_acquire_owned() {
-            return Some(permit);
-        }
-        metrics::counter!("clem_front_connections_refused").increment(1);
-        let mut logged = self.logged.lock().unwrap_or_else(PoisonError::into_inner);
-        if logged.is_none_or(|logged| logged.elapsed() >= LOG_INTERVAL) {
-            *logged = Some(Instant::now());
-            log::warn!("connections refused");
-        }
-        None
-    }
-}
-
-async fn accept(
-    front: &Arc<Front>,
-    socket: &TcpListener,
-    graceful: &GracefulShutdown,
-    connections: &Connections,
-) {
+async fn accept(front: &Arc<Front>, socket: &TcpListener, graceful: &GracefulShutdown) {
     loop {
         match socket.accept().await {
             Ok((stream, _)) => {
-                if let Some(permit) = connections.open() {
-                    serve(front, stream, graceful.watcher(), permit);
+                let link = CallerLink::default();
+                if let Some(place) = front.connections.open(front.node.now(), link.closer()) {
+                    serve(front, stream, graceful.watcher(), link, place);
                 }
             }
             Err(error) => {
@@ -164,7 +123,13 @@
     }
 }
 
-fn serve(front: &Arc<Front>, stream: TcpStream, watcher: Watcher, permit: OwnedSemaphorePermit) {
+fn serve(
+    front: &Arc<Front>,
+    stream: TcpStream,
+    watcher: Watcher,
+    link: CallerLink,
+    place: ConnectionPlace,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "connection closed immediately");
         return;
@@ -176,14 +141,19 @@
     let head = rules.as_ref().map_or(0, |rules| rules.limits.head_bytes);
     let front = Arc::clone(front);
     tokio::spawn(async move {
-        let link = CallerLink::default();
+        let place = Arc::new(place);
         let service = service_fn(|request| {
             let front = Arc::clone(&front);
             let link = link.clone();
-            async move { Ok::<_, Infallible>(handle(&front, request, link).await) }
+            let place = Arc::clone(&place);
+            async move {
+                place.begin_request();
+                let response = handle(&front, request, link).await;
+                Ok::<_, Infallible>(response.map(|body| LinkedBody::new(body, place)))
+            }
         });
         let idle = idle + IDLE_MARGIN;
-        let stream = CallerStream::new(stream, link.clone(), idle);
+        let stream = CallerStream::new(stream, link.clone(), Arc::clone(&place), idle);
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle)
@@ -196,7 +166,6 @@
         if let Err(error) = served {
             log::debug!(error:% = error; "caller's connection ended");
         }
-        drop(permit);
     });
 }
 
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -29,6 +29,7 @@
             log::info!(rules = front.node.view().version().0; "ready");
         }
         metrics::gauge!("clem_front_held_bytes").set(front.relays.used_bytes() as f64);
+        metrics::gauge!("clem_front_connections").set(front.connections.count() as f64);
         metrics::gauge!("clem_front_body_bytes").set(front.bodies.used_bytes() as f64);
         // Callers that come back after a loss of all processes are sent here only once it is ready.
         let _ = tokio::time::timeout(INTERVAL, changes.changed()).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod bodies;
 pub mod bucket;
+pub mod connections;
 pub mod dispatch;
 pub mod fair;
 pub mod limiter;
