Wire: bound what replies take before and while they are read

The buffers of connections between processes have 64 KiB at most, 128 idle connections to a process are kept, replies are read into a buffer of their length, and a page is read only once what gave way for it is gone. The room for a reply includes the buffer of its connection.

--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -6,7 +6,7 @@
 use clem_direct::Node;
 use clem_edge::{Cause, Customer, Refusal, RequestKind, Route, Ruleset};
 use clem_wire::{
-    CallError,
+    CallError, ReplyRoom,
     jobs::{EndJob, JobName, JobOptions, ReadItem, ReadResults, SubmitJob, SubmitReply},
 };
 use http::Response;
@@ -140,7 +140,10 @@
     let place = front
         .bodies
         .begin_response(node.now(), &customer.name, link.closer());
-    let has_room = |bytes| place.grow(node.now(), bytes);
+    let room = PageRoom {
+        front,
+        place: &place,
+    };
     let name = |id: String| JobName {
         customer: customer.name.clone(),
         id,
@@ -164,7 +167,7 @@
                 after,
                 wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             };
-            match node.jobs.call_with_room(&call, TIMEOUT, &has_room).await {
+            match node.jobs.call_with_room(&call, TIMEOUT, &room).await {
                 Ok(Some(page)) => {
                     let page = node.dialect.results(&page);
                     counted(front, place, page).ok_or_else(|| no_room(front, customer))
@@ -178,7 +181,7 @@
                 job: name(batch.clone()),
                 item,
             };
-            match node.jobs.call_with_room(&call, TIMEOUT, &has_room).await {
+            match node.jobs.call_with_room(&call, TIMEOUT, &room).await {
                 Ok(Some(body)) => counted(front, place, Response::new(body))
                     .ok_or_else(|| no_room(front, customer)),
                 Ok(None) => Err(missing),
@@ -203,6 +206,18 @@
     }
 }
 
+/// The room of a page of results or of the body of an item.
+struct PageRoom<'a> {
+    front: &'a Front,
+    place: &'a BodyPlace,
+}
+
+impl ReplyRoom for PageRoom<'_> {
+    async fn take(&self, bytes: usize) -> bool {
+        self.place.take(self.front.node.now(), bytes).await
+    }
+}
+
 /// A response that counts as held until its caller has read it; `None` if there is no room for it.
 fn counted(
     front: &Front,
@@ -213,7 +228,7 @@
     if !place.grow(clock.now(), response.body().len()) {
         return None;
     }
-    Some(response.map(|bytes| CountedBody::new(bytes, place, clock).boxed()))
+    Some(response.map(|bytes| CountedBody::new(&bytes, place, clock).boxed()))
 }
 
 fn no_room(front: &Front, customer: &Customer) -> Refusal {
--- a/crates/front/src/bodies.rs
+++ b/crates/front/src/bodies.rs
@@ -127,6 +127,18 @@
 }
 
 impl BodyPlace {
+    /// Takes room for this many bytes in all and waits until the bodies that give way for it are out of memory;
+    /// returns false if there is no room.
+    pub(crate) async fn take(&self, now: Time, bytes: usize) -> bool {
+        if !self.grow(now, bytes) {
+            return false;
+        }
+        while !self.store.is_settled() {
+            tokio::task::yield_now().await;
+        }
+        true
+    }
+
     /// Takes room for this many bytes in all; returns false if there is none.
     pub(crate) fn grow(&self, now: Time, bytes: usize) -> bool {
         let mut state = self.store.state();
@@ -237,12 +249,9 @@
         if wanted > buffer.capacity() {
             let doubled = (buffer.capacity() * 2).max(BUFFER_BYTES);
             let size = doubled.min(largest).max(wanted);
-            if !place.grow(now(), OPEN_BYTES + size) {
+            if !place.take(now(), OPEN_BYTES + size).await {
                 return Err(Cause::BodyRoom);
             }
-            while !place.store.is_settled() {
-                tokio::task::yield_now().await;
-            }
             buffer.reserve_exact(size - buffer.len());
         }
         if !data.is_empty() && !place.progress(now()) {
--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -92,10 +92,11 @@
 }
 
 impl CountedBody {
-    pub(crate) fn new(bytes: Bytes, place: BodyPlace, clock: Clock) -> Self {
+    pub(crate) fn new(bytes: &Bytes, place: BodyPlace, clock: Clock) -> Self {
         place.respond(clock.now());
         Self {
-            rest: bytes,
+            // Without the spare capacity of the buffer in which it was built.
+            rest: Bytes::copy_from_slice(bytes),
             place,
             clock,
         }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Call, CallError, FleetSecret, MAX_MESSAGE_BYTES, SECRET_HEADER, codec,
-    pools::{Pool, Pools},
+    pools::{Pool, Pools, READ_BYTES_MAX},
     upload::Upload,
 };
 
@@ -117,19 +117,19 @@
         stall: Duration,
         timeout: Duration,
     ) -> Result<Bytes> {
-        self.post_with_room(address, path, body, stall, timeout, &any_length)
+        self.post_with_room(address, path, body, stall, timeout, &Unbounded)
             .await
     }
 
-    /// As [`post_unless_stalled`](Self::post_unless_stalled), and reads no reply whose length `has_room` refuses.
-    pub(crate) async fn post_with_room(
+    /// As [`post_unless_stalled`](Self::post_unless_stalled), and reads a reply only once `room` has taken its length.
+    pub(crate) async fn post_with_room<R: ReplyRoom>(
         &self,
         address: SocketAddr,
         path: &str,
         body: Bytes,
         stall: Duration,
         timeout: Duration,
-        has_room: &(dyn Fn(usize) -> bool + Sync),
+        room: &R,
     ) -> Result<Bytes> {
         let wait = stall + Duration::from_secs_f64(body.len() as f64 / UPLOAD_RATE_MIN);
         let mut request = self.request(address, path, body)?;
@@ -150,8 +150,9 @@
                 until = next;
             };
             let reply = response.into_body();
-            let length = reply.size_hint().lower();
-            if !usize::try_from(length).is_ok_and(has_room) {
+            let length = usize::try_from(reply.size_hint().lower()).unwrap_or(usize::MAX);
+            let buffer = length.min(READ_BYTES_MAX);
+            if !room.take(length.saturating_add(buffer)).await {
                 return Err(CallError::NoRoom);
             }
             match read_unless_stalled(reply, stall).await? {
@@ -215,9 +216,19 @@
     }
 }
 
-/// Takes a reply of any length.
-pub(crate) fn any_length(_length: usize) -> bool {
-    true
+/// Memory for the reply to a call.
+pub trait ReplyRoom: Sync {
+    /// Takes room for a reply and the buffer of its connection before it is read; returns false if there is none.
+    fn take(&self, bytes: usize) -> impl Future<Output = bool> + Send;
+}
+
+/// Takes replies of any length.
+pub(crate) struct Unbounded;
+
+impl ReplyRoom for Unbounded {
+    async fn take(&self, _bytes: usize) -> bool {
+        true
+    }
 }
 
 async fn send(pool: &Pool, request: Request<Upload>) -> Result<Response<Incoming>> {
@@ -242,7 +253,12 @@
 /// Reads a response body; `None` if nothing arrived for `stall`.
 async fn read_unless_stalled(mut body: Incoming, stall: Duration) -> Result<Option<Bytes>> {
     let failed = |reason: &str| CallError::MayHaveArrived(reason.to_owned());
-    let mut read = BytesMut::new();
+    let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if length > MAX_MESSAGE_BYTES {
+        return Err(failed("the reply is too long"));
+    }
+    // A buffer that grows would be up to twice as large.
+    let mut read = BytesMut::with_capacity(length);
     loop {
         let Ok(frame) = tokio::time::timeout(stall, body.frame()).await else {
             return Ok(None);
--- a/crates/wire/src/leader_client.rs
+++ b/crates/wire/src/leader_client.rs
@@ -7,7 +7,8 @@
 };
 
 use crate::{
-    Answer, Asked, Call, CallError, Client, LeaderReply, LeaderTracker, client::any_length,
+    Answer, Asked, Call, CallError, Client, LeaderReply, LeaderTracker,
+    client::{ReplyRoom, Unbounded},
 };
 
 /// Pause after all processes of the group have been tried.
@@ -94,18 +95,18 @@
     where
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
     {
-        self.call_with_room(call, timeout, &any_length).await
+        self.call_with_room(call, timeout, &Unbounded).await
     }
 
-    /// As [`call`](Self::call), and reads no reply whose length `has_room` refuses.
+    /// As [`call`](Self::call), and reads a reply only once `room` has taken its length.
     ///
     /// # Errors
     /// Those of [`call`](Self::call), and [`CallError::NoRoom`].
-    pub async fn call_with_room<C: Call>(
+    pub async fn call_with_room<C: Call, R: ReplyRoom>(
         &self,
         call: &C,
         timeout: Duration,
-        has_room: &(dyn Fn(usize) -> bool + Sync),
+        room: &R,
     ) -> Result<C::Reply>
     where
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
@@ -129,7 +130,7 @@
                 let try_timeout = self.try_timeout::<C>(timeout);
                 let sent = Instant::now();
                 tries += 1;
-                let replied = self.ask_member(address, call, try_timeout, left, has_room);
+                let replied = self.ask_member(address, call, try_timeout, left, room);
                 match replied.await {
                     Ok(LeaderReply::Done(reply)) => {
                         self.leader().note_leader(address);
@@ -262,17 +263,17 @@
     where
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
     {
-        self.ask_member(address, call, stall, timeout, &any_length)
+        self.ask_member(address, call, stall, timeout, &Unbounded)
             .await
     }
 
-    async fn ask_member<C: Call>(
+    async fn ask_member<C: Call, R: ReplyRoom>(
         &self,
         address: SocketAddr,
         call: &C,
         stall: Duration,
         timeout: Duration,
-        has_room: &(dyn Fn(usize) -> bool + Sync),
+        room: &R,
     ) -> Result<LeaderReply<C::Reply>>
     where
         LeaderReply<C::Reply>: serde::de::DeserializeOwned,
@@ -281,7 +282,7 @@
             crate::codec::encode(call).map_err(|error| CallError::NotSent(error.to_string()))?;
         let reply = self
             .client
-            .post_with_room(address, C::PATH, body.into(), stall, timeout, has_room)
+            .post_with_room(address, C::PATH, body.into(), stall, timeout, room)
             .await?;
         crate::codec::decode(&reply).map_err(|error| CallError::Malformed(error.to_string()))
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -41,7 +41,7 @@
 
 pub use asked::{Answer, Asked};
 pub use call::{Call, CallError, LeaderReply, MAX_MESSAGE_BYTES};
-pub use client::Client;
+pub use client::{Client, ReplyRoom};
 pub use dispatch::AgentMessage;
 pub use group_brief::GroupBrief;
 pub use leader::LeaderTracker;
--- a/crates/wire/src/pools.rs
+++ b/crates/wire/src/pools.rs
@@ -18,6 +18,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an idle connection stays in its pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Most bytes read from a connection at once, which it keeps a buffer for.
+pub(crate) const READ_BYTES_MAX: usize = 64 * 1024;
+/// Maximum number of idle connections to a process.
+const IDLE_MAX: usize = 128;
 /// Maximum number of pools; all are dropped when another one is needed.
 const POOLS_MAX: usize = 4096;
 
@@ -83,5 +87,7 @@
     HttpClient::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_timer(TokioTimer::new())
+        .pool_max_idle_per_host(IDLE_MAX)
+        .http1_max_buf_size(READ_BYTES_MAX)
         .build(connector)
 }
