Hub: bound the documents of operators

Operators saw nothing yet: 60 configs of 3.9 MB that stop short held 246 MB of a hub, however little memory it has.

Cause: the port of operators bounded one document, and nothing bounded all of them, or the connections.

Its connections are 128 at most, with heads of 16 KiB.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use clem_direct::{Outcome, Reply, Slot, SlotOutcome};
 use clem_edge::{Cause, Forward, Framing, Refusal};
+use clem_intake::BodyPlace;
 use clem_policy::dispatch::{
     GrantOutcome, Origin, Resumes, SETTLED_MIN, SlotRequest, StreamKey, StreamRequest,
 };
@@ -11,7 +12,6 @@
 use http::Response;
 
 use crate::{
-    bodies::BodyPlace,
     body::ResponseBody,
     front::{Front, RunningGuard},
     relay,
--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use clem_direct::Node;
 use clem_edge::{Cause, Customer, Refusal, RequestKind, Route, Ruleset};
+use clem_intake::{BodyError, BodyPlace};
 use clem_wire::{
     CallError, ReplyRoom,
     jobs::{EndJob, JobName, JobOptions, ReadItem, ReadResults, SubmitJob, SubmitReply},
@@ -13,10 +14,10 @@
 use http_body_util::BodyExt;
 
 use crate::{
-    bodies::BodyPlace,
     body::{CountedBody, ResponseBody, full_body},
     caller::CallerLink,
     front::Front,
+    handle::body_refusal,
 };
 
 /// Timeout of a call to the leader.
@@ -232,7 +233,7 @@
 }
 
 fn no_room(front: &Front, customer: &Customer) -> Refusal {
-    let cause = Cause::BodyRoom;
-    front.bodies.count(front.node.now(), cause, &customer.name);
-    Refusal::after(cause, RETRY)
+    let error = BodyError::NoRoom;
+    front.bodies.count(front.node.now(), error, &customer.name);
+    body_refusal(error)
 }
--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -10,11 +10,12 @@
 
 use bytes::{Buf, Bytes};
 use clem_boot::Clock;
+use clem_intake::BodyPlace;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::{bodies::BodyPlace, caller::CallerLink, connections::ConnectionPlace};
+use crate::{caller::CallerLink, connections::ConnectionPlace};
 
 /// Part of a counted body that the connection takes at once, in bytes.
 const PIECE_BYTES: usize = 16 * 1024;
--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -6,7 +6,7 @@
 };
 
 use clem_boot::Clock;
-use clem_edge::Cause;
+use clem_intake::{BodyError, BodyPlace, BodyStore};
 use clem_policy::{
     RefusalLog,
     connections::{ConnectionNumber, Connections, Opening},
@@ -14,8 +14,6 @@
 use clem_types::Time;
 use tokio::sync::Notify;
 
-use crate::bodies::{BodyPlace, BodyStore};
-
 /// A head of fewer bytes isn't counted: a connection has a buffer for as many anyway.
 const UNCOUNTED_BYTES: usize = 8 * 1024;
 /// The buffer of a head grows by doubling, with room for the next read.
@@ -156,7 +154,7 @@
         if place.progress(now) && place.grow(now, buffer) {
             return true;
         }
-        store.count(now, Cause::BodyRoom, "");
+        store.count(now, BodyError::NoRoom, "");
         false
     }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,7 +14,9 @@
 use clem_types::Time;
 use tokio::sync::watch;
 
-use crate::{bodies::BodyStore, connections::ConnectionList};
+use clem_intake::BodyStore;
+
+use crate::connections::ConnectionList;
 
 /// Part of the grace period reserved for the last answers, so that callers get them before their
 /// connections are closed.
--- a/crates/front/src/handle.rs
+++ b/crates/front/src/handle.rs
@@ -6,13 +6,13 @@
 use clem_edge::{
     Cause, Customer, Refusal, RequestInfo, RequestKind, RouteKind, Ruleset, common_parts,
 };
+use clem_intake::{BodyError, BodyLimits, read_body};
 use http::{HeaderValue, Request, Response, Version, header, request};
 use hyper::body::Incoming;
 
 use crate::{
     attempt::{self, STOPPING_RETRY, millis},
     batch,
-    bodies::{BodyLimits, read_body},
     body::{ResponseBody, full_body},
     caller::CallerLink,
     front::Front,
@@ -25,6 +25,8 @@
 const STARTUP_TIME: Duration = Duration::from_millis(800);
 /// Minimum retry time while this process has no rules.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+/// Retry time of a body for which there was no room.
+const ROOM_RETRY: Duration = Duration::from_millis(300);
 /// Retry time when the maximum number of requests is running.
 const FULL_RETRY: Duration = Duration::from_millis(300);
 
@@ -164,9 +166,10 @@
         bytes: limits.body_bytes,
         idle: limits.idle_time,
         total: until.since(node.now()),
+        copies: 1,
     };
     let read = read_body(&front.bodies, body, name, body_limits, || node.now()).await;
-    let (body, place) = read.map_err(|refusal| early.refuse(refusal))?;
+    let (body, place) = read.map_err(|error| early.refuse(body_refusal(error)))?;
     // An unfinished body doesn't count as a running request, or stalled ones would leave no room for others.
     let Some(running) = front.start() else {
         return Err(full());
@@ -208,6 +211,16 @@
     attempt::run(front, request, running, place).await
 }
 
+/// The refusal of a request whose body is not taken.
+pub(crate) fn body_refusal(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLong => Refusal::new(Cause::TooLong),
+        BodyError::Slow => Refusal::new(Cause::BodySlow),
+        BodyError::NoRoom => Refusal::after(Cause::BodyRoom, ROOM_RETRY),
+        BodyError::Broken => Refusal::new(Cause::Malformed),
+    }
+}
+
 /// Answers with a refusal if this process has to give its last answers meanwhile.
 async fn before_end(
     front: &Front,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,7 +4,6 @@
 
 mod attempt;
 mod batch;
-mod bodies;
 mod body;
 mod caller;
 mod connections;
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -13,6 +13,7 @@
     replica::Replica,
 };
 use clem_edge::Dialect;
+use clem_intake::BodyStore;
 use clem_policy::dispatch::{GrantOutcome, Placement, Ticket, Verdict};
 use clem_state::{batch_group, document, evacuations, low_buckets};
 use clem_types::{Time, Version};
@@ -45,6 +46,8 @@
     pub peers: LeaderClient,
     /// Whether this process may be a member; without a disk it only forwards calls.
     pub has_disk: bool,
+    /// The documents that operators send.
+    pub(crate) documents: Arc<BodyStore>,
     /// Address of the platform's target list.
     pub list: SocketAddr,
     /// Number of disks that may be lost at once.
@@ -77,6 +80,7 @@
     pub(crate) list: SocketAddr,
     pub(crate) tolerance: usize,
     pub(crate) restart_allowance: f64,
+    pub(crate) document_bytes: usize,
     pub(crate) data_centres: BTreeSet<String>,
     pub(crate) list_lag: Duration,
     pub(crate) placement: Placement,
@@ -90,6 +94,7 @@
             dialect: parts.dialect,
             peers: parts.peers,
             has_disk: parts.has_disk,
+            documents: BodyStore::new(parts.document_bytes),
             list: parts.list,
             tolerance: parts.tolerance,
             restart_allowance: parts.restart_allowance,
--- a/crates/hub/src/operator.rs
+++ b/crates/hub/src/operator.rs
@@ -4,15 +4,17 @@
 
 use bytes::Bytes;
 use clem_edge::{Cause, OperatorCall, Refusal, RetireStart};
+use clem_intake::{BodyError, BodyLimits, read_body};
+use clem_policy::RefusalLog;
 use clem_wire::fleet::{
     Evacuate, EvacuateReply, GetRules, MAX_RULES_BYTES, PutRules, Retire, RetireReply,
     RulesDocument,
 };
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::Semaphore};
 
 use crate::Hub;
 
@@ -22,9 +24,22 @@
 const NAME_SHOWN: usize = 64;
 /// Timeout for a request head; also the idle timeout of a connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum number of operators' connections.
+const CONNECTIONS_MAX: usize = 128;
+/// Most bytes read from a connection at once, and the largest request head.
+const READ_BYTES_MAX: usize = 16 * 1024;
+/// How long an operator may send nothing of a document, and how long all of it may take.
+const BODY_IDLE: Duration = Duration::from_secs(15);
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+/// How often a document may be in memory at once: as it was received, parsed, checked, and packed for the leader.
+const DOCUMENT_COPIES: usize = 4;
+/// Retry time of a document for which there was no room.
+const ROOM_RETRY: Duration = Duration::from_millis(300);
 
 /// Serves the operator API until the process exits.
 pub(crate) async fn serve(hub: Arc<Hub>, socket: TcpListener) {
+    let free = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    let mut log = RefusalLog::default();
     loop {
         let stream = match socket.accept().await {
             Ok((stream, _)) => stream,
@@ -34,6 +49,12 @@
                 continue;
             }
         };
+        let Ok(permit) = Arc::clone(&free).try_acquire_owned() else {
+            if let Some(refused) = log.count(hub.clock.now()) {
+                log::warn!(refused, open = CONNECTIONS_MAX; "operator connections refused");
+            }
+            continue;
+        };
         let hub = Arc::clone(&hub);
         tokio::spawn(async move {
             let service = service_fn(|request| {
@@ -43,11 +64,13 @@
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
+                .max_buf_size(READ_BYTES_MAX)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
             if let Err(error) = served {
                 log::debug!(error:% = error; "operator connection failed");
             }
+            drop(permit);
         });
     }
 }
@@ -59,11 +82,17 @@
     };
     match call {
         OperatorCall::PutRules => {
-            let body = Limited::new(body, MAX_RULES_BYTES);
-            let Ok(body) = body.collect().await else {
-                return hub.dialect.refusal(&Refusal::new(Cause::TooLong));
+            let limits = BodyLimits {
+                bytes: MAX_RULES_BYTES,
+                idle: BODY_IDLE,
+                total: BODY_TIMEOUT,
+                copies: DOCUMENT_COPIES,
             };
-            put_rules(hub, body.to_bytes()).await
+            let read = read_body(&hub.documents, body, "", limits, || hub.clock.now()).await;
+            match read {
+                Ok((document, _place)) => put_rules(hub, document).await,
+                Err(error) => hub.dialect.refusal(&document_refusal(error)),
+            }
         }
         OperatorCall::GetRules => get_rules(hub).await,
         OperatorCall::StartRetire { vm } => {
@@ -93,6 +122,16 @@
     }
 }
 
+/// The refusal of a document that is not taken.
+fn document_refusal(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLong => Refusal::new(Cause::TooLong),
+        BodyError::Slow => Refusal::new(Cause::BodySlow),
+        BodyError::NoRoom => Refusal::after(Cause::BodyRoom, ROOM_RETRY),
+        BodyError::Broken => Refusal::new(Cause::Malformed),
+    }
+}
+
 async fn evacuate(hub: &Hub, data_centre: String, begin: bool) -> Response<Bytes> {
     if !hub.knows_data_centre(&data_centre) {
         log::warn!(data_centre = shorten(&data_centre), begin; "evacuation of an unknown data centre");
--- a/crates/hub/src/program.rs
+++ b/crates/hub/src/program.rs
@@ -46,6 +46,8 @@
     pub reserve_bytes: u64,
     /// Burst granted to each customer after a change of leader, in requests.
     pub restart_allowance: f64,
+    /// Memory for the documents that operators send, in bytes; the largest one is taken whatever this says.
+    pub document_bytes: usize,
     /// The data centres that operators may evacuate; empty for any.
     pub data_centres: BTreeSet<String>,
     /// How far the platform's target list lags behind.
@@ -112,6 +114,7 @@
         list: settings.list,
         tolerance: settings.tolerance,
         restart_allowance: settings.restart_allowance,
+        document_bytes: settings.document_bytes,
         data_centres: settings.data_centres,
         list_lag: settings.list_lag,
         placement: settings.placement,
