Entry: bound the bodies of all callers together

Callers saw nothing while the machine had memory: 100 callers with bodies of 4 MB that stop short held 468 MB of an entry, to a chat or a service, and so did bodies announced as 400 MB, of which the first 4 MB were read.

A length that is announced wasn't looked at.

--memory-mb (default 512) says how much memory the process has. Bodies take room in a quarter of it, as at the fronts, and hold it as long as their bytes are used. Connections read 64 KiB at most at once.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -10,6 +10,7 @@
 };
 
 use clem_boot::{Clock, CommonSettings, Readiness};
+use clem_intake::BodyStore;
 use clem_policy::{
     poison::PoisonTable,
     retry::{self, RetryBudget},
@@ -37,6 +38,8 @@
     pub(crate) gate: Gate,
     pub(crate) readiness: Readiness,
     pub(crate) max_body: usize,
+    /// The bodies of callers.
+    pub(crate) bodies: Arc<BodyStore>,
     pub(crate) stopping: AtomicBool,
     running: AtomicUsize,
     view: Mutex<View>,
@@ -75,6 +78,7 @@
         settings: &CommonSettings,
         readiness: Readiness,
         max_body: usize,
+        body_bytes: usize,
     ) -> eyre::Result<Self> {
         let mut rng = StdRng::from_os_rng();
         let address = settings.listener.address();
@@ -97,6 +101,7 @@
             control,
             readiness,
             max_body,
+            bodies: BodyStore::new(body_bytes),
             stopping: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             view: Mutex::default(),
--- a/crates/entry/src/filter/read_service.rs
+++ b/crates/entry/src/filter/read_service.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use clem_policy::route::Prefixes;
-use clem_types::{BodyHash, Tokens};
+use clem_types::{BodyHash, CustomerId, Tokens};
 use clem_wire::dispatch::TargetCall;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode};
 
@@ -43,13 +43,14 @@
         res: &mut Response,
         ctrl: &mut FlowCtrl,
     ) {
-        let body = match body::read(req.take_body(), self.entry.max_body).await {
-            Ok(body) => body,
-            Err(refusal) => return refuse(res, ctrl, &refusal),
-        };
         let Ok(caller) = depot.get_typed::<Caller>() else {
             return;
         };
+        let customer = caller.customer().map_or("", CustomerId::as_str);
+        let body = match body::read(&self.entry, req.take_body(), customer).await {
+            Ok(body) => body,
+            Err(refusal) => return refuse(res, ctrl, &refusal),
+        };
         match read(&self.entry, caller, req, body) {
             Ok(work) => {
                 depot.insert_typed(work);
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -26,6 +26,11 @@
 /// How long a shutdown waits for running requests.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// One part in this many of the memory is available to the bodies of callers.
+const BODIES_DIVISOR: usize = 4;
+/// Most bytes read from a connection at once, and the largest request head.
+const READ_BYTES_MAX: usize = 64 * 1024;
+
 type Result<T> = eyre::Result<T>;
 
 /// The settings of the entry, read from flags and the environment.
@@ -33,6 +38,8 @@
     common: CommonSettings,
     admin: Option<Listener>,
     max_body: usize,
+    /// Memory for the bodies of callers.
+    body_bytes: usize,
     turn_away: Duration,
     level: LevelFilter,
 }
@@ -74,6 +81,14 @@
             )
             .default("4194304"),
         )
+        .flag(
+            Flag::new(
+                "memory-mb",
+                "MEGABYTES",
+                "The memory of the process; the bodies of callers hold a quarter of it.",
+            )
+            .default("512"),
+        )
         .flag(
             Flag::new(
                 "turn-away-ms",
@@ -87,12 +102,14 @@
 fn read_options(mut settings: Settings) -> Result<Options> {
     let level = take_level(&mut settings);
     let max_body: Option<usize> = settings.take("max-body");
+    let memory: Option<usize> = settings.take("memory-mb");
     let turn_away: Option<u64> = settings.take("turn-away-ms");
     let address: Option<SocketAddr> = settings.take("admin");
     let admin = address.and_then(|address| bind(&mut settings, "admin", address));
     let common = CommonSettings::take(&mut settings);
     settings.finish()?;
-    let (Some(common), Some(max_body), Some(turn_away)) = (common, max_body, turn_away) else {
+    let all = (common, max_body, memory, turn_away);
+    let (Some(common), Some(max_body), Some(memory), Some(turn_away)) = all else {
         eyre::bail!("a setting is missing");
     };
     let turn_away = Duration::from_millis(turn_away);
@@ -100,6 +117,7 @@
         common,
         admin,
         max_body,
+        body_bytes: memory.saturating_mul(1024 * 1024) / BODIES_DIVISOR,
         turn_away,
         level,
     })
@@ -112,6 +130,7 @@
         &options.common,
         readiness.clone(),
         options.max_body,
+        options.body_bytes,
     )?);
     log::info!(
         listen = options.common.listener.address().to_string().as_str(),
@@ -130,7 +149,8 @@
     let mut routes = admin_routes(readiness, metrics);
     routes.push(caller_routes(&entry));
     let service = Service::new(Router::new().append(&mut routes)).catcher(missing::catcher());
-    let server = Server::new(acceptor(options.common.listener)?);
+    let mut server = Server::new(acceptor(options.common.listener)?);
+    server.http1_mut().max_buf_size(READ_BYTES_MAX);
     let handle = server.handle();
     tokio::spawn(async move {
         if stop_signal().await.is_err() {
