Agent: dispatches wait for memory before they are read

Callers saw nothing while the machine had memory: 80 whole chats of 4 MB at once held 189 MB of an agent.

--memory-mb (default 512) says how much memory the process has. Dispatches wait unread for room in a quarter of it, as submissions do at a batch keeper, and hold it until they have ended. One that finds none in 0.8 s is refused as not run, so that the entry tries another target.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -7,6 +7,7 @@
 };
 
 use clem_boot::Clock;
+use clem_intake::CallRoom;
 use clem_policy::JobId;
 use clem_types::{FenceNumber, HolderId, Incarnation, Time};
 use clem_wire::{
@@ -33,6 +34,8 @@
     pub(crate) batch_control: LeaderClient,
     /// HTTP client of the target.
     pub(crate) engine: Engine,
+    /// Memory for the requests of callers.
+    pub(crate) room: CallRoom,
     /// Wakes the timer loop after each change of the core.
     pub(crate) changed: Notify,
     /// Wakes the sync loop to send a new report to the control leader.
@@ -63,6 +66,7 @@
         control: LeaderClient,
         batch_control: LeaderClient,
         engine: Engine,
+        room: CallRoom,
         core: Core,
     ) -> Self {
         Self {
@@ -71,6 +75,7 @@
             control,
             batch_control,
             engine,
+            room,
             changed: Notify::new(),
             report_due: Notify::new(),
             probe_due: Notify::new(),
--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -37,7 +37,18 @@
 #[async_trait]
 impl Handler for DispatchHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let Some(call) = read_dispatch(req, res).await else {
+        let length = clem_wire::message_bytes(req);
+        let Some(permit) = self.agent.room.enter(length).await else {
+            self.agent
+                .room
+                .note_refused(self.agent.now(), Dispatch::PATH, length);
+            clem_wire::discard_body(req).await;
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            res.render("no room for the dispatch; it was not read");
+            return;
+        };
+        // It is not a `Call`, as its reply is a stream of frames.
+        let Some(call) = clem_wire::read_message::<Dispatch>(req, res).await else {
             return;
         };
         let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
@@ -45,7 +56,10 @@
         let agent = self.agent.clone();
         match agent.admit(|core, now| core.dispatch(now, &call)) {
             Ok((id, commands)) => {
-                tokio::spawn(online::run(agent, id, commands, call, frames));
+                tokio::spawn(async move {
+                    online::run(agent, id, commands, call, frames).await;
+                    drop(permit);
+                });
             }
             Err(refusal) => {
                 tokio::spawn(online::refuse(agent, frames, refusal));
@@ -55,29 +69,6 @@
     }
 }
 
-/// Decodes a dispatch. It is not a [`Call`], as its reply is a stream of frames.
-async fn read_dispatch(req: &mut Request, res: &mut Response) -> Option<Dispatch> {
-    let Ok(body) = req
-        .payload_with_max_size(clem_wire::MAX_MESSAGE_BYTES)
-        .await
-    else {
-        res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
-        let max = clem_wire::MAX_MESSAGE_BYTES;
-        res.render(format!(
-            "the message body can't be read or exceeds {max} bytes"
-        ));
-        return None;
-    };
-    match clem_wire::codec::decode(body) {
-        Ok(call) => Some(call),
-        Err(error) => {
-            res.status_code(StatusCode::BAD_REQUEST);
-            res.render(error.to_string());
-            None
-        }
-    }
-}
-
 /// The response body. It is dropped when the entry disconnects, which closes the channel.
 fn frame_stream(
     receiver: mpsc::Receiver<Bytes>,
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -6,6 +6,7 @@
     CliAction, Clock, CommonSettings, Flag, Listener, Metrics, Program, Readiness, Settings,
     acceptor, admin_routes, bind, start_logs, stop_signal, take_level,
 };
+use clem_intake::CallRoom;
 use clem_policy::Balance;
 use clem_types::Incarnation;
 use clem_wire::{
@@ -25,6 +26,10 @@
 
 /// How long the servers may take to close their connections at shutdown.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// One part in this many of the memory is available to the requests of callers.
+const REQUESTS_DIVISOR: usize = 4;
+/// How often a request is in memory at once: as it was decoded, and prepared for the target.
+const REQUEST_COPIES: u64 = 2;
 
 /// Declares the command-line flags of `clem-agent`.
 pub fn program() -> Program {
@@ -54,6 +59,14 @@
         .default("16"),
     )
     .flag(Flag::new("waiting", "N", "Maximum number of queued online requests.").default("256"))
+    .flag(
+        Flag::new(
+            "memory-mb",
+            "MEGABYTES",
+            "Memory of the process; requests of callers take a quarter of it.",
+        )
+        .default("512"),
+    )
     .flag(
         Flag::new(
             "batch-balance",
@@ -86,6 +99,8 @@
     admin: Option<Listener>,
     target: SocketAddr,
     admission: clem_policy::Settings,
+    /// Memory for the requests of callers.
+    request_bytes: usize,
     stall: Duration,
     stop_timeout: Duration,
     level: LevelFilter,
@@ -117,6 +132,7 @@
         settings.add_finding("streams", "it must be at least 1");
     }
     let waiting = settings.take("waiting");
+    let memory: Option<usize> = settings.take("memory-mb");
     let balance = settings.take::<Balance>("batch-balance");
     let stop_timeout: Option<u64> = settings.take("stop-timeout-ms");
     let stall: Option<u64> = settings.take("stall-timeout-ms");
@@ -131,6 +147,7 @@
             waiting: waiting.ok_or_else(missing)?,
             balance: balance.ok_or_else(missing)?,
         },
+        request_bytes: memory.ok_or_else(missing)?.saturating_mul(1024 * 1024) / REQUESTS_DIVISOR,
         stall: Duration::from_millis(stall.ok_or_else(missing)?),
         stop_timeout: Duration::from_millis(stop_timeout.ok_or_else(missing)?),
         level,
@@ -203,6 +220,7 @@
         control(),
         control(),
         engine,
+        CallRoom::new(config.request_bytes, REQUEST_COPIES),
         core,
     ))
 }
--- a/crates/batch/src/keeper.rs
+++ b/crates/batch/src/keeper.rs
@@ -8,11 +8,11 @@
 };
 
 use clem_control::{
-    call_room::CallRoom,
     endpoint::{Replicated, Result, ServeError},
     replica::Replica,
 };
 use clem_direct::{ByteBudget, ByteShare, Node};
+use clem_intake::CallRoom;
 use clem_policy::dispatch::Ticket;
 use clem_state::{
     Command, Outcome,
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -3,12 +3,10 @@
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use clem_boot::{Metrics, acceptor, listen, metrics_route, spawn_vital, stop_signal};
-use clem_control::{
-    call_room::CallRoom,
-    replica::{Replica, ReplicaSettings},
-};
+use clem_control::replica::{Replica, ReplicaSettings};
 use clem_direct::{ByteBudget, Node, NodeSettings, follow, poll_without_hub, release_loop};
 use clem_hub::consensus_settings;
+use clem_intake::CallRoom;
 use clem_log::disk::{FileSystem, read_identity};
 use clem_wire::{FleetSecret, Guard};
 use salvo::{Router, Server};
@@ -20,6 +18,9 @@
 const STOP_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Part of the grace period left unused, so that the process exits before it is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(1000);
+/// How often a submission may be in memory at once: as it was read, decoded, encoded for the log, and on its way to
+/// other members.
+const SUBMISSION_COPIES: u64 = 5;
 /// How often the state received from the hub is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -96,7 +97,7 @@
         Arc::clone(&node),
         replica.clone(),
         ByteBudget::new(settings.text_bytes.max(BUDGET_BYTES_MIN)),
-        CallRoom::new(settings.submission_bytes),
+        CallRoom::new(settings.submission_bytes, SUBMISSION_COPIES),
     ));
     let guarded = Router::new()
         .hoop(Guard::new(settings.secret))
--- a/crates/checks/tests/crowds.rs
+++ b/crates/checks/tests/crowds.rs
@@ -19,10 +19,16 @@
 const BODY_BYTES: usize = 4_194_304;
 /// How far the bodies stop short of their end, in bytes.
 const SHORT_BYTES: usize = 1000;
+/// Whole chats at once.
+const WHOLE_CHATS: usize = 200;
+/// Memory of an entry that passes on as many whole chats as there are in the test of agents, in megabytes, and their
+/// number.
+const LARGE_ENTRY_MB: u64 = 4096;
+const AGENT_CHATS: usize = 80;
 /// Length that is announced by callers far beyond the limit.
 const HUGE_BYTES: usize = 400_000_000;
-/// Descriptors of an entry: a caller's and an agent's connection for each caller, and some of its own.
-const DESCRIPTORS: usize = 2 * CALLERS + 100;
+/// Descriptors of a process: a caller's and an agent's connection for each caller, and some of its own.
+const DESCRIPTORS: usize = 2 * WHOLE_CHATS + 100;
 /// How long a caller may take to write; one that is not read any more stops there.
 const WRITE_TIME: Duration = Duration::from_secs(15);
 /// How long the crowd stays after it has written.
@@ -31,10 +37,12 @@
 /// Tests of this file load the whole machine, so they run one at a time.
 static MACHINE: Mutex<()> = Mutex::const_new(());
 
-async fn fleet() -> Result<Fleet> {
-    let entry_args = vec!["--memory-mb".to_owned(), MEMORY_LIMIT_MB.to_string()];
+/// A fleet whose agents have the memory limit, and its entries this one.
+async fn fleet(entry_limit_mb: u64) -> Result<Fleet> {
+    let limit = |megabytes: u64| vec!["--memory-mb".to_owned(), megabytes.to_string()];
     Fleet::start(Options {
-        entry_args,
+        entry_args: limit(entry_limit_mb),
+        agent_args: limit(MEMORY_LIMIT_MB),
         customers: vec![("totara", "5000/s", 5000), ("botez", "40/s", 80)],
         ..Options::default()
     })
@@ -60,6 +68,17 @@
     Some(stream)
 }
 
+/// Asserts that a process runs within its limits.
+fn assert_within_limits(process: &mut Process) -> Result<()> {
+    assert!(process.exited()?.is_none(), "{} runs", process.name());
+    let peak = peak_memory_mb(process)?;
+    let open = fs::read_dir(format!("/proc/{}/fd", process.pid()))?.count();
+    eprintln!("{}: peak {peak} MB, {open} descriptors", process.name());
+    assert!(peak <= MEMORY_LIMIT_MB, "{peak} MB");
+    assert!(open <= DESCRIPTORS, "{open} descriptors");
+    Ok(())
+}
+
 fn peak_memory_mb(process: &Process) -> Result<u64> {
     let status = fs::read_to_string(format!("/proc/{}/status", process.pid()))?;
     let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
@@ -70,7 +89,7 @@
 /// Asserts that an entry holds within its limits while callers keep such requests open, and that it answers another
 /// customer's ordinary request then.
 async fn withstand(path: &str, announced: usize) -> Result<()> {
-    let mut fleet = fleet().await?;
+    let mut fleet = fleet(MEMORY_LIMIT_MB).await?;
     let address = fleet.entry_address(0);
     let bytes = unfinished(&fleet, path, announced)?;
     let mut crowd = JoinSet::new();
@@ -79,12 +98,7 @@
     }
     let streams = crowd.join_all().await;
     sleep(HELD_TIME).await;
-    assert!(fleet.entries[0].exited()?.is_none(), "the entry runs");
-    let peak = peak_memory_mb(&fleet.entries[0])?;
-    let open = fs::read_dir(format!("/proc/{}/fd", fleet.entries[0].pid()))?.count();
-    eprintln!("peak of an entry {peak} MB, {open} descriptors");
-    assert!(peak <= MEMORY_LIMIT_MB, "{peak} MB");
-    assert!(open <= DESCRIPTORS, "{open} descriptors");
+    assert_within_limits(&mut fleet.entries[0])?;
     eventually("an ordinary request is answered", async || {
         let reply = chat(&fleet, 0, "botez", "hello", 4).await;
         reply.is_ok_and(|reply| reply.status == 200)
@@ -114,3 +128,57 @@
     let _machine = MACHINE.lock().await;
     withstand("/v1/chat/completions", HUGE_BYTES).await
 }
+
+/// A whole chat whose prompt is about as long as a body may be.
+fn whole_chat(fleet: &Fleet) -> Result<Vec<u8>> {
+    let prompt = "x".repeat(BODY_BYTES - SHORT_BYTES);
+    let body = format!(
+        r#"{{"model":"assistant","max_tokens":4,"messages":[{{"role":"user","content":"{prompt}"}}]}}"#
+    );
+    let bearer = fleet.bearer("totara")?;
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nauthorization: {bearer}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    Ok([head.as_bytes(), body.as_bytes()].concat())
+}
+
+/// Sends whole chats at once, and asserts that the agents hold within their limits and an ordinary request is
+/// answered then.
+async fn send_whole_chats(fleet: &mut Fleet, count: usize) -> Result<()> {
+    let address = fleet.entry_address(0);
+    let bytes = whole_chat(fleet)?;
+    let mut crowd = JoinSet::new();
+    for _ in 0..count {
+        crowd.spawn(write(address, bytes.clone()));
+    }
+    let streams = crowd.join_all().await;
+    sleep(HELD_TIME).await;
+    for target in &mut fleet.targets {
+        assert_within_limits(&mut target.agent)?;
+    }
+    eventually("an ordinary request is answered", async || {
+        let reply = chat(fleet, 0, "botez", "hello", 4).await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await?;
+    drop(streams);
+    Ok(())
+}
+
+/// Guards against whole requests that are bounded one by one only.
+#[tokio::test]
+async fn whole_chats_at_once_exceed_no_memory_limit_of_an_entry() -> Result<()> {
+    let _machine = MACHINE.lock().await;
+    let mut fleet = fleet(MEMORY_LIMIT_MB).await?;
+    send_whole_chats(&mut fleet, WHOLE_CHATS).await?;
+    assert_within_limits(&mut fleet.entries[0])
+}
+
+/// Guards against agents that rely on the limits of the entries, of which there may be many.
+#[tokio::test]
+async fn whole_chats_at_once_exceed_no_memory_limit_of_an_agent() -> Result<()> {
+    let _machine = MACHINE.lock().await;
+    let mut fleet = fleet(LARGE_ENTRY_MB).await?;
+    send_whole_chats(&mut fleet, AGENT_CHATS).await
+}
--- a/crates/control/src/endpoint.rs
+++ b/crates/control/src/endpoint.rs
@@ -3,17 +3,13 @@
 
 use std::{future::Future, marker::PhantomData, sync::Arc};
 
+use clem_intake::CallRoom;
 use clem_state::{Command, Outcome};
 use clem_types::Time;
-use clem_wire::{Call, LeaderReply, MAX_MESSAGE_BYTES, answer, discard_body, read_call};
-use salvo::{
-    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::header::CONTENT_LENGTH,
-};
+use clem_wire::{Call, LeaderReply, answer, discard_body, message_bytes, read_call};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 
-use crate::{
-    call_room::CallRoom,
-    replica::{ProposalResult, Replica},
-};
+use crate::replica::{ProposalResult, Replica};
 
 /// Why this process could not answer a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -152,13 +148,6 @@
     }
 }
 
-/// Length of a message by its head; the most that is read if it has none.
-fn message_bytes(req: &Request) -> u64 {
-    let length = req.headers().get(CONTENT_LENGTH);
-    let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
-    length.unwrap_or(u64::MAX).min(MAX_MESSAGE_BYTES as u64)
-}
-
 /// Turns the result of a handler into the reply on the wire.
 fn reply<T>(replica: &Replica, result: Result<T>) -> LeaderReply<T> {
     match result {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,6 @@
 //! agents and operators. [`replica`] is the consensus member, [`leader`] holds the leader's soft
 //! state (no I/O), and [`serve`] has the request handlers. See `docs/DESIGN.md`.
 
-pub mod call_room;
 pub mod control;
 pub mod endpoint;
 pub mod leader;
--- a/crates/control/src/call_room.rs
+++ b/crates/intake/src/call_room.rs
@@ -1,4 +1,4 @@
-//! Bounds the memory of the large calls that a process works on.
+//! Bounds the memory of the large calls of other processes that a process works on.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -9,9 +9,6 @@
 use clem_types::Time;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// How often a call may be in memory at once: as it was read, decoded, encoded for the log, and on its way to other
-/// members.
-const COPIES: u64 = 5;
 /// Memory is counted in units of this many bytes.
 const UNIT_BYTES: u64 = 1024;
 /// How long a call waits for room, unread. Its caller must learn in time that it was not taken.
@@ -25,6 +22,8 @@
 pub struct CallRoom {
     free: Arc<Semaphore>,
     units: u32,
+    /// How often a call may be in memory at once.
+    copies: u64,
     refused: Mutex<RefusalLog>,
 }
 
@@ -35,12 +34,13 @@
 }
 
 impl CallRoom {
-    /// Room for this many bytes, all of it free.
-    pub fn new(max_bytes: usize) -> Self {
+    /// Room for this many bytes, all of it free, for calls of which this many copies are made.
+    pub fn new(max_bytes: usize, copies: u64) -> Self {
         let units = units(u64::try_from(max_bytes).unwrap_or(u64::MAX));
         Self {
             free: Arc::new(Semaphore::new(usize::try_from(units).unwrap_or_default())),
             units,
+            copies,
             refused: Mutex::default(),
         }
     }
@@ -48,7 +48,7 @@
     /// Waits until there is room for a call whose message has this many bytes. A message that needs more than all
     /// of it is taken alone.
     pub async fn enter(&self, message_bytes: u64) -> Option<CallPermit> {
-        let units = units(message_bytes.saturating_mul(COPIES)).min(self.units);
+        let units = units(message_bytes.saturating_mul(self.copies)).min(self.units);
         let acquiring = Arc::clone(&self.free).acquire_many_owned(units);
         let acquired = tokio::time::timeout(WAIT_TIME, acquiring).await;
         Some(CallPermit {
@@ -57,7 +57,7 @@
     }
 
     /// Counts a call to a path that was not taken, and logs that once a second at most.
-    pub(crate) fn note_refused(&self, now: Time, path: &str, message_bytes: u64) {
+    pub fn note_refused(&self, now: Time, path: &str, message_bytes: u64) {
         metrics::counter!("clem_calls_without_room").increment(1);
         let mut log = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(refused) = log.count(now) {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -47,4 +47,4 @@
 pub use leader::LeaderTracker;
 pub use leader_client::LeaderClient;
 pub use secret::{FleetSecret, SECRET_HEADER};
-pub use server::{Guard, answer, discard_body, read_call};
+pub use server::{Guard, answer, discard_body, message_bytes, read_call, read_message};
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -5,9 +5,12 @@
 use hyper::body::Body;
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait,
-    http::{StatusCode, header::CONTENT_TYPE, header::HeaderValue},
+    http::{
+        StatusCode,
+        header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue},
+    },
 };
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{Call, FleetSecret, MAX_MESSAGE_BYTES, SECRET_HEADER, codec};
 
@@ -47,6 +50,11 @@
 /// Decodes the call in a request. If the body is too long or malformed, writes an error response
 /// and returns none.
 pub async fn read_call<C: Call>(req: &mut Request, res: &mut Response) -> Option<C> {
+    read_message(req, res).await
+}
+
+/// As [`read_call`], for a message whose reply is not a single one.
+pub async fn read_message<T: DeserializeOwned>(req: &mut Request, res: &mut Response) -> Option<T> {
     let Some(body) = read_body(req).await else {
         res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
         res.render(format!(
@@ -89,6 +97,13 @@
     Some(read)
 }
 
+/// Length of a message by its head; the most that is read if it has none.
+pub fn message_bytes(req: &Request) -> u64 {
+    let length = req.headers().get(CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+    length.unwrap_or(u64::MAX).min(MAX_MESSAGE_BYTES as u64)
+}
+
 /// Reads the body of a request without keeping it, as far as a message may be long.
 pub async fn discard_body(req: &mut Request) {
     let mut body = req.take_body();
