Entry: bound what uploads of batches hold

Callers saw nothing while the machine had memory: 100 uploads of a batch whose line of 4 MB stops short held 431 MB of an entry.

What has come of a line takes room among the bodies, and so do the items that wait to be sent to control. On the way this showed that two bodies could wait for each other: one that gave way while it asked for more waited for itself to leave the memory, so the entry answered nobody. It is told now that it gave way.

--- a/crates/checks/tests/crowds.rs
+++ b/crates/checks/tests/crowds.rs
@@ -182,3 +182,10 @@
     let mut fleet = fleet(LARGE_ENTRY_MB).await?;
     send_whole_chats(&mut fleet, AGENT_CHATS).await
 }
+
+/// Guards against long lines of batches that are bounded one by one only.
+#[tokio::test]
+async fn batches_that_stop_short_exceed_no_memory_limit_of_an_entry() -> Result<()> {
+    let _machine = MACHINE.lock().await;
+    withstand("/v1/batches", BODY_BYTES).await
+}
--- a/crates/entry/src/batch/lines.rs
+++ b/crates/entry/src/batch/lines.rs
@@ -24,6 +24,11 @@
         self.buffer.extend_from_slice(part);
     }
 
+    /// The size of the buffer, in bytes.
+    pub(super) fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// The number of buffered bytes.
     pub(super) fn len(&self) -> usize {
         self.buffer.len()
--- a/crates/entry/src/batch/upload.rs
+++ b/crates/entry/src/batch/upload.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::BytesMut;
+use clem_intake::BodyError;
 use clem_types::{BatchId, BodyHash, UnixMillis};
 use clem_wire::batch::{
     BatchBegin, BatchBeginReply, BatchChunk, BatchChunkReply, BatchSeal, BatchSealReply, Item,
@@ -20,6 +21,9 @@
 const CHUNK_BYTES: usize = 256 * 1024;
 /// A chunk is sent when it reaches this many items.
 const CHUNK_ITEMS: usize = 1000;
+/// How often what has come of a line may be in memory: in a buffer that grows by doubling, and as the item that is made of
+/// it.
+const LINE_COPIES: usize = 2;
 /// The most items in one batch.
 const MAX_ITEMS: u32 = 2_000_000;
 /// Due times below this are in seconds since 1970, others in milliseconds.
@@ -114,7 +118,21 @@
 
     async fn read(&mut self, body: &mut ReqBody) -> Result<()> {
         let mut lines = Lines::default();
-        while let Some(part) = body::next_part(body).await? {
+        let customer = self.identity.customer.as_str().to_owned();
+        let place = self.entry.bodies.open(self.entry.now(), &customer);
+        loop {
+            let part = tokio::select! {
+                part = body::next_part(body) => part?,
+                () = place.dropped() => return Err(self.no_room()),
+            };
+            let Some(part) = part else {
+                break;
+            };
+            let held = lines.capacity().max(lines.len() + part.len()) + self.pending_bytes;
+            let now = self.entry.now();
+            if !place.progress(now) || !place.take(now, held.saturating_mul(LINE_COPIES)).await {
+                return Err(self.no_room());
+            }
             lines.push(&part);
             while let Some(line) = lines.next() {
                 self.add_line(&line).await?;
@@ -131,6 +149,14 @@
         Ok(())
     }
 
+    /// The refusal of an upload for which there is no room; it may be sent again with its key.
+    fn no_room(&self) -> Refusal {
+        let customer = self.identity.customer.as_str();
+        let bodies = &self.entry.bodies;
+        bodies.count(self.entry.now(), BodyError::NoRoom, customer);
+        body::refusal(BodyError::NoRoom, self.entry.max_body)
+    }
+
     async fn add_line(&mut self, line: &BytesMut) -> Result<()> {
         self.line += 1;
         if line.len() > self.entry.max_body {
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -46,7 +46,7 @@
 }
 
 /// The refusal of a request whose body is not taken.
-fn refusal(error: BodyError, limit: usize) -> Refusal {
+pub(crate) fn refusal(error: BodyError, limit: usize) -> Refusal {
     match error {
         BodyError::TooLong => Refusal::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/intake/src/read.rs
+++ b/crates/intake/src/read.rs
@@ -7,7 +7,6 @@
 use clem_types::Time;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use tokio::sync::Notify;
 
 use crate::{BodyError, BodyPlace, BodyStore, Result};
 
@@ -44,13 +43,12 @@
     if body.is_end_stream() {
         return Ok((Bytes::new(), None));
     }
-    let dropped = Arc::new(Notify::new());
-    let place = store.begin(now(), customer, Arc::clone(&dropped));
+    let place = store.open(now(), customer);
     let read = tokio::select! {
         read = tokio::time::timeout(limits.total, collect(&place, body, limits, &now)) => {
             read.unwrap_or(Err(BodyError::Slow))
         }
-        () = dropped.notified() => Err(BodyError::NoRoom),
+        () = place.dropped() => Err(BodyError::NoRoom),
     };
     match read {
         Ok(bytes) => Ok((bytes, Some(place))),
--- a/crates/intake/src/store.rs
+++ b/crates/intake/src/store.rs
@@ -64,6 +64,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Begins a body that is worked on while it arrives. It holds nothing before it takes room.
+    pub fn open(self: &Arc<Self>, now: Time, customer: &str) -> BodyPlace {
+        self.begin(now, customer, Arc::default())
+    }
+
     /// Begins the head of a request, whose connection is told by `dropped` if it gives way to a body.
     pub fn begin_head(self: &Arc<Self>, now: Time, dropped: Arc<Notify>) -> BodyPlace {
         self.begin(now, "", dropped)
@@ -114,16 +119,30 @@
 }
 
 impl BodyPlace {
+    /// Waits until the body gives way to another one.
+    pub async fn dropped(&self) {
+        self.dropped.notified().await;
+    }
+
     /// Takes room for this many bytes in all and waits until the bodies that give way for it are out of memory;
-    /// returns false if there is no room.
+    /// returns false if there is no room, or if the body has given way itself.
     pub async fn take(&self, now: Time, bytes: usize) -> bool {
         if !self.grow(now, bytes) {
             return false;
         }
-        while !self.store.is_settled() {
+        loop {
+            {
+                let state = self.store.state();
+                if state.leaving.is_empty() {
+                    return true;
+                }
+                // It may have to give way itself meanwhile.
+                if state.leaving.contains(&self.number) {
+                    return false;
+                }
+            }
             tokio::task::yield_now().await;
         }
-        true
     }
 
     /// Takes room for this many bytes in all; returns false if there is none.
