--- a/crates/checks/tests/crowds.rs
+++ b/crates/checks/tests/crowds.rs
@@ -70,12 +70,17 @@
 
 /// Asserts that a process runs within its limits.
 fn assert_within_limits(process: &mut Process) -> Result<()> {
+    assert_within(process, DESCRIPTORS)
+}
+
+/// Asserts that a process runs within the memory limit, with this many descriptors at most.
+fn assert_within(process: &mut Process, descriptors: usize) -> Result<()> {
     assert!(process.exited()?.is_none(), "{} runs", process.name());
     let peak = peak_memory_mb(process)?;
     let open = fs::read_dir(format!("/proc/{}/fd", process.pid()))?.count();
     eprintln!("{}: peak {peak} MB, {open} descriptors", process.name());
     assert!(peak <= MEMORY_LIMIT_MB, "{peak} MB");
-    assert!(open <= DESCRIPTORS, "{open} descriptors");
+    assert!(open <= descriptors, "{open} descriptors");
     Ok(())
 }
 
@@ -189,3 +194,33 @@
     let _machine = MACHINE.lock().await;
     withstand("/v1/batches", BODY_BYTES).await
 }
+
+/// Callers whose heads don't end, and how much of a head they send; together these are most of the memory limit.
+const HEAD_CALLERS: usize = 1500;
+const HEAD_BYTES: usize = 60_000;
+/// Descriptors of an entry with these callers.
+const HEAD_DESCRIPTORS: usize = HEAD_CALLERS + 100;
+
+/// Guards against heads that are bounded one by one only.
+#[tokio::test]
+async fn heads_that_do_not_end_exceed_no_memory_limit_of_an_entry() -> Result<()> {
+    let _machine = MACHINE.lock().await;
+    let mut fleet = fleet(MEMORY_LIMIT_MB).await?;
+    let address = fleet.entry_address(0);
+    let mut head = b"GET /svc/hours/x HTTP/1.1\r\nhost: entry\r\nx-filler: ".to_vec();
+    head.resize(HEAD_BYTES, b'f');
+    let mut crowd = JoinSet::new();
+    for _ in 0..HEAD_CALLERS {
+        crowd.spawn(write(address, head.clone()));
+    }
+    let streams = crowd.join_all().await;
+    sleep(HELD_TIME).await;
+    assert_within(&mut fleet.entries[0], HEAD_DESCRIPTORS)?;
+    eventually("an ordinary request is answered", async || {
+        let reply = chat(&fleet, 0, "botez", "hello", 4).await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await?;
+    drop(streams);
+    Ok(())
+}
