Entry: bound unfinished heads and connections

Callers saw nothing while the machine had memory: 1,500 heads of 60 kB that don't end held 127 MB of an entry with a limit of 120, and 185 MB before reads had a bound.

Cause: nothing counted heads, or bounded connections.

The list of connections moves from the front to intake, and the entry's acceptor takes connections through it: heads count among the bodies, and a new connection takes the place of the one that has waited longest for a request. A handler before all others tells a connection when its request begins, and the body of the response when it ends.

clem_front_connections_refused is now clem_connections_refused.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod batch;
 mod body;
 mod caller;
+mod connections;
 mod entry;
 mod filter;
 mod gate;
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -10,12 +10,14 @@
     CliAction, CommonSettings, Flag, Listener, Metrics, Program, Readiness, Settings, acceptor,
     admin_routes, bind, spawn_vital, start_logs, stop_signal, take_level,
 };
+use clem_intake::ConnectionList;
 use log::LevelFilter;
 use salvo::{Router, Server, Service};
 
 use crate::{
     answer::Dispatch,
     batch,
+    connections::{BoundedAcceptor, NotePhases, Places},
     entry::Entry,
     filter::{Admit, Authenticate, Limit, ReadChat, ReadService},
     gate, missing, sync,
@@ -28,6 +30,10 @@
 
 /// One part in this many of the memory is available to the bodies of callers.
 const BODIES_DIVISOR: usize = 4;
+/// One part in this many of the memory is available to callers' connections.
+const CONNECTIONS_DIVISOR: usize = 4;
+/// Memory of a connection without a request, in bytes: its read buffer and its state.
+const CONNECTION_BYTES: usize = 16 * 1024;
 /// Most bytes read from a connection at once, and the largest request head.
 const READ_BYTES_MAX: usize = 64 * 1024;
 
@@ -40,6 +46,8 @@
     max_body: usize,
     /// Memory for the bodies of callers.
     body_bytes: usize,
+    /// Maximum number of callers' connections.
+    connections_max: usize,
     turn_away: Duration,
     level: LevelFilter,
 }
@@ -113,11 +121,13 @@
         eyre::bail!("a setting is missing");
     };
     let turn_away = Duration::from_millis(turn_away);
+    let memory = memory.saturating_mul(1024 * 1024);
     Ok(Options {
         common,
         admin,
         max_body,
-        body_bytes: memory.saturating_mul(1024 * 1024) / BODIES_DIVISOR,
+        body_bytes: memory / BODIES_DIVISOR,
+        connections_max: memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES,
         turn_away,
         level,
     })
@@ -148,8 +158,24 @@
     }
     let mut routes = admin_routes(readiness, metrics);
     routes.push(caller_routes(&entry));
-    let service = Service::new(Router::new().append(&mut routes)).catcher(missing::catcher());
-    let mut server = Server::new(acceptor(options.common.listener)?);
+    let places = Places::new();
+    let list = ConnectionList::new(
+        options.connections_max,
+        Arc::clone(&entry.bodies),
+        entry.clock,
+    );
+    let router = Router::new().append(&mut routes);
+    let service = Service::new(router)
+        .hoop(NotePhases {
+            places: places.clone(),
+        })
+        .catcher(missing::catcher());
+    let mut server = Server::new(BoundedAcceptor {
+        inner: acceptor(options.common.listener)?,
+        list,
+        places,
+        clock: entry.clock,
+    });
     server.http1_mut().max_buf_size(READ_BYTES_MAX);
     let handle = server.handle();
     tokio::spawn(async move {
--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -4,7 +4,6 @@
     convert::Infallible,
     fmt,
     pin::Pin,
-    sync::Arc,
     task::{Context, Poll},
 };
 
@@ -15,7 +14,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::{caller::CallerLink, connections::ConnectionPlace};
+use crate::caller::CallerLink;
 
 /// Part of a counted body that the connection takes at once, in bytes.
 const PIECE_BYTES: usize = 16 * 1024;
@@ -47,44 +46,6 @@
     Full::new(bytes).map_err(Truncated::from).boxed()
 }
 
-/// The body of a response that tells its connection when it ends.
-pub(crate) struct LinkedBody {
-    body: ResponseBody,
-    place: Arc<ConnectionPlace>,
-}
-
-impl LinkedBody {
-    pub(crate) fn new(body: ResponseBody, place: Arc<ConnectionPlace>) -> Self {
-        Self { body, place }
-    }
-}
-
-impl Body for LinkedBody {
-    type Data = Bytes;
-    type Error = Truncated;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl Drop for LinkedBody {
-    fn drop(&mut self) {
-        self.place.end_response();
-    }
-}
-
 /// A complete body that counts as held until the caller's connection has taken all of it.
 pub(crate) struct CountedBody {
     rest: Bytes,
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use clem_intake::ConnectionPlace;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -18,8 +19,6 @@
     time::{Sleep, sleep},
 };
 
-use crate::connections::ConnectionPlace;
-
 /// Tells a caller's connection how to end.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CallerLink(Arc<LinkState>);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,9 +14,7 @@
 use clem_types::Time;
 use tokio::sync::watch;
 
-use clem_intake::BodyStore;
-
-use crate::connections::ConnectionList;
+use clem_intake::{BodyStore, ConnectionList};
 
 /// Part of the grace period reserved for the last answers, so that callers get them before their
 /// connections are closed.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,7 +6,6 @@
 mod batch;
 mod body;
 mod caller;
-mod connections;
 mod front;
 mod handle;
 mod held;
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -4,6 +4,7 @@
 
 use clem_boot::{Metrics, listen, spawn_vital, stop_signal};
 use clem_direct::{Node, NodeSettings, follow, poll_without_hub, release_loop};
+use clem_intake::{ConnectionPlace, LinkedBody};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -15,9 +16,7 @@
 };
 
 use crate::{
-    body::LinkedBody,
     caller::{CallerLink, CallerStream},
-    connections::ConnectionPlace,
     front::Front,
     handle::handle,
     ready,
--- a/crates/front/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -6,7 +6,6 @@
 };
 
 use clem_boot::Clock;
-use clem_intake::{BodyError, BodyPlace, BodyStore};
 use clem_policy::{
     RefusalLog,
     connections::{ConnectionNumber, Connections, Opening},
@@ -14,6 +13,8 @@
 use clem_types::Time;
 use tokio::sync::Notify;
 
+use crate::{BodyError, BodyPlace, BodyStore};
+
 /// A head of fewer bytes isn't counted: a connection has a buffer for as many anyway.
 const UNCOUNTED_BYTES: usize = 8 * 1024;
 /// The buffer of a head grows by doubling, with room for the next read.
@@ -21,7 +22,7 @@
 const NEXT_READ_BYTES: usize = 16 * 1024;
 
 /// The callers' connections of this process.
-pub(crate) struct ConnectionList {
+pub struct ConnectionList {
     state: Mutex<State>,
     bodies: Arc<BodyStore>,
     clock: Clock,
@@ -35,7 +36,7 @@
 }
 
 /// A connection's place in the list, until dropped.
-pub(crate) struct ConnectionPlace {
+pub struct ConnectionPlace {
     list: Arc<ConnectionList>,
     number: ConnectionNumber,
     closer: Arc<Notify>,
@@ -64,7 +65,8 @@
 }
 
 impl ConnectionList {
-    pub(crate) fn new(max: usize, bodies: Arc<BodyStore>, clock: Clock) -> Arc<Self> {
+    /// No connections, and room for this many; unfinished heads take room among the bodies.
+    pub fn new(max: usize, bodies: Arc<BodyStore>, clock: Clock) -> Arc<Self> {
         let state = State {
             connections: Connections::new(max),
             closers: HashMap::new(),
@@ -78,16 +80,12 @@
     }
 
     /// Number of connections.
-    pub(crate) fn count(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.state().connections.count()
     }
 
     /// Takes a connection, which may close another one that waits for a request; `None` if there is no room.
-    pub(crate) fn open(
-        self: &Arc<Self>,
-        now: Time,
-        closer: Arc<Notify>,
-    ) -> Option<ConnectionPlace> {
+    pub fn open(self: &Arc<Self>, now: Time, closer: Arc<Notify>) -> Option<ConnectionPlace> {
         let mut state = self.state();
         let (number, replaced) = match state.connections.open(now) {
             Opening::Kept(number) => (Some(number), None),
@@ -105,7 +103,7 @@
             } else {
                 "refused"
             };
-            metrics::counter!("clem_front_connections_refused", "outcome" => outcome).increment(1);
+            metrics::counter!("clem_connections_refused", "outcome" => outcome).increment(1);
             if let Some(refused) = state.refused.count(now) {
                 let open = state.connections.count();
                 log::warn!(outcome, refused, open; "connections refused");
@@ -128,7 +126,7 @@
 
 impl ConnectionPlace {
     /// Whether more of a head may be read now.
-    pub(crate) fn may_read(&self) -> bool {
+    pub fn may_read(&self) -> bool {
         match &*self.head() {
             Head::Unfinished { bytes, .. } if *bytes >= UNCOUNTED_BYTES => {
                 self.list.bodies.is_settled()
@@ -138,7 +136,7 @@
     }
 
     /// Notes bytes that were read from the connection; returns false if there is no room for its head.
-    pub(crate) fn note_read(&self, count: usize) -> bool {
+    pub fn note_read(&self, count: usize) -> bool {
         let mut head = self.head();
         let Head::Unfinished { bytes, place } = &mut *head else {
             return true;
@@ -159,18 +157,18 @@
     }
 
     /// Notes that a head has arrived in full.
-    pub(crate) fn begin_request(&self) {
+    pub fn begin_request(&self) {
         *self.head() = Head::Complete;
         self.list.state().connections.begin_request(self.number);
     }
 
     /// Notes that nothing is added to a response any more.
-    pub(crate) fn end_response(&self) {
+    pub fn end_response(&self) {
         *self.head() = Head::Answered;
     }
 
     /// Notes that everything is written.
-    pub(crate) fn note_flushed(&self) {
+    pub fn note_flushed(&self) {
         let mut head = self.head();
         if !matches!(*head, Head::Answered) {
             return;
