Front: a submission is parsed only once what gave way for it is gone

Its copies took room among the bodies without the wait for those that gave way, which all other bodies have. Found on reading; no test shows it.

--- a/crates/front/src/batch.rs
+++ b/crates/front/src/batch.rs
@@ -44,10 +44,9 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let node = &front.node;
     let copies = body.len().saturating_mul(SUBMISSION_COPIES);
-    let has_room = place
-        .as_ref()
-        .is_none_or(|place| place.grow(node.now(), copies));
-    if !has_room {
+    if let Some(place) = &place
+        && !place.take(node.now(), copies).await
+    {
         return Err(no_room(front, customer));
     }
     let spec = node.dialect.read_batch(id, &body).map_err(|findings| {
