--- a/crates/checks/tests/crowds.rs
+++ b/crates/checks/tests/crowds.rs
@@ -28,7 +28,9 @@
 /// Length that is announced by callers far beyond the limit.
 const HUGE_BYTES: usize = 400_000_000;
 /// Descriptors of a process: a caller's and an agent's connection for each caller, and some of its own.
-const DESCRIPTORS: usize = 2 * WHOLE_CHATS + 100;
+const DESCRIPTORS: usize = 2 * CALLERS + 100;
+/// The same for whole chats.
+const CHAT_DESCRIPTORS: usize = 2 * WHOLE_CHATS + 100;
 /// How long a caller may take to write; one that is not read any more stops there.
 const WRITE_TIME: Duration = Duration::from_secs(15);
 /// How long the crowd stays after it has written.
@@ -160,7 +162,7 @@
     let streams = crowd.join_all().await;
     sleep(HELD_TIME).await;
     for target in &mut fleet.targets {
-        assert_within_limits(&mut target.agent)?;
+        assert_within(&mut target.agent, CHAT_DESCRIPTORS)?;
     }
     eventually("an ordinary request is answered", async || {
         let reply = chat(fleet, 0, "botez", "hello", 4).await;
@@ -177,7 +179,7 @@
     let _machine = MACHINE.lock().await;
     let mut fleet = fleet(MEMORY_LIMIT_MB).await?;
     send_whole_chats(&mut fleet, WHOLE_CHATS).await?;
-    assert_within_limits(&mut fleet.entries[0])
+    assert_within(&mut fleet.entries[0], CHAT_DESCRIPTORS)
 }
 
 /// Guards against agents that rely on the limits of the entries, of which there may be many.
