Control: report groups with fewer voters than their settings ask for

A group of four hubs that should survive two lost disks logged nothing until the disks were lost. The leader now logs it after 10 s and every 10 s, and clem_control_voters_lacking counts the missing voters. No change of a decision.

--- a/crates/control/src/replica/group_report.rs
+++ b/crates/control/src/replica/group_report.rs
@@ -11,10 +11,15 @@
 /// How long a group may be without a leader before that is logged; elections take less.
 const LEADERLESS_LOGGED: Duration = Duration::from_secs(2);
 
+/// How long a group may lack voters before that is logged; a process that can vote joins in less.
+const LACKING_LOGGED: Duration = Duration::from_secs(10);
+
 /// When the state of the group was logged.
 #[derive(Debug, Default)]
 pub(super) struct GroupReport {
     logged: Option<Time>,
+    /// Since when the group lacks voters, or when that was logged.
+    lacking: Option<Time>,
 }
 
 impl GroupReport {
@@ -31,6 +36,7 @@
         let refused = |voter: &&VoterStatus| voter.granted == Some(false);
         let refused = status.voters.iter().filter(refused).count();
         gauge!("clem_control_votes_refused").set(refused as f64);
+        self.report_size(now, status);
         let without_leader = leaderless >= LEADERLESS_LOGGED;
         if !without_leader && status.vacancy.is_none() {
             return;
@@ -56,6 +62,25 @@
             );
         }
     }
+
+    /// Reports a group that lacks voters for as long that no process seems to be there to become one.
+    fn report_size(&mut self, now: Time, status: &GroupStatus) {
+        gauge!("clem_control_voters_lacking").set(status.lacking as f64);
+        if status.lacking == 0 {
+            self.lacking = None;
+            return;
+        }
+        let since = *self.lacking.get_or_insert(now);
+        if now.since(since) < LACKING_LOGGED {
+            return;
+        }
+        self.lacking = Some(now);
+        let voters = status.voters.len() + usize::from(status.own == Some(MemberKind::Voter));
+        log::warn!(
+            voters, wanted = voters + status.lacking, survives = voters.saturating_sub(1) / 2;
+            "group too small for the losses that it should survive"
+        );
+    }
 }
 
 /// How the voters answered when this member last asked for their votes, as `IDENTITY=ANSWER`.
--- a/crates/control/tests/brief.rs
+++ b/crates/control/tests/brief.rs
@@ -67,6 +67,7 @@
             leaderless: None,
             own: Some(MemberKind::Voter),
             answers: Vec::new(),
+            lacking: 0,
             quorum: 2,
             voters: vec![voter(2, None), voter(3, None)],
             reachable: 2,
--- a/crates/log/src/node/status.rs
+++ b/crates/log/src/node/status.rs
@@ -23,6 +23,8 @@
     pub quorum: usize,
     /// All voters but this member.
     pub voters: Vec<VoterStatus>,
+    /// On a leader, how many voters the group has less than it should; it survives fewer lost disks then.
+    pub lacking: usize,
     /// How many voters were heard from within an election timeout, with this member if it is one.
     /// Without a leader, only these take part in elections; a follower hears only from its leader.
     pub reachable: usize,
@@ -85,12 +87,22 @@
                 .map(|(id, answer)| (*id, *answer))
                 .collect(),
             quorum: members.quorum(),
+            lacking: self.lacking_voters(),
             reachable: own + voters.iter().filter(recent).count(),
             voters,
             vacancy: self.vacancy(now),
         }
     }
 
+    fn lacking_voters(&self) -> usize {
+        let wanted = if self.is_leader() {
+            self.settings.voters
+        } else {
+            0
+        };
+        wanted.saturating_sub(self.members().voters().count())
+    }
+
     fn vacancy(&self, now: Time) -> Option<Vacancy> {
         let Role::Leader(lead) = &self.role else {
             return None;
--- a/crates/log/tests/status.rs
+++ b/crates/log/tests/status.rs
@@ -80,3 +80,18 @@
     let granted = asked.iter().find(|voter| voter.id == MemberId(3));
     assert!(granted.is_some_and(|voter| voter.granted.is_some()));
 }
+
+/// A group of four that should survive two lost disks looked sound until it lost them.
+#[test]
+fn a_leader_tells_how_many_voters_its_group_lacks() {
+    let settings = Settings {
+        voters: 5,
+        ..Settings::default()
+    };
+    let mut trio = Trio::with(settings);
+    trio.deliver();
+    trio.heartbeat();
+    assert_eq!(trio.nodes[0].status(trio.now).lacking, 2);
+    assert_eq!(trio.nodes[1].status(trio.now).lacking, 0, "it doesn't lead");
+    assert_eq!(Trio::elected().nodes[0].status(trio.now).lacking, 0);
+}
