Control: a member that was removed while away knows it, and names the leader

Cause: a member that was removed by a planned stop, or while its machine was dark, came back with a log in which it votes. All refused it their votes, the group lacked no voter and refused to let it join, and it told its callers that the group has no leader. The three seeds of the settings were such members, and the processes without a disk know nobody else.

Now members tell their leader and the members that they know to be committed. A member whose log is older than a committed removal of it asks for no votes any more, and a process without a leader names the one that it was told.

--- a/crates/control/src/replica/calls.rs
+++ b/crates/control/src/replica/calls.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
-use clem_log::{ClusterId, MemberId, Members, Message, SnapshotMetadata};
+use clem_log::{ClusterId, LogIndex, MemberId, Members, Message, SnapshotMetadata};
 use clem_wire::Call;
 use serde::{Deserialize, Serialize};
 
+use super::discovery::NamedLeader;
+
 /// Delivers consensus messages; the reply carries messages queued for the sender.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct Exchange {
@@ -53,9 +55,24 @@
     /// Whether that group has no leader as far as the process knows.
     #[serde(default)]
     pub(super) leaderless: bool,
-    /// Without a group, the addresses at which the process looks for one.
+    /// Without a leader, the addresses at which the process looks for its group.
     #[serde(default)]
     pub(super) known: Vec<SocketAddr>,
+    /// The leader of that group, if this process hears from it.
+    #[serde(default)]
+    pub(super) leader: Option<NamedLeader>,
+    /// The latest members that the process knows to be committed.
+    #[serde(default)]
+    pub(super) committed: Option<Membership>,
+}
+
+/// The members of a group as of an entry of its log.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct Membership {
+    /// The index of the entry.
+    pub(super) at: LogIndex,
+    /// The members.
+    pub(super) members: Members,
 }
 
 /// A group and the members that it starts from.
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -20,7 +20,8 @@
 use super::{
     ProposalResult,
     brief::GroupState,
-    calls::DepartReply,
+    calls::{DepartReply, Membership},
+    discovery::NamedLeader,
     disk_work::DiskWork,
     fatal,
     outbox::{Lane, Outbox},
@@ -116,6 +117,27 @@
         &self.node
     }
 
+    /// The leader that this member hears from, or itself if it leads.
+    pub(super) fn leader(&self) -> Option<NamedLeader> {
+        let leader = self.node.members().get(self.node.leader()?)?;
+        Some(NamedLeader {
+            address: leader.address.parse().ok()?,
+            term: self.node.term(),
+        })
+    }
+
+    /// Notes a committed membership that another process of the group knows.
+    pub(super) fn note_membership(&mut self, membership: &Membership) {
+        let Membership { at, members } = membership;
+        if !self.node.note_membership(*at, members) {
+            return;
+        }
+        log::warn!(
+            at = at.0, known = self.node.members_at().0, last = self.node.last().0;
+            "removed from the group while away"
+        );
+    }
+
     /// The term in which this member leads under a lease that is valid at `now`, once it has
     /// applied everything committed before that term.
     pub(super) fn leased_epoch(&self, now: Time) -> Option<Epoch> {
@@ -179,7 +201,7 @@
     /// group; `None` if it does.
     pub(super) fn absence(&self, now: Time, applied: LogIndex) -> Option<Absence> {
         let node = &self.node;
-        if node.members().get(node.id()).is_none() {
+        if node.kind().is_none() {
             return Some(Absence::NoMember);
         }
         if node.leader().is_none() {
@@ -528,7 +550,8 @@
     }
 }
 
-fn voters(members: &Members) -> Vec<SocketAddr> {
+/// The addresses of the voters.
+pub(super) fn voters(members: &Members) -> Vec<SocketAddr> {
     let voters = members.iter().filter(|m| m.kind == MemberKind::Voter);
     voters.filter_map(|m| m.address.parse().ok()).collect()
 }
--- a/crates/control/src/replica/depart.rs
+++ b/crates/control/src/replica/depart.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
+use clem_log::MemberKind;
 use clem_wire::CallError;
 use futures_util::future;
 
@@ -67,7 +68,8 @@
             let members = core.node().members();
             let leader = core.node().leader().and_then(|id| members.get(id));
             let leader = leader.and_then(|leader| leader.address.parse().ok());
-            (depart, leader, members.is_voter(shared.member))
+            let votes = core.node().kind() == Some(MemberKind::Voter);
+            (depart, leader, votes)
         };
         let own = self.ask_own();
         shared.work.notify_one();
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -199,6 +199,8 @@
     });
     let answers = future::join_all(calls).await;
     let answers: Vec<PeerReply> = answers.into_iter().flatten().collect();
+    let replies: Vec<&HelloReply> = answers.iter().map(|answer| &answer.reply).collect();
+    shared.note_replies(&replies);
     for PeerReply { reply, .. } in &answers {
         if let Some(group) = &reply.group {
             let known = group.members.iter().filter_map(|m| m.address.parse().ok());
@@ -305,7 +307,7 @@
                 member: shared.member,
                 address: shared.address.to_string(),
             };
-            (join, members.get(shared.member).is_some())
+            (join, core.node().kind().is_some())
         };
         let asked = shared.others();
         // Only the leader accepts the call.
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -30,6 +30,7 @@
     ProposalResult,
     brief::Place,
     calls::Hello,
+    core::Core,
     fatal, formation,
     install_snapshot::{CACHE_BYTES, store_path},
     routes::routes,
@@ -237,16 +238,14 @@
     /// Free disk space as last read, in bytes; `u64::MAX` before that.
     pub fn free_bytes(&self) -> u64 {
         let core = self.shared.core();
-        core.as_ref()
-            .map_or(u64::MAX, super::core::Core::free_bytes)
+        core.as_ref().map_or(u64::MAX, Core::free_bytes)
     }
 
-    /// The leader's address, if known.
+    /// The leader's address, if this process or one that it has asked lately hears from it.
     pub fn leader(&self) -> Option<SocketAddr> {
-        let core = self.shared.core();
-        let node = core.as_ref()?.node();
-        let leader = node.members().get(node.leader()?)?;
-        leader.address.parse().ok()
+        let own = self.shared.core().as_ref().and_then(Core::leader);
+        let leader = own.or_else(|| self.shared.named_leader())?;
+        (leader.address != self.shared.address || own.is_some()).then_some(leader.address)
     }
 
     /// What this process knows of its group, for callers that look for the leader.
@@ -272,9 +271,16 @@
     /// The addresses of the group's voters, ignoring uncommitted membership changes.
     pub fn voters(&self) -> Vec<SocketAddr> {
         let core = self.shared.core();
-        core.as_ref()
-            .map(super::core::Core::voters)
-            .unwrap_or_default()
+        core.as_ref().map(Core::voters).unwrap_or_default()
+    }
+
+    /// The addresses of the voters by the latest membership change in the log, committed or not, and the index of
+    /// its entry; `None` if this process is no member.
+    pub fn membership(&self) -> Option<(LogIndex, Vec<SocketAddr>)> {
+        let core = self.shared.core();
+        let node = core.as_ref()?.node();
+        node.kind()?;
+        Some((node.members_at(), super::core::voters(node.members())))
     }
 
     /// The members of the group, with their roles and replication progress.
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -5,6 +5,7 @@
 //! - `event_loop` handles timers, disk events and outgoing messages,
 //! - `peers` sends messages to other members,
 //! - `formation` bootstraps a group or joins one, and `founding` decides which,
+//! - `discovery` keeps what others say of the group,
 //! - `brief` tells callers what this process knows of its group,
 //! - `joining`, `learners` and `group_report` report how far that is,
 //! - `participation` reports whether this member takes part, with `disk_work` and `in_flight`,
@@ -18,6 +19,7 @@
 mod calls;
 mod core;
 mod depart;
+pub mod discovery;
 mod disk_work;
 mod event_loop;
 mod fatal;
--- a/crates/control/src/replica/participation.rs
+++ b/crates/control/src/replica/participation.rs
@@ -46,7 +46,7 @@
     pub(super) fn report(&mut self, now: Time, shared: &Shared, core: &Core, applied: LogIndex) {
         let node = core.node();
         let disk = core.disk();
-        let own = node.members().get(shared.member).map(|own| own.kind);
+        let own = node.kind();
         let absence = core.absence(now, applied);
         let learner = own == Some(MemberKind::Learner);
         let participates = absence.is_none();
--- a/crates/control/src/replica/routes.rs
+++ b/crates/control/src/replica/routes.rs
@@ -8,7 +8,7 @@
 use super::{
     calls::{
         Depart, DepartReply, Exchange, ExchangeReply, Group, Hello, HelloReply, Join, JoinReply,
-        SnapshotPage,
+        Membership, SnapshotPage,
     },
     install_snapshot,
     outbox::Lane,
@@ -75,32 +75,39 @@
         let Some(Hello {}) = read_call::<Hello>(req, res).await else {
             return;
         };
-        let (group, leaderless) = match self.0.core().as_ref() {
-            Some(core) => {
-                let group = Group {
-                    cluster: core.cluster,
-                    members: core.node().members().clone(),
-                };
-                (Some(group), core.node().leader().is_none())
-            }
-            None => (None, false),
-        };
-        let known = match &group {
-            Some(_) => Vec::new(),
-            None => self.0.others(),
-        };
-        answer(
-            res,
-            &HelloReply {
-                member: self.0.member,
-                votes: self.0.votes,
-                predates_group: self.0.predates_group,
-                group,
-                leaderless,
-                known,
-            },
-        );
+        answer(res, &hello(&self.0));
+    }
+}
+
+fn hello(shared: &Shared) -> HelloReply {
+    let mut reply = HelloReply {
+        member: shared.member,
+        votes: shared.votes,
+        predates_group: shared.predates_group,
+        group: None,
+        leaderless: false,
+        known: Vec::new(),
+        leader: None,
+        committed: None,
+    };
+    if let Some(core) = shared.core().as_ref() {
+        let node = core.node();
+        let (at, members) = node.committed_members();
+        reply.leader = core.leader();
+        reply.leaderless = node.leader().is_none();
+        reply.group = Some(Group {
+            cluster: core.cluster,
+            members: node.members().clone(),
+        });
+        reply.committed = Some(Membership {
+            at,
+            members: members.clone(),
+        });
+    }
+    if reply.leader.is_none() {
+        reply.known = shared.others();
     }
+    reply
 }
 
 struct OnJoin(Arc<Shared>);
--- a/crates/control/src/replica/shared.rs
+++ b/crates/control/src/replica/shared.rs
@@ -14,11 +14,19 @@
 use clem_wire::Client;
 use tokio::sync::{Notify, watch};
 
-use super::{core::Core, fatal, in_flight::InFlight, install_snapshot::Incoming, outbox::Lane};
+use super::{
+    calls::HelloReply,
+    core::Core,
+    discovery::{Discovery, NamedLeader},
+    fatal,
+    in_flight::InFlight,
+    install_snapshot::Incoming,
+    outbox::Lane,
+};
 
 /// The shared state of a replica.
 ///
-/// Locks are never held across an `await`, and are taken in this order: core, store, install.
+/// Locks are never held across an `await`, and are taken in this order: core, store, install, discovery.
 pub(super) struct Shared {
     pub(super) address: SocketAddr,
     /// The initial members, if a group is to be bootstrapped.
@@ -56,6 +64,7 @@
     core: Mutex<Option<Core>>,
     store: Mutex<RedbStore>,
     install: Mutex<Incoming>,
+    discovery: Mutex<Discovery>,
 }
 
 /// The fields with which a [`Shared`] is created.
@@ -101,6 +110,7 @@
             core: Mutex::new(None),
             store: Mutex::new(parts.store),
             install: Mutex::default(),
+            discovery: Mutex::default(),
         }
     }
 
@@ -172,6 +182,33 @@
         }
     }
 
+    /// The leader that others named lately, if any.
+    pub(super) fn named_leader(&self) -> Option<NamedLeader> {
+        let discovery = self.discovery.lock();
+        let discovery = discovery.unwrap_or_else(PoisonError::into_inner);
+        discovery.leader(self.clock.now())
+    }
+
+    /// Notes what others have replied about the group of this process, or about any if it is in none.
+    pub(super) fn note_replies(&self, replies: &[&HelloReply]) {
+        let mut core = self.core();
+        let own = core.as_ref().map(|core| core.cluster);
+        let mut leaders = Vec::new();
+        for reply in replies {
+            let Some(group) = &reply.group else { continue };
+            if own.is_some_and(|own| own != group.cluster) {
+                continue;
+            }
+            leaders.extend(reply.leader);
+            if let (Some(core), Some(committed)) = (core.as_mut(), &reply.committed) {
+                core.note_membership(committed);
+            }
+        }
+        let discovery = self.discovery.lock();
+        let mut discovery = discovery.unwrap_or_else(PoisonError::into_inner);
+        discovery.note(self.clock.now(), leaders);
+    }
+
     /// Processes pending work of the core and publishes changes of leadership.
     pub(super) fn process(&self) {
         let now = self.clock.now();
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -220,10 +220,15 @@
 
 /// The disk of a member of a group of its own, with voters at these addresses.
 fn grouped_disk(addresses: [SocketAddr; 3]) -> TempDir {
+    grouped_disk_of(ClusterId(1), addresses)
+}
+
+/// The disk of the first of these members of a group, as it is before any entry.
+fn grouped_disk_of(cluster: ClusterId, addresses: [SocketAddr; 3]) -> TempDir {
     let disk = TempDir::new().unwrap();
     let identity = Identity {
         member: MemberId(1),
-        cluster: Some(ClusterId(1)),
+        cluster: Some(cluster),
     };
     let (mut folder, _) = Folder::open(disk.path(), identity).unwrap();
     let mut base = SnapshotMetadata::default();
@@ -369,3 +374,26 @@
     let _removed = start_in(disk, removed, &[], &[], false);
     eventually("the removed member votes", || is_voter(&leader, address)).await;
 }
+
+/// A removed member was refused by a group that lacks no voter, and told its callers that there is no leader.
+#[tokio::test]
+async fn a_removed_member_of_a_whole_group_names_the_leader() {
+    let [first, second, third, removed] = listeners();
+    let founders = [first.address(), second.address(), third.address()];
+    let members = [first, second, third].map(|one| start(one, &founders, &[]));
+    eventually("the group has a leader", || {
+        members.iter().all(|one| one.replica.leader().is_some())
+    })
+    .await;
+    let leader = members[0].replica.leader();
+
+    let group = read_identity(members[0].folder.path()).unwrap().unwrap();
+    let voters = [removed.address(), founders[0], founders[1]];
+    let disk = grouped_disk_of(group.cluster.unwrap(), voters);
+    let removed = start_in(disk, removed, &[], &[], false);
+    eventually("the removed member names the leader", || {
+        removed.replica.leader() == leader
+    })
+    .await;
+    assert!(!is_voter(&members[0], removed.address));
+}
--- a/crates/log/src/node/election.rs
+++ b/crates/log/src/node/election.rs
@@ -223,7 +223,7 @@
             Role::Follower | Role::PreCandidate { .. } => true,
             Role::Candidate { .. } | Role::Leader(_) => false,
         };
-        if term != self.term || !follows || !waits || !self.members().is_voter(self.id) {
+        if term != self.term || !follows || !waits || !self.votes() {
             return;
         }
         self.start_vote(now, true);
--- a/crates/log/src/node/follower.rs
+++ b/crates/log/src/node/follower.rs
@@ -25,6 +25,7 @@
             self.become_follower(now, term, Some(from));
         }
         self.last_contact = now;
+        self.removed = None;
         self.reset_deadline(now);
         let silences = append.silent.iter();
         self.silences = silences
@@ -119,6 +120,7 @@
             return false;
         }
         self.last_contact = now;
+        self.removed = None;
         self.log = MemLog::new(base.index, base.term);
         self.configs.clear();
         self.configs.push_back((base.index, base.members.clone()));
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -26,8 +26,8 @@
 pub use votes::VoteAnswer;
 
 use crate::{
-    Body, Entry, HardState, LogIndex, MemberId, Members, Message, Payload, ReadId, ReadReady,
-    Removal, Settings, SnapshotMetadata, Term, Write, WriteNumber, memlog::MemLog,
+    Body, Entry, HardState, LogIndex, MemberId, MemberKind, Members, Message, Payload, ReadId,
+    ReadReady, Removal, Settings, SnapshotMetadata, Term, Write, WriteNumber, memlog::MemLog,
     progress::Progress,
 };
 
@@ -133,6 +133,9 @@
     joins: BTreeMap<MemberId, JoinRequest>,
     /// The addresses of processes that are being retired.
     leaving: BTreeSet<String>,
+    /// The entry of a committed membership that doesn't have this member, if others told of one that is
+    /// newer than all in its log.
+    removed: Option<LogIndex>,
     /// The member to which this one transferred its leadership, until a newer term is known.
     successor: Option<Successor>,
     output: Output,
@@ -273,6 +276,7 @@
             disk_full: false,
             joins: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            removed: None,
             successor: None,
             output: Output::default(),
         };
@@ -316,7 +320,7 @@
         }
         self.successor = None;
         self.reset_deadline(now);
-        if self.members().is_voter(self.id) {
+        if self.votes() {
             self.start_pre_vote(now);
         } else {
             self.leader = None;
@@ -330,6 +334,40 @@
         self.leader.is_none() && !self.is_leader()
     }
 
+    /// Notes a committed membership that another process knows, with the index of its entry. Returns whether
+    /// this member has just learned from it that it was removed.
+    ///
+    /// A member that was removed while it was away has a log in which it still votes. Nobody votes for it, and no
+    /// leader sends it anything, so that it can't learn this from the log. See `docs/design/agreement.md`, "The
+    /// node".
+    pub fn note_membership(&mut self, at: LogIndex, members: &Members) -> bool {
+        let is_older = at <= self.members_at();
+        let is_member = self.members().get(self.id).is_some();
+        if is_older || !is_member || members.get(self.id).is_some() || self.is_leader() {
+            return false;
+        }
+        if matches!(self.role, Role::PreCandidate { .. }) {
+            self.role = Role::Follower;
+        }
+        self.removed.replace(at).is_none()
+    }
+
+    /// Returns whether this member was removed, as far as it knows from others.
+    pub fn is_removed(&self) -> bool {
+        self.removed.is_some()
+    }
+
+    /// Returns what this member is, as far as it knows.
+    pub fn kind(&self) -> Option<MemberKind> {
+        let own = self.members().get(self.id).map(|own| own.kind);
+        own.filter(|_| !self.is_removed())
+    }
+
+    /// Returns whether this member is a voter, as far as it knows.
+    fn votes(&self) -> bool {
+        self.kind() == Some(MemberKind::Voter)
+    }
+
     /// Returns the time at which [`tick`](Self::tick) must be called next.
     pub fn wake_at(&self) -> Time {
         let Role::Leader(lead) = &self.role else {
@@ -376,6 +414,21 @@
         members
     }
 
+    /// Returns the index of the entry of [`members`](Self::members).
+    pub fn members_at(&self) -> LogIndex {
+        let (at, _) = &self.configs[self.configs.len() - 1];
+        *at
+    }
+
+    /// Returns the latest membership that is known to be committed, and the index of its entry.
+    pub fn committed_members(&self) -> (LogIndex, &Members) {
+        let known = self.configs.iter().rev();
+        let mut committed = known.filter(|(at, _)| *at <= self.commit);
+        // The first one is the base of the log, which is committed.
+        let (at, members) = committed.next().unwrap_or(&self.configs[0]);
+        (*at, members)
+    }
+
     /// Returns the base of a snapshot at `index`; `None` if that entry is no longer in the log.
     pub fn base_at(&self, index: LogIndex) -> Option<SnapshotMetadata> {
         let term = self.log.term_at(index)?;
--- a/crates/log/src/node/status.rs
+++ b/crates/log/src/node/status.rs
@@ -15,7 +15,7 @@
     /// The time since this member last knew of a leader; `None` while it does, and in a process that is
     /// no member yet.
     pub leaderless: Option<Duration>,
-    /// What this member is, as far as it knows: it may have been removed without being told.
+    /// What this member is, as far as it knows: it may have been removed and not know it yet.
     pub own: Option<MemberKind>,
     /// What this member last answered to those that asked for its vote.
     pub answers: Vec<(MemberId, VoteAnswer)>,
@@ -75,11 +75,11 @@
             let unheard = voter.unheard;
             unheard.is_some_and(|unheard| unheard < self.settings.election)
         };
-        let leaderless = self.wants_join() && members.get(self.id).is_some();
-        let own = usize::from(members.is_voter(self.id));
+        let leaderless = self.wants_join() && self.kind().is_some();
+        let own = usize::from(self.votes());
         GroupStatus {
             leaderless: leaderless.then(|| now.since(self.last_contact)),
-            own: members.get(self.id).map(|member| member.kind),
+            own: self.kind(),
             answers: self
                 .votes
                 .answered
