Direct: take rules without a leader only from a majority of the latest voters

Rules were taken over from a majority of the processes that a front knows. A committed change of the voters is in the log of one of each majority of the former ones, so that no majority is formed without it. Callers also add these voters to the processes that they ask.

No process-level test: a removed hub holds rules after a restart only if its store was synced, which is every 30 s.

--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -93,26 +93,28 @@
 /// How long a member may take to answer it.
 const START_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Takes over the newest rules that a majority of the known members hold, if a process that has just
+/// Takes over the newest rules that a majority of the hub's voters hold, if a process that has just
 /// started finds no leader. It answers the load after a loss of all processes, when all callers come
 /// back while the members still elect a leader: callers are served better by the last rules than by a
 /// refusal. What the members hold may be older than the newest rules, until the leader sends these.
 pub(crate) async fn start_from_members(node: &Node) {
     tokio::time::sleep(START_WAIT).await;
     while node.view().rules.is_none() {
-        let members = node.hub.addresses();
-        let held = ask_held(node, &members).await;
+        let held = ask_held(node, &node.hub.addresses()).await;
         if node.view().rules.is_some() {
             return;
         }
         let sent = node.now();
-        let newest = held.iter().max_by_key(|held| held.rules.version);
-        if let Some(newest) = newest.filter(|_| held.len() * 2 > members.len()) {
+        if let Some(latest) = latest_membership(&held) {
+            // The settings may name processes only that are voters no more.
+            node.hub.add_addresses(&latest.voters);
+        }
+        if let Some(newest) = newest_held(&held) {
             log::info!(
                 version = newest.rules.version.0, members = held.len(), fronts = newest.fronts;
                 "rules taken from members without a leader"
             );
-            let fronts = held.iter().map(|held| held.fronts).max();
+            let fronts = held.iter().map(|(_, held)| held.fronts).max();
             node.view()
                 .restore(newest.evacuated.clone(), fronts.unwrap_or_default());
             if apply_rules(node, sent, &newest.rules) {
@@ -125,8 +127,34 @@
     }
 }
 
-/// What the members hold that answer in time and hold rules.
-async fn ask_held(node: &Node, members: &[SocketAddr]) -> Vec<Held> {
+/// Returns the reply of the member that knows the latest change of the hub's voters.
+fn latest_membership(held: &[(SocketAddr, Held)]) -> Option<&Held> {
+    let known = held.iter().map(|(_, held)| held);
+    known.max_by_key(|held| held.changed)
+}
+
+/// Returns the newest rules that members hold, if these are a majority of the voters by the latest membership
+/// that any of them knows.
+///
+/// Members that were removed while they were away may all know the same former voters. A change of the voters
+/// that is committed is in the log of one of a majority of the former ones, so that this one would tell it.
+/// Without that change, the majority has what is committed.
+pub fn newest_held(held: &[(SocketAddr, Held)]) -> Option<&Held> {
+    let voters = &latest_membership(held)?.voters;
+    let votes = |address: &SocketAddr| voters.contains(address);
+    let mut holding: Vec<&Held> = Vec::new();
+    for (address, held) in held {
+        if votes(address) && held.rules.version.0 > 0 {
+            holding.push(held);
+        }
+    }
+    let has_majority = holding.len() * 2 > voters.len();
+    let newest = holding.into_iter().max_by_key(|held| held.rules.version);
+    newest.filter(|_| has_majority)
+}
+
+/// What the members that answer in time hold, with their addresses.
+async fn ask_held(node: &Node, members: &[SocketAddr]) -> Vec<(SocketAddr, Held)> {
     let ask = |member: SocketAddr| async move {
         let call = FetchHeld {
             vm: node.vm.clone(),
@@ -136,13 +164,8 @@
             .hub
             .call_member(member, &call, START_TIMEOUT, START_TIMEOUT);
         match asked.await {
-            Ok(LeaderReply::Done(held)) if held.rules.version.0 > 0 => Some(held),
-            Ok(
-                LeaderReply::Done(_)
-                | LeaderReply::NotLeader { .. }
-                | LeaderReply::Unknown
-                | LeaderReply::NoRoom,
-            ) => None,
+            Ok(LeaderReply::Done(held)) => Some((member, held)),
+            Ok(LeaderReply::NotLeader { .. } | LeaderReply::Unknown | LeaderReply::NoRoom) => None,
             Err(error) => {
                 log::debug!(member:% = member, error:% = error; "member not asked");
                 None
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,7 @@
 pub use clem_policy::dispatch::RateTolerance;
 pub use events::{Event, EventBuffer};
 pub use exchange::{Liveness, Outcome, OutgoingRequest, Reply, ReplyConnection};
+pub use fetch::newest_held;
 pub use follow::follow;
 pub use list::{ListReader, poll_without_hub};
 pub use node::{Node, NodeSettings};
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -193,11 +193,15 @@
 
 impl Serve<Hub> for FetchHeld {
     async fn serve(self, hub: Arc<Hub>) -> Result<Held> {
+        // A removed member doesn't hear of changes any more.
+        let (changed, voters) = hub.replica.membership().ok_or(ServeError::NotLeader)?;
         let evacuations = hub.replica.read(evacuations::read);
         Ok(Held {
             rules: hub.replica.read(document::document),
             evacuated: evacuations.data_centres,
             fronts: hub.count_front(&self),
+            voters,
+            changed: changed.0,
         })
     }
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -296,6 +296,12 @@
     /// Number of fronts that have asked this member lately.
     #[serde(default)]
     pub fronts: u32,
+    /// The voters of the hub by the latest entry of the member's log that changes them.
+    #[serde(default)]
+    pub voters: Vec<SocketAddr>,
+    /// The index of that entry.
+    #[serde(default)]
+    pub changed: u64,
 }
 
 /// Reads the active rules document.
