Control: order memberships by term and index, and look for the leader while catching up

- A former leader's change that was never committed may have a higher index than a committed removal, so that it never learned of it.
Positions are compared by term and index.
- A member that catches up hears from a leader whose address is not in its log yet, and named nobody meanwhile.
- A member told of a later membership with it went on as a removed one until a leader reached it; a candidate stayed one; a disk without entries could have told a membership without voters.
- Only voters tell what rules they hold, and members of an earlier release don't count.

--- a/crates/control/src/replica/calls.rs
+++ b/crates/control/src/replica/calls.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use clem_log::{ClusterId, LogIndex, MemberId, Members, Message, SnapshotMetadata};
+use clem_log::{ClusterId, LogPosition, MemberId, Members, Message, SnapshotMetadata};
 use clem_wire::Call;
 use serde::{Deserialize, Serialize};
 
@@ -69,8 +69,8 @@
 /// The members of a group as of an entry of its log.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct Membership {
-    /// The index of the entry.
-    pub(super) at: LogIndex,
+    /// The position of the entry.
+    pub(super) at: LogPosition,
     /// The members.
     pub(super) members: Members,
 }
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -133,7 +133,7 @@
             return;
         }
         log::warn!(
-            at = at.0, known = self.node.members_at().0, last = self.node.last().0;
+            at = at.index.0, term = at.term.0, known = self.node.members_at().index.0, last = self.node.last().0;
             "removed from the group while away"
         );
     }
--- a/crates/control/src/replica/discovery.rs
+++ b/crates/control/src/replica/discovery.rs
@@ -8,7 +8,7 @@
 
 /// How long a leader that others named counts as such; longer than the time from one round of queries to the
 /// end of the next.
-const LEADER_KEPT: Duration = Duration::from_millis(1600);
+const LEADER_KEPT: Duration = Duration::from_secs(2);
 
 /// A leader, as a member of its group knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/control/src/replica/formation.rs
+++ b/crates/control/src/replica/formation.rs
@@ -293,10 +293,11 @@
             return;
         }
         let now = shared.clock.now();
-        let (join, is_member) = {
+        let (join, is_member, waits) = {
             let core = shared.core();
             let Some(core) = core.as_ref() else { continue };
-            if !core.node().wants_join() {
+            // A member that lags may hear from a leader whose address it doesn't know yet.
+            if core.leader().is_some() {
                 joining.finish(now);
                 continue;
             }
@@ -307,9 +308,15 @@
                 member: shared.member,
                 address: shared.address.to_string(),
             };
-            (join, core.node().kind().is_some())
+            let is_member = core.node().kind().is_some();
+            (join, is_member, core.node().wants_join())
         };
         let asked = shared.others();
+        if !waits {
+            joining.finish(now);
+            query(&shared, &asked).await;
+            continue;
+        }
         // Only the leader accepts the call.
         let calls = asked
             .iter()
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use clem_boot::{Clock, spawn_vital};
 use clem_log::{
-    Change, LogIndex, MemberId, MemberKind, NodeError,
+    Change, LogIndex, LogPosition, MemberId, MemberKind, NodeError,
     disk::{Folder, Identity, RoomProbe},
 };
 use clem_state::Command;
@@ -274,13 +274,13 @@
         core.as_ref().map(Core::voters).unwrap_or_default()
     }
 
-    /// The addresses of the voters by the latest membership change in the log, committed or not, and the index of
-    /// its entry; `None` if this process is no member.
-    pub fn membership(&self) -> Option<(LogIndex, Vec<SocketAddr>)> {
+    /// The addresses of the voters by the latest membership change in the log, committed or not, and the position
+    /// of its entry; `None` if this process is no voter.
+    pub fn membership(&self) -> Option<(LogPosition, Vec<SocketAddr>)> {
         let core = self.shared.core();
         let node = core.as_ref()?.node();
-        node.kind()?;
-        Some((node.members_at(), super::core::voters(node.members())))
+        let votes = node.kind() == Some(MemberKind::Voter);
+        votes.then(|| (node.members_at(), super::core::voters(node.members())))
     }
 
     /// The members of the group, with their roles and replication progress.
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -375,7 +375,7 @@
     eventually("the removed member votes", || is_voter(&leader, address)).await;
 }
 
-/// A removed member was refused by a group that lacks no voter, and told its callers that there is no leader.
+/// A member that no vote nor place is left for told its callers that there is no leader.
 #[tokio::test]
 async fn a_removed_member_of_a_whole_group_names_the_leader() {
     let [first, second, third, removed] = listeners();
--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -130,6 +130,8 @@
 /// Returns the reply of the member that knows the latest change of the hub's voters.
 fn latest_membership(held: &[(SocketAddr, Held)]) -> Option<&Held> {
     let known = held.iter().map(|(_, held)| held);
+    // A member of an earlier release doesn't tell the voters.
+    let known = known.filter(|held| !held.voters.is_empty());
     known.max_by_key(|held| held.changed)
 }
 
@@ -144,7 +146,8 @@
     let votes = |address: &SocketAddr| voters.contains(address);
     let mut holding: Vec<&Held> = Vec::new();
     for (address, held) in held {
-        if votes(address) && held.rules.version.0 > 0 {
+        let tells = !held.voters.is_empty() && held.rules.version.0 > 0;
+        if tells && votes(address) {
             holding.push(held);
         }
     }
--- a/crates/hub/src/serve.rs
+++ b/crates/hub/src/serve.rs
@@ -193,7 +193,7 @@
 
 impl Serve<Hub> for FetchHeld {
     async fn serve(self, hub: Arc<Hub>) -> Result<Held> {
-        // A removed member doesn't hear of changes any more.
+        // Others may lag, and a removed one doesn't hear of changes any more.
         let (changed, voters) = hub.replica.membership().ok_or(ServeError::NotLeader)?;
         let evacuations = hub.replica.read(evacuations::read);
         Ok(Held {
@@ -201,7 +201,7 @@
             evacuated: evacuations.data_centres,
             fronts: hub.count_front(&self),
             voters,
-            changed: changed.0,
+            changed: (changed.term.0, changed.index.0),
         })
     }
 }
--- a/crates/log/src/id.rs
+++ b/crates/log/src/id.rs
@@ -77,3 +77,13 @@
     /// The id of a cluster, chosen at random by the member that founds it.
     ClusterId
 );
+
+/// The position of an entry in the logs of a cluster. Of two entries that were committed, or may still be, the
+/// later one has the higher position, though an entry that never was may have a higher index.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LogPosition {
+    /// The term of the leader that appended it.
+    pub term: Term,
+    /// Its index.
+    pub index: LogIndex,
+}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -45,7 +45,7 @@
 
 pub use entry::{Entry, HardState, Payload, SnapshotMetadata};
 pub use error::{NodeError, Result};
-pub use id::{ClusterId, LogIndex, MemberId, Term};
+pub use id::{ClusterId, LogIndex, LogPosition, MemberId, Term};
 pub use members::{Change, Member, MemberKind, Members};
 pub use message::{Append, Ballot, Body, Departing, Message, Silence};
 pub use node::{
--- a/crates/log/src/node/mod.rs
+++ b/crates/log/src/node/mod.rs
@@ -26,9 +26,9 @@
 pub use votes::VoteAnswer;
 
 use crate::{
-    Body, Entry, HardState, LogIndex, MemberId, MemberKind, Members, Message, Payload, ReadId,
-    ReadReady, Removal, Settings, SnapshotMetadata, Term, Write, WriteNumber, memlog::MemLog,
-    progress::Progress,
+    Body, Entry, HardState, LogIndex, LogPosition, MemberId, MemberKind, Members, Message, Payload,
+    ReadId, ReadReady, Removal, Settings, SnapshotMetadata, Term, Write, WriteNumber,
+    memlog::MemLog, progress::Progress,
 };
 
 /// The initial state of a member, as read from its disk.
@@ -133,9 +133,9 @@
     joins: BTreeMap<MemberId, JoinRequest>,
     /// The addresses of processes that are being retired.
     leaving: BTreeSet<String>,
-    /// The entry of a committed membership that doesn't have this member, if others told of one that is
+    /// The position of a committed membership that doesn't have this member, if others told of one that is
     /// newer than all in its log.
-    removed: Option<LogIndex>,
+    removed: Option<LogPosition>,
     /// The member to which this one transferred its leadership, until a newer term is known.
     successor: Option<Successor>,
     output: Output,
@@ -334,20 +334,27 @@
         self.leader.is_none() && !self.is_leader()
     }
 
-    /// Notes a committed membership that another process knows, with the index of its entry. Returns whether
-    /// this member has just learned from it that it was removed.
+    /// Notes a committed membership that another process knows, with its position. Returns whether this
+    /// member has just learned from it that it was removed.
     ///
     /// A member that was removed while it was away has a log in which it still votes. Nobody votes for it, and no
     /// leader sends it anything, so that it can't learn this from the log. See `docs/design/agreement.md`, "The
     /// node".
-    pub fn note_membership(&mut self, at: LogIndex, members: &Members) -> bool {
-        let is_older = at <= self.members_at();
-        let is_member = self.members().get(self.id).is_some();
-        if is_older || !is_member || members.get(self.id).is_some() || self.is_leader() {
+    pub fn note_membership(&mut self, at: LogPosition, members: &Members) -> bool {
+        let known = self.removed.unwrap_or(self.members_at());
+        // A disk that has got no entry yet knows no members.
+        let is_empty = members.voters().next().is_none();
+        if at <= known || is_empty || self.members().get(self.id).is_none() {
             return false;
         }
-        if matches!(self.role, Role::PreCandidate { .. }) {
-            self.role = Role::Follower;
+        if members.get(self.id).is_some() {
+            self.removed = None;
+            return false;
+        }
+        match self.role {
+            Role::Leader(_) => return false,
+            Role::PreCandidate { .. } | Role::Candidate { .. } => self.role = Role::Follower,
+            Role::Follower => {}
         }
         self.removed.replace(at).is_none()
     }
@@ -414,19 +421,26 @@
         members
     }
 
-    /// Returns the index of the entry of [`members`](Self::members).
-    pub fn members_at(&self) -> LogIndex {
+    /// Returns the position of [`members`](Self::members).
+    pub fn members_at(&self) -> LogPosition {
         let (at, _) = &self.configs[self.configs.len() - 1];
-        *at
+        self.position(*at)
     }
 
-    /// Returns the latest membership that is known to be committed, and the index of its entry.
-    pub fn committed_members(&self) -> (LogIndex, &Members) {
+    /// Returns the latest membership that is known to be committed, and its position.
+    pub fn committed_members(&self) -> (LogPosition, &Members) {
         let known = self.configs.iter().rev();
         let mut committed = known.filter(|(at, _)| *at <= self.commit);
         // The first one is the base of the log, which is committed.
         let (at, members) = committed.next().unwrap_or(&self.configs[0]);
-        (*at, members)
+        (self.position(*at), members)
+    }
+
+    /// Returns the position of an entry, or of the base of the log if the entry is no longer in it.
+    fn position(&self, index: LogIndex) -> LogPosition {
+        let index = index.max(self.log.base());
+        let term = self.log.term_at(index).unwrap_or_default();
+        LogPosition { term, index }
     }
 
     /// Returns the base of a snapshot at `index`; `None` if that entry is no longer in the log.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -299,9 +299,9 @@
     /// The voters of the hub by the latest entry of the member's log that changes them.
     #[serde(default)]
     pub voters: Vec<SocketAddr>,
-    /// The index of that entry.
+    /// The term and index of that entry.
     #[serde(default)]
-    pub changed: u64,
+    pub changed: (u64, u64),
 }
 
 /// Reads the active rules document.
