--- a/crates/control/src/replica/brief.rs
+++ b/crates/control/src/replica/brief.rs
@@ -21,7 +21,7 @@
     /// It is in no group.
     Outside,
     /// It is in a group, if only as one that waits for its place.
-    Inside(GroupState),
+    Inside(Box<GroupState>),
 }
 
 /// The state of a process that is in a group.
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -255,7 +255,7 @@
         let place = match core.as_ref() {
             Some(core) => {
                 let applied = LogIndex(self.shared.store().applied());
-                Place::Inside(core.group_state(now, applied))
+                Place::Inside(Box::new(core.group_state(now, applied)))
             }
             None if self.shared.votes => Place::Outside,
             None => Place::Diskless,
--- a/crates/control/tests/brief.rs
+++ b/crates/control/tests/brief.rs
@@ -85,7 +85,7 @@
 }
 
 fn text(state: GroupState) -> String {
-    GroupBrief::from(Place::Inside(state).to_string())
+    GroupBrief::from(Place::Inside(Box::new(state)).to_string())
         .as_str()
         .to_owned()
 }
