Control: a copy that is received is synced once, at its end

Callers: after a batch keeper was lost, its successor could still lack the state 12 s later, so that the group stayed one lost disk away from standing still (a_copy_on_a_connection_that_went_silent_is_sent_anew of full_state: "the successor is still copying").

Cause: the first page of a copy creates a store, and its file grows with later pages. The database syncs at each of these, on the event loop of the receiver. While the disk was slow the receiver answered nobody, counted as lost after 2 s, was removed as a learner, and the copy began anew.

Why it works: nothing reads the file before it is complete, and it takes its final name after it has been synced, which happens on a thread that may block. So the syncs before that protect nothing. A start after a crash removes or ignores it, as before.

--- a/crates/control/src/replica/install_snapshot.rs
+++ b/crates/control/src/replica/install_snapshot.rs
@@ -14,7 +14,7 @@
 
 use clem_boot::spawn_vital;
 use clem_log::{LogIndex, SnapshotMetadata};
-use clem_store::{RedbStore, Store as _};
+use clem_store::{Draft, RedbStore};
 use tokio::sync::watch;
 
 use super::{
@@ -39,7 +39,7 @@
 pub(super) struct Install {
     base: SnapshotMetadata,
     next: u64,
-    store: RedbStore,
+    store: Draft,
 }
 
 /// A snapshot that is being put in place.
@@ -191,7 +191,7 @@
     if path.exists() {
         fs::remove_file(&path)?;
     }
-    let store = RedbStore::open(&path, CACHE_BYTES)?;
+    let store = Draft::create(&path, CACHE_BYTES)?;
     Ok(Install {
         base,
         next: 0,
@@ -200,10 +200,8 @@
 }
 
 /// Syncs the snapshot, then durably writes its log position.
-fn finish(folder: &Path, mut install: Install) -> eyre::Result<SnapshotMetadata> {
-    install.store.commit(install.base.index.0)?;
-    install.store.syncer().sync()?;
-    drop(install.store);
+fn finish(folder: &Path, install: Install) -> eyre::Result<SnapshotMetadata> {
+    install.store.finish(install.base.index.0)?;
     let draft = folder.join(format!("{BASE_FILE}.draft"));
     let mut file = File::create(&draft)?;
     file.write_all(&rmp_serde::to_vec(&install.base)?)?;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,6 +15,7 @@
 //! # Ok::<(), clem_store::StoreError>(())
 //! ```
 
+mod draft;
 mod error;
 mod mem;
 mod pair;
@@ -23,6 +24,7 @@
 mod store;
 mod store_file;
 
+pub use draft::Draft;
 pub use error::{Result, StoreError};
 pub use mem::MemStore;
 pub use pair::Pair;
--- a/crates/store/src/redb_store.rs
+++ b/crates/store/src/redb_store.rs
@@ -1,6 +1,9 @@
 //! A store on disk, based on `redb`.
 
-use std::{path::Path, sync::Arc};
+use std::{
+    path::Path,
+    sync::{Arc, atomic::AtomicBool},
+};
 
 use bytes::Bytes;
 use redb::{
@@ -70,7 +73,12 @@
     /// Commits that were not durable may be lost; [`applied`](Self::applied) tells after which log
     /// entry to continue.
     pub fn open(path: &Path, cache: usize) -> Result<Self> {
-        let file = StoreFile::open(path).map_err(|e| StoreError::new("open", e))?;
+        Self::open_file(path, cache, Arc::new(AtomicBool::new(true)))
+    }
+
+    /// Opens or creates the store at `path`, whose file is synced only while `syncs` is set.
+    pub(crate) fn open_file(path: &Path, cache: usize, syncs: Arc<AtomicBool>) -> Result<Self> {
+        let file = StoreFile::open(path, syncs).map_err(|e| StoreError::new("open", e))?;
         let db = Builder::new()
             .set_cache_size(cache)
             .create_with_backend(file)
--- a/crates/store/src/store_file.rs
+++ b/crates/store/src/store_file.rs
@@ -5,6 +5,10 @@
     fs::{File, OpenOptions},
     io,
     path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use clem_power::Journal;
@@ -15,14 +19,16 @@
 pub(crate) struct StoreFile {
     file: FileBackend,
     journal: Journal,
+    /// Whether it is synced when the database asks for it.
+    syncs: Arc<AtomicBool>,
 }
 
 impl StoreFile {
-    pub(crate) fn open(path: &Path) -> Result<Self, DatabaseError> {
-        Self::open_both(path).map_err(|e| DatabaseError::Storage(StorageError::Io(e)))?
+    pub(crate) fn open(path: &Path, syncs: Arc<AtomicBool>) -> Result<Self, DatabaseError> {
+        Self::open_both(path, syncs).map_err(|e| DatabaseError::Storage(StorageError::Io(e)))?
     }
 
-    fn open_both(path: &Path) -> io::Result<Result<Self, DatabaseError>> {
+    fn open_both(path: &Path, syncs: Arc<AtomicBool>) -> io::Result<Result<Self, DatabaseError>> {
         let created = !path.exists();
         let file: File = OpenOptions::new()
             .create(true)
@@ -31,7 +37,11 @@
             .write(true)
             .open(path)?;
         let journal = Journal::open(path, &file, created)?;
-        Ok(FileBackend::new(file).map(|file| Self { file, journal }))
+        Ok(FileBackend::new(file).map(|file| Self {
+            file,
+            journal,
+            syncs,
+        }))
     }
 }
 
@@ -56,6 +66,9 @@
     }
 
     fn sync_data(&self) -> io::Result<()> {
+        if !self.syncs.load(Ordering::Acquire) {
+            return Ok(());
+        }
         self.journal.sync(|| self.file.sync_data())
     }
 
